Workspace, shared names and the design of ownership

Cause: nothing stood yet. The crates mirror the concerns of the design, so that decisions stay free of I/O and can be driven by another adapter.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements: capacity slopes, policy experiments and a load generator.
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator's command line.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings and bundles: reading, checking, comparing and approving INI files.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router daemon: sockets and timers around the decision crates.
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,14 @@
+//! Names, time, shards and counters shared by every crate of eelgrassrock.
+//!
+//! Nothing here performs I/O or reads a clock. A [`time::Instant`] is always
+//! handed in by the caller, which keeps every decision replayable.
+
+mod counter;
+mod digest;
+mod name;
+pub mod shard;
+pub mod time;
+
+pub use counter::{Epoch, Sequence, Term, Version};
+pub use digest::Digest;
+pub use name::{DataCentre, Fault, Name, Partner, Router, Service, Upstream};
--- /dev/null
+++ b/crates/ownership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions on sole ownership: homes, leases, grants and placement.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform: transactional table, object store and VM list.
--- /dev/null
+++ b/crates/request/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions on each request: admission, fairness, retries, health and idempotency.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Structured logs and metrics.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between routers and their authentication.
