Shared types of the table and the fleet

Cause: ownership, requests, platform client and bundles all speak of rows and upstreams; one definition in the model crate keeps them from drifting. Measured: nothing yet; types only.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,8 +5,10 @@
 
 mod counter;
 mod digest;
+pub mod fleet;
 mod name;
 pub mod shard;
+pub mod table;
 pub mod time;
 
 pub use counter::{Epoch, Sequence, Term, Version};
