Async client of the table, object store and VM list

Cause: the routers need the platform, and a lost answer must not look like a write that failed. Ruled out: the pooled client of hyper-util, which sends a request again by itself; connections are held by hand and kept only after a whole answer. Before: nothing.

--- /dev/null
+++ b/crates/platform/src/objects.rs
@@ -0,0 +1,100 @@
+//! The platform's object store: contents that are named by their digest.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use eelgrassrock_model::Digest;
+use http::{Method, StatusCode};
+use sha2::Digest as _;
+
+use crate::endpoint::{Call, Endpoint};
+use crate::settings::Settings;
+use crate::{Fault, Kind};
+
+/// Returns the digest that names some contents.
+///
+/// ```
+/// use eelgrassrock_platform::objects;
+///
+/// let digest = objects::digest(b"version = 1");
+/// assert_eq!(digest, objects::digest(b"version = 1"));
+/// ```
+pub fn digest(contents: &[u8]) -> Digest {
+    Digest::from_bytes(sha2::Sha256::digest(contents).into())
+}
+
+/// Client of the object store.
+///
+/// ```
+/// use eelgrassrock_platform::objects::Client;
+/// use eelgrassrock_platform::settings::Settings;
+///
+/// # async fn example() -> Result<(), eelgrassrock_platform::Fault> {
+/// let client = Client::new(([127, 0, 0, 1], 7002).into(), Settings::default());
+/// let digest = client.put("version = 1".into()).await?;
+/// assert_eq!(client.get(digest).await?, Some("version = 1".into()));
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Debug)]
+pub struct Client {
+    endpoint: Endpoint,
+}
+
+impl Client {
+    /// Creates a client. It connects when the first call is made.
+    pub fn new(address: SocketAddr, settings: Settings) -> Self {
+        let endpoint = Endpoint::new(address, settings);
+        Self { endpoint }
+    }
+
+    /// Stores contents and returns their digest. Storing the same contents
+    /// again is harmless, so a call that failed may be repeated.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Fault`]. The contents may have been stored nevertheless.
+    pub async fn put(&self, contents: Bytes) -> Result<Digest, Fault> {
+        let digest = digest(&contents);
+        let call = Call {
+            method: Method::PUT,
+            path: path(digest),
+            body: contents,
+        };
+        let answer = self.endpoint.call(&call).await?;
+        match answer.status {
+            StatusCode::OK | StatusCode::CREATED => Ok(digest),
+            _ => Err(self.endpoint.fault(&call, answer.refusal())),
+        }
+    }
+
+    /// Returns contents whose digest was verified, or `None` if the store
+    /// doesn't hold them.
+    ///
+    /// # Errors
+    ///
+    /// Contents of another digest are [`Kind::WrongDigest`].
+    pub async fn get(&self, digest: Digest) -> Result<Option<Bytes>, Fault> {
+        let call = Call::get(path(digest));
+        let answer = self.endpoint.call(&call).await?;
+        let result = match answer.status {
+            StatusCode::OK => verify(answer.body, digest).map(Some),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(answer.refusal()),
+        };
+        result.map_err(|kind| self.endpoint.fault(&call, kind))
+    }
+}
+
+fn path(digest: Digest) -> String {
+    format!("/v1/objects/{digest}")
+}
+
+fn verify(contents: Bytes, expected: Digest) -> Result<Bytes, Kind> {
+    let actual = digest(&contents);
+    if actual == expected {
+        Ok(contents)
+    } else {
+        Err(Kind::WrongDigest { expected, actual })
+    }
+}
--- /dev/null
+++ b/crates/platform/src/settings.rs
@@ -0,0 +1,92 @@
+//! Limits of the calls to one service of the platform.
+
+use std::time::Duration;
+
+const CONNECT_TIMEOUT_MS: u64 = 500;
+const TIMEOUT_MS: u64 = 2_000;
+const MAX_BODY_BYTES: usize = 16 << 20;
+const MAX_IDLE_CONNECTIONS: usize = 8;
+
+/// Limits of the calls to one service of the platform.
+///
+/// ```
+/// use std::time::Duration;
+/// use eelgrassrock_platform::settings::Settings;
+///
+/// let settings = Settings::builder()
+///     .connect_timeout(Duration::from_millis(100))
+///     .timeout(Duration::from_millis(400))
+///     .build();
+/// assert_eq!(settings.longest_call(), Duration::from_millis(500));
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    pub(crate) connect_timeout: Duration,
+    pub(crate) timeout: Duration,
+    pub(crate) max_body_bytes: usize,
+    pub(crate) max_idle_connections: usize,
+}
+
+/// Builder of [`Settings`].
+#[derive(Clone, Debug)]
+pub struct Builder {
+    settings: Settings,
+}
+
+impl Settings {
+    /// Starts from the default limits.
+    pub fn builder() -> Builder {
+        Builder {
+            settings: Self::default(),
+        }
+    }
+
+    /// Returns the longest time that one call takes. A scan makes one call for
+    /// each page.
+    pub fn longest_call(&self) -> Duration {
+        self.connect_timeout + self.timeout
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_millis(CONNECT_TIMEOUT_MS),
+            timeout: Duration::from_millis(TIMEOUT_MS),
+            max_body_bytes: MAX_BODY_BYTES,
+            max_idle_connections: MAX_IDLE_CONNECTIONS,
+        }
+    }
+}
+
+impl Builder {
+    /// Sets the time within which a connection must be established.
+    pub fn connect_timeout(mut self, timeout: Duration) -> Self {
+        self.settings.connect_timeout = timeout;
+        self
+    }
+
+    /// Sets the time from the start of a request on an established connection
+    /// to the end of its answer.
+    pub fn timeout(mut self, timeout: Duration) -> Self {
+        self.settings.timeout = timeout;
+        self
+    }
+
+    /// Sets the size of the largest answer that is accepted, in bytes.
+    pub fn max_body_bytes(mut self, bytes: usize) -> Self {
+        self.settings.max_body_bytes = bytes;
+        self
+    }
+
+    /// Sets how many unused connections are kept for later calls.
+    pub fn max_idle_connections(mut self, connections: usize) -> Self {
+        self.settings.max_idle_connections = connections;
+        self
+    }
+
+    /// Returns the settings.
+    pub fn build(self) -> Settings {
+        self.settings
+    }
+}
