Request machine: admission, fair queue, slots, answers, retries

Cause: the daemon needs a decision core in front of the slots of an upstream. One queue per upstream, start-time fair queueing between partners, earliest deadline within a partner, one timer per request, budget of retries. Attempts are numbered in Send, Began and Answered, so that a late answer of an earlier attempt is ignored. Began is stepped before the first byte is written: without it a request is proven not to have run. Claims, health and probes are not decided yet; their events are accepted and ignored.

--- /dev/null
+++ b/crates/request/src/machine.rs
@@ -0,0 +1,138 @@
+//! The machine: every decision on the requests of the upstreams of one home.
+
+mod admission;
+mod answer;
+mod dispatch;
+mod fleet;
+mod request;
+mod station;
+mod timer;
+
+use std::collections::{BTreeSet, HashMap};
+
+use eelgrassrock_model::Upstream;
+use eelgrassrock_model::fleet::Fleet;
+use eelgrassrock_model::time::Instant;
+use indexmap::IndexMap;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::action::Action;
+use crate::event::{Event, Id};
+use crate::settings::Settings;
+use crate::snapshot::Snapshot;
+use request::Request;
+use station::Station;
+
+/// Decides on the requests of all upstreams that one router is home of.
+///
+/// The caller steps it with events in the order in which they happened and
+/// carries out the actions in order. It steps it with
+/// [`Event::Tick`] when [`Machine::next_wake`] is reached.
+#[derive(Debug)]
+pub struct Machine {
+    settings: Settings,
+    random: ChaCha8Rng,
+    fleet: Fleet,
+    stations: IndexMap<Upstream, Station>,
+    requests: HashMap<Id, Request>,
+    timers: BTreeSet<(Instant, Id)>,
+    draining: bool,
+    drained: bool,
+    actions: Vec<Action>,
+}
+
+impl Machine {
+    /// Creates a machine that knows no fleet yet.
+    ///
+    /// ```
+    /// use eelgrassrock_request::{Machine, Settings};
+    ///
+    /// let machine = Machine::new(Settings::builder().build());
+    /// assert_eq!(machine.next_wake(), None);
+    /// ```
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            random: ChaCha8Rng::seed_from_u64(settings.seed),
+            settings,
+            fleet: Fleet::default(),
+            stations: IndexMap::new(),
+            requests: HashMap::new(),
+            timers: BTreeSet::new(),
+            draining: false,
+            drained: false,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes one event in and returns what is to be done, in order.
+    ///
+    /// ```
+    /// use eelgrassrock_model::time::Instant;
+    /// use eelgrassrock_request::{Event, Machine, Settings};
+    ///
+    /// let mut machine = Machine::new(Settings::builder().build());
+    /// assert!(machine.step(Instant::from_millis(1), Event::Tick).is_empty());
+    /// ```
+    pub fn step(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        self.run_timers(now);
+        match event {
+            Event::Tick => {}
+            Event::Fleet(fleet) => self.adopt(now, fleet),
+            Event::Serving { upstream, grant } => self.change_grant(now, &upstream, grant),
+            Event::Moved { upstream, shard } => self.move_shard(now, &upstream, shard),
+            Event::Arrive(arrival) => self.arrive(now, arrival),
+            Event::Began { request, attempt } => self.begin(request, attempt),
+            Event::Responding { request, attempt } => self.respond(request, attempt),
+            Event::Answered {
+                request,
+                attempt,
+                answer,
+            } => self.answer(now, request, attempt, answer),
+            Event::Left { request } => self.leave(now, request),
+            Event::Written { .. } | Event::Read { .. } => {}
+            Event::StoreDown | Event::StoreUp => {}
+            Event::Probed { .. } => {}
+            Event::Drain => self.draining = true,
+        }
+        self.report_drained();
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns the time at which the machine wants [`Event::Tick`], if any.
+    ///
+    /// ```
+    /// use eelgrassrock_request::{Machine, Settings};
+    ///
+    /// assert!(Machine::new(Settings::builder().build()).next_wake().is_none());
+    /// ```
+    pub fn next_wake(&self) -> Option<Instant> {
+        self.timers.first().map(|(at, _)| *at)
+    }
+
+    /// Returns the state of all upstreams for operators and metrics.
+    ///
+    /// ```
+    /// use eelgrassrock_request::{Machine, Settings};
+    ///
+    /// assert_eq!(Machine::new(Settings::builder().build()).snapshot().requests, 0);
+    /// ```
+    pub fn snapshot(&self) -> Snapshot {
+        let stations = self.stations.iter();
+        Snapshot {
+            stations: stations
+                .map(|(name, station)| (name.clone(), station.snapshot()))
+                .collect(),
+            requests: self.requests.len(),
+            draining: self.draining,
+            claims_waiting: 0,
+        }
+    }
+
+    fn report_drained(&mut self) {
+        if self.draining && !self.drained && self.requests.is_empty() {
+            self.drained = true;
+            self.actions.push(Action::Drained);
+        }
+    }
+}
--- /dev/null
+++ b/crates/request/src/machine/dispatch.rs
@@ -0,0 +1,205 @@
+//! From the queue to the slots, and the final answers.
+
+use std::time::Duration;
+
+use eelgrassrock_model::Upstream;
+use eelgrassrock_model::time::Instant;
+
+use super::Machine;
+use super::request::{Attempt, Phase, Request};
+use crate::action::{Action, Decision, Outcome, Reason, Step, Verdict};
+use crate::event::Id;
+
+impl Machine {
+    /// Puts a request into the queue of its upstream.
+    pub(crate) fn enqueue(&mut self, now: Instant, id: Id) {
+        let request = self.requests.get_mut(&id).expect("the request is known");
+        request.phase = Phase::Queued;
+        let upstream = request.arrival.upstream.clone();
+        let partner = request.arrival.partner.clone();
+        let (entry, bytes) = (request.entry(), request.arrival.bytes);
+        let start_by = request.start_by;
+        let share = self.settings.retry_share;
+        let station = &mut self.stations[&upstream];
+        if station.queue.flow(&partner).is_none() {
+            station.queue.set_weight(&partner, 1, share);
+        }
+        station.queue.push(&partner, entry, bytes);
+        self.set_timer(id, Some(start_by));
+        self.dispatch(now, &upstream);
+    }
+
+    pub(crate) fn dispatch_all(&mut self, now: Instant) {
+        for index in 0..self.stations.len() {
+            let (name, _) = self.stations.get_index(index).expect("the index is valid");
+            let name = name.clone();
+            self.dispatch(now, &name);
+        }
+    }
+
+    /// Sends queued requests while slots are free.
+    pub(crate) fn dispatch(&mut self, now: Instant, upstream: &Upstream) {
+        while let Some(id) = self.take_next(upstream) {
+            self.send(now, id);
+        }
+    }
+
+    fn take_next(&mut self, upstream: &Upstream) -> Option<Id> {
+        let station = self.stations.get_mut(upstream)?;
+        if !station.has_free_slot() {
+            return None;
+        }
+        let cost = station.service.get();
+        let (partner, entry) = station.queue.pop(cost)?;
+        let request = self.requests.get_mut(&entry.request);
+        let request = request.expect("a queued request is known");
+        let flow = station.queue.flow_mut(&partner);
+        let flow = flow.expect("the partner is known");
+        flow.bytes -= u64::from(request.arrival.bytes);
+        flow.busy += 1;
+        station.busy += 1;
+        if request.attempts == request.arrival.attempts {
+            flow.budget.deposit();
+        }
+        Some(entry.request)
+    }
+
+    fn send(&mut self, now: Instant, id: Id) {
+        let service_time = self.service_time(&self.requests[&id].arrival);
+        let request = self.requests.get_mut(&id).expect("the request is known");
+        request.attempts += 1;
+        request.phase = Phase::Sent(Attempt {
+            since: now,
+            charged: service_time,
+            began: false,
+            responding: false,
+        });
+        let deadline = request.arrival.deadline;
+        let action = Action::Send {
+            request: id,
+            upstream: request.arrival.upstream.clone(),
+            attempt: request.attempts,
+            left: deadline - now,
+        };
+        self.set_timer(id, Some(deadline));
+        self.actions.push(action);
+        self.decide(now, id, Step::Send, Reason::Slot);
+    }
+
+    /// Gives the slot of an attempt back and starts the next request.
+    pub(crate) fn free_slot(&mut self, now: Instant, request: &Request) {
+        let Some(attempt) = request.attempt() else {
+            return;
+        };
+        let arrival = &request.arrival;
+        let station = &mut self.stations[&arrival.upstream];
+        station.busy -= 1;
+        let measured = now - attempt.since;
+        let partner = &arrival.partner;
+        station.queue.settle(partner, attempt.charged, measured);
+        if let Some(flow) = station.queue.flow_mut(partner) {
+            flow.busy -= 1;
+        }
+    }
+
+    /// Takes a request out of its phase: out of the queue or off its slot.
+    pub(crate) fn detach(&mut self, now: Instant, id: Id) -> Option<Request> {
+        self.set_timer(id, None);
+        let request = self.requests.remove(&id)?;
+        match request.phase {
+            Phase::Queued => self.unqueue(&request),
+            Phase::Sent(_) => self.free_slot(now, &request),
+            Phase::Backoff => {}
+        }
+        Some(request)
+    }
+
+    fn unqueue(&mut self, request: &Request) {
+        let arrival = &request.arrival;
+        let station = &mut self.stations[&arrival.upstream];
+        if !station.queue.remove(&arrival.partner, request.entry()) {
+            return;
+        }
+        if let Some(flow) = station.queue.flow_mut(&arrival.partner) {
+            flow.bytes -= u64::from(arrival.bytes);
+        }
+    }
+
+    /// Ends a request that is proven not to have run.
+    pub(crate) fn refuse(
+        &mut self,
+        now: Instant,
+        id: Id,
+        reason: Reason,
+        retry_after: Option<Duration>,
+    ) {
+        let verdict = Verdict {
+            outcome: Outcome::NotRun,
+            reason,
+            retry_after,
+        };
+        self.finish(now, id, verdict);
+    }
+
+    /// Ends a request with its final answer and gives its slot to the next.
+    pub(crate) fn finish(&mut self, now: Instant, id: Id, verdict: Verdict) {
+        self.tell(now, id, verdict);
+        self.forget(now, id);
+    }
+
+    /// Gives the caller its final answer, once.
+    pub(crate) fn tell(&mut self, now: Instant, id: Id, verdict: Verdict) {
+        let request = self.requests.get_mut(&id).expect("the request is known");
+        if request.told {
+            return;
+        }
+        request.told = true;
+        self.actions.push(Action::Finish {
+            request: id,
+            verdict,
+        });
+        self.decide(now, id, Step::Finish, verdict.reason);
+    }
+
+    /// Drops a request whose outcome is settled.
+    pub(crate) fn forget(&mut self, now: Instant, id: Id) {
+        if let Some(request) = self.detach(now, id) {
+            self.dispatch(now, &request.arrival.upstream);
+        }
+    }
+
+    /// Hands a request that is proven not to have run back to routing.
+    pub(crate) fn redirect(&mut self, now: Instant, id: Id, reason: Reason) {
+        let request = &self.requests[&id];
+        if request.told {
+            return self.forget(now, id);
+        }
+        if request.attempts >= self.settings.attempts {
+            let retry_after = Some(self.settings.lapse_retry);
+            return self.refuse(now, id, reason, retry_after);
+        }
+        let attempts = request.attempts.max(request.arrival.attempts + 1);
+        self.actions.push(Action::Redirect {
+            request: id,
+            attempts,
+            claim: None,
+        });
+        self.decide(now, id, Step::Redirect, reason);
+        self.forget(now, id);
+    }
+
+    pub(crate) fn decide(&mut self, now: Instant, id: Id, step: Step, reason: Reason) {
+        let request = &self.requests[&id];
+        let waited = now - request.arrived;
+        let decision = Decision {
+            request: id,
+            upstream: request.arrival.upstream.clone(),
+            shard: request.arrival.shard,
+            partner: request.arrival.partner.clone(),
+            step,
+            reason,
+            waited_us: u64::try_from(waited.as_micros()).unwrap_or(u64::MAX),
+        };
+        self.actions.push(Action::Decide(decision));
+    }
+}
--- /dev/null
+++ b/crates/request/src/machine/fleet.rs
@@ -0,0 +1,103 @@
+//! Changes of the bundle, of grants and of shards.
+
+use eelgrassrock_model::Upstream;
+use eelgrassrock_model::fleet::Fleet;
+use eelgrassrock_model::shard::Shard;
+use eelgrassrock_model::time::Instant;
+
+use super::Machine;
+use super::station::Station;
+use crate::action::Reason;
+use crate::event::{Grant, Id};
+
+impl Machine {
+    pub(crate) fn adopt(&mut self, now: Instant, fleet: Fleet) {
+        self.fleet = fleet;
+        let gone: Vec<Upstream> = self
+            .stations
+            .keys()
+            .filter(|name| !self.fleet.upstreams.contains_key(*name))
+            .cloned()
+            .collect();
+        for upstream in gone {
+            self.change_grant(now, &upstream, Grant::Released);
+        }
+        for (name, station) in &mut self.stations {
+            if let Some(declared) = self.fleet.upstreams.get(name) {
+                station.declared = declared.clone();
+            }
+        }
+        self.set_weights();
+        self.dispatch_all(now);
+    }
+
+    fn set_weights(&mut self) {
+        for station in self.stations.values_mut() {
+            for (partner, declared) in &self.fleet.partners {
+                let share = self.settings.retry_share;
+                station.queue.set_weight(partner, declared.weight, share);
+            }
+        }
+    }
+
+    pub(crate) fn change_grant(&mut self, now: Instant, upstream: &Upstream, grant: Grant) {
+        if !self.stations.contains_key(upstream) && !self.add_station(upstream) {
+            return;
+        }
+        let station = &mut self.stations[upstream];
+        station.grant = grant;
+        match grant {
+            Grant::Held | Grant::Leaving => self.dispatch(now, upstream),
+            Grant::Lapsed => self.stop_prompt(now, upstream),
+            Grant::Released => self.redirect_queued(now, upstream, |_| true),
+        }
+    }
+
+    fn add_station(&mut self, upstream: &Upstream) -> bool {
+        let Some(declared) = self.fleet.upstreams.get(upstream) else {
+            return false;
+        };
+        let station = Station::new(declared.clone(), self.settings.service_time);
+        self.stations.insert(upstream.clone(), station);
+        self.set_weights();
+        true
+    }
+
+    pub(crate) fn move_shard(&mut self, now: Instant, upstream: &Upstream, shard: Shard) {
+        self.redirect_queued(now, upstream, |other| other == shard);
+    }
+
+    fn redirect_queued(
+        &mut self,
+        now: Instant,
+        upstream: &Upstream,
+        moved: impl Fn(Shard) -> bool,
+    ) {
+        for id in self.unsent(upstream) {
+            if moved(self.requests[&id].arrival.shard) {
+                self.redirect(now, id, Reason::NotHome);
+            }
+        }
+    }
+
+    /// Refuses what waits and whose callers want a prompt answer.
+    fn stop_prompt(&mut self, now: Instant, upstream: &Upstream) {
+        for id in self.unsent(upstream) {
+            if self.requests[&id].wants_prompt_answer() {
+                let retry_after = Some(self.settings.lapse_retry);
+                self.refuse(now, id, Reason::NotServing, retry_after);
+            }
+        }
+    }
+
+    fn unsent(&self, upstream: &Upstream) -> Vec<Id> {
+        let requests = self.requests.iter();
+        let mut unsent: Vec<Id> = requests
+            .filter(|(_, request)| request.arrival.upstream == *upstream)
+            .filter(|(_, request)| request.attempt().is_none())
+            .map(|(id, _)| *id)
+            .collect();
+        unsent.sort_unstable();
+        unsent
+    }
+}
--- /dev/null
+++ b/crates/request/src/machine/request.rs
@@ -0,0 +1,71 @@
+//! One request and the phase that it is in.
+
+use std::time::Duration;
+
+use eelgrassrock_model::fleet::Repeat;
+use eelgrassrock_model::time::Instant;
+
+use crate::event::Arrival;
+use crate::queue::Entry;
+
+/// Request that is waiting or running.
+#[derive(Debug)]
+pub(crate) struct Request {
+    pub(crate) arrival: Arrival,
+    pub(crate) arrived: Instant,
+    /// Latest time at which an attempt may start.
+    pub(crate) start_by: Instant,
+    pub(crate) phase: Phase,
+    pub(crate) timer: Option<Instant>,
+    pub(crate) attempts: u32,
+    /// Whether the caller has its final answer or has left.
+    pub(crate) told: bool,
+}
+
+/// Where a request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// It waits for a slot.
+    Queued,
+    /// It waits before the next attempt.
+    Backoff,
+    /// It holds a slot.
+    Sent(Attempt),
+}
+
+/// Attempt that is under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Attempt {
+    pub(crate) since: Instant,
+    /// Slot time that the partner was charged with.
+    pub(crate) charged: Duration,
+    /// Whether a byte may have been written.
+    pub(crate) began: bool,
+    /// Whether the head of the answer was passed on.
+    pub(crate) responding: bool,
+}
+
+impl Request {
+    pub(crate) fn entry(&self) -> Entry {
+        Entry {
+            deadline: self.arrival.deadline,
+            request: self.arrival.request,
+        }
+    }
+
+    pub(crate) fn attempt(&self) -> Option<Attempt> {
+        match self.phase {
+            Phase::Sent(attempt) => Some(attempt),
+            Phase::Queued | Phase::Backoff => None,
+        }
+    }
+
+    pub(crate) fn runs_once(&self) -> bool {
+        self.arrival.class.repeat == Repeat::Once
+    }
+
+    /// Returns whether the request may have begun and must not be repeated.
+    pub(crate) fn must_go_on(&self) -> bool {
+        self.runs_once() && self.attempt().is_some_and(|attempt| attempt.began)
+    }
+}
--- /dev/null
+++ b/crates/request/src/machine/timer.rs
@@ -0,0 +1,67 @@
+//! Timers: one per request.
+
+use eelgrassrock_model::time::Instant;
+
+use super::Machine;
+use super::request::Phase;
+use crate::action::{Action, Outcome, Reason, Verdict};
+use crate::event::Id;
+
+impl Machine {
+    pub(crate) fn set_timer(&mut self, id: Id, at: Option<Instant>) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if let Some(old) = request.timer.take() {
+            self.timers.remove(&(old, id));
+        }
+        request.timer = at;
+        if let Some(at) = at {
+            self.timers.insert((at, id));
+        }
+    }
+
+    pub(crate) fn run_timers(&mut self, now: Instant) {
+        while let Some((at, id)) = self.timers.first().copied() {
+            if at > now {
+                return;
+            }
+            self.set_timer(id, None);
+            self.expire(now, id);
+        }
+    }
+
+    fn expire(&mut self, now: Instant, id: Id) {
+        match self.requests[&id].phase {
+            Phase::Queued => {
+                let retry_after = self.service_time(&self.requests[&id].arrival);
+                let retry_after = Some(self.spread(retry_after));
+                self.refuse(now, id, Reason::Expired, retry_after);
+            }
+            Phase::Backoff => self.enqueue(now, id),
+            Phase::Sent(attempt) if attempt.responding => {}
+            Phase::Sent(attempt) if !attempt.began => {
+                self.actions.push(Action::Cancel { request: id });
+                self.refuse(now, id, Reason::Expired, None);
+            }
+            Phase::Sent(_) => self.expire_begun(now, id),
+        }
+    }
+
+    fn expire_begun(&mut self, now: Instant, id: Id) {
+        let request = &self.requests[&id];
+        let goes_on = request.must_go_on() && !request.told;
+        let verdict = Verdict {
+            outcome: Outcome::Unknown,
+            reason: Reason::TimedOut,
+            retry_after: None,
+        };
+        if goes_on {
+            self.tell(now, id, verdict);
+            self.set_timer(id, Some(now + self.settings.linger));
+            return;
+        }
+        self.actions.push(Action::Cancel { request: id });
+        self.finish(now, id, verdict);
+    }
+}
--- /dev/null
+++ b/crates/request/src/queue.rs
@@ -0,0 +1,192 @@
+//! Weighted fair queue of one upstream.
+//!
+//! Start-time fair queueing between partners: each partner has a virtual start
+//! time that grows by the slot time it used divided by its weight, and the
+//! partner with the lowest start time is served first. Within a partner the
+//! earliest deadline goes first.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+use eelgrassrock_model::Partner;
+use eelgrassrock_model::time::Instant;
+use indexmap::IndexMap;
+
+use crate::budget::Budget;
+use crate::event::Id;
+
+const SCALE: u64 = 1 << 10;
+
+/// Request in the queue. The order is the order of service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Entry {
+    pub(crate) deadline: Instant,
+    pub(crate) request: Id,
+}
+
+/// Requests of one partner.
+#[derive(Debug)]
+pub(crate) struct Flow {
+    pub(crate) weight: u32,
+    pub(crate) entries: VecDeque<Entry>,
+    pub(crate) bytes: u64,
+    pub(crate) busy: u32,
+    pub(crate) budget: Budget,
+    start: u64,
+}
+
+impl Flow {
+    fn charge(&mut self, cost: Duration) {
+        self.start = self.start.saturating_add(self.virtual_cost(cost));
+    }
+
+    fn refund(&mut self, cost: Duration) {
+        self.start = self.start.saturating_sub(self.virtual_cost(cost));
+    }
+
+    fn virtual_cost(&self, cost: Duration) -> u64 {
+        let micros = u64::try_from(cost.as_micros()).unwrap_or(u64::MAX);
+        micros.saturating_mul(SCALE) / u64::from(self.weight.max(1))
+    }
+}
+
+/// Queue of one upstream.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    flows: IndexMap<Partner, Flow>,
+    ready: BTreeSet<(u64, Partner)>,
+    ready_weight: u64,
+    now: u64,
+    len: usize,
+}
+
+impl Queue {
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    pub(crate) fn flows(&self) -> impl Iterator<Item = (&Partner, &Flow)> {
+        self.flows.iter()
+    }
+
+    /// Adds the partner, or changes its weight.
+    pub(crate) fn set_weight(&mut self, partner: &Partner, weight: u32, share: f64) {
+        if let Some(flow) = self.flows.get_mut(partner) {
+            if !flow.entries.is_empty() {
+                self.ready_weight -= u64::from(flow.weight);
+                self.ready_weight += u64::from(weight);
+            }
+            flow.weight = weight;
+            return;
+        }
+        let flow = Flow {
+            weight,
+            entries: VecDeque::new(),
+            bytes: 0,
+            busy: 0,
+            budget: Budget::new(share),
+            start: self.now,
+        };
+        self.flows.insert(partner.clone(), flow);
+    }
+
+    pub(crate) fn flow(&self, partner: &Partner) -> Option<&Flow> {
+        self.flows.get(partner)
+    }
+
+    pub(crate) fn flow_mut(&mut self, partner: &Partner) -> Option<&mut Flow> {
+        self.flows.get_mut(partner)
+    }
+
+    /// Adds a request of a partner that is known.
+    pub(crate) fn push(&mut self, partner: &Partner, entry: Entry, bytes: u32) {
+        let flow = self.flows.get_mut(partner).expect("the partner is known");
+        if flow.entries.is_empty() {
+            flow.start = flow.start.max(self.now);
+            self.ready.insert((flow.start, partner.clone()));
+            self.ready_weight += u64::from(flow.weight);
+        }
+        let rank = flow.entries.partition_point(|other| *other < entry);
+        flow.entries.insert(rank, entry);
+        flow.bytes += u64::from(bytes);
+        self.len += 1;
+    }
+
+    /// Takes the next request out and charges its partner with `cost`.
+    pub(crate) fn pop(&mut self, cost: Duration) -> Option<(Partner, Entry)> {
+        let (start, partner) = self.ready.pop_first()?;
+        let flow = self.flows.get_mut(&partner).expect("the partner is known");
+        let entry = flow.entries.pop_front().expect("a ready flow has entries");
+        self.now = self.now.max(start);
+        flow.charge(cost);
+        self.len -= 1;
+        if flow.entries.is_empty() {
+            self.ready_weight -= u64::from(flow.weight);
+        } else {
+            self.ready.insert((flow.start, partner.clone()));
+        }
+        Some((partner, entry))
+    }
+
+    /// Takes a request out that isn't to be served.
+    pub(crate) fn remove(&mut self, partner: &Partner, entry: Entry) -> bool {
+        let Some(flow) = self.flows.get_mut(partner) else {
+            return false;
+        };
+        let Ok(rank) = flow.entries.binary_search(&entry) else {
+            return false;
+        };
+        flow.entries.remove(rank);
+        self.len -= 1;
+        if flow.entries.is_empty() {
+            self.ready.remove(&(flow.start, partner.clone()));
+            self.ready_weight -= u64::from(flow.weight);
+        }
+        true
+    }
+
+    /// Corrects the charge of a request from the estimated to the measured cost.
+    pub(crate) fn settle(&mut self, partner: &Partner, estimated: Duration, measured: Duration) {
+        let Some(flow) = self.flows.get_mut(partner) else {
+            return;
+        };
+        let before = flow.start;
+        if measured > estimated {
+            flow.charge(measured - estimated);
+        } else {
+            flow.refund(estimated - measured);
+        }
+        if !flow.entries.is_empty() && self.ready.remove(&(before, partner.clone())) {
+            self.ready.insert((flow.start, partner.clone()));
+        }
+    }
+
+    /// Returns how many service times pass, at one slot, before a request of
+    /// `partner` with this deadline starts.
+    pub(crate) fn ahead(&self, partner: &Partner, entry: Entry) -> f64 {
+        let Some(flow) = self.flows.get(partner) else {
+            return self.len as f64;
+        };
+        let rank = flow.entries.partition_point(|other| *other < entry) as f64;
+        let weight = f64::from(flow.weight.max(1));
+        let others = if flow.entries.is_empty() {
+            self.ready_weight as f64
+        } else {
+            self.ready_weight as f64 - weight
+        };
+        let by_share = rank * (weight + others) / weight;
+        let all = (self.len - flow.entries.len()) as f64 + rank;
+        by_share.min(all)
+    }
+}
+
+impl Flow {
+    pub(crate) fn snapshot(&self) -> crate::snapshot::Flow {
+        crate::snapshot::Flow {
+            queued: self.entries.len(),
+            bytes: self.bytes,
+            busy: self.busy,
+            retries: self.budget.balance(),
+        }
+    }
+}
