Failure detection among routers

Cause: routers need to know who is alive without asking the platform, whose list lags, and without traffic that grows with the fleet. Ruled out: heartbeats to all (13,000 daemons x 10/s each way), and trusting the list alone (names dead routers, misses fresh ones). Before: no detection.

--- /dev/null
+++ b/crates/membership/src/member/probe.rs
@@ -0,0 +1,199 @@
+//! Pings, and what follows when they aren't answered.
+
+use std::net::SocketAddr;
+
+use eelgrassrock_model::Router;
+use eelgrassrock_model::time::Instant;
+use rand::seq::SliceRandom;
+
+use super::{Body, Machine, Member, Reason, Rumour, State};
+
+/// Every so many pings goes to a router that is believed dead, so that two
+/// parts of the fleet find each other again.
+const DEAD_TURNS: u64 = 8;
+
+/// Ping that waits for its answer.
+#[derive(Debug)]
+pub(crate) struct Probe {
+    pub(crate) target: Router,
+    pub(crate) deadline: Instant,
+    pub(crate) stage: Stage,
+}
+
+/// How a ping was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// By this router, and nobody else has been asked yet.
+    Direct,
+    /// Through other routers as well.
+    Relayed,
+}
+
+/// Ping that was sent for another router.
+#[derive(Debug)]
+pub(crate) struct Relayed {
+    pub(crate) origin: SocketAddr,
+    pub(crate) sequence: u64,
+    pub(crate) deadline: Instant,
+}
+
+impl Machine {
+    /// Pings the router whose turn it is: alternately the next one on the
+    /// ring of this data centre, so that each is pinged within two periods,
+    /// and one of all known routers in random order.
+    pub(super) fn ping_next(&mut self, now: Instant) {
+        self.turn += 1;
+        if self.left {
+            return self.tell_leaving(now);
+        }
+        if self.turn.is_multiple_of(DEAD_TURNS) && self.ping_dead(now) {
+            return;
+        }
+        let target = if self.turn.is_multiple_of(2) {
+            self.ring_target()
+        } else {
+            None
+        };
+        if let Some(member) = target.or_else(|| self.next_in_order()) {
+            let suspicion = self.suspicion_of(&member.router);
+            self.ping(now, member, suspicion);
+        }
+    }
+
+    fn tell_leaving(&mut self, now: Instant) {
+        if let Some(member) = self.next_in_order() {
+            let rumour = Rumour {
+                member: self.me.clone(),
+                state: State::Left,
+            };
+            self.send_about(now, member.address, Body::Inform, Some(rumour));
+        }
+    }
+
+    fn ring_target(&self) -> Option<Member> {
+        let start = super::roster::hash(&self.me.router).wrapping_add(1);
+        self.roster.successor(start, &self.me.data_centre).cloned()
+    }
+
+    fn next_in_order(&mut self) -> Option<Member> {
+        if self.order.is_empty() {
+            let targets = self.roster.targets();
+            let names = targets.map(|entry| entry.member.router.clone());
+            self.order = names.collect();
+            self.order.shuffle(&mut self.random);
+        }
+        while let Some(router) = self.order.pop() {
+            let entry = self.roster.get(&router);
+            if let Some(entry) = entry.filter(|entry| entry.state.is_live()) {
+                return Some(entry.member.clone());
+            }
+        }
+        None
+    }
+
+    /// Pings one router that is believed dead and tells it so. Nothing follows
+    /// when it doesn't answer; when it lives, it refutes.
+    fn ping_dead(&mut self, now: Instant) -> bool {
+        let dead: Vec<Rumour> = self.roster.dead().collect();
+        if dead.is_empty() {
+            return false;
+        }
+        let rumour = dead[self.draw(dead.len())].clone();
+        self.ping(now, rumour.member.clone(), Some(rumour));
+        true
+    }
+
+    fn ping_body(&mut self) -> Body {
+        self.sequence += 1;
+        Body::Ping {
+            sequence: self.sequence,
+            from: self.me.clone(),
+        }
+    }
+
+    fn ping(&mut self, now: Instant, target: Member, about: Option<Rumour>) {
+        let body = self.ping_body();
+        let near = target.data_centre == self.me.data_centre;
+        let timeout = if near {
+            self.settings.ping_timeout
+        } else {
+            self.settings.remote_timeout
+        };
+        let probe = Probe {
+            target: target.router.clone(),
+            deadline: now + timeout,
+            stage: Stage::Direct,
+        };
+        self.probes.insert(self.sequence, probe);
+        self.send_about(now, target.address, body, about);
+    }
+
+    fn suspicion_of(&self, router: &Router) -> Option<Rumour> {
+        let entry = self.roster.get(router)?;
+        (entry.state == State::Suspect).then(|| entry.rumour())
+    }
+
+    /// Handles pings whose answer is overdue.
+    pub(super) fn expire_probes(&mut self, now: Instant) {
+        self.relayed.retain(|_, relayed| relayed.deadline > now);
+        let due = self
+            .probes
+            .iter()
+            .filter(|(_, probe)| probe.deadline <= now);
+        let due: Vec<u64> = due.map(|(sequence, _)| *sequence).collect();
+        for sequence in due {
+            let Some(mut probe) = self.probes.shift_remove(&sequence) else {
+                continue;
+            };
+            let Some(entry) = self.roster.get(&probe.target) else {
+                continue;
+            };
+            let member = entry.member.clone();
+            if !entry.state.is_live() {
+                continue;
+            }
+            match probe.stage {
+                Stage::Direct => {
+                    self.ask_relays(now, sequence, &member);
+                    probe.stage = Stage::Relayed;
+                    probe.deadline = now + self.settings.relay_timeout;
+                    self.probes.insert(sequence, probe);
+                }
+                Stage::Relayed => self.suspect(now, member),
+            }
+        }
+    }
+
+    fn ask_relays(&mut self, now: Instant, sequence: u64, target: &Member) {
+        let mut peers: Vec<SocketAddr> = self
+            .roster
+            .live()
+            .filter(|entry| entry.member.router != target.router)
+            .filter(|entry| entry.member.data_centre == self.me.data_centre)
+            .map(|entry| entry.member.address)
+            .collect();
+        peers.shuffle(&mut self.random);
+        for to in peers.into_iter().take(self.settings.relays) {
+            self.send(
+                now,
+                to,
+                Body::Relay {
+                    sequence,
+                    target: target.address,
+                },
+            );
+        }
+    }
+
+    /// Suspects a router and tells it at once, so that it can refute.
+    fn suspect(&mut self, now: Instant, member: Member) {
+        let rumour = Rumour {
+            member: member.clone(),
+            state: State::Suspect,
+        };
+        self.believe(now, rumour, Reason::NoAnswer);
+        if let Some(suspicion) = self.suspicion_of(&member.router) {
+            self.ping(now, member, Some(suspicion));
+        }
+    }
+}
