--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -6,3 +6,4 @@
 //! safety property rests on it.
 
 pub mod member;
+pub mod spread;
