Names of approvers and routes

A bundle names approvers and routes, and the shared names had no type for either. Plain strings were ruled out, since an approver could then be passed where a partner is expected. Additive only: no existing item changed. Conclusion: two more kinds of names, checked like the others.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -13,4 +13,4 @@
 
 pub use counter::{Epoch, Sequence, Term, Version};
 pub use digest::Digest;
-pub use name::{DataCentre, Fault, Name, Partner, Router, Service, Upstream};
+pub use name::{Approver, DataCentre, Fault, Name, Partner, Route, Router, Service, Upstream};
--- a/crates/model/src/name.rs
+++ b/crates/model/src/name.rs
@@ -122,3 +122,13 @@
     /// Name of a data centre.
     DataCentre
 }
+
+name! {
+    /// Name of an approver: a person whose signature a bundle accepts.
+    Approver
+}
+
+name! {
+    /// Name of a route: requests that one method and path prefix select.
+    Route
+}
