Settings, bundles, approvals and the roll rule

The daemon and the operator's command need one reader of INI and one rule that says when a bundle may replace another. Ruled out: stopping at the first fault (operators would fix one per run) and a second rule in the daemon (a row that was written around the command would pass). Before: no reader.

--- /dev/null
+++ b/crates/config/tests/examples.rs
@@ -0,0 +1,78 @@
+//! The example settings and bundles are valid and have the sizes that their
+//! users gave.
+
+mod support;
+
+use std::path::PathBuf;
+
+use eelgrassrock_config::approval::Key;
+use eelgrassrock_config::bundle::Bundle;
+use eelgrassrock_config::roll::{self, Verdict};
+use eelgrassrock_config::settings::Settings;
+use eelgrassrock_model::Name;
+use rstest::rstest;
+use support::Given;
+
+fn example(path: &str) -> String {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    std::fs::read_to_string(root.join(path)).unwrap()
+}
+
+#[rstest]
+#[case::umuhanga("umuhanga", 3, &[("lookup", 8), ("issue", 6), ("label", 11)], 2, 110)]
+#[case::sneslaede("sneslaede", 4, &[("catalogue", 14), ("booking", 9), ("manifest", 13)], 4, 55)]
+fn fleet_has_its_size(
+    #[case] name: &str,
+    #[case] data_centres: usize,
+    #[case] services: &[(&str, usize)],
+    #[case] slots: u32,
+    #[case] connections: u32,
+) {
+    let bundle = Bundle::parse(name, &example(&format!("{name}/bundle.ini"))).unwrap();
+    let fleet = bundle.fleet();
+    let mut found: Vec<&str> = fleet
+        .upstreams
+        .values()
+        .map(|u| u.data_centre.as_str())
+        .collect();
+    found.sort_unstable();
+    found.dedup();
+    assert_eq!(found.len(), data_centres);
+    for (service, count) in services {
+        let upstreams = fleet.upstreams.values();
+        assert_eq!(
+            upstreams.filter(|u| u.service.as_str() == *service).count(),
+            *count
+        );
+    }
+    assert!(
+        fleet
+            .upstreams
+            .values()
+            .all(|u| u.slots == slots && u.connections == connections)
+    );
+}
+
+#[rstest]
+fn settings_are_valid(#[values("umuhanga", "sneslaede", "first")] name: &str) {
+    let given = Given::variable("EELGRASSROCK_SECRET", "0123456789abcdef");
+    let text = example(&format!("{name}/router.ini"));
+    Settings::parse(name, &text, &given).unwrap();
+}
+
+#[rstest]
+#[case("umuhanga", &["imena", "keza"])]
+#[case("sneslaede", &["asta", "signe"])]
+#[case("first", &["imena"])]
+fn example_keys_approve_the_example(#[case] name: &str, #[case] approvers: &[&str]) {
+    let bundle = Bundle::parse(name, &example(&format!("{name}/bundle.ini"))).unwrap();
+    let approve = |approver: &&str| {
+        let key = Key::parse(&example(&format!("keys/{approver}.key"))).unwrap();
+        key.approve(approver.parse().unwrap(), &bundle)
+    };
+    let approvals: Vec<_> = approvers.iter().map(approve).collect();
+    assert!(matches!(
+        roll::check(None, &bundle, &approvals),
+        Verdict::Accepted(_)
+    ));
+}
