Adoption of bundles

Cause: 13,000 routers that read one row every 5 s are 2,600 reads a second, more than the platform has, and a fresh router in a store outage must not serve an old bundle. Ruled out: every router polls; contents for all from the object store. Before: no adoption. After: two pollers per data centre (26 reads a second for 13 data centres by count), contents from the peer that told of the record, then others, then the object store; a fresh router needs the table or three peers, one peer after 2 s, and none is not enough. Conclusion: a record that wasn't refused is never followed by a lower one.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,9 +1,5 @@
-//! Decisions on membership, the spreading of news and the adoption of bundles.
-//!
-//! Nothing here performs I/O, reads a clock or draws from a random source of
-//! its own: each machine has `step(now, event)`, which returns actions.
-//! Membership is soft state. It chooses whom to ask and whom to tell, and no
-//! safety property rests on it.
+#![doc = include_str!("../README.md")]
 
+pub mod adoption;
 pub mod member;
 pub mod spread;
