Stand-ins for the platform and the upstreams

Cause: tests and the demo need a platform and upstreams whose faults can be set from outside, in the process of a test and as programs. Ruled out: damage to answers inside the HTTP library, which refuses to send it; a wrapper around the connection garbles or repeats an answer. Before: nothing. An upstream also keeps when it owned which shard, for exact checks across processes.

--- /dev/null
+++ b/crates/standin/src/upstream/work.rs
@@ -0,0 +1,224 @@
+//! The run of a request: admission, slot, work and answer.
+
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::json;
+use tokio::sync::{OnceCell, OwnedSemaphorePermit};
+use tokio::time::{Instant, sleep, timeout_at};
+
+use super::job::Job;
+use super::{Damage, Shed, Upstream};
+use crate::answer::{Answer, End, Filling, Pieces};
+use crate::tamper::Line;
+
+const RETRY_SECONDS: u64 = 1;
+const PIECE_BYTES: usize = 16 << 10;
+
+/// Run of a request that has an `Idempotency-Key`, and its answer.
+#[derive(Debug)]
+pub(crate) struct Once {
+    body_sha256: String,
+    contents: OnceCell<Bytes>,
+}
+
+/// How a run ended.
+#[derive(Clone, Debug)]
+enum Outcome {
+    Done(Bytes),
+    /// The deadline passed during the run.
+    Late,
+    /// The `Idempotency-Key` was used for another request.
+    Mismatch,
+}
+
+impl Upstream {
+    pub(crate) async fn work(self: Arc<Self>, request: Request<Incoming>, line: Line) -> Answer {
+        let job = match Job::receive(request).await {
+            Ok(job) => job,
+            Err(refusal) => return *refusal,
+        };
+        if let Some(refusal) = self.refusal(&job) {
+            return refusal;
+        }
+        let Some(slot) = self.slot(&job).await else {
+            return self.shed();
+        };
+        self.thaw().await;
+        // The grant may have lapsed while the request waited.
+        if let Some(refusal) = self.refusal(&job) {
+            return refusal;
+        }
+        match self.clone().run_once_or_always(&job).await {
+            Outcome::Done(contents) => self.reply(&job, contents, slot, &line),
+            Outcome::Late => Answer::status(StatusCode::GATEWAY_TIMEOUT),
+            Outcome::Mismatch => Answer::status(StatusCode::UNPROCESSABLE_ENTITY),
+        }
+    }
+
+    /// Returns the answer to a request that mustn't begin.
+    fn refusal(&self, job: &Job) -> Option<Answer> {
+        let faults = self.faults.borrow();
+        if faults.draining || faults.shed == Shed::All {
+            return Some(self.shed());
+        }
+        if !self.grants().owns(job.grant) {
+            self.ledger.get().not_owned += 1;
+            return Some(not_run(Answer::status(StatusCode::MISDIRECTED_REQUEST)));
+        }
+        None
+    }
+
+    fn shed(&self) -> Answer {
+        self.ledger.get().shed += 1;
+        not_run(Answer::busy(StatusCode::SERVICE_UNAVAILABLE, RETRY_SECONDS))
+    }
+
+    /// Returns `None` if there is no slot in time.
+    async fn slot(&self, job: &Job) -> Option<OwnedSemaphorePermit> {
+        let slots = self.slots.clone();
+        if self.faults.borrow().shed == Shed::Busy {
+            return slots.try_acquire_owned().ok();
+        }
+        let wait = slots.acquire_owned();
+        let slot = match job.deadline {
+            Some(deadline) => timeout_at(deadline, wait).await.ok()?,
+            None => wait.await,
+        };
+        slot.ok()
+    }
+
+    async fn run_once_or_always(self: Arc<Self>, job: &Job) -> Outcome {
+        match &job.idempotency_key {
+            Some(key) if self.config.checks_idempotency => {
+                let once = self.once(key, job);
+                self.run_once(once, job.clone()).await
+            }
+            _ => self.run(job).await,
+        }
+    }
+
+    fn once(&self, key: &str, job: &Job) -> Arc<Once> {
+        let mut answers = self.answers.lock().unwrap_or_else(PoisonError::into_inner);
+        let once = answers.entry(key.to_owned()).or_insert_with(|| {
+            Arc::new(Once {
+                body_sha256: job.body_sha256.clone(),
+                contents: OnceCell::new(),
+            })
+        });
+        once.clone()
+    }
+
+    /// Runs in a task of its own, which a closed connection doesn't cancel.
+    async fn run_once(self: Arc<Self>, once: Arc<Once>, job: Job) -> Outcome {
+        if once.body_sha256 != job.body_sha256 {
+            return Outcome::Mismatch;
+        }
+        let run = async move {
+            let contents = once
+                .contents
+                .get_or_init(|| self.run_to_the_end(&job))
+                .await;
+            Outcome::Done(contents.clone())
+        };
+        let outcome = tokio::spawn(run).await;
+        outcome.expect("a run doesn't panic")
+    }
+
+    async fn run(&self, job: &Job) -> Outcome {
+        match job.deadline {
+            Some(deadline) if job.idempotency_key.is_none() => {
+                let run = timeout_at(deadline, self.run_to_the_end(job)).await;
+                run.map_or(Outcome::Late, Outcome::Done)
+            }
+            _ => Outcome::Done(self.run_to_the_end(job).await),
+        }
+    }
+
+    /// Returns the contents of the answer.
+    async fn run_to_the_end(&self, job: &Job) -> Bytes {
+        let key = job.idempotency_key.as_deref();
+        let (run, count) = self.ledger.begin(key, &job.request_id);
+        sleep(self.work_time(job)).await;
+        self.thaw().await;
+        run.finish();
+        let contents = json!({
+            "upstream": self.config.name,
+            "method": job.method,
+            "path": job.path,
+            "request_id": job.request_id,
+            "idempotency_key": job.idempotency_key,
+            "shard": job.grant.shard,
+            "epoch": job.grant.epoch,
+            "count": count,
+            "body_bytes": job.body_bytes,
+            "body_sha256": job.body_sha256,
+        });
+        format!("{contents}\n").into()
+    }
+
+    fn work_time(&self, job: &Job) -> Duration {
+        let faults = self.faults.borrow();
+        let mut work_ms = faults.service_ms;
+        let age = Instant::now() - self.started;
+        if age < Duration::from_millis(faults.cold_start_ms) {
+            work_ms += faults.cold_extra_ms;
+        }
+        job.wishes.work.unwrap_or(Duration::from_millis(work_ms))
+    }
+
+    fn reply(&self, job: &Job, contents: Bytes, slot: OwnedSemaphorePermit, line: &Line) -> Answer {
+        let damage = job.wishes.damage.unwrap_or(self.faults.borrow().damage);
+        match damage {
+            Damage::Lost => return Answer::Hangup,
+            Damage::Garbage => line.garble_next(),
+            Damage::Twice => line.repeat_next(),
+            Damage::None | Damage::Close | Damage::Short => {}
+        }
+        let answer = stream(job, contents, slot, damage);
+        match damage {
+            Damage::Garbage => answer.with_header("connection", "close"),
+            _ => answer,
+        }
+    }
+}
+
+fn not_run(answer: Answer) -> Answer {
+    answer.with_header("eelgrassrock-outcome", "not-run")
+}
+
+/// Returns the answer: its contents, and lines of the request's identifier up
+/// to the size that was asked for.
+fn stream(job: &Job, contents: Bytes, slot: OwnedSemaphorePermit, damage: Damage) -> Answer {
+    let whole_bytes = job.wishes.answer_bytes.max(contents.len() as u64);
+    let (end, sent_bytes) = match damage {
+        Damage::Close => (End::Broken, whole_bytes / 2),
+        Damage::Short => (End::Short, whole_bytes / 2),
+        _ => (End::Whole, whole_bytes),
+    };
+    let head_bytes = contents
+        .len()
+        .min(usize::try_from(sent_bytes).unwrap_or(usize::MAX));
+    let filling = Filling {
+        pattern: pattern(&job.request_id),
+        left: sent_bytes - head_bytes as u64,
+    };
+    let body = Pieces::new(contents.slice(..head_bytes), filling, end, slot);
+    let mut response = Response::new(body.boxed());
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    if damage == Damage::Short {
+        headers.insert(CONTENT_LENGTH, whole_bytes.into());
+    }
+    Answer::Reply(response)
+}
+
+fn pattern(request_id: &str) -> Bytes {
+    let line = format!("{request_id}\n");
+    line.repeat(PIECE_BYTES / line.len() + 1).into()
+}
