Fairness between partners, measured in virtual time

Cause: one partner at ten times its share must not lift another's wait. Seen red: no charge of virtual time; cut attempts left out; no credit.

--- a/crates/request/src/estimate.rs
+++ b/crates/request/src/estimate.rs
@@ -1,28 +1,40 @@
-//! Moving estimate of the service time of an upstream.
+//! Moving estimates of the service time of an upstream.
 
 use std::time::Duration;
 
-const SMOOTHING: f64 = 1.0 / 16.0;
+const MEAN_SMOOTHING: f64 = 1.0 / 16.0;
+const DEVIATION_SMOOTHING: f64 = 1.0 / 16.0;
+const TAIL_DEVIATIONS: f64 = 3.0;
 
-/// Exponentially weighted mean of durations.
+/// Exponentially weighted mean and deviation of durations.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Mean {
-    micros: f64,
+pub(crate) struct Estimate {
+    mean_us: f64,
+    deviation_us: f64,
 }
 
-impl Mean {
+impl Estimate {
     pub(crate) fn new(initial: Duration) -> Self {
         Self {
-            micros: to_micros(initial),
+            mean_us: to_micros(initial),
+            deviation_us: 0.0,
         }
     }
 
     pub(crate) fn record(&mut self, sample: Duration) {
-        self.micros += (to_micros(sample) - self.micros) * SMOOTHING;
+        let error = to_micros(sample) - self.mean_us;
+        self.mean_us += error * MEAN_SMOOTHING;
+        self.deviation_us += (error.abs() - self.deviation_us) * DEVIATION_SMOOTHING;
     }
 
-    pub(crate) fn get(self) -> Duration {
-        Duration::from_micros(self.micros as u64)
+    /// Returns the mean.
+    pub(crate) fn mean(self) -> Duration {
+        Duration::from_micros(self.mean_us as u64)
+    }
+
+    /// Returns the time within which all but a few of the samples lie.
+    pub(crate) fn tail(self) -> Duration {
+        Duration::from_micros((self.mean_us + TAIL_DEVIATIONS * self.deviation_us) as u64)
     }
 }
 
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -47,6 +47,7 @@
 mod estimate;
 mod event;
 pub mod example;
+pub mod experiment;
 pub mod idempotency;
 mod machine;
 mod queue;
--- a/crates/request/src/machine/admission.rs
+++ b/crates/request/src/machine/admission.rs
@@ -33,7 +33,7 @@
         let admission = self.admit(now, &arrival);
         let request = Request {
             arrived: now,
-            start_by: start_by(now, &arrival, self.service_time(&arrival)),
+            start_by: start_by(now, &arrival, self.attempt_time(&arrival)),
             phase: Phase::Backoff,
             timer: None,
             attempts: arrival.attempts,
@@ -71,9 +71,16 @@
         }
     }
 
+    /// Returns the mean time that a request takes at its upstream.
     pub(crate) fn service_time(&self, arrival: &Arrival) -> Duration {
         let station = self.stations.get(&arrival.upstream);
-        station.map_or(self.settings.service_time, |station| station.service.get())
+        station.map_or(self.settings.service_time, |station| station.service.mean())
+    }
+
+    /// Returns the time to leave for an attempt, so that it seldom ends late.
+    pub(crate) fn attempt_time(&self, arrival: &Arrival) -> Duration {
+        let station = self.stations.get(&arrival.upstream);
+        station.map_or(self.settings.service_time, |station| station.service.tail())
     }
 
     /// Lengthens a time to retry by a random part, so that callers that were
@@ -95,8 +102,8 @@
 }
 
 /// Returns the latest time at which an attempt may start.
-fn start_by(now: Instant, arrival: &Arrival, service_time: Duration) -> Instant {
-    let left = (arrival.deadline - now).saturating_sub(service_time);
+fn start_by(now: Instant, arrival: &Arrival, needed: Duration) -> Instant {
+    let left = (arrival.deadline - now).saturating_sub(needed);
     let allowed = match arrival.class.patience {
         Patience::Wait => left,
         Patience::Prompt(limit) => left.min(limit),
@@ -114,7 +121,7 @@
         deadline: arrival.deadline,
         request: Id(u64::MAX),
     };
-    let service_time = station.service.get();
+    let service_time = station.service.mean();
     let wait = station.wait(station.queue.ahead(&arrival.partner, entry));
     let flow = station.queue.flow(&arrival.partner);
     let queued = flow.map_or(0, |flow| flow.entries.len());
@@ -122,7 +129,7 @@
     if queued >= settings.queue_requests || bytes > settings.queue_bytes {
         return Admission::Refuse(Reason::Bound, Some(wait.max(service_time)));
     }
-    let allowed = start_by(now, arrival, service_time) - now;
+    let allowed = start_by(now, arrival, station.service.tail()) - now;
     if arrival.deadline <= now || wait > allowed {
         let retry_after = wait.saturating_sub(allowed).max(service_time);
         return Admission::Refuse(Reason::Overload, Some(retry_after));
--- a/crates/request/src/machine/answer.rs
+++ b/crates/request/src/machine/answer.rs
@@ -53,7 +53,7 @@
         };
         let running = *running;
         match answer {
-            Answer::Done(stored) => self.answer_done(now, id, running, &stored),
+            Answer::Done(stored) => self.answer_done(now, id, &stored),
             Answer::NotOwner => self.redirect(now, id, Reason::NotOwner),
             Answer::Shed { retry_after } => self.answer_shed(now, id, retry_after),
             Answer::NotSent => self.answer_failed(now, id, false, Reason::NotSent),
@@ -62,10 +62,7 @@
         }
     }
 
-    fn answer_done(&mut self, now: Instant, id: Id, running: Attempt, stored: &Stored) {
-        let upstream = &self.requests[&id].arrival.upstream;
-        let station = &mut self.stations[upstream];
-        station.service.record(now - running.since);
+    fn answer_done(&mut self, now: Instant, id: Id, stored: &Stored) {
         let verdict = Verdict {
             outcome: Outcome::Done,
             reason: Reason::Answered(stored.status),
@@ -122,7 +119,7 @@
         let request = &self.requests[&id];
         let arrival = &request.arrival;
         let latest = arrival.deadline - (now + pause);
-        let in_time = latest > self.service_time(arrival);
+        let in_time = latest > self.attempt_time(arrival);
         if request.told || !in_time || request.attempts >= self.settings.attempts {
             return false;
         }
@@ -143,8 +140,8 @@
             return;
         };
         request.phase = Phase::Backoff;
-        let service_time = self.service_time(&request.arrival);
-        let left = (request.arrival.deadline - now).saturating_sub(service_time);
+        let needed = self.attempt_time(&request.arrival);
+        let left = (request.arrival.deadline - now).saturating_sub(needed);
         request.start_by = now + left;
         let upstream = request.arrival.upstream.clone();
         self.requests.insert(id, request);
--- a/crates/request/src/machine/dispatch.rs
+++ b/crates/request/src/machine/dispatch.rs
@@ -19,10 +19,10 @@
         let partner = request.arrival.partner.clone();
         let (entry, bytes) = (request.entry(), request.arrival.bytes);
         let start_by = request.start_by;
-        let share = self.settings.retry_share;
         let station = &mut self.stations[&upstream];
         if station.queue.flow(&partner).is_none() {
-            station.queue.set_weight(&partner, 1, share);
+            let fresh = station.fresh(&self.settings);
+            station.queue.set_weight(&partner, 1, fresh);
         }
         station.queue.push(&partner, entry, bytes);
         self.set_timer(id, Some(start_by));
@@ -49,8 +49,7 @@
         if !station.has_free_slot() {
             return None;
         }
-        let cost = station.service.get();
-        let (partner, entry) = station.queue.pop(cost)?;
+        let (partner, entry) = station.queue.pop()?;
         let request = self.requests.get_mut(&entry.request);
         let request = request.expect("a queued request is known");
         let flow = station.queue.flow_mut(&partner);
@@ -65,12 +64,10 @@
     }
 
     fn send(&mut self, now: Instant, id: Id) {
-        let service_time = self.service_time(&self.requests[&id].arrival);
         let request = self.requests.get_mut(&id).expect("the request is known");
         request.attempts += 1;
         request.phase = Phase::Sent(Attempt {
             since: now,
-            charged: service_time,
             began: false,
             responding: false,
         });
@@ -87,18 +84,22 @@
     }
 
     /// Gives the slot of an attempt back and starts the next request.
-    pub(crate) fn free_slot(&mut self, now: Instant, request: &Request) {
-        let Some(attempt) = request.attempt() else {
-            return;
-        };
+    /// The time of an attempt that was cut short counts as well: without it the
+    /// estimate would miss the longest ones.
+    fn free_slot(&mut self, now: Instant, request: &Request, attempt: Attempt) {
         let arrival = &request.arrival;
         let station = &mut self.stations[&arrival.upstream];
         station.busy -= 1;
-        let measured = now - attempt.since;
-        let partner = &arrival.partner;
-        station.queue.settle(partner, attempt.charged, measured);
-        if let Some(flow) = station.queue.flow_mut(partner) {
-            flow.busy -= 1;
+        let held = attempt.began.then(|| now - attempt.since);
+        if let Some(held) = held {
+            station.service.record(held);
+        }
+        let Some(flow) = station.queue.flow_mut(&arrival.partner) else {
+            return;
+        };
+        flow.busy -= 1;
+        if let Some(held) = held {
+            flow.service.record(held);
         }
     }
 
@@ -108,7 +109,7 @@
         let request = self.requests.remove(&id)?;
         match request.phase {
             Phase::Queued => self.unqueue(&request),
-            Phase::Sent(_) => self.free_slot(now, &request),
+            Phase::Sent(attempt) => self.free_slot(now, &request, attempt),
             Phase::Backoff => {}
         }
         Some(request)
--- a/crates/request/src/machine/fleet.rs
+++ b/crates/request/src/machine/fleet.rs
@@ -34,8 +34,8 @@
     fn set_weights(&mut self) {
         for station in self.stations.values_mut() {
             for (partner, declared) in &self.fleet.partners {
-                let share = self.settings.retry_share;
-                station.queue.set_weight(partner, declared.weight, share);
+                let fresh = station.fresh(&self.settings);
+                station.queue.set_weight(partner, declared.weight, fresh);
             }
         }
     }
--- a/crates/request/src/machine/request.rs
+++ b/crates/request/src/machine/request.rs
@@ -1,7 +1,5 @@
 //! One request and the phase that it is in.
 
-use std::time::Duration;
-
 use eelgrassrock_model::fleet::Repeat;
 use eelgrassrock_model::time::Instant;
 
@@ -37,8 +35,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Attempt {
     pub(crate) since: Instant,
-    /// Slot time that the partner was charged with.
-    pub(crate) charged: Duration,
     /// Whether a byte may have been written.
     pub(crate) began: bool,
     /// Whether the head of the answer was passed on.
--- a/crates/request/src/machine/station.rs
+++ b/crates/request/src/machine/station.rs
@@ -4,9 +4,10 @@
 
 use eelgrassrock_model::fleet::Upstream;
 
-use crate::estimate::Mean;
+use crate::estimate::Estimate;
 use crate::event::Grant;
-use crate::queue::Queue;
+use crate::queue::{Fresh, Queue};
+use crate::settings::Settings;
 use crate::snapshot;
 
 /// Queue, slots and measurements of one upstream.
@@ -16,7 +17,7 @@
     pub(crate) grant: Grant,
     pub(crate) busy: u32,
     pub(crate) queue: Queue,
-    pub(crate) service: Mean,
+    pub(crate) service: Estimate,
 }
 
 impl Station {
@@ -26,7 +27,14 @@
             grant: Grant::Released,
             busy: 0,
             queue: Queue::default(),
-            service: Mean::new(service_time),
+            service: Estimate::new(service_time),
+        }
+    }
+
+    pub(crate) fn fresh(&self, settings: &Settings) -> Fresh {
+        Fresh {
+            retry_share: settings.retry_share,
+            service: self.service,
         }
     }
 
@@ -48,7 +56,7 @@
             return Duration::ZERO;
         }
         let slots = f64::from(self.open_slots().max(1));
-        self.service.get().mul_f64((ahead + 1.0) / slots)
+        self.service.mean().mul_f64((ahead + 1.0) / slots)
     }
 
     pub(crate) fn snapshot(&self) -> snapshot::Station {
@@ -59,7 +67,7 @@
             open_slots: self.open_slots(),
             busy: self.busy,
             queued: self.queue.len(),
-            service_us: u64::try_from(self.service.get().as_micros()).unwrap_or(u64::MAX),
+            service_us: u64::try_from(self.service.mean().as_micros()).unwrap_or(u64::MAX),
             health: "well",
             partners: flows
                 .map(|(partner, flow)| (partner.clone(), flow.snapshot()))
--- a/crates/request/src/queue.rs
+++ b/crates/request/src/queue.rs
@@ -1,21 +1,24 @@
 //! Weighted fair queue of one upstream.
 //!
 //! Start-time fair queueing between partners: each partner has a virtual start
-//! time that grows by the slot time it used divided by its weight, and the
-//! partner with the lowest start time is served first. Within a partner the
-//! earliest deadline goes first.
+//! time that grows by its mean service time divided by its weight with each
+//! request, and the partner with the lowest start time is served first. A
+//! partner that was idle keeps a bounded credit of the share that it left
+//! unused, so that its bursts aren't held up by a partner that always has
+//! requests waiting. Within a partner the earliest deadline goes first.
 
 use std::collections::{BTreeSet, VecDeque};
-use std::time::Duration;
 
 use eelgrassrock_model::Partner;
 use eelgrassrock_model::time::Instant;
 use indexmap::IndexMap;
 
 use crate::budget::Budget;
+use crate::estimate::Estimate;
 use crate::event::Id;
 
 const SCALE: u64 = 1 << 10;
+const CREDIT_REQUESTS: u32 = 8;
 
 /// Request in the queue. The order is the order of service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -32,24 +35,26 @@
     pub(crate) bytes: u64,
     pub(crate) busy: u32,
     pub(crate) budget: Budget,
+    pub(crate) service: Estimate,
     start: u64,
 }
 
 impl Flow {
-    fn charge(&mut self, cost: Duration) {
-        self.start = self.start.saturating_add(self.virtual_cost(cost));
-    }
-
-    fn refund(&mut self, cost: Duration) {
-        self.start = self.start.saturating_sub(self.virtual_cost(cost));
-    }
-
-    fn virtual_cost(&self, cost: Duration) -> u64 {
-        let micros = u64::try_from(cost.as_micros()).unwrap_or(u64::MAX);
+    /// Returns the virtual time that `requests` take.
+    fn cost(&self, requests: u32) -> u64 {
+        let span = self.service.mean() * requests;
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
         micros.saturating_mul(SCALE) / u64::from(self.weight.max(1))
     }
 }
 
+/// What a partner starts with that is seen for the first time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Fresh {
+    pub(crate) retry_share: f64,
+    pub(crate) service: Estimate,
+}
+
 /// Queue of one upstream.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
@@ -70,7 +75,7 @@
     }
 
     /// Adds the partner, or changes its weight.
-    pub(crate) fn set_weight(&mut self, partner: &Partner, weight: u32, share: f64) {
+    pub(crate) fn set_weight(&mut self, partner: &Partner, weight: u32, fresh: Fresh) {
         if let Some(flow) = self.flows.get_mut(partner) {
             if !flow.entries.is_empty() {
                 self.ready_weight -= u64::from(flow.weight);
@@ -84,7 +89,8 @@
             entries: VecDeque::new(),
             bytes: 0,
             busy: 0,
-            budget: Budget::new(share),
+            budget: Budget::new(fresh.retry_share),
+            service: fresh.service,
             start: self.now,
         };
         self.flows.insert(partner.clone(), flow);
@@ -102,7 +108,8 @@
     pub(crate) fn push(&mut self, partner: &Partner, entry: Entry, bytes: u32) {
         let flow = self.flows.get_mut(partner).expect("the partner is known");
         if flow.entries.is_empty() {
-            flow.start = flow.start.max(self.now);
+            let credit = flow.cost(CREDIT_REQUESTS);
+            flow.start = flow.start.max(self.now.saturating_sub(credit));
             self.ready.insert((flow.start, partner.clone()));
             self.ready_weight += u64::from(flow.weight);
         }
@@ -112,13 +119,13 @@
         self.len += 1;
     }
 
-    /// Takes the next request out and charges its partner with `cost`.
-    pub(crate) fn pop(&mut self, cost: Duration) -> Option<(Partner, Entry)> {
+    /// Takes the next request out and charges its partner.
+    pub(crate) fn pop(&mut self) -> Option<(Partner, Entry)> {
         let (start, partner) = self.ready.pop_first()?;
         let flow = self.flows.get_mut(&partner).expect("the partner is known");
         let entry = flow.entries.pop_front().expect("a ready flow has entries");
         self.now = self.now.max(start);
-        flow.charge(cost);
+        flow.start = flow.start.saturating_add(flow.cost(1));
         self.len -= 1;
         if flow.entries.is_empty() {
             self.ready_weight -= u64::from(flow.weight);
@@ -145,22 +152,6 @@
         true
     }
 
-    /// Corrects the charge of a request from the estimated to the measured cost.
-    pub(crate) fn settle(&mut self, partner: &Partner, estimated: Duration, measured: Duration) {
-        let Some(flow) = self.flows.get_mut(partner) else {
-            return;
-        };
-        let before = flow.start;
-        if measured > estimated {
-            flow.charge(measured - estimated);
-        } else {
-            flow.refund(estimated - measured);
-        }
-        if !flow.entries.is_empty() && self.ready.remove(&(before, partner.clone())) {
-            self.ready.insert((flow.start, partner.clone()));
-        }
-    }
-
     /// Returns how many service times pass, at one slot, before a request of
     /// `partner` with this deadline starts.
     pub(crate) fn ahead(&self, partner: &Partner, entry: Entry) -> f64 {
