--- /dev/null
+++ b/crates/ownership/src/machine/claim.rs
@@ -0,0 +1,239 @@
+//! Homes: who takes over an upstream, and who ceases to be home.
+
+use std::time::Duration;
+
+use eelgrassrock_model::fleet::Fleet;
+use eelgrassrock_model::table::{Check, Operation, Row, Write};
+use eelgrassrock_model::time::Instant;
+use eelgrassrock_model::{DataCentre, Service, Term, Upstream};
+use indexmap::IndexMap;
+
+use super::Machine;
+use crate::decision::{Reason, What};
+use crate::event::Member;
+use crate::held::Held;
+use crate::place;
+use crate::row::{self, Key};
+use crate::write::{Pending, Purpose};
+
+/// Time that each router leaves to those that rank before it.
+const CLAIM_STAGGER: Duration = Duration::from_millis(250);
+
+impl Machine {
+    pub(super) fn on_members(&mut self, members: Vec<Member>) {
+        let members = members.into_iter().map(|it| (it.router.clone(), it));
+        let members: IndexMap<_, _> = members.collect();
+        let gone: Vec<_> = self
+            .members
+            .keys()
+            .filter(|router| !members.contains_key(*router))
+            .cloned()
+            .collect();
+        let back: Vec<_> = members
+            .keys()
+            .filter(|router| !self.members.contains_key(*router))
+            .cloned()
+            .collect();
+        self.members = members;
+        for router in gone.iter().chain(&back) {
+            let upstreams = self.view.by_router.get(router).cloned();
+            for upstream in upstreams.into_iter().flatten() {
+                self.watch(&upstream);
+            }
+        }
+        let orphans: Vec<Upstream> = self.orphans.keys().cloned().collect();
+        for upstream in orphans {
+            self.rank_again(&upstream);
+        }
+    }
+
+    pub(super) fn on_fleet(&mut self, fleet: Fleet) {
+        if fleet.version < self.view.fleet.version {
+            return;
+        }
+        let changes = self.view.set_fleet(fleet);
+        for change in changes {
+            self.react(change);
+        }
+        self.watch_all();
+    }
+
+    /// Looks again at every upstream and service.
+    pub(super) fn watch_all(&mut self) {
+        let fleet = self.view.fleet.upstreams.keys();
+        let owners = self.view.owners().map(|(upstream, _)| upstream);
+        let upstreams: Vec<Upstream> = fleet.chain(owners).cloned().collect();
+        for upstream in upstreams {
+            self.watch(&upstream);
+        }
+        let services: Vec<Service> = self.view.services.keys().cloned().collect();
+        for service in services {
+            self.watch_service(&service);
+        }
+    }
+
+    /// Looks again whether an upstream lacks a home.
+    pub(super) fn watch(&mut self, upstream: &Upstream) {
+        if !self.is_orphan(upstream) {
+            self.orphans.swap_remove(upstream);
+        } else if !self.orphans.contains_key(upstream) {
+            self.orphans.insert(upstream.clone(), Instant::default());
+            self.rank_again(upstream);
+        }
+    }
+
+    fn is_orphan(&self, upstream: &Upstream) -> bool {
+        if self.held.contains_key(upstream) {
+            return false;
+        }
+        let Some(home) = self.view.home(upstream) else {
+            // A row that can't be used is left to the operator.
+            return !self.view.homes.contains_key(upstream) && self.needs_home(upstream);
+        };
+        let mine = home.router == self.settings.router;
+        let restarted = mine && home.nonce.as_ref() != self.settings.nonce;
+        let lost = !self.members.contains_key(&home.router);
+        (restarted || lost) && self.needs_home(upstream)
+    }
+
+    fn needs_home(&self, upstream: &Upstream) -> bool {
+        self.view.fleet.upstreams.contains_key(upstream)
+            || self.view.owned_count(upstream) > 0
+            || self.view.outgoing(upstream).next().is_some()
+    }
+
+    pub(super) fn data_centre_of(&self, upstream: &Upstream) -> Option<&DataCentre> {
+        let upstream = self.view.fleet.upstreams.get(upstream)?;
+        Some(&upstream.data_centre)
+    }
+
+    /// Computes when this router claims an orphan.
+    fn rank_again(&mut self, upstream: &Upstream) {
+        let me = &self.settings.router;
+        let restarted = self.view.home(upstream).is_some_and(|it| it.router == *me);
+        let rank = if restarted {
+            Some(0)
+        } else {
+            let data_centre = self.data_centre_of(upstream);
+            place::rank(me, upstream, data_centre, self.members.values())
+        };
+        let at = match rank.and_then(|rank| u32::try_from(rank).ok()) {
+            Some(rank) => self.now + CLAIM_STAGGER * rank,
+            None => Instant::from_micros(u64::MAX),
+        };
+        self.orphans.insert(upstream.clone(), at);
+    }
+
+    pub(super) fn poll_claims(&mut self) {
+        if !self.homes_known || self.draining.is_some() || !self.may_write() {
+            return;
+        }
+        let acting = self.held.iter().filter(|(_, held)| held.is_acting);
+        let acting = acting.map(|(upstream, _)| upstream);
+        let due = self.orphans.iter().filter(|(_, at)| **at <= self.now);
+        let due: Vec<Upstream> = due
+            .map(|(upstream, _)| upstream)
+            .chain(acting)
+            .cloned()
+            .collect();
+        for upstream in due {
+            self.claim(&upstream);
+        }
+    }
+
+    fn claim(&mut self, upstream: &Upstream) {
+        let key = Key::Home(upstream.clone()).text();
+        if self.is_writing(&key) {
+            return;
+        }
+        let settings = &self.settings;
+        let mut home = row::Home::new(settings.router.clone(), &settings.nonce, settings.address);
+        home.authority_ms = millis(settings.authority);
+        home.lease_ms = millis(settings.lease);
+        if let Some(known) = self.view.home(upstream) {
+            home.term = known.term.next();
+            home.authority_ms = home.authority_ms.max(known.authority_ms);
+            home.lease_ms = home.lease_ms.max(known.lease_ms);
+            home.prior = Some((known.router.clone(), known.address));
+        }
+        let check = Check {
+            key: key.clone(),
+            version: self.view.home_version(upstream),
+        };
+        let write = Write {
+            key,
+            value: Some(home.encode()),
+        };
+        self.write(Purpose::Claim(upstream.clone()), vec![check], vec![write]);
+    }
+
+    pub(super) fn on_claim_ended(&mut self, upstream: &Upstream) {
+        if self.orphans.contains_key(upstream) {
+            self.rank_again(upstream);
+        }
+        self.watch(upstream);
+    }
+
+    /// Reacts to another row of a home.
+    pub(super) fn on_home_changed(&mut self, upstream: &Upstream) {
+        let Some(home) = self.view.homes.get(upstream) else {
+            self.watch(upstream);
+            return;
+        };
+        let (row, contents) = (home.row.clone(), home.contents.clone());
+        let mine = contents.as_ref().is_some_and(|it| self.is_mine(it));
+        match self.held.get_mut(upstream) {
+            Some(held) if row.version > held.version => {
+                if let Some(contents) = contents.as_ref().filter(|_| mine) {
+                    held.term = contents.term;
+                    held.version = row.version;
+                    held.is_acting = false;
+                } else {
+                    self.cede(upstream, contents.as_ref());
+                }
+            }
+            None if mine => self.hold(upstream, &row, contents.as_ref()),
+            _ => {}
+        }
+        self.watch(upstream);
+    }
+
+    fn is_mine(&self, home: &row::Home) -> bool {
+        home.router == self.settings.router && home.nonce.as_ref() == self.settings.nonce
+    }
+
+    /// Becomes home by a row that a transaction of this process wrote.
+    fn hold(&mut self, upstream: &Upstream, row: &Row, home: Option<&row::Home>) {
+        let Some((home, claim)) = home.zip(self.claim_of(&row.operation)) else {
+            return;
+        };
+        let now = self.now;
+        let proven_at = claim.first_sent_at;
+        let mut held = Held::new(home.term, row.version, proven_at, now, &self.settings);
+        if home.term != Term(1) {
+            let bound = Duration::from_millis(home.authority_ms.saturating_add(home.lease_ms));
+            held.settles_at = now + self.settings.longer(bound) + self.settings.heartbeat;
+            held.predecessor = home.prior.clone();
+        }
+        self.held.insert(upstream.clone(), held);
+        let what = What::Home {
+            upstream: upstream.clone(),
+            term: home.term,
+        };
+        let reason = if home.term == Term(1) {
+            Reason::Unowned
+        } else {
+            Reason::Lost
+        };
+        self.decide(what, reason);
+    }
+
+    fn claim_of(&self, operation: &Operation) -> Option<&Pending> {
+        let pending = self.pending.get(operation)?;
+        matches!(pending.purpose, Purpose::Claim(_)).then_some(pending)
+    }
+}
+
+pub(super) fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/ownership/src/machine/handover.rs
@@ -0,0 +1,420 @@
+//! End of the authority of a home: superseded by a later term, or handed over
+//! under the same term when the router stops.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassrock_model::table::{Operation, Row};
+use eelgrassrock_model::time::Instant;
+use eelgrassrock_model::{Router, Sequence, Term, Upstream, Version};
+
+use super::Machine;
+use crate::action::Action;
+use crate::decision::{Reason, What};
+use crate::held::Held;
+use crate::message::{Handover, Message, Succession};
+use crate::place;
+use crate::row::{self, Key};
+
+/// Time between two questions about one handover.
+const ASK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time after which a stopping router no longer waits for its successors.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Bits of the version of an acting home that count handovers of one term.
+const HOP_BITS: u32 = 16;
+
+/// End of the authority of this router over an upstream.
+#[derive(Clone, Debug)]
+pub(super) struct Ceded {
+    term: Term,
+    lapses_at: Instant,
+    settles_at: Instant,
+    /// Next home under the same term, if there is one.
+    successor: Option<Successor>,
+}
+
+#[derive(Clone, Debug)]
+struct Successor {
+    router: Router,
+    authority_until: Instant,
+    incarnation: Option<Arc<str>>,
+    sequence: Sequence,
+    version: Version,
+    done: bool,
+}
+
+/// Offer that this router made or accepted.
+#[derive(Clone, Debug)]
+pub(super) struct Offer {
+    router: Router,
+    term: Term,
+    asked_at: Instant,
+    /// Identifier of the acceptance, zero if this router made the offer.
+    question: u64,
+}
+
+impl Machine {
+    /// Ends the authority over an upstream after a later term was seen.
+    pub(super) fn cede(&mut self, upstream: &Upstream, next: Option<&row::Home>) {
+        let Some(held) = self.held.swap_remove(upstream) else {
+            return;
+        };
+        self.offers.swap_remove(upstream);
+        let ceded = Ceded {
+            term: held.term,
+            lapses_at: held.ledger.lapses_at().unwrap_or(self.now),
+            settles_at: held.settles_at,
+            successor: None,
+        };
+        self.ceded.insert(upstream.clone(), ceded);
+        let what = What::Ceded {
+            upstream: upstream.clone(),
+            term: held.term,
+            to: next.map(|home| home.router.clone()),
+        };
+        self.decide(what, Reason::Superseded);
+        if let Some(next) = next {
+            self.tell_handover(upstream, &next.router.clone(), 0);
+        }
+    }
+
+    /// Tells the next home that this router no longer gives orders.
+    fn tell_handover(&mut self, upstream: &Upstream, to: &Router, question: u64) {
+        let Some(ceded) = self.ceded.get(upstream) else {
+            return;
+        };
+        let succession = ceded
+            .successor
+            .as_ref()
+            .map(|it| self.succession(upstream, it));
+        let handover = Handover {
+            upstream: upstream.clone(),
+            term: ceded.term,
+            lapses_in: ceded.lapses_at - self.now,
+            settles_in: ceded.settles_at - self.now,
+            question,
+            succession,
+        };
+        self.tell(to, Message::Handover(handover));
+    }
+
+    fn succession(&self, upstream: &Upstream, successor: &Successor) -> Succession {
+        let home = self.view.homes.get(upstream).map(|home| &home.row);
+        let acting = self.view.acting.get(upstream).map(|home| &home.row);
+        let service = self.view.service_of(upstream);
+        let blocks = service.and_then(|it| self.view.services.get(it));
+        let blocks = blocks.into_iter().flat_map(|it| &it.blocks);
+        let rows = blocks.filter_map(|block| block.row.as_ref());
+        Succession {
+            authority: successor.authority_until - self.now,
+            incarnation: successor.incarnation.clone(),
+            sequence: successor.sequence,
+            version: successor.version,
+            rows: home
+                .into_iter()
+                .chain(acting)
+                .chain(rows)
+                .cloned()
+                .collect(),
+        }
+    }
+
+    /// Asks earlier homes to end their authority.
+    pub(super) fn ask_predecessor(&mut self, upstream: &Upstream, held_term: Term) {
+        let row = self.view.homes.get(upstream).map(|home| home.row.clone());
+        let Some(held) = self.held.get_mut(upstream) else {
+            return;
+        };
+        let Some((router, address)) = held.predecessor.clone() else {
+            return;
+        };
+        let due = held
+            .predecessor_asked_at
+            .is_none_or(|at| self.now >= at + ASK_INTERVAL * 5);
+        if !due || self.now >= held.settles_at || router == self.settings.router {
+            return;
+        }
+        held.predecessor_asked_at = Some(self.now);
+        let ask = Message::AskHandover {
+            upstream: upstream.clone(),
+            term: held_term,
+        };
+        for message in [Message::Rows(row.into_iter().collect()), ask] {
+            self.out.push(Action::Tell {
+                router: router.clone(),
+                address,
+                message,
+            });
+        }
+    }
+
+    pub(super) fn on_ask_handover(&mut self, from: &Router, upstream: &Upstream, term: Term) {
+        let Some(ceded) = self.ceded.get(upstream) else {
+            return;
+        };
+        match &ceded.successor {
+            None if ceded.term.next() == term => self.tell_handover(upstream, from, 0),
+            Some(successor) => {
+                let home = self.view.homes.get(upstream).map(|it| it.row.clone());
+                let to = successor.router.clone();
+                self.tell(&to, Message::Rows(home.into_iter().collect()));
+            }
+            None => {}
+        }
+    }
+
+    pub(super) fn on_drain(&mut self) {
+        if self.draining.is_none() {
+            self.draining = Some(self.now);
+        }
+    }
+
+    pub(super) fn poll_handovers(&mut self) {
+        let asking: Vec<(Upstream, Term)> = self
+            .held
+            .iter()
+            .filter(|(_, held)| held.predecessor.is_some())
+            .map(|(upstream, held)| (upstream.clone(), held.term))
+            .collect();
+        for (upstream, term) in asking {
+            self.ask_predecessor(&upstream, term);
+        }
+        if let Some(since) = self.draining
+            && !self.drained
+        {
+            self.poll_drain(since);
+        }
+    }
+
+    fn poll_drain(&mut self, since: Instant) {
+        let upstreams: Vec<Upstream> = self.held.keys().cloned().collect();
+        let mut alone = false;
+        for upstream in &upstreams {
+            alone |= !self.offer(upstream);
+        }
+        let handing = |it: &Ceded| it.successor.as_ref().is_some_and(|it| !it.done);
+        let handing = self.ceded.values().any(handing);
+        let overdue = self.now >= since + DRAIN_TIMEOUT;
+        if (upstreams.is_empty() && !handing) || alone || overdue {
+            self.drained = true;
+            self.out.push(Action::Drained);
+        }
+    }
+
+    /// Offers an upstream to the next router. Returns whether there is one.
+    fn offer(&mut self, upstream: &Upstream) -> bool {
+        let me = &self.settings.router;
+        let others = self.members.values().filter(|it| it.router != *me);
+        let data_centre = self.data_centre_of(upstream);
+        let Some(next) = place::first(upstream, data_centre, others) else {
+            return false;
+        };
+        let next = next.router.clone();
+        let offered = self.offers.get(upstream);
+        let recent = offered.is_some_and(|it| self.now < it.asked_at + ASK_INTERVAL);
+        let Some(held) = self.held.get(upstream) else {
+            return true;
+        };
+        if recent || held.is_loading() || self.is_changing(upstream) {
+            return true;
+        }
+        let term = held.term;
+        let offer = Offer {
+            router: next.clone(),
+            term,
+            asked_at: self.now,
+            question: 0,
+        };
+        self.offers.insert(upstream.clone(), offer);
+        let message = Message::OfferHandover {
+            upstream: upstream.clone(),
+            term,
+        };
+        self.tell(&next, message);
+        true
+    }
+
+    /// Returns whether a transaction that depends on this home is under way.
+    fn is_changing(&self, upstream: &Upstream) -> bool {
+        let key = Key::Home(upstream.clone()).text();
+        let checks = |it: &crate::write::Pending| {
+            let mut checks = it.transaction.checks.iter();
+            checks.any(|check| check.key == key)
+        };
+        self.pending.values().any(checks)
+    }
+
+    pub(super) fn on_offer(&mut self, from: &Router, upstream: &Upstream, term: Term) {
+        if self.draining.is_some() || self.held.contains_key(upstream) {
+            return;
+        }
+        let question = self.take_id();
+        let offer = Offer {
+            router: from.clone(),
+            term,
+            asked_at: self.now,
+            question,
+        };
+        self.offers.insert(upstream.clone(), offer);
+        let message = Message::AcceptHandover {
+            upstream: upstream.clone(),
+            term,
+            question,
+        };
+        self.tell(from, message);
+    }
+
+    pub(super) fn on_accept(
+        &mut self,
+        from: &Router,
+        upstream: &Upstream,
+        term: Term,
+        question: u64,
+    ) {
+        let ready = self
+            .offers
+            .get(upstream)
+            .is_some_and(|it| it.router == *from && it.question == 0 && it.term == term);
+        let held = self.held.get(upstream).filter(|held| held.term == term);
+        if let Some(held) = held
+            && ready
+            && self.draining.is_some()
+            && !self.is_changing(upstream)
+        {
+            let ceded = Self::ceded_to(held, from, self.now);
+            self.ceded.insert(upstream.clone(), ceded);
+            self.held.swap_remove(upstream);
+            self.offers.swap_remove(upstream);
+            let what = What::Ceded {
+                upstream: upstream.clone(),
+                term,
+                to: Some(from.clone()),
+            };
+            self.decide(what, Reason::Leaving);
+        }
+        let ceded = self.ceded.get(upstream).filter(|it| it.term == term);
+        let successor = ceded.and_then(|it| it.successor.as_ref());
+        if successor.is_some_and(|it| it.router == *from) {
+            self.tell_handover(upstream, from, question);
+        }
+    }
+
+    fn ceded_to(held: &Held, router: &Router, now: Instant) -> Ceded {
+        Ceded {
+            term: held.term,
+            lapses_at: held.ledger.lapses_at().unwrap_or(now),
+            settles_at: held.settles_at,
+            successor: Some(Successor {
+                router: router.clone(),
+                authority_until: held.authority_until,
+                incarnation: held.proven_incarnation.clone(),
+                sequence: held.sequence,
+                version: held.version,
+                done: false,
+            }),
+        }
+    }
+
+    pub(super) fn on_handover(&mut self, from: &Router, handover: Handover) {
+        match &handover.succession {
+            Some(succession) => self.succeed(from, &handover, succession.clone()),
+            None => self.settle(&handover),
+        }
+    }
+
+    fn settle(&mut self, handover: &Handover) {
+        let bound = handover.lapses_in.max(handover.settles_in);
+        let settles_at = self.now + self.settings.longer(bound);
+        if let Some(held) = self.held.get_mut(&handover.upstream)
+            && handover.term.next() == held.term
+        {
+            held.settles_at = held.settles_at.min(settles_at);
+        }
+    }
+
+    /// Becomes home under the same term.
+    fn succeed(&mut self, from: &Router, handover: &Handover, succession: Succession) {
+        let upstream = &handover.upstream;
+        let accepted = self.offers.get(upstream).filter(|it| {
+            it.router == *from && it.question != 0 && it.question == handover.question
+        });
+        let Some(accepted) = accepted.cloned() else {
+            self.confirm(from, upstream, handover.term);
+            return;
+        };
+        self.offers.swap_remove(upstream);
+        self.learn(succession.rows);
+        if self.view.home_version(upstream) != succession.version
+            || self.held.contains_key(upstream)
+        {
+            return;
+        }
+        let now = self.now;
+        let asked_at = accepted.asked_at;
+        let mut held = Held::new(
+            handover.term,
+            succession.version,
+            asked_at,
+            now,
+            &self.settings,
+        );
+        held.authority_until = asked_at + self.settings.shorter(succession.authority);
+        let bound = handover.lapses_in.max(handover.settles_in);
+        held.settles_at = now + self.settings.longer(bound);
+        held.proven_incarnation = succession.incarnation;
+        held.sequence = succession.sequence;
+        held.is_acting = true;
+        self.held.insert(upstream.clone(), held);
+        self.spread_acting(upstream, succession.version);
+        self.finish_loading(upstream);
+        self.confirm(from, upstream, handover.term);
+        let what = What::Home {
+            upstream: upstream.clone(),
+            term: handover.term,
+        };
+        self.decide(what, Reason::Leaving);
+    }
+
+    /// Tells all routers that this one goes on under the term of another.
+    fn spread_acting(&mut self, upstream: &Upstream, base: Version) {
+        let Some(mut home) = self.view.home(upstream).cloned() else {
+            return;
+        };
+        home.router = self.settings.router.clone();
+        home.nonce = self.settings.nonce.as_str().into();
+        home.address = self.settings.address;
+        let known = self.view.acting.get(upstream);
+        let known = known.map_or(Version(0), |it| it.row.version);
+        let version = known.max(Version(base.0 << HOP_BITS)).next();
+        let row = Row {
+            key: Key::Acting(upstream.clone()).text(),
+            version,
+            operation: Operation(format!("{}-{}-acting", home.router, home.nonce).into()),
+            value: home.encode(),
+        };
+        self.learn(vec![row.clone()]);
+        self.out.push(Action::Spread(vec![row]));
+    }
+
+    fn confirm(&mut self, to: &Router, upstream: &Upstream, term: Term) {
+        if self.held.get(upstream).is_some_and(|it| it.term >= term) {
+            let message = Message::HandoverDone {
+                upstream: upstream.clone(),
+                term,
+            };
+            self.tell(to, message);
+        }
+    }
+
+    pub(super) fn on_handover_done(&mut self, from: &Router, upstream: &Upstream, term: Term) {
+        if let Some(ceded) = self.ceded.get_mut(upstream)
+            && ceded.term == term
+            && let Some(successor) = &mut ceded.successor
+            && successor.router == *from
+        {
+            successor.done = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/machine/message.rs
@@ -0,0 +1,189 @@
+//! Messages from and to other routers.
+
+use std::time::Duration;
+
+use eelgrassrock_model::table::Row;
+use eelgrassrock_model::{Name, Router, Upstream};
+use indexmap::IndexSet;
+
+use super::{Machine, Status};
+use crate::action::Action;
+use crate::message::{Message, Report};
+use crate::place;
+use crate::row::Key;
+
+/// Time between two reports of the same state.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time to wait for the rows of another router after a start.
+const PEER_TIMEOUT: Duration = Duration::from_millis(300);
+
+impl Machine {
+    pub(super) fn on_told(&mut self, from: &Router, message: Message) {
+        match message {
+            Message::AskRelease(release) => self.on_ask_release(from, &release),
+            Message::Released(release) => self.on_released(&release),
+            Message::AskHandover { upstream, term } => {
+                self.on_ask_handover(from, &upstream, term);
+            }
+            Message::OfferHandover { upstream, term } => self.on_offer(from, &upstream, term),
+            Message::AcceptHandover {
+                upstream,
+                term,
+                question,
+            } => self.on_accept(from, &upstream, term, question),
+            Message::Handover(handover) => self.on_handover(from, handover),
+            Message::HandoverDone { upstream, term } => {
+                self.on_handover_done(from, &upstream, term);
+            }
+            Message::AskReady { upstream } => self.on_ask_ready(from, &upstream),
+            Message::Ready { upstream } => self.on_ready(&upstream),
+            Message::Reports(reports) => self.on_reports(reports),
+            Message::Rows(rows) => self.learn(rows),
+            Message::AskRows => self.on_ask_rows(from),
+            Message::AllRows { rows, complete } => self.on_all_rows(rows, complete),
+        }
+    }
+
+    /// Sends a message to a router whose address is known.
+    pub(super) fn tell(&mut self, router: &Router, message: Message) {
+        let member = self.members.get(router).map(|it| it.address);
+        let by_home = || {
+            let upstream = self.view.by_router.get(router)?.first()?;
+            Some(self.view.home(upstream)?.address)
+        };
+        let Some(address) = member.or_else(by_home) else {
+            return;
+        };
+        self.out.push(Action::Tell {
+            router: router.clone(),
+            address,
+            message,
+        });
+    }
+
+    fn on_ask_rows(&mut self, from: &Router) {
+        let rows = self.view.rows().cloned().collect();
+        let complete = self.knows_all();
+        self.tell(from, Message::AllRows { rows, complete });
+    }
+
+    fn on_all_rows(&mut self, rows: Vec<Row>, complete: bool) {
+        self.peer_deadline = Some(self.now);
+        self.learn(rows);
+        if complete && !self.homes_known {
+            self.homes_known = true;
+            self.blocks_known = self.view.services.keys().cloned().collect();
+            self.watch_all();
+        }
+    }
+
+    /// Asks another router, if possible of the same data centre, for all rows.
+    /// Returns whether an answer is due.
+    pub(super) fn ask_peer(&mut self) -> bool {
+        if let Some(deadline) = self.peer_deadline {
+            return self.now < deadline;
+        }
+        let settings = &self.settings;
+        let others = self
+            .members
+            .values()
+            .filter(|it| it.router != settings.router);
+        let peer = others.min_by_key(|member| {
+            let far = member.data_centre != settings.data_centre;
+            (far, place::weight(&member.router, settings.router.as_str()))
+        });
+        let Some(peer) = peer.map(|it| it.router.clone()) else {
+            return false;
+        };
+        self.peer_deadline = Some(self.now + PEER_TIMEOUT);
+        self.tell(&peer, Message::AskRows);
+        true
+    }
+
+    fn on_reports(&mut self, reports: Vec<Report>) {
+        let at = self.now;
+        for report in reports {
+            if !self.held.contains_key(&report.upstream) {
+                let upstream = report.upstream.clone();
+                self.statuses.insert(upstream, Status { report, at });
+            }
+        }
+    }
+
+    /// Reports the upstreams of this router to the other homes of their
+    /// services.
+    pub(super) fn poll_reports(&mut self) {
+        if self.now < self.next_report || self.held.is_empty() {
+            return;
+        }
+        self.next_report = self.now + REPORT_INTERVAL;
+        let reports: Vec<Report> = self.held.keys().map(|it| self.report(it)).collect();
+        let at = self.now;
+        for report in &reports {
+            let report = report.clone();
+            let upstream = report.upstream.clone();
+            self.statuses.insert(upstream, Status { report, at });
+        }
+        for router in self.neighbours() {
+            self.tell(&router, Message::Reports(reports.clone()));
+        }
+    }
+
+    fn report(&self, upstream: &Upstream) -> Report {
+        let held = self.held.get(upstream);
+        Report {
+            upstream: upstream.clone(),
+            alive: held.is_some_and(crate::held::Held::is_alive),
+            leaving: self.is_leaving(upstream),
+            busy_ppm: held.map_or(0, |held| held.busy_ppm),
+        }
+    }
+
+    /// Returns whether an upstream must not get work any more.
+    pub(super) fn is_leaving(&self, upstream: &Upstream) -> bool {
+        let says_so = self.held.get(upstream).is_some_and(|held| held.leaving);
+        let removed = !self.view.fleet.upstreams.contains_key(upstream);
+        says_so || removed || self.leaving.contains(upstream)
+    }
+
+    /// Returns the other homes of the services of this router's upstreams.
+    fn neighbours(&self) -> IndexSet<Router> {
+        let services: IndexSet<_> = self
+            .held
+            .keys()
+            .filter_map(|it| self.view.service_of(it))
+            .collect();
+        let upstreams = services
+            .into_iter()
+            .filter_map(|service| self.view.members_of.get(service))
+            .flatten();
+        upstreams
+            .filter_map(|upstream| Some(self.view.home(upstream)?.router.clone()))
+            .filter(|router| *router != self.settings.router)
+            .collect()
+    }
+
+    /// Sends rows that this router wrote to the homes that act on them.
+    pub(super) fn notify_owners(&mut self, rows: &[Row]) {
+        let mut homes = IndexSet::new();
+        for row in rows {
+            let Some(Key::Block(service, block)) = Key::parse(&row.key) else {
+                continue;
+            };
+            let Some(blocks) = self.view.services.get(&service) else {
+                continue;
+            };
+            let entries = &blocks.blocks[block as usize].entries;
+            for chunk in entries.chunk_by(|a, b| a.owner == b.owner) {
+                let owner = chunk[0].owner.as_ref();
+                let home = owner.and_then(|it| self.view.home(it));
+                homes.extend(home.map(|it| it.router.clone()));
+            }
+        }
+        homes.swap_remove(&self.settings.router);
+        for home in homes {
+            self.tell(&home, Message::Rows(rows.to_vec()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/machine/release.rs
@@ -0,0 +1,173 @@
+//! Releases: proof that the prior owner of a shard can't hold it any more.
+
+use eelgrassrock_model::shard::Shard;
+use eelgrassrock_model::{Epoch, Router, Service, Upstream};
+use indexmap::IndexMap;
+
+use super::Machine;
+use crate::message::{Message, Release};
+use crate::row::Key;
+
+impl Machine {
+    pub(super) fn poll_releases(&mut self) {
+        let upstreams: Vec<Upstream> = self.held.keys().cloned().collect();
+        for upstream in &upstreams {
+            self.tell_released(upstream);
+        }
+        for upstream in &upstreams {
+            self.ask_released(upstream);
+        }
+    }
+
+    /// Returns whether an upstream of this router can't hold a shard any more
+    /// at an epoch before `epoch`.
+    fn is_released(&self, prior: &Upstream, service: &Service, shard: Shard, epoch: Epoch) -> bool {
+        let Some(held) = self.held.get(prior) else {
+            return false;
+        };
+        let known = self.view.entry(service, shard);
+        known.is_some_and(|entry| entry.epoch >= epoch)
+            && held.is_settled(self.now)
+            && !held.grants_stale
+            && !held.may_hold(shard, epoch)
+    }
+
+    /// Tells the homes of the next owners which shards an upstream released.
+    fn tell_released(&mut self, prior: &Upstream) {
+        let Some(service) = self.view.service_of(prior).cloned() else {
+            return;
+        };
+        let Some(held) = self.held.get(prior) else {
+            return;
+        };
+        let mut released: IndexMap<Upstream, Vec<(Shard, Epoch)>> = IndexMap::new();
+        for (shard, outgoing) in self.view.outgoing(prior) {
+            let told = held.told.get(&shard) == Some(&outgoing.epoch);
+            if !told && self.is_released(prior, &service, shard, outgoing.epoch) {
+                let shards = released.entry(outgoing.owner.clone()).or_default();
+                shards.push((shard, outgoing.epoch));
+            }
+        }
+        for (owner, shards) in released {
+            if let Some(held) = self.held.get_mut(prior) {
+                held.told.extend(shards.iter().copied());
+            }
+            let release = Release {
+                service: service.clone(),
+                prior: prior.clone(),
+                shards,
+            };
+            if self.held.contains_key(&owner) {
+                self.on_released(&release);
+            } else if let Some(home) = self.view.home(&owner).map(|it| it.router.clone()) {
+                self.tell(&home, Message::Released(release));
+            }
+        }
+    }
+
+    /// Asks the homes of prior owners for releases.
+    fn ask_released(&mut self, owner: &Upstream) {
+        let Some(service) = self.view.service_of(owner).cloned() else {
+            return;
+        };
+        let Some(held) = self.held.get(owner) else {
+            return;
+        };
+        if self.now < held.next_ask {
+            return;
+        }
+        let mut asked: IndexMap<Upstream, Vec<(Shard, Epoch)>> = IndexMap::new();
+        for shard in self.view.incoming(owner) {
+            let Some(entry) = self.view.entry(&service, shard) else {
+                continue;
+            };
+            let Some(prior) = &entry.prior else {
+                continue;
+            };
+            if held.released.get(&shard) != Some(&entry.epoch) {
+                let shards = asked.entry(prior.clone()).or_default();
+                shards.push((shard, entry.epoch));
+            }
+        }
+        if asked.is_empty() {
+            return;
+        }
+        if let Some(held) = self.held.get_mut(owner) {
+            held.next_ask = self.now + self.settings.heartbeat;
+        }
+        for (prior, shards) in asked {
+            let release = Release {
+                service: service.clone(),
+                prior,
+                shards,
+            };
+            self.ask_release(release);
+        }
+    }
+
+    fn ask_release(&mut self, release: Release) {
+        if self.held.contains_key(&release.prior) {
+            let released = self.released_of(&release);
+            self.on_released(&released);
+        } else if let Some(home) = self.view.home(&release.prior) {
+            let router = home.router.clone();
+            self.tell(&router, Message::AskRelease(release));
+        }
+    }
+
+    /// Returns the part of `release` that is proven.
+    fn released_of(&self, release: &Release) -> Release {
+        let mut proven = release.clone();
+        proven.shards.retain(|(shard, epoch)| {
+            self.is_released(&release.prior, &release.service, *shard, *epoch)
+        });
+        proven
+    }
+
+    pub(super) fn on_ask_release(&mut self, from: &Router, release: &Release) {
+        if !self.held.contains_key(&release.prior) {
+            self.redirect(from, &release.prior);
+            return;
+        }
+        for (shard, epoch) in &release.shards {
+            let known = self.view.entry(&release.service, *shard);
+            if known.is_some_and(|entry| entry.epoch < *epoch) {
+                self.read(Key::of_shard(&release.service, *shard).text());
+            }
+        }
+        let released = self.released_of(release);
+        if !released.shards.is_empty() {
+            self.tell(from, Message::Released(released));
+        }
+    }
+
+    /// Tells a router that asked the wrong home which one is right.
+    fn redirect(&mut self, to: &Router, upstream: &Upstream) {
+        let home = self.view.homes.get(upstream);
+        let acting = self.view.acting.get(upstream);
+        let rows = home.into_iter().chain(acting).map(|it| it.row.clone());
+        let rows = rows.collect();
+        self.tell(to, Message::Rows(rows));
+    }
+
+    pub(super) fn on_released(&mut self, release: &Release) {
+        for (shard, epoch) in &release.shards {
+            let Some(entry) = self.view.entry(&release.service, *shard) else {
+                continue;
+            };
+            if entry.epoch < *epoch {
+                self.read(Key::of_shard(&release.service, *shard).text());
+                continue;
+            }
+            let matches = entry.epoch == *epoch && entry.prior.as_ref() == Some(&release.prior);
+            let owner = entry.owner.clone();
+            if let Some(held) = owner.and_then(|it| self.held.get_mut(&it))
+                && matches
+                && held.released.insert(*shard, *epoch) != Some(*epoch)
+            {
+                held.grants_stale = true;
+                held.cleared_at = None;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/row.rs
@@ -0,0 +1,261 @@
+//! Rows of the table: keys, and contents with a format version.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use derive_more::{Display, Error, From};
+use eelgrassrock_model::shard::{Count, Shard};
+use eelgrassrock_model::{Epoch, Name, Router, Service, Term, Upstream};
+use serde::{Deserialize, Serialize};
+
+/// Number of shards of one row.
+pub const BLOCK_SHARDS: u32 = 256;
+
+const FORMAT: u32 = 1;
+const HOME_PREFIX: &str = "home/";
+const SHARDS_PREFIX: &str = "shards/";
+
+/// Error for a row that can't be used.
+#[derive(Debug, Display, Error, From)]
+pub enum Fault {
+    /// The value isn't JSON of the expected shape.
+    #[display("the value can't be read: {_0}; restore the row by hand")]
+    Json(serde_json::Error),
+    /// The format is newer than this program.
+    #[display("format {_0} is unknown here, {FORMAT} is known; upgrade this router")]
+    #[from(ignore)]
+    Format(#[error(not(source))] u32),
+    /// The contents contradict themselves or the key.
+    #[display("{_0}; restore the row by hand")]
+    #[from(ignore)]
+    Contents(#[error(not(source))] &'static str),
+}
+
+const ACTING_PREFIX: &str = "acting/";
+
+/// Key of a row that concerns ownership.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Key {
+    /// Home of an upstream.
+    Home(Upstream),
+    /// Home that goes on under the same term. Never in the table: the routers
+    /// tell each other.
+    Acting(Upstream),
+    /// Block of shards of a service.
+    Block(Service, u32),
+}
+
+impl Key {
+    /// Parses the key of a row, `None` if it concerns something else.
+    ///
+    /// ```
+    /// use eelgrassrock_ownership::row::Key;
+    ///
+    /// let key = Key::parse("shards/lookup/3").unwrap();
+    /// assert_eq!(key.text().as_ref(), "shards/lookup/3");
+    /// assert!(Key::parse("bundle/current").is_none());
+    /// ```
+    pub fn parse(text: &str) -> Option<Self> {
+        if let Some(name) = text.strip_prefix(HOME_PREFIX) {
+            return name.parse().ok().map(Self::Home);
+        }
+        if let Some(name) = text.strip_prefix(ACTING_PREFIX) {
+            return name.parse().ok().map(Self::Acting);
+        }
+        let (service, block) = text.strip_prefix(SHARDS_PREFIX)?.split_once('/')?;
+        Some(Self::Block(service.parse().ok()?, block.parse().ok()?))
+    }
+
+    /// Returns the key as text.
+    pub fn text(&self) -> Arc<str> {
+        match self {
+            Self::Home(upstream) => format!("{HOME_PREFIX}{}", upstream.as_str()).into(),
+            Self::Acting(upstream) => format!("{ACTING_PREFIX}{}", upstream.as_str()).into(),
+            Self::Block(service, block) => {
+                format!("{SHARDS_PREFIX}{}/{block}", service.as_str()).into()
+            }
+        }
+    }
+
+    /// Returns the prefix of all blocks of a service.
+    pub fn blocks(service: &Service) -> Arc<str> {
+        format!("{SHARDS_PREFIX}{}/", service.as_str()).into()
+    }
+
+    /// Returns the prefix of all homes.
+    pub fn homes() -> Arc<str> {
+        HOME_PREFIX.into()
+    }
+
+    /// Returns the key of the block that holds a shard.
+    pub fn of_shard(service: &Service, shard: Shard) -> Self {
+        Self::Block(service.clone(), shard.0 / BLOCK_SHARDS)
+    }
+}
+
+/// Contents of the row of a home.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Home {
+    format: u32,
+    /// Router that is home.
+    pub router: Router,
+    /// Start of its process.
+    pub nonce: Arc<str>,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Term.
+    pub term: Term,
+    /// Time for which any home so far may give orders without the table, in
+    /// milliseconds.
+    pub authority_ms: u64,
+    /// Longest lease that any home so far gives, in milliseconds.
+    pub lease_ms: u64,
+    /// Router that was home before, and its address.
+    pub prior: Option<(Router, SocketAddr)>,
+}
+
+impl Home {
+    /// Creates the contents for the first term of a home.
+    pub fn new(router: Router, nonce: &str, address: SocketAddr) -> Self {
+        Self {
+            format: FORMAT,
+            router,
+            nonce: nonce.into(),
+            address,
+            term: Term(1),
+            authority_ms: 0,
+            lease_ms: 0,
+            prior: None,
+        }
+    }
+
+    /// Reads the value of a row.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the format is unknown or the contents are impossible.
+    pub fn decode(value: &str) -> Result<Self, Fault> {
+        check_format(value)?;
+        let home: Self = serde_json::from_str(value)?;
+        if home.term == Term(0) {
+            return Err(Fault::Contents("a home has a term of at least 1"));
+        }
+        Ok(home)
+    }
+
+    /// Returns the value of a row.
+    pub fn encode(&self) -> Arc<str> {
+        encode(self)
+    }
+}
+
+/// Assignment of one shard.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Owner.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub owner: Option<Upstream>,
+    /// Epoch, incremented with every owner.
+    pub epoch: Epoch,
+    /// Owner before, if it isn't proven that it released the shard.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub prior: Option<Upstream>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Run {
+    count: u32,
+    #[serde(flatten)]
+    entry: Entry,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Block {
+    format: u32,
+    runs: Vec<Run>,
+}
+
+/// Returns the number of shards in a block of a service.
+pub fn block_len(shards: Count, block: u32) -> u32 {
+    shards
+        .get()
+        .saturating_sub(block.saturating_mul(BLOCK_SHARDS))
+        .min(BLOCK_SHARDS)
+}
+
+/// Reads the value of a block.
+///
+/// # Errors
+///
+/// Fails if the format is unknown or the contents are impossible.
+pub fn decode_block(value: &str, len: u32) -> Result<Vec<Entry>, Fault> {
+    check_format(value)?;
+    let block: Block = serde_json::from_str(value)?;
+    let mut entries = Vec::with_capacity(len as usize);
+    for run in block.runs {
+        check_entry(&run.entry)?;
+        if run.count == 0 || run.count > len - entries.len() as u32 {
+            return Err(Fault::Contents("the runs don't add up to the block"));
+        }
+        entries.extend(std::iter::repeat_n(run.entry, run.count as usize));
+    }
+    if entries.len() as u32 != len {
+        return Err(Fault::Contents("the runs don't add up to the block"));
+    }
+    Ok(entries)
+}
+
+/// Returns the value of a block.
+///
+/// ```
+/// use eelgrassrock_ownership::row::{Entry, decode_block, encode_block};
+///
+/// let entries = vec![Entry::default(); 256];
+/// let value = encode_block(&entries);
+/// assert_eq!(decode_block(&value, 256).unwrap(), entries);
+/// ```
+pub fn encode_block(entries: &[Entry]) -> Arc<str> {
+    let runs = entries
+        .chunk_by(|a, b| a == b)
+        .map(|chunk| Run {
+            count: chunk.len() as u32,
+            entry: chunk[0].clone(),
+        })
+        .collect();
+    encode(&Block {
+        format: FORMAT,
+        runs,
+    })
+}
+
+fn encode(contents: &impl Serialize) -> Arc<str> {
+    serde_json::to_string(contents)
+        .expect("rows have text keys only")
+        .into()
+}
+
+fn check_format(value: &str) -> Result<(), Fault> {
+    #[derive(Deserialize)]
+    struct Header {
+        format: u32,
+    }
+    let header: Header = serde_json::from_str(value)?;
+    if header.format == FORMAT {
+        Ok(())
+    } else {
+        Err(Fault::Format(header.format))
+    }
+}
+
+fn check_entry(entry: &Entry) -> Result<(), Fault> {
+    if entry.owner.is_some() && entry.epoch == Epoch(0) {
+        return Err(Fault::Contents("an owner has an epoch of at least 1"));
+    }
+    if entry.prior.is_some() && entry.prior == entry.owner {
+        return Err(Fault::Contents("the prior owner equals the owner"));
+    }
+    if entry.owner.is_none() && entry.prior.is_some() {
+        return Err(Fault::Contents("a prior owner needs an owner"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ownership/tests/world/mod.rs
@@ -0,0 +1,640 @@
+//! Small fakes at the interfaces of the machine, in virtual time: the table,
+//! the upstreams, and messages that are late, lost or doubled.
+
+#![allow(dead_code)] // Each test file uses another part.
+
+pub(crate) mod table;
+pub(crate) mod upstream;
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::time::Duration;
+
+use eelgrassrock_model::fleet::{self, Fleet, Goal};
+use eelgrassrock_model::shard::{Count, Shard};
+use eelgrassrock_model::table::{Outcome, Row};
+use eelgrassrock_model::time::Instant;
+use eelgrassrock_model::{Name, Router, Service, Upstream, Version};
+use eelgrassrock_ownership::grant::Answer;
+use eelgrassrock_ownership::{Action, Decision, Event, Machine, Member, Route, Settings};
+use indexmap::IndexMap;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub(crate) const MS: Duration = Duration::from_millis(1);
+const PING: Duration = Duration::from_millis(50);
+const SUSPECT_AFTER: Duration = Duration::from_millis(300);
+const CLIENT_TIMEOUT: Duration = Duration::from_millis(150);
+const TABLE: &str = "table";
+
+/// Shape of a world.
+#[derive(Clone)]
+pub(crate) struct Shape {
+    pub(crate) routers: usize,
+    pub(crate) upstreams: usize,
+    pub(crate) zones: usize,
+    pub(crate) shards: u32,
+    pub(crate) checks_orders: bool,
+    pub(crate) goal: Goal,
+    pub(crate) authority: Duration,
+    pub(crate) seed: u64,
+    /// Rates of the clocks, in parts per million, taken in turn.
+    pub(crate) rates: Vec<i64>,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            routers: 3,
+            upstreams: 3,
+            zones: 3,
+            shards: 64,
+            checks_orders: true,
+            goal: Goal::Availability,
+            authority: Duration::from_secs(4 * 3600),
+            seed: 1,
+            rates: vec![0],
+        }
+    }
+}
+
+/// Probabilities of faults of each message, in parts per thousand.
+#[derive(Clone, Copy, Default, Debug)]
+pub(crate) struct Noise {
+    pub(crate) lost: u32,
+    pub(crate) doubled: u32,
+    pub(crate) late: u32,
+}
+
+enum Item {
+    Wake(Router, u64),
+    Event(Router, u64, Box<Event>),
+    Table(Router, u64, Box<Action>),
+    Upstream(Router, u64, Box<Action>),
+    Ping,
+}
+
+struct Due(Instant, u64, Item);
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+impl Eq for Due {}
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+/// Router with its machine.
+pub(crate) struct Node {
+    pub(crate) machine: Machine,
+    pub(crate) up: bool,
+    pub(crate) life: u64,
+    pub(crate) paused_until: Instant,
+    pub(crate) drained: bool,
+    pub(crate) decisions: Vec<(Instant, Decision)>,
+    pub(crate) table_calls: usize,
+    rate_ppm: i64,
+    members: Vec<Router>,
+    wake_at: Option<Instant>,
+}
+
+/// World of routers, upstreams and a table.
+pub(crate) struct World {
+    pub(crate) now: Instant,
+    pub(crate) shape: Shape,
+    pub(crate) fleet: Fleet,
+    pub(crate) table: table::Table,
+    pub(crate) upstreams: IndexMap<Upstream, upstream::Upstream>,
+    pub(crate) nodes: IndexMap<Router, Node>,
+    pub(crate) noise: Noise,
+    /// Names that can't reach each other.
+    pub(crate) cuts: HashSet<(String, String)>,
+    heard: HashMap<(Router, Router), Instant>,
+    queue: BinaryHeap<Reverse<Due>>,
+    sent: u64,
+    rng: ChaCha8Rng,
+    /// First violation of sole ownership.
+    pub(crate) violation: Option<String>,
+}
+
+pub(crate) fn service() -> Service {
+    "lookup".parse().unwrap()
+}
+
+pub(crate) fn router(index: usize) -> Router {
+    format!("r{index}").parse().unwrap()
+}
+
+pub(crate) fn upstream(index: usize) -> Upstream {
+    format!("u{index}").parse().unwrap()
+}
+
+pub(crate) fn fleet(shape: &Shape) -> Fleet {
+    let mut fleet = Fleet {
+        version: Version(1),
+        ..Fleet::default()
+    };
+    let shards = Count::try_from(shape.shards).unwrap();
+    let goal = shape.goal;
+    fleet
+        .services
+        .insert(service(), fleet::Service { shards, goal });
+    for index in 0..shape.upstreams {
+        let declared = fleet::Upstream {
+            service: service(),
+            data_centre: format!("z{}", index % shape.zones).parse().unwrap(),
+            address: format!("10.0.1.{index}:1").parse().unwrap(),
+            slots: 2,
+            connections: 110,
+            checks_orders: shape.checks_orders,
+            checks_idempotency: false,
+        };
+        fleet.upstreams.insert(upstream(index), declared);
+    }
+    fleet
+}
+
+impl World {
+    pub(crate) fn new(shape: Shape) -> Self {
+        let fleet = fleet(&shape);
+        let mut world = Self {
+            now: Instant::from_millis(1_000),
+            table: table::Table {
+                up: true,
+                ..Default::default()
+            },
+            upstreams: IndexMap::new(),
+            nodes: IndexMap::new(),
+            noise: Noise::default(),
+            cuts: HashSet::new(),
+            heard: HashMap::new(),
+            queue: BinaryHeap::new(),
+            sent: 0,
+            rng: ChaCha8Rng::seed_from_u64(shape.seed),
+            violation: None,
+            fleet,
+            shape,
+        };
+        let rates = world.shape.rates.clone();
+        for index in 0..world.shape.upstreams {
+            let rate = rates[index % rates.len()];
+            let model = upstream::Upstream::new(world.shape.checks_orders, rate);
+            world.upstreams.insert(upstream(index), model);
+        }
+        for index in 0..world.shape.routers {
+            world.start(index);
+        }
+        world.push(world.now, Item::Ping);
+        world
+    }
+
+    fn member(&self, router: &Router) -> Member {
+        let index = self.nodes.get_index_of(router).unwrap_or(0);
+        Member {
+            router: router.clone(),
+            data_centre: format!("z{}", index % self.shape.zones).parse().unwrap(),
+            address: format!("10.0.0.{index}:1").parse().unwrap(),
+        }
+    }
+
+    /// Starts a router, or starts it again.
+    pub(crate) fn start(&mut self, index: usize) {
+        let name = router(index);
+        let life = self.nodes.get(&name).map_or(1, |node| node.life + 1);
+        let rates = &self.shape.rates;
+        let rate_ppm = rates[(index + 1) % rates.len()];
+        let address = format!("10.0.0.{index}:1").parse().unwrap();
+        let zone = format!("z{}", index % self.shape.zones).parse().unwrap();
+        let settings = Settings::builder(name.clone(), address, zone, &life.to_string())
+            .authority(self.shape.authority)
+            .drift_ppm(1_000)
+            .seed(self.shape.seed ^ life)
+            .build();
+        let node = Node {
+            machine: Machine::new(settings),
+            up: true,
+            life,
+            paused_until: Instant::default(),
+            drained: false,
+            decisions: Vec::new(),
+            table_calls: 0,
+            rate_ppm,
+            members: Vec::new(),
+            wake_at: None,
+        };
+        self.nodes.insert(name.clone(), node);
+        self.push(
+            self.now,
+            Item::Event(name, life, Box::new(Event::Fleet(self.fleet.clone()))),
+        );
+    }
+
+    pub(crate) fn set_fleet(&mut self, fleet: Fleet) {
+        self.fleet = fleet.clone();
+        for (name, declared) in &fleet.upstreams {
+            let model = upstream::Upstream::new(declared.checks_orders, 0);
+            self.upstreams.entry(name.clone()).or_insert(model);
+        }
+        self.send_all(&Event::Fleet(fleet));
+    }
+
+    /// Sends an event to all routers at once.
+    pub(crate) fn send_all(&mut self, event: &Event) {
+        for name in self.nodes.keys().cloned().collect::<Vec<_>>() {
+            self.send(&name, event.clone());
+        }
+    }
+
+    pub(crate) fn send(&mut self, to: &Router, event: Event) {
+        let life = self.nodes[to].life;
+        self.push(self.now, Item::Event(to.clone(), life, Box::new(event)));
+    }
+
+    fn push(&mut self, at: Instant, item: Item) {
+        self.sent += 1;
+        self.queue.push(Reverse(Due(at, self.sent, item)));
+    }
+
+    pub(crate) fn cut(&mut self, a: &str, b: &str) {
+        self.cuts.insert((a.to_owned(), b.to_owned()));
+        self.cuts.insert((b.to_owned(), a.to_owned()));
+    }
+
+    pub(crate) fn cut_table(&mut self, a: &str) {
+        self.cut(a, TABLE);
+    }
+
+    fn is_cut(&self, a: &str, b: &str) -> bool {
+        self.cuts.contains(&(a.to_owned(), b.to_owned()))
+    }
+
+    fn delay(&mut self) -> Duration {
+        let late = self.rng.random_range(0..1000) < self.noise.late;
+        let limit = if late { 1_500_000 } else { 2_000 };
+        Duration::from_micros(self.rng.random_range(200..=limit))
+    }
+
+    fn is_lost(&mut self) -> bool {
+        self.rng.random_range(0..1000) < self.noise.lost
+    }
+
+    fn copies(&mut self) -> usize {
+        if self.is_lost() {
+            0
+        } else {
+            1 + usize::from(self.rng.random_range(0..1000) < self.noise.doubled)
+        }
+    }
+
+    /// Runs until `at`, or to the first violation.
+    pub(crate) fn run_until(&mut self, at: Instant) {
+        while let Some(Reverse(due)) = self.queue.peek() {
+            if due.0 > at || self.violation.is_some() {
+                break;
+            }
+            let Reverse(Due(time, _, item)) = self.queue.pop().unwrap();
+            self.now = self.now.max(time);
+            self.run_item(item);
+        }
+        self.now = self.now.max(at);
+    }
+
+    pub(crate) fn run_for(&mut self, span: Duration) {
+        self.run_until(self.now + span);
+    }
+
+    /// Runs until the condition holds. Returns the time that it took.
+    pub(crate) fn run_while(
+        &mut self,
+        limit: Duration,
+        mut wait: impl FnMut(&mut Self) -> bool,
+    ) -> Duration {
+        let start = self.now;
+        while wait(self) && self.now - start < limit {
+            self.run_for(5 * MS);
+        }
+        self.now - start
+    }
+
+    fn run_item(&mut self, item: Item) {
+        match item {
+            Item::Ping => self.ping(),
+            Item::Wake(name, life) => {
+                let now = self.now;
+                if self.nodes[&name].wake_at.is_some_and(|at| at <= now) {
+                    self.step(&name, life, Event::Tick);
+                }
+            }
+            Item::Event(name, life, event) => self.step(&name, life, *event),
+            Item::Table(name, life, action) => self.run_table(&name, life, *action),
+            Item::Upstream(name, life, action) => self.run_upstream(&name, life, *action),
+        }
+    }
+
+    fn step(&mut self, name: &Router, life: u64, event: Event) {
+        let node = self.nodes.get_mut(name).unwrap();
+        if !node.up || node.life != life {
+            return;
+        }
+        if node.paused_until > self.now {
+            let at = node.paused_until;
+            self.push(at, Item::Event(name.clone(), life, Box::new(event)));
+            return;
+        }
+        let local = local(self.now, node.rate_ppm);
+        let actions = node.machine.step(local, event);
+        if let Some(wake) = node.machine.next_wake() {
+            let at = (self.now + (wake - local)).max(self.now + MS);
+            node.wake_at = Some(at);
+            self.push(at, Item::Wake(name.clone(), life));
+        }
+        for action in actions {
+            self.execute(name, life, action);
+        }
+    }
+
+    fn execute(&mut self, name: &Router, life: u64, action: Action) {
+        match action {
+            Action::Scan { .. } | Action::Read { .. } | Action::Write(_) => {
+                self.nodes[name].table_calls += 1;
+                let delay = self.delay();
+                self.push(
+                    self.now + delay,
+                    Item::Table(name.clone(), life, Box::new(action)),
+                );
+            }
+            Action::AskTicket { .. } | Action::Order { .. } => {
+                let delay = self.delay();
+                let at = self.now + delay;
+                if delay > CLIENT_TIMEOUT
+                    && let Some(event) = lost_answer(&action)
+                {
+                    let timeout = self.now + CLIENT_TIMEOUT;
+                    self.push(timeout, Item::Event(name.clone(), life, Box::new(event)));
+                }
+                self.push(at, Item::Upstream(name.clone(), life, Box::new(action)));
+            }
+            Action::Tell {
+                router, message, ..
+            } => {
+                let from = name.clone();
+                self.post(name, &router, Event::Told { from, message });
+            }
+            Action::Spread(rows) => {
+                for other in self.nodes.keys().cloned().collect::<Vec<_>>() {
+                    self.post(name, &other, Event::Rows(rows.clone()));
+                }
+            }
+            Action::Decide(decision) => {
+                let now = self.now;
+                self.nodes[name].decisions.push((now, decision));
+            }
+            Action::Drained => self.nodes[name].drained = true,
+            Action::RoutesChanged | Action::Warm { .. } => {}
+        }
+    }
+
+    fn post(&mut self, from: &Router, to: &Router, event: Event) {
+        let Some(life) = self.nodes.get(to).map(|node| node.life) else {
+            return;
+        };
+        if from == to || self.is_cut(from.as_str(), to.as_str()) {
+            return;
+        }
+        for _ in 0..self.copies() {
+            let delay = self.delay();
+            let item = Item::Event(to.clone(), life, Box::new(event.clone()));
+            self.push(self.now + delay, item);
+        }
+    }
+
+    fn run_table(&mut self, name: &Router, life: u64, action: Action) {
+        let reachable = self.table.up && !self.is_cut(name.as_str(), TABLE);
+        let lost = self.is_lost();
+        let event = match action {
+            Action::Scan { scan, .. } if !reachable || lost => Event::ScanFailed { scan },
+            Action::Scan { scan, prefix } => Event::Scanned {
+                scan,
+                rows: self.table.scan(&prefix),
+            },
+            Action::Read { id, .. } if !reachable || lost => Event::ReadFailed { id },
+            Action::Read { id, key } => Event::Read {
+                id,
+                row: self.table.rows.get(&key).cloned(),
+            },
+            Action::Write(transaction) => {
+                let mut outcome = Outcome::Unknown;
+                if reachable {
+                    outcome = self.table.write(&transaction);
+                }
+                let operation = transaction.operation;
+                if lost {
+                    outcome = Outcome::Unknown;
+                }
+                Event::Written { operation, outcome }
+            }
+            _ => return,
+        };
+        let delay = self.delay();
+        self.push(
+            self.now + delay,
+            Item::Event(name.clone(), life, Box::new(event)),
+        );
+    }
+
+    fn run_upstream(&mut self, name: &Router, life: u64, action: Action) {
+        let (Action::AskTicket { upstream, .. } | Action::Order { upstream, .. }) = &action else {
+            return;
+        };
+        let upstream = upstream.clone();
+        let cut = self.is_cut(name.as_str(), upstream.as_str());
+        let lost = self.is_lost();
+        let model = &mut self.upstreams[&upstream];
+        if cut || !model.up || lost && matches!(action, Action::AskTicket { .. }) {
+            if let Some(event) = lost_answer(&action) {
+                let delay = self.delay();
+                self.push(
+                    self.now + delay,
+                    Item::Event(name.clone(), life, Box::new(event)),
+                );
+            }
+            return;
+        }
+        if model.paused_until > self.now {
+            let at = model.paused_until;
+            self.push(at, Item::Upstream(name.clone(), life, Box::new(action)));
+            return;
+        }
+        let mut event = match &action {
+            Action::AskTicket { id, .. } => Event::Ticket {
+                upstream: upstream.clone(),
+                id: *id,
+                ticket: Some(model.ticket(self.now)),
+            },
+            Action::Order { id, order, .. } => Event::Answered {
+                upstream: upstream.clone(),
+                id: *id,
+                answer: model.take(order, self.now),
+            },
+            _ => return,
+        };
+        self.check(&upstream);
+        if lost && let Some(unknown) = lost_answer(&action) {
+            event = unknown;
+        }
+        let delay = self.delay();
+        self.push(
+            self.now + delay,
+            Item::Event(name.clone(), life, Box::new(event)),
+        );
+    }
+
+    /// Checks that no other upstream believes that it owns what `upstream`
+    /// believes it owns.
+    fn check(&mut self, upstream: &Upstream) {
+        let mine: HashSet<Shard> = self.upstreams[upstream]
+            .owned(self.now)
+            .iter()
+            .map(|(shard, _)| *shard)
+            .collect();
+        for (other, model) in &self.upstreams {
+            let owned = model.owned(self.now).iter();
+            let both = owned.filter(|(shard, _)| mine.contains(shard)).count();
+            if other != upstream && both > 0 && self.violation.is_none() {
+                let at = self.now.as_millis();
+                self.violation = Some(format!(
+                    "at {at} ms {upstream} and {other} own {both} same shards"
+                ));
+            }
+        }
+    }
+
+    fn ping(&mut self) {
+        let names: Vec<Router> = self.nodes.keys().cloned().collect();
+        let now = self.now;
+        for from in &names {
+            let node = &self.nodes[from];
+            if !node.up || node.paused_until > now || node.drained {
+                continue;
+            }
+            for to in &names {
+                if from == to || !self.is_cut(from.as_str(), to.as_str()) {
+                    self.heard.insert((to.clone(), from.clone()), now);
+                }
+            }
+        }
+        for to in &names {
+            let recent = |from: &&Router| {
+                let at = self.heard.get(&(to.clone(), (*from).clone()));
+                at.is_some_and(|at| now - *at <= SUSPECT_AFTER)
+            };
+            let members: Vec<Router> = names.iter().filter(recent).cloned().collect();
+            if self.nodes[to].members != members {
+                let event = Event::Members(members.iter().map(|it| self.member(it)).collect());
+                self.nodes[to].members = members;
+                self.send(to, event);
+            }
+        }
+        self.push(now + PING, Item::Ping);
+    }
+
+    /// Returns the shards that no reachable upstream owns by a grant that its
+    /// home knows.
+    pub(crate) fn unserved(&self) -> Vec<Shard> {
+        let mut served = HashSet::new();
+        for node in self.nodes.values() {
+            if !node.up || node.paused_until > self.now {
+                continue;
+            }
+            for index in 0..self.shape.shards {
+                let shard = Shard(index);
+                if let Route::Local {
+                    upstream, epoch, ..
+                } = node.machine.route(&service(), shard)
+                {
+                    let model = &self.upstreams[&upstream];
+                    let works = model.up && model.paused_until <= self.now;
+                    if works && model.owned(self.now).contains(&(shard, epoch)) {
+                        served.insert(shard);
+                    }
+                }
+            }
+        }
+        let all = (0..self.shape.shards).map(Shard);
+        all.filter(|shard| !served.contains(shard)).collect()
+    }
+
+    /// Returns the router that is home of an upstream by the table.
+    pub(crate) fn home_of(&self, upstream: &Upstream) -> Router {
+        let row = &self.table.rows[format!("home/{}", upstream.as_str()).as_str()];
+        eelgrassrock_ownership::row::Home::decode(&row.value)
+            .unwrap()
+            .router
+    }
+
+    pub(crate) fn count_of(&self, index: usize) -> usize {
+        let model = &self.upstreams[&upstream(index)];
+        model.owned(self.now).len()
+    }
+
+    /// Starts everything and waits until all shards are served.
+    pub(crate) fn settled(shape: Shape) -> Self {
+        let mut world = Self::new(shape);
+        let took = world.run_while(Duration::from_secs(20), |it| !it.unserved().is_empty());
+        assert!(took < Duration::from_secs(20), "{:?}", world.unserved());
+        world
+    }
+
+    /// Runs for `span` and returns the longest time that any shard was
+    /// unserved.
+    pub(crate) fn worst_gap(&mut self, span: Duration) -> Duration {
+        let end = self.now + span;
+        let mut since: HashMap<Shard, Instant> = HashMap::new();
+        let mut worst = Duration::ZERO;
+        while self.now < end {
+            let unserved: HashSet<Shard> = self.unserved().into_iter().collect();
+            since.retain(|shard, _| unserved.contains(shard));
+            for shard in unserved {
+                let start = *since.entry(shard).or_insert(self.now);
+                worst = worst.max(self.now - start);
+            }
+            self.run_for(2 * MS);
+        }
+        worst
+    }
+
+    pub(crate) fn rows(&self) -> Vec<Row> {
+        self.table.rows.values().cloned().collect()
+    }
+}
+
+fn local(now: Instant, rate_ppm: i64) -> Instant {
+    let micros = i128::from(now.as_micros());
+    let micros = micros + micros * i128::from(rate_ppm) / 1_000_000;
+    Instant::from_micros(micros as u64)
+}
+
+fn lost_answer(action: &Action) -> Option<Event> {
+    match action {
+        Action::AskTicket { upstream, id, .. } => Some(Event::Ticket {
+            upstream: upstream.clone(),
+            id: *id,
+            ticket: None,
+        }),
+        Action::Order { upstream, id, .. } => Some(Event::Answered {
+            upstream: upstream.clone(),
+            id: *id,
+            answer: Answer::Unknown,
+        }),
+        _ => None,
+    }
+}
