--- a/crates/config/src/bundle.rs
+++ b/crates/config/src/bundle.rs
@@ -14,6 +14,7 @@
 use crate::route::{Matched, Refusal, Route, Routes};
 
 mod read;
+mod rules;
 
 /// Bundle that was read and checked as a whole.
 #[derive(Clone, PartialEq)]
--- a/crates/config/src/bundle/read.rs
+++ b/crates/config/src/bundle/read.rs
@@ -4,107 +4,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ed25519_dalek::VerifyingKey;
-use eelgrassrock_model::{Digest, Name, Version, fleet, shard};
-use http::Method;
-use indexmap::IndexMap;
+use eelgrassrock_model::{Digest, Name, Version, fleet};
+use indexmap::{IndexMap, IndexSet};
 
+use crate::bundle::rules::{
+    DIGEST, GOAL, KEY, MAX_DEADLINE, METHOD, PATIENCE, PREFIX, PUBLIC_KEY, REPEAT, SHARDS,
+};
 use crate::bundle::{Bundle, Contract, Service, digest_of};
 use crate::document::{self, Document, Section};
 use crate::fault::{Fault, Kind, Report};
 use crate::fields::{Fields, missing_section, section_fault};
-use crate::key;
-use crate::route::{Prefix, Route, Routes};
-use crate::rule::{Address, Choice, Named, Number, Parsed, Small, Span, YES_NO};
+use crate::route::{Route, Routes};
+use crate::rule::{Address, Named, Number, Small, Span, YES_NO};
 
 const SECTIONS: &str = "[bundle], [approvals], [approver NAME], [service NAME], [route NAME], \
                         [upstream NAME], [partner NAME]";
 const NAME_ALLOWED: &str = "a heading such as `[upstream a1]` with a name of 1 to 63 characters \
                             made of a-z, 0-9 and `-`";
-const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
-
-const GOAL: Choice<fleet::Goal> = Choice(&[
-    ("availability", fleet::Goal::Availability),
-    ("balance", fleet::Goal::Balance),
-]);
-
-const REPEAT: Choice<fleet::Repeat> = Choice(&[
-    ("idempotent", fleet::Repeat::Idempotent),
-    ("once", fleet::Repeat::Once),
-]);
-
-const KEY: Parsed<key::Source> = Parsed {
-    parse: key::Source::parse,
-    allowed: "`segment N` (part N of the path, 1 to 16), `header NAME` or `query NAME`",
-};
-
-const PREFIX: Parsed<Prefix> = Parsed {
-    parse: Prefix::parse,
-    allowed: "a path such as `/sheets/v1` of letters, digits and `-_.~`, without a slash at the end",
-};
-
-const METHOD: Parsed<Method> = Parsed {
-    parse: parse_method,
-    allowed: "`GET`, `HEAD`, `POST`, `PUT`, `PATCH`, `DELETE` or `OPTIONS`",
-};
-
-const PATIENCE: Parsed<fleet::Patience> = Parsed {
-    parse: parse_patience,
-    allowed: "`wait`, or `prompt` with a time, such as `prompt 200 ms`",
-};
-
-const SHARDS: Parsed<shard::Count> = Parsed {
-    parse: parse_shards,
-    allowed: "a power of two from 1 to 1048576",
-};
-
-const DIGEST: Parsed<Digest> = Parsed {
-    parse: parse_digest,
-    allowed: "a SHA-256 digest of 64 hexadecimal digits",
-};
-
-const PUBLIC_KEY: Parsed<VerifyingKey> = Parsed {
-    parse: parse_public_key,
-    allowed: "an Ed25519 public key of 64 hexadecimal digits, as `eelgrassrock bundle keygen` prints",
-};
-
-fn parse_method(text: &str) -> Option<Method> {
-    let methods = [
-        Method::GET,
-        Method::HEAD,
-        Method::POST,
-        Method::PUT,
-        Method::PATCH,
-        Method::DELETE,
-        Method::OPTIONS,
-    ];
-    methods.into_iter().find(|method| method.as_str() == text)
-}
-
-fn parse_patience(text: &str) -> Option<fleet::Patience> {
-    if text == "wait" {
-        return Some(fleet::Patience::Wait);
-    }
-    let span = text.strip_prefix("prompt ")?.trim_start();
-    let rule = Span(Duration::from_millis(1)..=MAX_DEADLINE);
-    crate::rule::Rule::parse(&rule, span).map(fleet::Patience::Prompt)
-}
-
-fn parse_shards(text: &str) -> Option<shard::Count> {
-    let count: u32 = text.parse().ok()?;
-    shard::Count::try_from(count).ok()
-}
-
-fn parse_digest(text: &str) -> Option<Digest> {
-    text.parse().ok()
-}
-
-fn parse_public_key(text: &str) -> Option<VerifyingKey> {
-    let mut bytes = [0; 32];
-    hex::decode_to_slice(text, &mut bytes).ok()?;
-    let key = VerifyingKey::from_bytes(&bytes).ok()?;
-    (!key.is_weak()).then_some(key)
-}
 
 pub(super) fn parse(file: &str, text: &str) -> Result<Bundle, Report> {
     let mut faults = Vec::new();
@@ -125,7 +41,7 @@
     faults: &'a mut Vec<Fault>,
 }
 
-impl Reader<'_> {
+impl<'a> Reader<'a> {
     fn bundle(&mut self, text: &str) -> Option<Bundle> {
         self.refuse_unknown_sections();
         let version = self.single("bundle", read_version);
@@ -133,13 +49,14 @@
             fields.required("public-key", PUBLIC_KEY)
         });
         self.refuse_repeated("approver", "public-key", &approvers);
-        let count = approvers.len();
+        let count = self.declared("approver").len();
         let required = self.single("approvals", |fields| read_required(fields, count));
+        let names = self.declared("service");
         let services = self.named("service", |fields, _| read_service(fields));
-        let upstreams = self.named("upstream", |fields, _| read_upstream(fields, &services));
+        let upstreams = self.named("upstream", |fields, _| read_upstream(fields, &names));
         self.refuse_addresses(&upstreams);
-        self.refuse_idle_services(&services, &upstreams);
-        let routes = self.named("route", |fields, name| read_route(fields, name, &services));
+        self.refuse_idle_services();
+        let routes = self.named("route", |fields, name| read_route(fields, name, &names));
         self.refuse_ambiguous_routes(&routes);
         let partners = self.named("partner", |fields, _| read_contract(fields));
         let credentials = self.credentials(&partners);
@@ -172,6 +89,14 @@
         }
     }
 
+    /// Returns the names of all sections `[kind NAME]`, also of faulty ones, so
+    /// that one fault doesn't bring others about.
+    fn declared(&self, kind: &str) -> Vec<&'a str> {
+        let titles = self.document.sections.values().map(Section::title);
+        let named = titles.filter(|(present, _)| *present == kind);
+        named.filter_map(|(_, name)| name).collect()
+    }
+
     fn single<T>(
         &mut self,
         heading: &str,
@@ -266,17 +191,19 @@
         self.refuse_repeated("upstream", "address", &addresses);
     }
 
-    fn refuse_idle_services(
-        &mut self,
-        services: &IndexMap<eelgrassrock_model::Service, Service>,
-        upstreams: &IndexMap<eelgrassrock_model::Upstream, fleet::Upstream>,
-    ) {
-        for name in services.keys() {
-            let heading = format!("service {}", name.as_str());
-            let served = upstreams.values().any(|upstream| upstream.service == *name);
-            let Some(section) = self.document.sections.get(&heading).filter(|_| !served) else {
+    fn refuse_idle_services(&mut self) {
+        let sections = self.document.sections.values();
+        let upstreams = sections.filter(|section| section.title().0 == "upstream");
+        let served: IndexSet<&str> = upstreams
+            .filter_map(|section| section.properties.get("service"))
+            .map(|property| property.value.as_str())
+            .collect();
+        for name in self.declared("service") {
+            let heading = format!("service {name}");
+            if served.contains(name) {
                 continue;
-            };
+            }
+            let section = &self.document.sections[&heading];
             let kind = Kind::Conflict("the service has no upstream".to_owned());
             let allowed = "an `[upstream NAME]` with this `service`";
             let fault = section_fault(self.document, section, kind, allowed);
@@ -326,7 +253,7 @@
     let required = fields.required("required", Number(1..=1_000))?;
     let required = usize::try_from(required).ok()?;
     if required > approvers {
-        let reason = format!("the bundle has only {approvers} valid approvers");
+        let reason = format!("the bundle has only {approvers} approvers");
         fields.conflict("required", reason, "at most as many as there are approvers");
     }
     Some(required)
@@ -343,10 +270,7 @@
     })
 }
 
-fn read_upstream(
-    fields: &mut Fields<'_>,
-    services: &IndexMap<eelgrassrock_model::Service, Service>,
-) -> Option<fleet::Upstream> {
+fn read_upstream(fields: &mut Fields<'_>, services: &[&str]) -> Option<fleet::Upstream> {
     let service = fields.required("service", Named::new());
     refuse_unknown_service(fields, service.as_ref(), services);
     let data_centre = fields.required("data-centre", Named::new());
@@ -374,11 +298,10 @@
 fn refuse_unknown_service(
     fields: &mut Fields<'_>,
     service: Option<&eelgrassrock_model::Service>,
-    services: &IndexMap<eelgrassrock_model::Service, Service>,
+    services: &[&str],
 ) {
-    if service.is_some_and(|service| !services.contains_key(service)) {
-        let names: Vec<&str> = services.keys().map(Name::as_str).collect();
-        let allowed = format!("one of the services: {}", names.join(", "));
+    if service.is_some_and(|service| !services.contains(&service.as_str())) {
+        let allowed = format!("one of the services: {}", services.join(", "));
         let reason = "the bundle has no such service".to_owned();
         fields.conflict("service", reason, &allowed);
     }
@@ -387,7 +310,7 @@
 fn read_route(
     fields: &mut Fields<'_>,
     name: &eelgrassrock_model::Route,
-    services: &IndexMap<eelgrassrock_model::Service, Service>,
+    services: &[&str],
 ) -> Option<Route> {
     let service = fields.required("service", Named::new());
     refuse_unknown_service(fields, service.as_ref(), services);
