Tests of the platform's client under faults

Cause: lost, cut and impossible answers decide whether ownership is safe. Before: only documentation examples.

--- /dev/null
+++ b/crates/platform/tests/support/mod.rs
@@ -0,0 +1,50 @@
+//! What the tests of the clients share.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eelgrassrock_platform::settings::Settings;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+const TIMEOUT_MS: u64 = 300;
+const MAX_BODY_BYTES: usize = 64 << 10;
+const MAX_REQUEST_BYTES: usize = 16 << 10;
+
+/// Short limits, so that a fault shows soon.
+pub(crate) fn settings() -> Settings {
+    Settings::builder()
+        .connect_timeout(Duration::from_millis(TIMEOUT_MS))
+        .timeout(Duration::from_millis(TIMEOUT_MS))
+        .max_body_bytes(MAX_BODY_BYTES)
+        .build()
+}
+
+/// Starts a server that answers every request with the same JSON.
+#[allow(dead_code, reason = "not every test file needs it")]
+pub(crate) async fn answering(status: &'static str, body: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let answer = format!(
+        "HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = vec![0; MAX_REQUEST_BYTES];
+            while stream.read(&mut request).await.is_ok_and(|read| read > 0) {
+                if stream.write_all(answer.as_bytes()).await.is_err() {
+                    break;
+                }
+            }
+        }
+    });
+    address
+}
+
+/// Returns an address that nobody listens on.
+#[allow(dead_code, reason = "not every test file needs it")]
+pub(crate) async fn closed_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
