The daemon: callers, hops, orders, messages and bundles

Cause: the decisions had no sockets. The daemon is the adapter: one task per request holds it from queue to answer; orders, claims and news are spawned work whose results are stepped into the machines. Ruled out: answering the caller from the task of its connection, since hyper drops that task when the caller leaves, and with it a run that must not be cancelled.

--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,411 @@
+//! Start, run and graceful stop of the daemon.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, RwLock};
+use std::time::{Duration, SystemTime};
+
+use derive_more::{Display, Error};
+use eelgrassrock_config::settings::Settings;
+use eelgrassrock_membership::{adoption, member, spread};
+use eelgrassrock_model::{Name, Upstream};
+use eelgrassrock_platform::{objects, settings as platform, table, vms};
+use eelgrassrock_telemetry::log::{self, Logger};
+use eelgrassrock_telemetry::metrics::{self, Metrics};
+use eelgrassrock_wire::{Secret, Short};
+use rand::Rng;
+use serde::Serialize;
+use tokio::sync::watch;
+use tokio::time::timeout;
+use {eelgrassrock_ownership as ownership, eelgrassrock_request as request};
+
+use crate::clock::Clock;
+use crate::desk::Desk;
+use crate::errands::spawn_forever;
+use crate::keeper::Keeper;
+use crate::links::Links;
+use crate::load::Meter;
+use crate::mesh::Mesh;
+use crate::node::Node;
+use crate::peer::{Inbox, InboxError, Port};
+use crate::post::Post;
+use crate::server::{Limits, Server};
+use crate::store::Store;
+use crate::{admin, chores, doors, errands, hop};
+
+/// Most connections of the ports for routers and for operators, each.
+const INNER_CONNECTIONS: usize = 4_096;
+
+/// Time between two reports of load to the placement.
+const LOAD_PERIOD: Duration = Duration::from_secs(1);
+
+/// Least time between two reads of the list of VMs.
+const VMS_PERIOD: Duration = Duration::from_secs(1);
+
+/// Number of live routers per data centre up to which each reads the list of
+/// VMs once per [`VMS_PERIOD`]. With more routers each reads less often.
+const VMS_READERS: u32 = 16;
+
+/// Time between two flushes of metrics.
+const METRICS_PERIOD: Duration = Duration::from_secs(1);
+
+/// Why the daemon can't start.
+#[derive(Debug, Display, Error)]
+pub enum StartError {
+    /// The secret is too short.
+    #[display("{_0}")]
+    Secret(Short),
+    /// The port for hops isn't the one after the port for messages.
+    #[display(
+        "[listen] peers-http is {found}, but it must be {expected}, the port after `peers`: \
+         other routers find it by that rule"
+    )]
+    HopPort {
+        /// Address in the settings.
+        found: SocketAddr,
+        /// Address that is needed.
+        expected: SocketAddr,
+    },
+    /// A port can't be opened.
+    #[display("the {name} port {address} can't be opened: {error}")]
+    Port {
+        /// Purpose of the port.
+        name: &'static str,
+        /// Its address.
+        address: SocketAddr,
+        /// What the system says.
+        error: io::Error,
+    },
+    /// The port for messages can't be opened.
+    #[display("{_0}")]
+    Inbox(InboxError),
+    /// The log can't be set up.
+    #[display("{_0}")]
+    Log(log::Fault),
+    /// The metrics can't be set up.
+    #[display("{_0}")]
+    Metrics(metrics::Fault),
+}
+
+/// How the daemon ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Stopped {
+    /// Everything was handed over, and no request was cut off.
+    Graceful,
+    /// The drain limit passed, or a second signal came.
+    AtOnce,
+}
+
+/// Running daemon.
+pub struct Daemon {
+    node: Arc<Node>,
+    servers: tokio::task::JoinSet<()>,
+    stop_callers: watch::Sender<bool>,
+    stop_inner: watch::Sender<bool>,
+}
+
+impl Daemon {
+    /// Opens all ports and starts to work. The future ends when the ports are
+    /// open.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StartError`] that names the setting at fault.
+    pub async fn start(settings: Settings) -> Result<Self, StartError> {
+        let listen = settings.listen;
+        let expected = hop::address(listen.peers);
+        if listen.peers_http != expected {
+            return Err(StartError::HopPort {
+                found: listen.peers_http,
+                expected,
+            });
+        }
+        let callers = open("caller", listen.callers, caller_limits(&settings)).await?;
+        let routers = open("router", listen.peers_http, inner_limits(&settings)).await?;
+        let operators = open("admin", listen.admin, inner_limits(&settings)).await?;
+        let port = Port::open(listen.peers)
+            .await
+            .map_err(|error| StartError::Port {
+                name: "heartbeat",
+                address: listen.peers,
+                error,
+            })?;
+        let inbox = Inbox::open(listen.peers).await.map_err(StartError::Inbox)?;
+        let node = build(settings, port, inbox)?;
+        let (stop_callers, callers_stop) = watch::channel(false);
+        let (stop_inner, inner_stop) = watch::channel(false);
+        let mut servers = tokio::task::JoinSet::new();
+        let shared = Arc::clone(&node);
+        servers.spawn(callers.run(shared, doors::answer_caller, callers_stop));
+        let shared = Arc::clone(&node);
+        servers.spawn(routers.run(shared, doors::answer_router, inner_stop.clone()));
+        let shared = Arc::clone(&node);
+        servers.spawn(operators.run(shared, admin::answer, inner_stop));
+        Ok(Self {
+            node,
+            servers,
+            stop_callers,
+            stop_inner,
+        })
+    }
+
+    /// Stops gracefully: hands over every home, then lets all requests end.
+    /// Gives up after the drain limit of the settings.
+    pub async fn stop(mut self) -> Stopped {
+        let limit = self.node.settings.drain.limit;
+        let stopped = match timeout(limit, self.drain()).await {
+            Ok(()) => Stopped::Graceful,
+            Err(_) => Stopped::AtOnce,
+        };
+        #[derive(Serialize)]
+        struct Line {
+            stopped: Stopped,
+            cut_off: usize,
+        }
+        let cut_off = self.node.desk.snapshot().requests;
+        self.node
+            .logger
+            .decide("stopped", &Line { stopped, cut_off });
+        self.node.logger.flush();
+        self.node.metrics.flush();
+        stopped
+    }
+
+    async fn drain(&mut self) {
+        let node = Arc::clone(&self.node);
+        node.draining.send_replace(true);
+        node.keeper.step(ownership::Event::Drain);
+        let mut handed_over = node.handed_over.subscribe();
+        // The sender lives as long as the node.
+        let _ = handed_over.wait_for(|done| *done).await;
+        self.stop_callers.send_replace(true);
+        self.wait_for_callers().await;
+        node.desk.step(request::Event::Drain, None);
+        node.mesh.step_member(member::Event::Drain);
+        self.stop_inner.send_replace(true);
+        while self.servers.join_next().await.is_some() {}
+    }
+
+    /// Waits for the first server to end: that of callers.
+    async fn wait_for_callers(&mut self) {
+        self.servers.join_next().await;
+    }
+}
+
+async fn open(
+    name: &'static str,
+    address: SocketAddr,
+    limits: Limits,
+) -> Result<Server, StartError> {
+    let opened = Server::open(address, limits).await;
+    opened.map_err(|error| StartError::Port {
+        name,
+        address,
+        error,
+    })
+}
+
+fn caller_limits(settings: &Settings) -> Limits {
+    Limits {
+        header_bytes: settings.limits.header_bytes,
+        header_timeout: settings.limits.header_timeout,
+        connections: settings.limits.connections as usize,
+    }
+}
+
+fn inner_limits(settings: &Settings) -> Limits {
+    Limits {
+        connections: INNER_CONNECTIONS,
+        ..caller_limits(settings)
+    }
+}
+
+fn build(settings: Settings, port: Port, inbox: Inbox) -> Result<Arc<Node>, StartError> {
+    let clock = Clock::start();
+    let secret: Secret = settings
+        .secret
+        .expose()
+        .parse()
+        .map_err(StartError::Secret)?;
+    let logger = Logger::new(&settings.log).map_err(StartError::Log)?;
+    let metrics = Metrics::new(&settings.metrics).map_err(StartError::Metrics)?;
+    let name = settings.router.name.clone();
+    let data_centre = settings.router.data_centre.clone();
+    let address = settings.listen.peers;
+    let seed = rand::rng().next_u64();
+    let (keeper, actions) = Keeper::new(clock, ownership_settings(&settings, seed));
+    let (desk, errand_queue) = Desk::new(clock, request_settings(&settings, seed));
+    let (mesh, chore_queue) = Mesh::new(
+        clock,
+        member::Settings::builder(name.clone(), data_centre.clone(), address)
+            .incarnation(incarnation())
+            .seed(seed)
+            .build(),
+        spread::Settings::new(name.clone(), data_centre.clone(), seed),
+        adoption::Settings::new(name.clone(), data_centre, seed),
+    );
+    let endpoints = settings.platform;
+    let node = Arc::new(Node {
+        clock,
+        logger,
+        metrics,
+        body_limit: usize::try_from(settings.limits.body_bytes).unwrap_or(usize::MAX),
+        hop_token: secret.token(hop::TOKEN_PURPOSE).to_string(),
+        secret_token: secret.token(hop::TOKEN_PURPOSE),
+        keeper: Arc::new(keeper),
+        desk: Arc::new(desk),
+        mesh,
+        links: Links::default(),
+        post: Post::new(name, address, secret, port),
+        store: Store::default(),
+        meter: Arc::new(Meter::default()),
+        table: table::Client::new(endpoints.table, platform::Settings::default()),
+        objects: objects::Client::new(endpoints.objects, platform::Settings::default()),
+        vms: vms::Client::new(endpoints.vms, platform::Settings::default()),
+        draining: watch::Sender::new(false),
+        handed_over: watch::Sender::new(false),
+        in_force: RwLock::new(None),
+        settings,
+    });
+    start_tasks(&node, inbox);
+    spawn_forever(errands::run_ownership(Arc::clone(&node), actions));
+    spawn_forever(errands::run_requests(Arc::clone(&node), errand_queue));
+    spawn_forever(chores::run(Arc::clone(&node), chore_queue));
+    node.mesh.step_member(member::Event::Tick);
+    node.mesh.step_adoption(adoption::Event::Tick);
+    node.keeper.step(ownership::Event::Tick);
+    Ok(node)
+}
+
+fn ownership_settings(settings: &Settings, nonce: u64) -> ownership::Settings {
+    let name = settings.router.name.clone();
+    let data_centre = settings.router.data_centre.clone();
+    let nonce = format!("{nonce:016x}");
+    ownership::Settings::builder(name, settings.listen.peers, data_centre, &nonce)
+        .lease(settings.ownership.lease)
+        .heartbeat(settings.ownership.heartbeat)
+        .drift_ppm(settings.ownership.drift_ppm)
+        .authority(settings.ownership.authority)
+        .seed(rand::rng().next_u64())
+        .build()
+}
+
+fn request_settings(settings: &Settings, nonce: u64) -> request::Settings {
+    let name = format!("{}-{nonce:016x}", settings.router.name.as_str());
+    request::Settings::builder()
+        .router(Arc::from(name))
+        .seed(nonce)
+        .build()
+}
+
+/// Milliseconds since 1970: higher than that of any earlier process with the
+/// same name, unless the clock of the VM was set back. A router that finds
+/// itself described with a higher number takes over that one.
+fn incarnation() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn start_tasks(node: &Arc<Node>, inbox: Inbox) {
+    spawn_forever(Arc::clone(&node.keeper).run_timers());
+    let shared = Arc::clone(node);
+    spawn_forever(async move { shared.desk.run_timers().await });
+    let shared = Arc::clone(node);
+    spawn_forever(async move { shared.mesh.run_member_timers().await });
+    let shared = Arc::clone(node);
+    spawn_forever(async move { shared.mesh.run_adoption_timers().await });
+    spawn_forever(errands::watch_grants(Arc::clone(node)));
+    spawn_forever(receive_datagrams(Arc::clone(node)));
+    spawn_forever(receive_messages(Arc::clone(node), inbox));
+    spawn_forever(report_load(Arc::clone(node)));
+    spawn_forever(read_vms(Arc::clone(node)));
+    spawn_forever(flush_metrics(Arc::clone(node)));
+}
+
+async fn receive_datagrams(node: Arc<Node>) {
+    loop {
+        if let Ok((bytes, _)) = node.post.receive_datagram().await {
+            take(&node, &bytes);
+        }
+    }
+}
+
+async fn receive_messages(node: Arc<Node>, mut inbox: Inbox) {
+    while let Ok(bytes) = inbox.receive().await {
+        take(&node, &bytes);
+    }
+}
+
+fn take(node: &Node, bytes: &[u8]) {
+    #[derive(Serialize)]
+    struct Line {
+        reason: String,
+    }
+    match node.post.open(bytes) {
+        Ok(frame) => chores::receive(node, frame.sender, frame.body),
+        Err(fault) => {
+            node.logger.log(
+                log::Level::Warn,
+                "frame",
+                &Line {
+                    reason: fault.to_string(),
+                },
+            );
+        }
+    }
+}
+
+async fn report_load(node: Arc<Node>) {
+    loop {
+        tokio::time::sleep(LOAD_PERIOD).await;
+        let load = node.meter.take(LOAD_PERIOD);
+        node.keeper.step(ownership::Event::Load(load));
+    }
+}
+
+async fn flush_metrics(node: Arc<Node>) {
+    loop {
+        tokio::time::sleep(METRICS_PERIOD).await;
+        node.metrics.flush();
+    }
+}
+
+async fn read_vms(node: Arc<Node>) {
+    loop {
+        if let Ok(list) = node.vms.list().await {
+            take_vms(&node, &list);
+        }
+        tokio::time::sleep(vms_period(&node)).await;
+    }
+}
+
+fn vms_period(node: &Node) -> Duration {
+    let here = &node.settings.router.data_centre;
+    let live = node.mesh.live();
+    let count = live.iter().filter(|live| live.data_centre == *here).count();
+    let count = u32::try_from(count).unwrap_or(u32::MAX);
+    VMS_PERIOD * count.div_ceil(VMS_READERS).max(1)
+}
+
+fn take_vms(node: &Node, list: &[vms::Vm]) {
+    let mut routers = Vec::new();
+    let mut leaving: Vec<Upstream> = Vec::new();
+    for vm in list {
+        let goes = vm.state == vms::State::Leaving;
+        match &vm.role {
+            vms::Role::Router(router) => routers.push(member::Listed {
+                router: router.clone(),
+                data_centre: vm.data_centre.clone(),
+                address: vm.address,
+                leaving: goes,
+            }),
+            vms::Role::Upstream(upstream) if goes => leaving.push(upstream.clone()),
+            vms::Role::Upstream(_) => {}
+        }
+    }
+    node.mesh.step_member(member::Event::List(routers));
+    node.keeper.step(ownership::Event::Leaving(leaving));
+}
--- /dev/null
+++ b/crates/daemon/src/hold.rs
@@ -0,0 +1,293 @@
+//! The task that holds one request at its home router, from its arrival in the
+//! queue to its final answer.
+
+use std::sync::Arc;
+
+use eelgrassrock_model::Upstream;
+use eelgrassrock_ownership::Route;
+use eelgrassrock_request::{Answer, Arrival, Event, Id, Reason, Stored, Verdict};
+use http::{Response, StatusCode};
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+use crate::attempt::{Attempt, Ended, Outgoing};
+use crate::body::Body;
+use crate::desk::{Desk, Directive};
+use crate::hop::Carried;
+use crate::inbound::Inbound;
+use crate::load::Charge;
+use crate::node::Node;
+use crate::problem::{Outcome, Problem};
+use crate::{kept, reason};
+
+/// Memory that a waiting request takes besides its body and headers, in bytes.
+const BASE_BYTES: usize = 1_024;
+
+/// What came of a request at this router.
+pub(crate) enum Held {
+    /// Final answer.
+    Answered(Response<Body>),
+    /// The request is proven not to have run, and belongs elsewhere now.
+    Elsewhere(Carried),
+}
+
+/// Has a request served by an upstream of which this router is home.
+pub(crate) async fn hold(
+    node: &Arc<Node>,
+    inbound: &Arc<Inbound>,
+    upstream: Upstream,
+    carried: Option<Carried>,
+) -> Held {
+    let (id, directives) = node.desk.register();
+    let (answer, answered) = oneshot::channel();
+    let holder = Holder {
+        node: Arc::clone(node),
+        inbound: Arc::clone(inbound),
+        id,
+        answer: Some(answer),
+        attempt: None,
+        kept: None,
+    };
+    tokio::spawn(holder.run(directives));
+    let caller = Caller {
+        desk: &node.desk,
+        id,
+        waits: true,
+    };
+    node.desk
+        .step(Event::Arrive(arrival(inbound, id, upstream, carried)), None);
+    let held = answered.await;
+    caller.answered();
+    held.unwrap_or_else(|_| Held::Answered(lost_holder(&inbound.request_id)))
+}
+
+fn arrival(
+    inbound: &Inbound,
+    request: Id,
+    upstream: Upstream,
+    carried: Option<Carried>,
+) -> Arrival {
+    let carried = carried.unwrap_or(Carried {
+        attempts: 0,
+        claim: None,
+    });
+    let mut idempotency = inbound.idempotency.clone();
+    if let Some(token) = &mut idempotency {
+        token.carried = carried.claim;
+    }
+    let bytes = BASE_BYTES + inbound.body.len();
+    Arrival {
+        request,
+        upstream,
+        shard: inbound.shard,
+        partner: inbound.partner.clone(),
+        class: Arc::clone(&inbound.matched.class),
+        deadline: inbound.deadline,
+        attempts: carried.attempts,
+        bytes: u32::try_from(bytes).unwrap_or(u32::MAX),
+        idempotency,
+    }
+}
+
+fn lost_holder(request_id: &str) -> Response<Body> {
+    let detail = "the router failed while it held the request";
+    let problem = Problem::new(StatusCode::INTERNAL_SERVER_ERROR, Outcome::Unknown, detail);
+    problem.into_response(request_id)
+}
+
+/// Tells the request machine when the caller goes away before its answer.
+struct Caller<'a> {
+    desk: &'a Desk,
+    id: Id,
+    waits: bool,
+}
+
+impl Caller<'_> {
+    fn answered(mut self) {
+        self.waits = false;
+    }
+}
+
+impl Drop for Caller<'_> {
+    fn drop(&mut self) {
+        if self.waits {
+            self.desk.step(Event::Left { request: self.id }, None);
+        }
+    }
+}
+
+/// Whether the task goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Next {
+    GoOn,
+    Stop,
+}
+
+struct Holder {
+    node: Arc<Node>,
+    inbound: Arc<Inbound>,
+    id: Id,
+    answer: Option<oneshot::Sender<Held>>,
+    attempt: Option<(u32, JoinHandle<Ended>)>,
+    kept: Option<Response<Body>>,
+}
+
+impl Drop for Holder {
+    fn drop(&mut self) {
+        self.node.desk.unregister(self.id);
+        self.stop_attempt();
+    }
+}
+
+impl Holder {
+    async fn run(mut self, mut directives: UnboundedReceiver<Directive>) {
+        loop {
+            let next = tokio::select! {
+                biased;
+                directive = directives.recv() => match directive {
+                    Some(directive) => self.follow(directive),
+                    None => Next::Stop,
+                },
+                ended = wait(&mut self.attempt) => self.conclude(ended),
+            };
+            if next == Next::Stop {
+                return;
+            }
+        }
+    }
+
+    fn follow(&mut self, directive: Directive) -> Next {
+        match directive {
+            Directive::Send {
+                upstream,
+                attempt,
+                left,
+            } => self.send(upstream, attempt, left),
+            Directive::Cancel => self.stop_attempt(),
+            Directive::Finish(verdict) => {
+                let response = self.finish(verdict);
+                self.give(Held::Answered(response));
+            }
+            Directive::Replay(stored) => {
+                let response = replay(&stored, &self.inbound.request_id);
+                self.give(Held::Answered(response));
+            }
+            Directive::Redirect { attempts, claim } => {
+                self.give(Held::Elsewhere(Carried { attempts, claim }));
+            }
+        }
+        self.next()
+    }
+
+    /// The task goes on while there is an answer to give, or a run whose end
+    /// the request machine wants to learn.
+    fn next(&self) -> Next {
+        if self.answer.is_none() && self.attempt.is_none() {
+            Next::Stop
+        } else {
+            Next::GoOn
+        }
+    }
+
+    fn send(&mut self, upstream: Upstream, number: u32, left: std::time::Duration) {
+        self.stop_attempt();
+        let route = self
+            .node
+            .keeper
+            .route(&self.inbound.matched.service, self.inbound.shard);
+        let epoch = match route {
+            Route::Local {
+                upstream: owner,
+                epoch,
+                valid_until,
+            } if owner == upstream && self.node.clock.now() < valid_until => epoch,
+            _ => return self.report(number, Answer::NotOwner),
+        };
+        let Some(link) = self.node.links.upstream(&upstream) else {
+            return self.report(number, Answer::NotSent);
+        };
+        let desk = Arc::clone(&self.node.desk);
+        let charge = Charge::start(&self.node.meter, upstream, self.inbound.shard);
+        let attempt = Attempt {
+            desk,
+            link,
+            request: self.id,
+            number,
+            left,
+            charge,
+        };
+        let outgoing = Outgoing {
+            inbound: Arc::clone(&self.inbound),
+            epoch,
+        };
+        self.attempt = Some((number, tokio::spawn(attempt.run(outgoing))));
+    }
+
+    fn conclude(&mut self, (number, ended): (u32, Ended)) -> Next {
+        match ended {
+            Ended::Responding(response) => {
+                self.give(Held::Answered(response));
+                return Next::Stop;
+            }
+            Ended::Kept(response, stored) => {
+                self.kept = Some(response);
+                self.report(number, Answer::Done(stored));
+            }
+            Ended::Failed(answer) => self.report(number, answer),
+            Ended::Cancelled => {}
+        }
+        self.next()
+    }
+
+    fn report(&self, attempt: u32, answer: Answer) {
+        self.node.desk.step(
+            Event::Answered {
+                request: self.id,
+                attempt,
+                answer,
+            },
+            None,
+        );
+    }
+
+    fn finish(&mut self, verdict: Verdict) -> Response<Body> {
+        match (verdict.reason, self.kept.take()) {
+            (Reason::Answered(_), Some(response)) => response,
+            _ => reason::problem(verdict).into_response(&self.inbound.request_id),
+        }
+    }
+
+    fn give(&mut self, held: Held) {
+        if let Some(answer) = self.answer.take() {
+            // A caller that has left doesn't take its answer.
+            let _ = answer.send(held);
+        }
+    }
+
+    fn stop_attempt(&mut self) {
+        if let Some((_, task)) = self.attempt.take() {
+            task.abort();
+        }
+    }
+}
+
+/// Waits for the end of an attempt, for ever if there is none.
+async fn wait(attempt: &mut Option<(u32, JoinHandle<Ended>)>) -> (u32, Ended) {
+    let Some((number, task)) = attempt else {
+        return std::future::pending().await;
+    };
+    let number = *number;
+    let ended = task.await.unwrap_or(Ended::Failed(Answer::Broken));
+    *attempt = None;
+    (number, ended)
+}
+
+fn replay(stored: &Stored, request_id: &str) -> Response<Body> {
+    let kept = stored.content.as_ref();
+    let response = kept.and_then(|content| kept::decode(stored.status, content));
+    response.unwrap_or_else(|| {
+        let detail = "this request ran before; its answer is not kept";
+        Problem::new(StatusCode::CONFLICT, Outcome::Done, detail).into_response(request_id)
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,98 @@
+//! State that all tasks of the daemon share.
+
+use std::sync::{Arc, PoisonError, RwLock};
+
+use eelgrassrock_config::bundle::Bundle;
+use eelgrassrock_config::settings::Settings;
+use eelgrassrock_platform::{objects, table, vms};
+use eelgrassrock_telemetry::log::Logger;
+use eelgrassrock_telemetry::metrics::Metrics;
+use eelgrassrock_wire::Token;
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::desk::Desk;
+use crate::keeper::Keeper;
+use crate::links::Links;
+use crate::load::Meter;
+use crate::mesh::Mesh;
+use crate::post::Post;
+use crate::store::Store;
+
+/// State that all tasks of the daemon share.
+pub(crate) struct Node {
+    /// Settings of the daemon.
+    pub(crate) settings: Settings,
+    /// Clock of all decisions.
+    pub(crate) clock: Clock,
+    /// Log.
+    pub(crate) logger: Logger,
+    /// Metrics.
+    pub(crate) metrics: Metrics,
+    /// Longest body of a request, in bytes.
+    pub(crate) body_limit: usize,
+    /// Credential for hops, as text.
+    pub(crate) hop_token: String,
+    /// Credential for hops.
+    pub(crate) secret_token: Token,
+    /// Ownership.
+    pub(crate) keeper: Arc<Keeper>,
+    /// Requests.
+    pub(crate) desk: Arc<Desk>,
+    /// Members, news and bundles.
+    pub(crate) mesh: Mesh,
+    /// Connections.
+    pub(crate) links: Links,
+    /// Messages to other routers.
+    pub(crate) post: Post,
+    /// Contents of bundles.
+    pub(crate) store: Store,
+    /// Busy time per shard.
+    pub(crate) meter: Arc<Meter>,
+    /// The platform's table.
+    pub(crate) table: table::Client,
+    /// The platform's object store.
+    pub(crate) objects: objects::Client,
+    /// The platform's list of VMs.
+    pub(crate) vms: vms::Client,
+    /// Whether the daemon stops.
+    pub(crate) draining: watch::Sender<bool>,
+    /// Whether every home was handed over.
+    pub(crate) handed_over: watch::Sender<bool>,
+    /// Bundle in force.
+    pub(crate) in_force: RwLock<Option<Arc<Bundle>>>,
+}
+
+impl Node {
+    /// Tells whether `credential` is that of an operator: the secret of the
+    /// deployment.
+    pub(crate) fn is_operator(&self, credential: &str) -> bool {
+        use subtle::ConstantTimeEq;
+        let secret = self.settings.secret.expose().as_bytes();
+        secret.ct_eq(credential.as_bytes()).into()
+    }
+
+    /// Returns the bundle in force, `None` if there is none yet.
+    pub(crate) fn bundle(&self) -> Option<Arc<Bundle>> {
+        self.in_force
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Puts a bundle in force. Returns whether it is newer than the one before.
+    pub(crate) fn set_bundle(&self, bundle: Arc<Bundle>) -> bool {
+        let mut in_force = self
+            .in_force
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        if in_force
+            .as_ref()
+            .is_some_and(|old| old.version() >= bundle.version())
+        {
+            return false;
+        }
+        *in_force = Some(bundle);
+        true
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peer/pull.rs
@@ -0,0 +1,39 @@
+//! Receiving of frames from other routers over an nng pull socket.
+
+use std::ffi::CString;
+use std::net::SocketAddr;
+
+use anng::protocols::pipeline0::Pull0;
+use anng::{AioError, Socket};
+use derive_more::{Display, Error};
+
+/// Why the peer port can't be opened.
+#[derive(Debug, Display, Error)]
+#[display("the peer port {address} can't be opened: {error}")]
+pub struct InboxError {
+    address: SocketAddr,
+    error: std::io::Error,
+}
+
+/// Frames that arrive from other routers, not yet checked.
+#[derive(Debug)]
+pub(crate) struct Inbox {
+    socket: Socket<Pull0>,
+}
+
+impl Inbox {
+    /// Opens the port.
+    pub(crate) async fn open(address: SocketAddr) -> Result<Self, InboxError> {
+        let url = CString::new(format!("tcp://{address}")).expect("an address has no zero byte");
+        match Pull0::listen(&url).await {
+            Ok(socket) => Ok(Self { socket }),
+            Err(error) => Err(InboxError { address, error }),
+        }
+    }
+
+    /// Waits for the next frame.
+    pub(crate) async fn receive(&mut self) -> Result<Vec<u8>, AioError> {
+        let message = self.socket.pull().await?;
+        Ok(message.as_slice().to_vec())
+    }
+}
--- a/crates/ownership/src/machine/mod.rs
+++ b/crates/ownership/src/machine/mod.rs
@@ -228,6 +228,14 @@
         }
     }
 
+    /// Returns the upstreams that this router is home of, each with the time
+    /// until which its grant is proven to be valid.
+    pub fn leases(&self) -> impl Iterator<Item = (&Upstream, Option<Instant>)> {
+        let until = |held: &Held| held.granted.as_ref().map(|granted| granted.valid_until);
+        let leases = self.held.iter();
+        leases.map(move |(upstream, held)| (upstream, until(held)))
+    }
+
     /// Returns the state for the operator's status command.
     pub fn snapshot(&self) -> Snapshot {
         let names = self.view.homes.keys().chain(self.view.acting.keys());
