A request goes from caller to owner and back

Cause: a router that is alone never saw a change of its members, so nobody placed the shards; the members are now told once at the start.

--- a/crates/daemon/src/chores.rs
+++ b/crates/daemon/src/chores.rs
@@ -47,7 +47,8 @@
     }
 }
 
-fn change_members(node: &Node, live: &[member::Live]) {
+/// Tells all machines of the live routers.
+pub(crate) fn change_members(node: &Node, live: &[member::Live]) {
     let addresses = mesh::addresses(live);
     node.post.retain(&addresses);
     let hops: Vec<_> = addresses.iter().copied().map(crate::hop::address).collect();
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -272,6 +272,8 @@
     spawn_forever(errands::run_ownership(Arc::clone(&node), actions));
     spawn_forever(errands::run_requests(Arc::clone(&node), errand_queue));
     spawn_forever(chores::run(Arc::clone(&node), chore_queue));
+    // A router that is alone never sees a change of its members.
+    chores::change_members(&node, &node.mesh.live());
     node.mesh.step_member(member::Event::Tick);
     node.mesh.step_adoption(adoption::Event::Tick);
     node.keeper.step(ownership::Event::Tick);
--- a/crates/standin/src/upstream/work.rs
+++ b/crates/standin/src/upstream/work.rs
@@ -212,6 +212,9 @@
     let mut response = Response::new(body.boxed());
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    if let Ok(id) = HeaderValue::from_str(&job.request_id) {
+        headers.insert("eelgrassrock-request-id", id);
+    }
     if damage == Damage::Short {
         headers.insert(CONTENT_LENGTH, whole_bytes.into());
     }
