Routers that start together no longer take each other's upstreams over

Cause: a router that had not met its peers took their homes for lost. Three daemons that started together wrote 33 terms within 100 ms, and the news of the last one could stay unknown in a data centre, as routers compared news only within their own. Ruled out: lost datagrams; the log shows each takeover with reason lost. Change: a home that was never seen alive gets a second to become known, and news are compared with every peer that is pinged.

--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -31,6 +31,29 @@
     }
 }
 
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeated_issue_runs_once_and_gets_the_same_answer() {
+    let deployment = Deployment::start(SIZE).await;
+    let headers = [("idempotency-key", "issue-1")];
+    let mut bodies = Vec::new();
+    for daemon in 0..SIZE.daemons {
+        let answer = deployment
+            .send(
+                daemon,
+                Method::POST,
+                "/sheets/key-1",
+                &headers,
+                b"revision 7",
+            )
+            .await;
+        assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+        bodies.push(answer.body);
+    }
+    assert_eq!(deployment.runs("issue-1"), 1);
+    assert!(bodies.windows(2).all(|pair| pair[0] == pair[1]));
+}
+
 #[rstest]
 #[case::no_credential(None, "/sheets/key-1", StatusCode::UNAUTHORIZED)]
 #[case::unknown_partner(Some("Bearer nobody"), "/sheets/key-1", StatusCode::UNAUTHORIZED)]
--- /dev/null
+++ b/crates/daemon/tests/recovery.rs
@@ -0,0 +1,94 @@
+//! What is served again after a loss, and what goes on without the platform.
+
+mod support;
+
+use std::time::Duration;
+
+use eelgrassrock_daemon::Stopped;
+use eelgrassrock_standin::fault::Outage;
+use eelgrassrock_standin::table::Faults;
+use http::{Method, StatusCode};
+use rstest::rstest;
+use support::{Deployment, Size};
+use tokio::time::{Instant, sleep};
+
+const SIZE: Size = Size {
+    daemons: 3,
+    upstreams: 3,
+    checks_orders: true,
+};
+
+#[rstest]
+#[case::checking(true)]
+#[case::not_checking(false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_of_a_lost_upstream_are_served_by_another(#[case] checks_orders: bool) {
+    let mut deployment = Deployment::start(Size {
+        checks_orders,
+        ..SIZE
+    })
+    .await;
+    let answer = deployment
+        .send(0, Method::GET, "/sheets/key-1", &[], b"")
+        .await;
+    let lost = answer.json()["upstream"].clone();
+    let index = (0..SIZE.upstreams).find(|index| lost == format!("sheets-{index}"));
+    drop(
+        deployment
+            .upstreams
+            .remove(index.expect("the owner is one of the upstreams")),
+    );
+    let answer = deployment.until_read(1, "/sheets/key-1").await;
+    assert_ne!(answer.json()["upstream"], lost);
+    deployment.until_served().await;
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn reads_go_on_while_the_table_is_down_for_many_leases(
+    #[values(Outage::Refuse, Outage::Hang, Outage::Close)] outage: Outage,
+) {
+    let deployment = Deployment::start(SIZE).await;
+    deployment.table.set_faults(Faults {
+        outage,
+        ..Faults::default()
+    });
+    let end = Instant::now() + Duration::from_secs(3);
+    while Instant::now() < end {
+        for key in 0..8 {
+            let path = format!("/sheets/key-{key}");
+            let answer = deployment.send(key % 3, Method::GET, &path, &[], b"").await;
+            assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_router_cuts_off_no_request() {
+    let mut deployment = Deployment::start(SIZE).await;
+    let mut held = Vec::new();
+    let deployment_ref = &deployment;
+    for key in 0..6 {
+        let path = format!("/sheets/key-{key}?work_ms=800");
+        let callers = deployment_ref.callers(0);
+        held.push(tokio::spawn(async move {
+            let authorization = format!("Bearer {}", support::CREDENTIAL);
+            let headers = [("authorization", authorization.as_str())];
+            support::send_to(callers, Method::GET, &path, &headers, b"").await
+        }));
+    }
+    sleep(Duration::from_millis(200)).await;
+    let daemon = deployment.daemons[0].take().expect("the daemon runs");
+    assert_eq!(daemon.stop().await, Stopped::Graceful);
+    for request in held {
+        let answer = request.await.unwrap().expect("the answer is whole");
+        assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    }
+    for key in 0..8 {
+        deployment
+            .until_read(1, &format!("/sheets/key-{key}"))
+            .await;
+    }
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -245,7 +245,14 @@
             let last = self.try_send(daemon, Method::GET, path, &[], b"").await;
             match last {
                 Some(answer) if answer.status == StatusCode::OK => return answer,
-                last if started.elapsed() > PATIENCE => panic!("{path} is not served: {last:?}"),
+                last if started.elapsed() > PATIENCE => {
+                    for daemon in 0..self.daemons.len() {
+                        if self.daemons[daemon].is_some() {
+                            println!("{:#}", self.status(daemon).await["ownership"]);
+                        }
+                    }
+                    panic!("{path} is not served: {last:?}");
+                }
                 _ => sleep(Duration::from_millis(20)).await,
             }
         }
--- a/crates/membership/src/member/machine.rs
+++ b/crates/membership/src/member/machine.rs
@@ -48,7 +48,7 @@
     },
     /// The live routers changed.
     Changed(Vec<Live>),
-    /// A peer of this data centre has other news than this router.
+    /// A peer has other news than this router.
     NewsDiffer {
         /// Address of the peer.
         peer: SocketAddr,
--- a/crates/membership/src/member/receive.rs
+++ b/crates/membership/src/member/receive.rs
@@ -137,15 +137,15 @@
         self.send(now, target, body);
     }
 
-    /// Compares digests with a peer of this data centre, and asks for what
-    /// differs.
+    /// Compares digests with a peer, and asks for what differs. News are the
+    /// same everywhere; members are compared within a data centre only.
     fn compare(&mut self, now: Instant, from: SocketAddr, sender: &Member, view: u32, news: u32) {
-        if sender.data_centre != self.me.data_centre {
-            return;
-        }
         if news != self.news {
             self.actions.push(Action::NewsDiffer { peer: from });
         }
+        if sender.data_centre != self.me.data_centre {
+            return;
+        }
         if view == self.view() {
             self.last_match = Some(now);
             return;
--- a/crates/ownership/src/machine/claim.rs
+++ b/crates/ownership/src/machine/claim.rs
@@ -19,6 +19,20 @@
 /// Time that each router leaves to those that rank before it.
 const CLAIM_STAGGER: Duration = Duration::from_millis(250);
 
+/// Time within which a home that this router has never seen alive is expected
+/// to become known as a member. Without it, routers that start together take
+/// each other's upstreams over again and again.
+const ACQUAINTANCE: Duration = Duration::from_secs(1);
+
+/// Upstream without live home.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Orphan {
+    /// Time at which this router noticed.
+    since: Instant,
+    /// Time at which this router claims it, `None` if it never does.
+    claim_at: Option<Instant>,
+}
+
 impl Machine {
     pub(super) fn on_members(&mut self, members: Vec<Member>) {
         let members = members.into_iter().map(|it| (it.router.clone(), it));
@@ -35,6 +49,7 @@
             .cloned()
             .collect();
         self.members = members;
+        self.departed.extend(gone.iter().cloned());
         for router in gone.iter().chain(&back) {
             let upstreams = self.view.by_router.get(router).cloned();
             for upstream in upstreams.into_iter().flatten() {
@@ -77,7 +92,11 @@
         if !self.is_orphan(upstream) {
             self.orphans.swap_remove(upstream);
         } else if !self.orphans.contains_key(upstream) {
-            self.orphans.insert(upstream.clone(), Instant::default());
+            let orphan = Orphan {
+                since: self.now,
+                claim_at: None,
+            };
+            self.orphans.insert(upstream.clone(), orphan);
             self.rank_again(upstream);
         }
     }
@@ -117,11 +136,24 @@
             let data_centre = self.data_centre_of(upstream);
             place::rank(me, upstream, data_centre, self.members.values())
         };
-        let at = match rank.and_then(|rank| u32::try_from(rank).ok()) {
-            Some(rank) => self.now + CLAIM_STAGGER * rank,
-            None => Instant::from_micros(u64::MAX),
-        };
-        self.orphans.insert(upstream.clone(), at);
+        let from = self.claims_from(upstream);
+        let rank = rank.and_then(|rank| u32::try_from(rank).ok());
+        let claim_at = rank.map(|rank| from + CLAIM_STAGGER * rank);
+        if let Some(orphan) = self.orphans.get_mut(upstream) {
+            orphan.claim_at = claim_at;
+        }
+    }
+
+    /// Returns the time from which an orphan may be claimed.
+    fn claims_from(&self, upstream: &Upstream) -> Instant {
+        let home = self.view.home(upstream);
+        let unseen = home.is_some_and(|home| {
+            home.router != self.settings.router && !self.departed.contains(&home.router)
+        });
+        match self.orphans.get(upstream) {
+            Some(orphan) if unseen => self.now.max(orphan.since + ACQUAINTANCE),
+            _ => self.now,
+        }
     }
 
     pub(super) fn poll_claims(&mut self) {
@@ -130,7 +162,9 @@
         }
         let acting = self.held.iter().filter(|(_, held)| held.is_acting);
         let acting = acting.map(|(upstream, _)| upstream);
-        let due = self.orphans.iter().filter(|(_, at)| **at <= self.now);
+        let now = self.now;
+        let is_due = |orphan: &Orphan| orphan.claim_at.is_some_and(|at| at <= now);
+        let due = self.orphans.iter().filter(|(_, orphan)| is_due(orphan));
         let due: Vec<Upstream> = due
             .map(|(upstream, _)| upstream)
             .chain(acting)
--- a/crates/ownership/src/machine/mod.rs
+++ b/crates/ownership/src/machine/mod.rs
@@ -29,6 +29,7 @@
 use crate::view::{Change, View};
 use crate::write::Pending;
 
+use claim::Orphan;
 use handover::{Ceded, Offer};
 use table::{Read, Scan};
 
@@ -68,7 +69,9 @@
     statuses: IndexMap<Upstream, Status>,
     leaving: IndexSet<Upstream>,
     /// Upstreams without live home, and when this router claims them.
-    orphans: IndexMap<Upstream, Instant>,
+    orphans: IndexMap<Upstream, Orphan>,
+    /// Routers that were members once and aren't any more.
+    departed: IndexSet<Router>,
     /// Services with shards without owner, and since when.
     unplaced: IndexMap<Service, Instant>,
     pending: IndexMap<Operation, Pending>,
@@ -102,6 +105,7 @@
             statuses: IndexMap::new(),
             leaving: IndexSet::new(),
             orphans: IndexMap::new(),
+            departed: IndexSet::new(),
             unplaced: IndexMap::new(),
             pending: IndexMap::new(),
             scans: IndexMap::new(),
