A new home asks every earlier home, not only the last one

Cause: after two quick takeovers the last home's own wait for its predecessor was lost with it, so the next home of an upstream that does not check orders waited for the whole authority (4 h) although all earlier routers were alive. The trace showed settled false at term 3. Ruled out: a lost handover message; it was answered, with the bound of an earlier home in it. Change: the home row lists the earlier homes with the start of their process, each is asked, and the list is cleared once all have ended.

--- a/crates/ownership/src/held.rs
+++ b/crates/ownership/src/held.rs
@@ -1,7 +1,6 @@
 //! Upstream of which this router is home.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +13,7 @@
 use crate::grant::{Answer, Grant, Order, Ticket};
 use crate::ledger::Ledger;
 use crate::life::{Happening, Life, State};
+use crate::row::Prior;
 use crate::settings::Settings;
 
 /// Most requests that were given up and whose late answers still count.
@@ -65,6 +65,13 @@
     pub(crate) reason: Reason,
 }
 
+/// Earlier home, and the time by which its orders have expired if it is known.
+#[derive(Clone, Debug)]
+pub(crate) struct Earlier {
+    pub(crate) prior: Prior,
+    pub(crate) ended_at: Option<Instant>,
+}
+
 /// Upstream of which this router is home.
 pub(crate) struct Held {
     pub(crate) term: Term,
@@ -100,9 +107,12 @@
     /// Writes in flight that take shards away without waiting for a release.
     pub(crate) reassigning: usize,
     pub(crate) plans: Vec<Plan>,
-    /// Home of the term before, which may still give orders.
-    pub(crate) predecessor: Option<(Router, SocketAddr)>,
-    pub(crate) predecessor_asked_at: Option<Instant>,
+    /// Router and start of the process in the row of the home, if this router
+    /// goes on under the term of another one.
+    pub(crate) holder: Option<(Router, Arc<str>)>,
+    /// Earlier homes that may still give orders.
+    pub(crate) priors: Vec<Earlier>,
+    pub(crate) priors_asked_at: Option<Instant>,
     /// Start of the wait before releases are noted in the table.
     pub(crate) cleared_at: Option<Instant>,
     /// Busy share of the slots, in parts per million.
@@ -146,8 +156,9 @@
             leaving: false,
             reassigning: 0,
             plans: Vec::new(),
-            predecessor: None,
-            predecessor_asked_at: None,
+            holder: None,
+            priors: Vec::new(),
+            priors_asked_at: None,
             cleared_at: None,
             busy_ppm: 0,
             is_acting: false,
@@ -175,6 +186,15 @@
         matches!(self.state(), State::Granting {} | State::Suspect {})
     }
 
+    /// Brings the end of the wait for earlier homes forward when all are known
+    /// to have ended.
+    pub(crate) fn settle_when_all_ended(&mut self) {
+        let ends: Option<Vec<Instant>> = self.priors.iter().map(|it| it.ended_at).collect();
+        if let Some(last) = ends.and_then(|ends| ends.into_iter().max()) {
+            self.settles_at = self.settles_at.min(last);
+        }
+    }
+
     /// Returns whether no earlier home can give orders.
     pub(crate) fn is_settled(&self, now: Instant) -> bool {
         self.state() != State::Loading {} && now >= self.settles_at
--- a/crates/ownership/src/machine/claim.rs
+++ b/crates/ownership/src/machine/claim.rs
@@ -188,7 +188,9 @@
             home.term = known.term.next();
             home.authority_ms = home.authority_ms.max(known.authority_ms);
             home.lease_ms = home.lease_ms.max(known.lease_ms);
-            home.prior = Some((known.router.clone(), known.address));
+        }
+        if let Some(known) = self.row_of_home(upstream) {
+            home.priors = known.priors_of_next();
         }
         let check = Check {
             key: key.clone(),
@@ -232,6 +234,50 @@
         self.watch(upstream);
     }
 
+    /// Returns the contents of the row of a home, `None` if it can't be used.
+    fn row_of_home(&self, upstream: &Upstream) -> Option<&row::Home> {
+        self.view.homes.get(upstream)?.contents.as_ref()
+    }
+
+    /// Removes the earlier homes from the row, so that the next home doesn't
+    /// wait for those that are gone.
+    pub(super) fn poll_settled(&mut self) {
+        if !self.may_write() {
+            return;
+        }
+        let settled = self
+            .held
+            .iter()
+            .filter(|(_, held)| held.is_settled(self.now));
+        let settled: Vec<Upstream> = settled.map(|(upstream, _)| upstream.clone()).collect();
+        for upstream in settled {
+            self.note_settled(&upstream);
+        }
+    }
+
+    fn note_settled(&mut self, upstream: &Upstream) {
+        let key = Key::Home(upstream.clone()).text();
+        let home = self.row_of_home(upstream).filter(|home| self.is_mine(home));
+        let Some(home) = home.filter(|home| !home.priors.is_empty()) else {
+            return;
+        };
+        if self.is_writing(&key) {
+            return;
+        }
+        let mut settled = home.clone();
+        settled.priors.clear();
+        let version = self.view.home_version(upstream);
+        let check = Check {
+            key: key.clone(),
+            version,
+        };
+        let write = Write {
+            key,
+            value: Some(settled.encode()),
+        };
+        self.write(Purpose::Settle, vec![check], vec![write]);
+    }
+
     fn is_mine(&self, home: &row::Home) -> bool {
         home.router == self.settings.router && home.nonce.as_ref() == self.settings.nonce
     }
@@ -247,7 +293,8 @@
         if home.term != Term(1) {
             let bound = Duration::from_millis(home.authority_ms.saturating_add(home.lease_ms));
             held.settles_at = now + self.settings.longer(bound) + self.settings.heartbeat;
-            held.predecessor = home.prior.clone();
+            held.priors = self.wait_for(upstream, home);
+            held.settle_when_all_ended();
         }
         self.held.insert(upstream.clone(), held);
         let what = What::Home {
--- a/crates/ownership/src/machine/handover.rs
+++ b/crates/ownership/src/machine/handover.rs
@@ -11,7 +11,7 @@
 use super::Machine;
 use crate::action::Action;
 use crate::decision::{Reason, What};
-use crate::held::Held;
+use crate::held::{Earlier, Held};
 use crate::message::{Handover, Message, Succession};
 use crate::place;
 use crate::row::{self, Key};
@@ -29,6 +29,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Ceded {
     term: Term,
+    /// Router and start of the process in the row of the home.
+    holder: (Router, Arc<str>),
     lapses_at: Instant,
     settles_at: Instant,
     /// Next home under the same term, if there is one.
@@ -64,6 +66,7 @@
         self.offers.swap_remove(upstream);
         let ceded = Ceded {
             term: held.term,
+            holder: held.holder.clone().unwrap_or_else(|| self.process()),
             lapses_at: held.ledger.lapses_at().unwrap_or(self.now),
             settles_at: held.settles_at,
             successor: None,
@@ -92,6 +95,7 @@
         let handover = Handover {
             upstream: upstream.clone(),
             term: ceded.term,
+            holder: ceded.holder.clone(),
             lapses_in: ceded.lapses_at - self.now,
             settles_in: ceded.settles_at - self.now,
             question,
@@ -121,50 +125,109 @@
         }
     }
 
+    /// Router and start of this process.
+    fn process(&self) -> (Router, Arc<str>) {
+        (
+            self.settings.router.clone(),
+            self.settings.nonce.as_str().into(),
+        )
+    }
+
+    /// Returns the earlier homes that a new home waits for. What an earlier
+    /// term of this process granted is known.
+    pub(super) fn wait_for(&self, upstream: &Upstream, home: &row::Home) -> Vec<Earlier> {
+        let (router, nonce) = self.process();
+        let own = self
+            .ceded
+            .get(upstream)
+            .map_or(self.now, |ceded| ceded.lapses_at);
+        let is_own = |prior: &row::Prior| prior.router == router && prior.nonce == nonce;
+        let priors = home.priors.iter().cloned();
+        let earlier = |prior: row::Prior| Earlier {
+            ended_at: is_own(&prior).then_some(own),
+            prior,
+        };
+        priors.map(earlier).collect()
+    }
+
     /// Asks earlier homes to end their authority.
-    pub(super) fn ask_predecessor(&mut self, upstream: &Upstream, held_term: Term) {
+    fn ask_priors(&mut self, upstream: &Upstream) {
         let row = self.view.homes.get(upstream).map(|home| home.row.clone());
+        let now = self.now;
         let Some(held) = self.held.get_mut(upstream) else {
             return;
         };
-        let Some((router, address)) = held.predecessor.clone() else {
-            return;
-        };
         let due = held
-            .predecessor_asked_at
-            .is_none_or(|at| self.now >= at + ASK_INTERVAL * 5);
-        if !due || self.now >= held.settles_at || router == self.settings.router {
+            .priors_asked_at
+            .is_none_or(|at| now >= at + ASK_INTERVAL * 5);
+        if !due || now >= held.settles_at {
             return;
         }
-        held.predecessor_asked_at = Some(self.now);
-        let ask = Message::AskHandover {
-            upstream: upstream.clone(),
-            term: held_term,
-        };
-        for message in [Message::Rows(row.into_iter().collect()), ask] {
-            self.out.push(Action::Tell {
-                router: router.clone(),
-                address,
-                message,
-            });
+        held.priors_asked_at = Some(now);
+        let open = held.priors.iter().filter(|it| it.ended_at.is_none());
+        for Earlier { prior, .. } in open {
+            let ask = Message::AskHandover {
+                upstream: upstream.clone(),
+                nonce: Arc::clone(&prior.nonce),
+                term: held.term,
+            };
+            for message in [Message::Rows(row.iter().cloned().collect()), ask] {
+                self.out.push(Action::Tell {
+                    router: prior.router.clone(),
+                    address: prior.address,
+                    message,
+                });
+            }
         }
     }
 
-    pub(super) fn on_ask_handover(&mut self, from: &Router, upstream: &Upstream, term: Term) {
-        let Some(ceded) = self.ceded.get(upstream) else {
+    /// Answers a later home. The row that it sent before has ended what this
+    /// process held; a process that never held the upstream can't do so under
+    /// an earlier term any more.
+    pub(super) fn on_ask_handover(
+        &mut self,
+        from: &Router,
+        upstream: &Upstream,
+        nonce: &str,
+        term: Term,
+    ) {
+        if nonce != self.settings.nonce || self.held.contains_key(upstream) {
             return;
-        };
-        match &ceded.successor {
-            None if ceded.term.next() == term => self.tell_handover(upstream, from, 0),
-            Some(successor) => {
+        }
+        let known = self.view.home(upstream).map(|home| home.term);
+        if known.is_none_or(|known| known < term) {
+            return;
+        }
+        match self.ceded.get(upstream) {
+            Some(Ceded {
+                successor: Some(successor),
+                ..
+            }) => {
                 let home = self.view.homes.get(upstream).map(|it| it.row.clone());
                 let to = successor.router.clone();
                 self.tell(&to, Message::Rows(home.into_iter().collect()));
             }
-            None => {}
+            ceded => {
+                let lapses_at = ceded.map_or(self.now, |ceded| ceded.lapses_at);
+                self.tell_ended(from, upstream, term, lapses_at);
+            }
         }
     }
 
+    /// Tells that this process gives no orders of a term before `term`.
+    fn tell_ended(&mut self, to: &Router, upstream: &Upstream, term: Term, lapses_at: Instant) {
+        let handover = Handover {
+            upstream: upstream.clone(),
+            term: Term(term.0.saturating_sub(1)),
+            holder: self.process(),
+            lapses_in: lapses_at - self.now,
+            settles_in: Duration::ZERO,
+            question: 0,
+            succession: None,
+        };
+        self.tell(to, Message::Handover(handover));
+    }
+
     pub(super) fn on_drain(&mut self) {
         if self.draining.is_none() {
             self.draining = Some(self.now);
@@ -172,14 +235,10 @@
     }
 
     pub(super) fn poll_handovers(&mut self) {
-        let asking: Vec<(Upstream, Term)> = self
-            .held
-            .iter()
-            .filter(|(_, held)| held.predecessor.is_some())
-            .map(|(upstream, held)| (upstream.clone(), held.term))
-            .collect();
-        for (upstream, term) in asking {
-            self.ask_predecessor(&upstream, term);
+        let asking = self.held.iter().filter(|(_, held)| !held.priors.is_empty());
+        let asking: Vec<Upstream> = asking.map(|(upstream, _)| upstream.clone()).collect();
+        for upstream in asking {
+            self.ask_priors(&upstream);
         }
         if let Some(since) = self.draining
             && !self.drained
@@ -283,7 +342,7 @@
             && self.draining.is_some()
             && !self.is_changing(upstream)
         {
-            let ceded = Self::ceded_to(held, from, self.now);
+            let ceded = self.ceded_to(held, from, self.now);
             self.ceded.insert(upstream.clone(), ceded);
             self.held.swap_remove(upstream);
             self.offers.swap_remove(upstream);
@@ -301,9 +360,11 @@
         }
     }
 
-    fn ceded_to(held: &Held, router: &Router, now: Instant) -> Ceded {
+    fn ceded_to(&self, held: &Held, router: &Router, now: Instant) -> Ceded {
+        let holder = held.holder.clone().unwrap_or_else(|| self.process());
         Ceded {
             term: held.term,
+            holder,
             lapses_at: held.ledger.lapses_at().unwrap_or(now),
             settles_at: held.settles_at,
             successor: Some(Successor {
@@ -320,18 +381,30 @@
     pub(super) fn on_handover(&mut self, from: &Router, handover: Handover) {
         match &handover.succession {
             Some(succession) => self.succeed(from, &handover, succession.clone()),
-            None => self.settle(&handover),
+            None => self.settle(handover),
         }
     }
 
-    fn settle(&mut self, handover: &Handover) {
-        let bound = handover.lapses_in.max(handover.settles_in);
-        let settles_at = self.now + self.settings.longer(bound);
-        if let Some(held) = self.held.get_mut(&handover.upstream)
-            && handover.term.next() == held.term
+    /// Notes that an earlier home has ended, and settles when all have.
+    fn settle(&mut self, handover: Handover) {
+        let ended_at = self.now + self.settings.longer(handover.lapses_in);
+        let Some(held) = self.held.get_mut(&handover.upstream) else {
+            return;
+        };
+        if handover.term >= held.term {
+            return;
+        }
+        let (router, nonce) = handover.holder;
+        for Earlier {
+            prior,
+            ended_at: ended,
+        } in &mut held.priors
         {
-            held.settles_at = held.settles_at.min(settles_at);
+            if prior.router == router && prior.nonce == nonce && prior.term <= handover.term {
+                *ended = Some(ended.map_or(ended_at, |at| at.min(ended_at)));
+            }
         }
+        held.settle_when_all_ended();
     }
 
     /// Becomes home under the same term.
@@ -366,6 +439,7 @@
         held.proven_incarnation = succession.incarnation;
         held.sequence = succession.sequence;
         held.is_acting = true;
+        held.holder = Some(handover.holder.clone());
         self.held.insert(upstream.clone(), held);
         self.spread_acting(upstream, succession.version);
         self.finish_loading(upstream);
--- a/crates/ownership/src/machine/message.rs
+++ b/crates/ownership/src/machine/message.rs
@@ -23,8 +23,12 @@
         match message {
             Message::AskRelease(release) => self.on_ask_release(from, &release),
             Message::Released(release) => self.on_released(&release),
-            Message::AskHandover { upstream, term } => {
-                self.on_ask_handover(from, &upstream, term);
+            Message::AskHandover {
+                upstream,
+                nonce,
+                term,
+            } => {
+                self.on_ask_handover(from, &upstream, &nonce, term);
             }
             Message::OfferHandover { upstream, term } => self.on_offer(from, &upstream, term),
             Message::AcceptHandover {
--- a/crates/ownership/src/machine/mod.rs
+++ b/crates/ownership/src/machine/mod.rs
@@ -167,6 +167,7 @@
         self.poll_releases();
         self.poll_placement();
         self.poll_reports();
+        self.poll_settled();
         self.poll_handovers();
     }
 
--- a/crates/ownership/src/machine/table.rs
+++ b/crates/ownership/src/machine/table.rs
@@ -421,7 +421,7 @@
                 }
             }
             Purpose::Claim(upstream) => self.on_claim_ended(upstream),
-            Purpose::Place | Purpose::Move(_) | Purpose::Clear => {}
+            Purpose::Place | Purpose::Move(_) | Purpose::Clear | Purpose::Settle => {}
         }
     }
 }
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -5,7 +5,7 @@
 
 use eelgrassrock_model::shard::Shard;
 use eelgrassrock_model::table::Row;
-use eelgrassrock_model::{Epoch, Sequence, Service, Term, Upstream, Version};
+use eelgrassrock_model::{Epoch, Router, Sequence, Service, Term, Upstream, Version};
 use serde::{Deserialize, Serialize};
 
 /// Shards of one service that moved away from one upstream.
@@ -24,13 +24,16 @@
 pub struct Handover {
     /// Upstream.
     pub upstream: Upstream,
-    /// Term that ended.
+    /// Term that ended, and with it all terms before.
     pub term: Term,
+    /// Router and start of the process whose authority ended, as the row of
+    /// the home names them.
+    pub holder: (Router, Arc<str>),
     /// Time within which all orders of the sender have expired, from the
     /// arrival of this message.
     pub lapses_in: Duration,
     /// Time within which earlier homes lose their authority, from the arrival
-    /// of this message.
+    /// of this message. It matters to a successor under the same term only.
     pub settles_in: Duration,
     /// Question that this answers, zero if none.
     pub question: u64,
@@ -78,6 +81,8 @@
     AskHandover {
         /// Upstream.
         upstream: Upstream,
+        /// Start of the process that is asked.
+        nonce: Arc<str>,
         /// Term of the asker.
         term: Term,
     },
--- a/crates/ownership/src/row.rs
+++ b/crates/ownership/src/row.rs
@@ -110,8 +110,22 @@
     pub authority_ms: u64,
     /// Longest lease that any home so far gives, in milliseconds.
     pub lease_ms: u64,
-    /// Router that was home before, and its address.
-    pub prior: Option<(Router, SocketAddr)>,
+    /// Homes before whose authority isn't known to have ended.
+    pub priors: Vec<Prior>,
+}
+
+/// Earlier home of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Prior {
+    /// Router that was home.
+    pub router: Router,
+    /// Start of its process. Another process of the same name can't answer
+    /// for it.
+    pub nonce: Arc<str>,
+    /// Address at which it is asked.
+    pub address: SocketAddr,
+    /// Its last term.
+    pub term: Term,
 }
 
 impl Home {
@@ -125,7 +139,7 @@
             term: Term(1),
             authority_ms: 0,
             lease_ms: 0,
-            prior: None,
+            priors: Vec::new(),
         }
     }
 
@@ -147,6 +161,19 @@
     pub fn encode(&self) -> Arc<str> {
         encode(self)
     }
+
+    /// Returns the homes before the one that takes over from this one.
+    pub(crate) fn priors_of_next(&self) -> Vec<Prior> {
+        let is_self = |prior: &&Prior| prior.router == self.router && prior.nonce == self.nonce;
+        let last = Prior {
+            router: self.router.clone(),
+            nonce: Arc::clone(&self.nonce),
+            address: self.address,
+            term: self.term,
+        };
+        let others = self.priors.iter().filter(|prior| !is_self(prior));
+        others.cloned().chain([last]).collect()
+    }
 }
 
 /// Assignment of one shard.
--- a/crates/ownership/src/write.rs
+++ b/crates/ownership/src/write.rs
@@ -17,6 +17,8 @@
     Move(Upstream),
     /// Take shards from an upstream that is lost.
     Reassign(Upstream),
+    /// Remove earlier homes whose authority has ended.
+    Settle,
     /// Clear prior owners that released their shards.
     Clear,
 }
