--- a/crates/request/src/estimate.rs
+++ b/crates/request/src/estimate.rs
@@ -5,6 +5,9 @@
 const MEAN_SMOOTHING: f64 = 1.0 / 16.0;
 const DEVIATION_SMOOTHING: f64 = 1.0 / 16.0;
 const TAIL_DEVIATIONS: f64 = 3.0;
+/// Longest sample that is believed, in multiples of the mean. One attempt that
+/// hung doesn't make an upstream look slow, several do.
+const MAX_SAMPLE: f64 = 8.0;
 
 /// Exponentially weighted mean and deviation of durations.
 #[derive(Clone, Copy, Debug)]
@@ -22,7 +25,8 @@
     }
 
     pub(crate) fn record(&mut self, sample: Duration) {
-        let error = to_micros(sample) - self.mean_us;
+        let sample_us = to_micros(sample).min(MAX_SAMPLE * self.mean_us.max(1.0));
+        let error = sample_us - self.mean_us;
         self.mean_us += error * MEAN_SMOOTHING;
         self.deviation_us += (error.abs() - self.deviation_us) * DEVIATION_SMOOTHING;
     }
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -56,7 +56,7 @@
 mod snapshot;
 
 pub use action::{Action, Decision, Outcome, Reason, Step, Verdict};
-pub use event::{Answer, Arrival, Event, Grant, Id, Stored};
+pub use event::{Answer, Arrival, Event, Grant, Id, Stored, Unreadable};
 pub use machine::Machine;
 pub use settings::{Builder, Settings};
 pub use snapshot::{Flow, Snapshot, Station};
--- a/crates/request/src/machine/admission.rs
+++ b/crates/request/src/machine/admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use eelgrassrock_model::fleet::Patience;
+use eelgrassrock_model::fleet::{Patience, Repeat};
 use eelgrassrock_model::time::Instant;
 use rand::RngExt;
 
@@ -37,6 +37,7 @@
             claim: self.claim_row(&arrival),
             timer: None,
             attempts: arrival.attempts,
+            may_have_run: arrival.attempts > 0 && arrival.class.repeat == Repeat::Idempotent,
             told: false,
             arrival,
         };
--- a/crates/request/src/machine/answer.rs
+++ b/crates/request/src/machine/answer.rs
@@ -12,13 +12,6 @@
 use crate::action::{Action, Outcome, Reason, Step, Verdict};
 use crate::event::{Answer, Id, Stored};
 
-/// What follows an attempt that ended without the whole answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Next {
-    Retry(Duration),
-    Finish(Verdict),
-}
-
 impl Machine {
     pub(crate) fn begin(&mut self, id: Id, attempt: u32) {
         match self.running(id, attempt) {
@@ -75,45 +68,25 @@
     }
 
     fn answer_shed(&mut self, now: Instant, id: Id, retry_after: Option<Duration>) {
-        let verdict = Verdict {
-            outcome: Outcome::NotRun,
-            reason: Reason::Shed,
-            retry_after,
-        };
-        let next = match retry_after {
-            Some(pause) if self.may_retry(now, id, pause) => Next::Retry(pause),
-            _ => Next::Finish(verdict),
-        };
-        self.follow(now, id, next, Reason::Shed);
+        match retry_after {
+            Some(pause) if self.may_retry(now, id, pause) => {
+                self.retry(now, id, pause, Reason::Shed);
+            }
+            _ => self.refuse(now, id, Reason::Shed, retry_after),
+        }
     }
 
     fn answer_failed(&mut self, now: Instant, id: Id, began: bool, reason: Reason) {
         let request = &self.requests[&id];
         let responding = request.attempt().is_some_and(|attempt| attempt.responding);
         let repeatable = !began || (!request.runs_once() && !responding);
-        let outcome = if began {
-            Outcome::Unknown
-        } else {
-            Outcome::NotRun
-        };
-        let verdict = Verdict {
-            outcome,
-            reason,
-            retry_after: None,
-        };
+        let request = self.requests.get_mut(&id).expect("the request is known");
+        request.may_have_run |= began;
         let pause = self.backoff(id);
-        let next = if repeatable && self.may_retry(now, id, pause) {
-            Next::Retry(pause)
+        if repeatable && self.may_retry(now, id, pause) {
+            self.retry(now, id, pause, reason);
         } else {
-            Next::Finish(verdict)
-        };
-        self.follow(now, id, next, reason);
-    }
-
-    fn follow(&mut self, now: Instant, id: Id, next: Next, reason: Reason) {
-        match next {
-            Next::Finish(verdict) => self.finish(now, id, verdict),
-            Next::Retry(pause) => self.retry(now, id, pause, reason),
+            self.refuse(now, id, reason, None);
         }
     }
 
--- a/crates/request/src/machine/dispatch.rs
+++ b/crates/request/src/machine/dispatch.rs
@@ -127,7 +127,8 @@
         }
     }
 
-    /// Ends a request that is proven not to have run.
+    /// Ends a request of which no attempt is under way. It is proven not to have
+    /// run, unless an earlier attempt may have.
     pub(crate) fn refuse(
         &mut self,
         now: Instant,
@@ -135,8 +136,14 @@
         reason: Reason,
         retry_after: Option<Duration>,
     ) {
+        let may_have_run = self.requests[&id].may_have_run;
+        let outcome = if may_have_run {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        };
         let verdict = Verdict {
-            outcome: Outcome::NotRun,
+            outcome,
             reason,
             retry_after,
         };
--- a/crates/request/src/machine/fleet.rs
+++ b/crates/request/src/machine/fleet.rs
@@ -6,6 +6,7 @@
 use eelgrassrock_model::time::Instant;
 
 use super::Machine;
+use super::request::Request;
 use super::station::Station;
 use crate::action::Reason;
 use crate::event::{Grant, Id};
@@ -73,8 +74,12 @@
         upstream: &Upstream,
         moved: impl Fn(Shard) -> bool,
     ) {
-        for id in self.unsent(upstream) {
-            if moved(self.requests[&id].arrival.shard) {
+        for id in self.waiting(upstream) {
+            let waits = self
+                .requests
+                .get(&id)
+                .filter(|request| request.is_waiting());
+            if waits.is_some_and(|request| moved(request.arrival.shard)) {
                 self.redirect(now, id, Reason::NotHome);
             }
         }
@@ -82,22 +87,27 @@
 
     /// Refuses what waits and whose callers want a prompt answer.
     fn stop_prompt(&mut self, now: Instant, upstream: &Upstream) {
-        for id in self.unsent(upstream) {
-            if self.requests[&id].wants_prompt_answer() {
+        for id in self.waiting(upstream) {
+            let waits = self
+                .requests
+                .get(&id)
+                .filter(|request| request.is_waiting());
+            if waits.is_some_and(Request::wants_prompt_answer) {
                 let retry_after = Some(self.settings.lapse_retry);
                 self.refuse(now, id, Reason::NotServing, retry_after);
             }
         }
     }
 
-    fn unsent(&self, upstream: &Upstream) -> Vec<Id> {
+    /// Returns the requests that wait for a slot or for the next attempt.
+    fn waiting(&self, upstream: &Upstream) -> Vec<Id> {
         let requests = self.requests.iter();
-        let mut unsent: Vec<Id> = requests
+        let mut waiting: Vec<Id> = requests
             .filter(|(_, request)| request.arrival.upstream == *upstream)
-            .filter(|(_, request)| request.attempt().is_none())
+            .filter(|(_, request)| request.is_waiting())
             .map(|(id, _)| *id)
             .collect();
-        unsent.sort_unstable();
-        unsent
+        waiting.sort_unstable();
+        waiting
     }
 }
--- a/crates/request/src/machine/foreign.rs
+++ b/crates/request/src/machine/foreign.rs
@@ -10,7 +10,7 @@
 use super::Machine;
 use super::commit::DOWN_TIME;
 use crate::action::{Action, Reason};
-use crate::claim::{self, Life, State};
+use crate::claim::{self, Life, Record, State};
 use crate::event::{Id, Stored, Unreadable};
 
 impl Machine {
@@ -21,32 +21,39 @@
             self.ledger.remove(key);
             return;
         };
-        let mut waiting = std::mem::take(&mut record.followers);
-        waiting.insert(0, id);
+        record.intent = None;
+        record.followers.insert(0, id);
+        self.take_foreign(now, key, row, now);
+    }
+
+    /// Takes in a claim of another router, first seen at `since`, and answers
+    /// all who wait for it.
+    fn take_foreign(&mut self, now: Instant, key: &Arc<str>, row: &Row, since: Instant) {
+        let record = self.ledger.get_mut(key).expect("the record is known");
+        let waiting = std::mem::take(&mut record.followers);
         let claim = claim::Row::decode(&row.value);
-        let same_body = claim.as_ref().is_ok_and(|claim| claim.body == record.body);
-        if claim.is_ok() && !same_body {
+        if claim.as_ref().is_ok_and(|claim| claim.body != record.body) {
             self.ledger.remove(key);
-            for id in waiting {
-                self.refuse(now, id, Reason::BodyDiffers, None);
-            }
-            return;
+            return self.refuse_all(now, waiting, Reason::BodyDiffers, None);
         }
-        record.within = claim.as_ref().map_or(Duration::ZERO, |claim| claim.within);
-        record.state = match claim.map(|claim| claim.life) {
-            Ok(Life::Done(status)) => State::Done(Arc::new(Stored {
-                status,
-                content: None,
-            })),
-            Ok(Life::Running) => State::Elsewhere(now),
-            Ok(Life::Unknown) | Err(_) => State::Unknown,
-        };
-        record.intent = None;
+        record.state = foreign_state(now, record, claim.ok().as_ref(), since);
         let state = record.state.clone();
         self.ledger.release(key);
         self.tell_followers(now, waiting, &state);
     }
 
+    fn refuse_all(
+        &mut self,
+        now: Instant,
+        ids: Vec<Id>,
+        reason: Reason,
+        retry_after: Option<Duration>,
+    ) {
+        for id in ids {
+            self.refuse(now, id, reason, retry_after);
+        }
+    }
+
     /// Reads the row of a claim that another router held when it was last seen.
     pub(crate) fn look_elsewhere(&mut self, now: Instant, id: Id, key: Arc<str>) {
         if let Some(down) = self.writer.down_for(now) {
@@ -71,37 +78,43 @@
         let State::Elsewhere(since) = record.state else {
             return;
         };
-        let mut waiting = std::mem::take(&mut record.followers);
-        let overdue = now - since > record.within;
         match row {
             Err(Unreadable) => {
-                for id in waiting {
-                    self.refuse(now, id, Reason::StoreDown, Some(DOWN_TIME));
-                }
+                let waiting = std::mem::take(&mut record.followers);
+                self.refuse_all(now, waiting, Reason::StoreDown, Some(DOWN_TIME));
             }
-            Ok(None) if waiting.is_empty() => {
+            Ok(Some(row)) => self.take_foreign(now, key, &row, since),
+            Ok(None) if record.followers.is_empty() => {
                 self.ledger.remove(key);
             }
             Ok(None) => {
-                let next = waiting.remove(0);
-                record.followers = waiting;
+                let next = record.followers.remove(0);
                 record.expect = Version(0);
                 record.claim_again(next);
                 self.await_claim(next, key.clone());
             }
-            Ok(Some(row)) => {
-                let claim = claim::Row::decode(&row.value);
-                record.state = match claim.map(|claim| claim.life) {
-                    Ok(Life::Done(status)) => State::Done(Arc::new(Stored {
-                        status,
-                        content: None,
-                    })),
-                    Ok(Life::Running) if !overdue => State::Elsewhere(since),
-                    Ok(_) | Err(_) => State::Unknown,
-                };
-                let state = record.state.clone();
-                self.tell_followers(now, waiting, &state);
-            }
         }
     }
 }
+
+/// Judges a claim of another router: a run that should have ended long ago and
+/// has left no outcome is unknown.
+fn foreign_state(
+    now: Instant,
+    record: &mut Record,
+    claim: Option<&claim::Row>,
+    since: Instant,
+) -> State {
+    let Some(claim) = claim else {
+        return State::Unknown;
+    };
+    record.within = claim.within;
+    match claim.life {
+        Life::Done(status) => State::Done(Arc::new(Stored {
+            status,
+            content: None,
+        })),
+        Life::Running if now - since <= claim.within => State::Elsewhere(since),
+        Life::Running | Life::Unknown => State::Unknown,
+    }
+}
--- a/crates/request/src/machine/request.rs
+++ b/crates/request/src/machine/request.rs
@@ -20,6 +20,8 @@
     /// Row of its claim, if it needs one.
     pub(crate) claim: Option<Arc<str>>,
     pub(crate) attempts: u32,
+    /// Whether an earlier attempt may have run.
+    pub(crate) may_have_run: bool,
     /// Whether the caller has its final answer or has left.
     pub(crate) told: bool,
 }
@@ -64,6 +66,11 @@
         }
     }
 
+    /// Returns whether it waits for a slot or for the next attempt.
+    pub(crate) fn is_waiting(&self) -> bool {
+        matches!(self.phase, Phase::Queued | Phase::Backoff)
+    }
+
     pub(crate) fn runs_once(&self) -> bool {
         self.arrival.class.repeat == Repeat::Once
     }
--- a/crates/request/tests/idempotency.rs
+++ b/crates/request/tests/idempotency.rs
@@ -275,3 +275,47 @@
     let actions = named("a").step(at(1), Event::Arrive(arrival));
     assert_eq!(verdict_of(&actions, 1).reason, Reason::KeyMissing);
 }
+
+#[test]
+fn claim_seen_elsewhere_may_have_got_another_body() {
+    let mut table = Table::default();
+    let mut other = named("a");
+    step(
+        &mut other,
+        &mut table,
+        at(1),
+        Event::Arrive(once(1, at(1), "a", 0)),
+    );
+    let mut home = named("b");
+    let repeat = Event::Arrive(once(2, at(1), "a", 0));
+    assert_eq!(
+        verdict_of(&step(&mut home, &mut table, at(1), repeat), 2).reason,
+        Reason::Running
+    );
+    step(
+        &mut other,
+        &mut table,
+        at(2),
+        answered(1, 1, Answer::NotSent),
+    );
+    step(
+        &mut other,
+        &mut table,
+        at(2),
+        Event::Left { request: Id(1) },
+    );
+    step(&mut other, &mut table, at(2000), Event::Tick);
+    assert!(table.is_empty());
+    run_first_as(&mut other, &mut table, once(3, at(2000), "a", 7));
+    let repeat = Event::Arrive(once(4, at(2000), "a", 0));
+    let verdict = verdict_of(&step(&mut home, &mut table, at(2000), repeat), 4);
+    assert_eq!(verdict.reason, Reason::BodyDiffers);
+}
+
+fn run_first_as(machine: &mut Machine, table: &mut Table, arrival: Arrival) {
+    let (id, now) = (arrival.request.0, arrival.deadline);
+    step(machine, table, at(2000), Event::Arrive(arrival));
+    step(machine, table, at(2000), began(id, 1));
+    step(machine, table, at(2001), done(id, 1));
+    step(machine, table, now, Event::Tick);
+}
--- a/crates/request/tests/slots.rs
+++ b/crates/request/tests/slots.rs
@@ -119,3 +119,16 @@
     assert!(actions.contains(&redirect));
     assert_eq!(machine.snapshot().requests, 2);
 }
+
+#[test]
+fn refused_retry_of_an_attempt_that_began_is_unknown() {
+    let mut machine = machine(Settings::builder().build());
+    machine.step(at(1), Event::Arrive(read(1, at(1))));
+    machine.step(at(1), began(1, 1));
+    machine.step(at(2), answered(1, 1, Answer::Broken));
+    let grant = Grant::Lapsed;
+    let upstream = upstream();
+    machine.step(at(3), Event::Serving { upstream, grant });
+    let verdicts = finished(&machine.step(at(9000), Event::Tick));
+    assert_eq!(verdicts[0].1.outcome, Outcome::Unknown);
+}
