Tests of the retry budget and of the bounds of the queue

Cause: sent load must stay at most 1.1 times the offered load, and the queue of a partner is bounded in requests and bytes. Measured: 2,000 reads against an upstream that fails every attempt make at most 2,201 attempts; a shed request without a time is sent once. Seen red: budget that never runs out; retry of a shed request without a time; bound times 100.

--- /dev/null
+++ b/crates/request/tests/retries.rs
@@ -0,0 +1,111 @@
+//! Retries: only what may repeat, within the deadline and the budget.
+
+mod support;
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use eelgrassrock_model::time::Instant;
+use eelgrassrock_request::{Action, Answer, Event, Machine, Outcome, Reason, Settings, experiment};
+use rstest::rstest;
+use support::*;
+
+/// Sends `count` reads, one a millisecond, to an upstream that answers each
+/// attempt as given, and returns the number of attempts.
+fn attempts(machine: &mut Machine, count: u64, answer: &Answer) -> usize {
+    let mut sends = 0;
+    for id in 1..=count {
+        let now = at(id);
+        let mut events = VecDeque::from([Event::Tick, Event::Arrive(read(id, now))]);
+        while let Some(event) = events.pop_front() {
+            for action in machine.step(now, event) {
+                if let Action::Send {
+                    request, attempt, ..
+                } = action
+                {
+                    sends += 1;
+                    events.push_back(began(request.0, attempt));
+                    events.push_back(answered(request.0, attempt, answer.clone()));
+                }
+            }
+        }
+    }
+    sends
+}
+
+#[rstest]
+#[case::broken(Answer::Broken)]
+#[case::not_sent(Answer::NotSent)]
+#[case::shed(Answer::Shed { retry_after: Some(Duration::from_millis(3)) })]
+fn attempts_are_at_most_a_tenth_more_than_requests(#[case] answer: Answer) {
+    let mut machine = machine(Settings::builder().build());
+    let sends = attempts(&mut machine, 2_000, &answer);
+    assert!((2_000..=2_201).contains(&sends), "{sends} attempts");
+}
+
+#[test]
+fn shed_request_is_not_retried_unless_told_when() {
+    let mut machine = machine(Settings::builder().build());
+    let answer = Answer::Shed { retry_after: None };
+    assert_eq!(attempts(&mut machine, 50, &answer), 50);
+}
+
+#[rstest]
+#[case::at_most_once(once(1, at(1), "a", 0), Outcome::Unknown)]
+#[case::responding(read(1, at(1)), Outcome::Unknown)]
+fn run_that_may_have_begun_is_not_repeated(
+    #[case] arrival: eelgrassrock_request::Arrival,
+    #[case] outcome: Outcome,
+) {
+    let mut machine = machine(Settings::builder().build());
+    let mut table = experiment::Table::default();
+    for action in machine.step(at(1), Event::Arrive(arrival)) {
+        if let Action::Write(transaction) = action {
+            let outcome = table.apply(&transaction);
+            let operation = transaction.operation;
+            machine.step(at(1), Event::Written { operation, outcome });
+        }
+    }
+    machine.step(at(2), began(1, 1));
+    let request = eelgrassrock_request::Id(1);
+    if table.is_empty() {
+        machine.step(
+            at(2),
+            Event::Responding {
+                request,
+                attempt: 1,
+            },
+        );
+    }
+    let verdicts = finished(&machine.step(at(3), answered(1, 1, Answer::Broken)));
+    assert_eq!(
+        (verdicts[0].1.outcome, verdicts[0].1.reason),
+        (outcome, Reason::Broken)
+    );
+}
+
+#[test]
+fn retry_waits_for_the_time_that_was_told() {
+    let mut machine = machine(Settings::builder().build());
+    machine.step(at(1), Event::Arrive(read(1, at(1))));
+    machine.step(at(1), began(1, 1));
+    let retry_after = Some(Duration::from_millis(300));
+    machine.step(at(2), answered(1, 1, Answer::Shed { retry_after }));
+    let wake: Instant = machine.next_wake().unwrap();
+    assert!(wake >= at(302), "{wake:?}");
+    assert_eq!(sent(&machine.step(wake, Event::Tick)), [1]);
+}
+
+#[test]
+fn retry_that_comes_too_late_is_not_made() {
+    let mut machine = machine(Settings::builder().build());
+    machine.step(at(1), Event::Arrive(read(1, at(1))));
+    machine.step(at(1), began(1, 1));
+    let retry_after = Some(DEADLINE);
+    let actions = machine.step(at(2), answered(1, 1, Answer::Shed { retry_after }));
+    let verdict = finished(&actions)[0].1;
+    assert_eq!(
+        (verdict.outcome, verdict.retry_after),
+        (Outcome::NotRun, retry_after)
+    );
+}
--- a/crates/request/tests/slots.rs
+++ b/crates/request/tests/slots.rs
@@ -132,3 +132,28 @@
     let verdicts = finished(&machine.step(at(9000), Event::Tick));
     assert_eq!(verdicts[0].1.outcome, Outcome::Unknown);
 }
+
+#[rstest]
+#[case::requests(Settings::builder().queue_requests(5), 100, 5)]
+#[case::bytes(Settings::builder().queue_bytes(4_000), 1_000, 4)]
+fn queue_of_a_partner_is_bounded(
+    #[case] settings: eelgrassrock_request::Builder,
+    #[case] bytes: u32,
+    #[case] bound: usize,
+) {
+    let mut machine = machine(settings.build());
+    let mut refused = Vec::new();
+    for id in 0..20 {
+        let mut arrival = read(id, at(1));
+        arrival.bytes = bytes;
+        refused.extend(finished(&machine.step(at(1), Event::Arrive(arrival))));
+    }
+    assert_eq!(machine.snapshot().stations[&upstream()].queued, bound);
+    assert_eq!(refused.len(), 20 - 2 - bound);
+    let bound =
+        |verdict: &Verdict| verdict.reason == Reason::Bound && verdict.retry_after.is_some();
+    assert!(refused.iter().all(|(_, verdict)| bound(verdict)));
+    let mut other = read(99, at(1));
+    other.partner = "chemist".parse().unwrap();
+    assert!(finished(&machine.step(at(1), Event::Arrive(other))).is_empty());
+}
