Rebalancing, and bounds of planned moves, outages and handovers

Cause: upstreams that join got no shards, and a hot shard kept its neighbours. Homes now even out numbers, and move other shards off a busy upstream; a shard rests for 60 s between two moves that aren't necessary. An order whose answer came in the same instant as the next order was sent stays in the ledger. Measured: tests/bounds.rs in virtual time, messages of 0.2 to 2 ms: a planned move leaves no shard unserved for more than 14 ms, a 60 s outage of the table changes nothing, a graceful stop lets no lease lapse, with and without table. tests/safety.rs: 2 x 400 random schedules, no double ownership.

--- a/crates/ownership/src/held.rs
+++ b/crates/ownership/src/held.rs
@@ -105,8 +105,16 @@
     pub(crate) predecessor_asked_at: Option<Instant>,
     /// Start of the wait before releases are noted in the table.
     pub(crate) cleared_at: Option<Instant>,
-    /// Busy share of the slots, in parts per million.
-    pub(crate) busy_ppm: u32,
+    /// Busy share of the slots by shard.
+    pub(crate) busy: BTreeMap<Shard, f64>,
+    /// Whether any load was reported.
+    pub(crate) has_load: bool,
+    /// When the shards were gained.
+    pub(crate) gained: BTreeMap<Shard, Instant>,
+    /// When this router became home.
+    pub(crate) since: Instant,
+    /// Time before which no shards are moved without need.
+    pub(crate) next_round: Instant,
     /// Whether this router goes on under the term of another one.
     pub(crate) is_acting: bool,
     life: InitializedStateMachine<Life>,
@@ -149,7 +157,11 @@
             predecessor: None,
             predecessor_asked_at: None,
             cleared_at: None,
-            busy_ppm: 0,
+            busy: BTreeMap::new(),
+            has_load: false,
+            gained: BTreeMap::new(),
+            since: now,
+            next_round: now,
             is_acting: false,
             life: Life.uninitialized_state_machine().init(),
         }
@@ -175,6 +187,11 @@
         matches!(self.state(), State::Granting {} | State::Suspect {})
     }
 
+    /// Returns the busy share of the slots.
+    pub(crate) fn busy_share(&self) -> f64 {
+        self.busy.values().sum()
+    }
+
     /// Returns whether no earlier home can give orders.
     pub(crate) fn is_settled(&self, now: Instant) -> bool {
         self.state() != State::Loading {} && now >= self.settles_at
--- a/crates/ownership/src/ledger.rs
+++ b/crates/ownership/src/ledger.rs
@@ -57,7 +57,7 @@
         accepted.answered_at = Some(now);
         let sent_at = accepted.sent_at;
         self.entries.retain(|it| {
-            let answered_before = it.answered_at.is_some_and(|at| at <= sent_at);
+            let answered_before = it.answered_at.is_some_and(|at| at < sent_at);
             let earlier = it.sequence < sequence;
             !(earlier && (checks_orders || answered_before))
         });
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -6,6 +6,7 @@
 //! ever own one shard.
 
 mod action;
+mod balance;
 mod decision;
 mod event;
 pub mod grant;
--- a/crates/ownership/src/machine/placement.rs
+++ b/crates/ownership/src/machine/assign.rs
@@ -1,4 +1,4 @@
-//! Placement: which upstream owns which shards.
+//! Assignments: which upstream owns which shards, written to the table.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -11,7 +11,6 @@
 use super::Machine;
 use crate::action::Action;
 use crate::decision::{Reason, What};
-use crate::event::Load;
 use crate::held::Plan;
 use crate::life::State;
 use crate::message::Message;
@@ -225,7 +224,7 @@
     }
 
     /// Returns the shards of an upstream whose rows aren't being written.
-    fn free_shards(&self, service: &Service, upstream: &Upstream) -> Vec<Shard> {
+    pub(super) fn free_shards(&self, service: &Service, upstream: &Upstream) -> Vec<Shard> {
         let owned = self.view.owned(upstream);
         let mut last: Option<(u32, bool)> = None;
         owned
@@ -255,8 +254,7 @@
         };
         let mut shards = self.free_shards(&service, upstream);
         shards.retain(|shard| self.is_movable(&service, upstream, *shard));
-        let shares = self.shares(&service, Some(upstream));
-        let parts = place::divide(&shards, &shares);
+        let parts = self.divide(&service, upstream, &shards);
         if !parts.is_empty() {
             let purpose = Purpose::Reassign(upstream.clone());
             self.assign(&service, parts, Some(upstream), purpose, Reason::Lost);
@@ -264,7 +262,7 @@
     }
 
     /// Returns whether the prior owner of a shard, if any, has released it.
-    fn is_movable(&self, service: &Service, owner: &Upstream, shard: Shard) -> bool {
+    pub(super) fn is_movable(&self, service: &Service, owner: &Upstream, shard: Shard) -> bool {
         let Some(entry) = self.view.entry(service, shard) else {
             return false;
         };
@@ -273,33 +271,6 @@
         entry.prior.is_none() || released == Some(&entry.epoch)
     }
 
-    /// Plans moves away from upstreams of this router that are leaving.
-    fn plan_moves(&mut self) {
-        let upstreams: Vec<Upstream> = self.held.keys().cloned().collect();
-        for upstream in upstreams {
-            if self.is_leaving(&upstream) {
-                self.plan_departure(&upstream);
-            }
-        }
-    }
-
-    fn plan_departure(&mut self, upstream: &Upstream) {
-        let Some(service) = self.view.service_of(upstream).cloned() else {
-            return;
-        };
-        let Some(held) = self.held.get(upstream) else {
-            return;
-        };
-        if !held.plans.is_empty() || !held.is_settled(self.now) || !held.is_alive() {
-            return;
-        }
-        let mut shards = self.free_shards(&service, upstream);
-        shards.retain(|shard| self.is_movable(&service, upstream, *shard));
-        let shares = self.shares(&service, Some(upstream));
-        let parts = place::divide(&shards, &shares);
-        self.plan(upstream, parts, Reason::Leaving);
-    }
-
     /// Asks the homes of the next owners whether these are ready.
     pub(super) fn plan(
         &mut self,
@@ -433,19 +404,4 @@
             held.released.retain(|shard, _| !cleared.contains(shard));
         }
     }
-
-    pub(super) fn on_load(&mut self, loads: &[Load]) {
-        for load in loads {
-            let slots = self.view.fleet.upstreams.get(&load.upstream);
-            let slots = slots.map_or(1, |it| it.slots.max(1));
-            let busy: Duration = load.shards.iter().map(|(_, busy)| *busy).sum();
-            let capacity = load.window * slots;
-            if let Some(held) = self.held.get_mut(&load.upstream)
-                && !capacity.is_zero()
-            {
-                let share = busy.as_secs_f64() / capacity.as_secs_f64();
-                held.busy_ppm = (share * 1e6) as u32;
-            }
-        }
-    }
 }
--- a/crates/ownership/src/machine/lease.rs
+++ b/crates/ownership/src/machine/lease.rs
@@ -37,6 +37,8 @@
             held.handle(Happening::Loaded);
             held.grants_stale = true;
             held.next_beat = self.now;
+            let since = held.since;
+            held.gained = self.view.owned(upstream).map(|it| (it, since)).collect();
         }
     }
 
--- a/crates/ownership/src/machine/message.rs
+++ b/crates/ownership/src/machine/message.rs
@@ -136,7 +136,7 @@
             upstream: upstream.clone(),
             alive: held.is_some_and(crate::held::Held::is_alive),
             leaving: self.is_leaving(upstream),
-            busy_ppm: held.map_or(0, |held| held.busy_ppm),
+            busy_ppm: held.map_or(0, |held| (held.busy_share() * 1e6) as u32),
         }
     }
 
--- a/crates/ownership/src/machine/mod.rs
+++ b/crates/ownership/src/machine/mod.rs
@@ -1,10 +1,11 @@
 //! The machine: state, dispatch of events, and queries.
 
+mod assign;
 mod claim;
 mod handover;
 mod lease;
 mod message;
-mod placement;
+mod rebalance;
 mod release;
 mod table;
 
@@ -298,9 +299,7 @@
             }
             Change::Block(service, touched) => {
                 for upstream in &touched {
-                    if let Some(held) = self.held.get_mut(upstream) {
-                        held.grants_stale = true;
-                    }
+                    self.note_gained(&service, upstream);
                     self.watch(upstream);
                 }
                 self.watch_service(&service);
@@ -310,6 +309,21 @@
         }
     }
 
+    /// Notes which shards an upstream of this router gained or lost.
+    fn note_gained(&mut self, service: &Service, upstream: &Upstream) {
+        let Some(held) = self.held.get_mut(upstream) else {
+            return;
+        };
+        held.grants_stale = true;
+        let owner = |shard: Shard| self.view.entry(service, shard)?.owner.as_ref();
+        held.gained
+            .retain(|shard, _| owner(*shard) == Some(upstream));
+        held.busy.retain(|shard, _| owner(*shard) == Some(upstream));
+        for shard in self.view.owned(upstream) {
+            held.gained.entry(shard).or_insert(self.now);
+        }
+    }
+
     fn on_bad_row(&mut self, row: &Row, fault: &str) {
         for held in self.held.values_mut() {
             held.grants_stale = true;
--- a/crates/ownership/tests/bounds.rs
+++ b/crates/ownership/tests/bounds.rs
@@ -4,6 +4,9 @@
 
 use std::time::Duration;
 
+use eelgrassrock_model::Version;
+use eelgrassrock_model::fleet::{Fleet, Goal};
+use eelgrassrock_ownership::Event;
 use rstest::rstest;
 use world::{Shape, World, router, upstream};
 
@@ -59,3 +62,130 @@
         assert_ne!(world.home_of(&upstream(index)), router(index));
     }
 }
+
+fn shape(checks_orders: bool) -> Shape {
+    Shape {
+        checks_orders,
+        ..Shape::default()
+    }
+}
+
+fn calm(checks_orders: bool) -> World {
+    let mut world = World::settled(shape(checks_orders));
+    world.run_for(2 * SECOND);
+    world
+}
+
+/// One exchange: the order to the owner before, the message to the next home
+/// and the order to the next owner, each way taking 2 ms at most.
+const ONE_EXCHANGE: Duration = Duration::from_millis(14);
+
+#[rstest]
+#[case::checking_by_list(true, true)]
+#[case::unchecking_by_list(false, true)]
+#[case::checking_by_answer(true, false)]
+#[case::unchecking_by_answer(false, false)]
+fn leaving_upstream_gets_no_work_after_3_s(#[case] checks_orders: bool, #[case] by_list: bool) {
+    let mut world = calm(checks_orders);
+    assert!(world.count_of(0) > 0);
+    if by_list {
+        world.send_all(&Event::Leaving(vec![upstream(0)]));
+    } else {
+        world.upstreams[&upstream(0)].leaving = true;
+    }
+    let worst = world.worst_gap(3 * SECOND);
+    assert_eq!(world.count_of(0), 0);
+    assert!(worst <= ONE_EXCHANGE, "{worst:?}");
+    assert_eq!(world.violation, None);
+}
+
+#[rstest]
+#[case::checking(true)]
+#[case::unchecking(false)]
+fn long_store_outage_changes_nothing(#[case] checks_orders: bool) {
+    let mut world = calm(checks_orders);
+    world.table.up = false;
+    let worst = world.worst_gap(60 * SECOND);
+    assert_eq!(worst, Duration::ZERO);
+}
+
+#[rstest]
+#[case::checking(true, true)]
+#[case::unchecking(false, true)]
+#[case::checking_in_outage(true, false)]
+#[case::unchecking_in_outage(false, false)]
+fn graceful_stop_lets_no_lease_lapse(#[case] checks_orders: bool, #[case] table_up: bool) {
+    let mut world = calm(checks_orders);
+    world.table.up = table_up;
+    let home = world.home_of(&upstream(0));
+    world.send(&home, Event::Drain);
+    let took = world.run_while(10 * SECOND, |it| !it.nodes[&home].drained);
+    assert!(took < SECOND, "{took:?}");
+    world.nodes[&home].up = false;
+    let worst = world.worst_gap(3 * SECOND);
+    assert!(worst <= ONE_EXCHANGE, "{worst:?}");
+    assert_eq!(world.violation, None);
+}
+
+#[test]
+fn loss_of_home_and_unchecking_upstream_waits_for_the_authority() {
+    let authority = 5 * SECOND;
+    let mut world = World::settled(Shape {
+        authority,
+        ..shape(false)
+    });
+    world.run_for(2 * SECOND);
+    let home = world.home_of(&upstream(0));
+    world.nodes[&home].up = false;
+    world.run_for(2 * SECOND);
+    world.upstreams[&upstream(0)].up = false;
+    let worst = world.worst_gap(10 * SECOND);
+    assert!(worst > 2 * SECOND, "{worst:?}");
+    assert!(worst < authority + SECOND, "{worst:?}");
+    assert_eq!(world.unserved(), []);
+}
+
+#[test]
+fn loss_of_home_and_checking_upstream_in_turn_needs_no_authority() {
+    let mut world = calm(true);
+    let home = world.home_of(&upstream(0));
+    world.nodes[&home].up = false;
+    world.run_for(2 * SECOND);
+    world.upstreams[&upstream(0)].up = false;
+    let worst = world.worst_gap(3 * SECOND);
+    assert!(worst < SECOND, "{worst:?}");
+}
+
+#[test]
+fn home_that_was_paused_hands_over() {
+    let mut world = calm(false);
+    let home = world.home_of(&upstream(0));
+    world.nodes[&home].paused_until = world.now + 2 * SECOND;
+    let worst = world.worst_gap(3 * SECOND);
+    assert!(worst < SECOND, "{worst:?}");
+    let next = world.home_of(&upstream(0));
+    assert_ne!(next, home);
+    let snapshot = world.nodes[&next].machine.snapshot();
+    assert_eq!(snapshot.homes[&upstream(0)].settled, Some(true));
+}
+
+#[rstest]
+#[case::availability(Goal::Availability)]
+#[case::balance(Goal::Balance)]
+fn upstream_that_joins_gets_its_share_in_planned_moves(#[case] goal: Goal) {
+    let mut world = World::settled(Shape {
+        goal,
+        ..Shape::default()
+    });
+    let mut larger = world.shape.clone();
+    larger.upstreams = 4;
+    world.set_fleet(Fleet {
+        version: Version(2),
+        ..world::fleet(&larger)
+    });
+    let worst = world.worst_gap(120 * SECOND);
+    assert!(worst <= ONE_EXCHANGE, "{worst:?}");
+    let share = world.count_of(3);
+    assert!((12..=16).contains(&share), "{share}");
+    assert_eq!(world.violation, None);
+}
--- /dev/null
+++ b/crates/ownership/tests/safety.rs
@@ -0,0 +1,153 @@
+//! No two upstreams believe at one moment that they own the same shard,
+//! whatever fails. The belief is kept by the model of the upstreams.
+
+mod world;
+
+use std::time::Duration;
+
+use eelgrassrock_model::Name;
+use eelgrassrock_model::time::Instant;
+use eelgrassrock_ownership::Event;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use world::{MS, Noise, Shape, World, router, upstream};
+
+const ROUTERS: usize = 3;
+const UPSTREAMS: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Fault {
+    PauseRouter(usize, u64),
+    StopRouter(usize),
+    StartRouter(usize),
+    DrainRouter(usize),
+    PauseUpstream(usize, u64),
+    StopUpstream(usize),
+    StartUpstream(usize),
+    CutRouters(usize, usize),
+    CutTable(usize),
+    CutUpstream(usize, usize),
+    Heal,
+    TableDown,
+    TableUp,
+    Noise(Noise),
+    Leaving(Vec<usize>),
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    let router = 0..ROUTERS;
+    let upstream = 0..UPSTREAMS;
+    let noise = (0u32..200, 0u32..200, 0u32..200).prop_map(|(lost, doubled, late)| Noise {
+        lost,
+        doubled,
+        late,
+    });
+    prop_oneof![
+        1 => (router.clone(), 100u64..4000).prop_map(|(it, ms)| Fault::PauseRouter(it, ms)),
+        1 => router.clone().prop_map(Fault::StopRouter),
+        1 => router.clone().prop_map(Fault::StartRouter),
+        1 => router.clone().prop_map(Fault::DrainRouter),
+        1 => (upstream.clone(), 100u64..3000).prop_map(|(it, ms)| Fault::PauseUpstream(it, ms)),
+        1 => upstream.clone().prop_map(Fault::StopUpstream),
+        1 => upstream.clone().prop_map(Fault::StartUpstream),
+        1 => (router.clone(), router.clone()).prop_map(|(a, b)| Fault::CutRouters(a, b)),
+        1 => router.clone().prop_map(Fault::CutTable),
+        1 => (router, upstream).prop_map(|(a, b)| Fault::CutUpstream(a, b)),
+        2 => Just(Fault::Heal),
+        1 => Just(Fault::TableDown),
+        2 => Just(Fault::TableUp),
+        1 => noise.prop_map(Fault::Noise),
+        2 => prop::collection::vec(0..UPSTREAMS, 0..2).prop_map(Fault::Leaving),
+    ]
+}
+
+fn apply(world: &mut World, fault: &Fault) {
+    let later = |world: &World, ms: u64| world.now + Duration::from_millis(ms);
+    match fault {
+        Fault::PauseRouter(it, ms) => {
+            let at = later(world, *ms);
+            world.nodes[&router(*it)].paused_until = at;
+        }
+        Fault::StopRouter(it) => world.nodes[&router(*it)].up = false,
+        Fault::StartRouter(it) => world.start(*it),
+        Fault::DrainRouter(it) => world.send(&router(*it), Event::Drain),
+        Fault::PauseUpstream(it, ms) => {
+            let at = later(world, *ms);
+            world.upstreams[&upstream(*it)].paused_until = at;
+        }
+        Fault::StopUpstream(it) => world.upstreams[&upstream(*it)].up = false,
+        Fault::StartUpstream(it) => {
+            let model = &mut world.upstreams[&upstream(*it)];
+            model.paused_until = Instant::default();
+            model.restart();
+        }
+        Fault::CutRouters(a, b) => world.cut(router(*a).as_str(), router(*b).as_str()),
+        Fault::CutTable(it) => world.cut_table(router(*it).as_str()),
+        Fault::CutUpstream(a, b) => world.cut(router(*a).as_str(), upstream(*b).as_str()),
+        Fault::Heal => world.cuts.clear(),
+        Fault::TableDown => world.table.up = false,
+        Fault::TableUp => world.table.up = true,
+        Fault::Noise(noise) => world.noise = *noise,
+        Fault::Leaving(upstreams) => {
+            let leaving = upstreams.iter().map(|it| upstream(*it)).collect();
+            world.send_all(&Event::Leaving(leaving));
+        }
+    }
+}
+
+/// Runs a schedule and returns the first violation. Steps of less than 100 ms
+/// make faults coincide.
+fn run(checks_orders: bool, seed: u64, authority_ms: u64, faults: &[(u64, Fault)]) -> World {
+    let mut world = World::new(Shape {
+        routers: ROUTERS,
+        upstreams: UPSTREAMS,
+        shards: 16,
+        checks_orders,
+        authority: Duration::from_millis(authority_ms),
+        seed,
+        rates: vec![0, 20_000, -20_000, 10_000],
+        drift_ppm: 20_000,
+        ..Shape::default()
+    });
+    world.run_for(3000 * MS);
+    for (wait, fault) in faults {
+        apply(&mut world, fault);
+        world.run_for(Duration::from_millis(*wait));
+    }
+    world.cuts.clear();
+    world.table.up = true;
+    world.run_for(3000 * MS);
+    world
+}
+
+fn schedule() -> impl Strategy<Value = Vec<(u64, Fault)>> {
+    let wait = prop_oneof![0u64..100, 100u64..1000, 500u64..3000];
+    prop::collection::vec((wait, fault()), 1..24)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn sole_ownership_holds_with_checking_upstreams(
+        seed in any::<u64>(),
+        authority_ms in 1000u64..6000,
+        faults in schedule(),
+    ) {
+        prop_assert_eq!(run(true, seed, authority_ms, &faults).violation, None);
+    }
+
+    #[test]
+    fn sole_ownership_holds_with_unchecking_upstreams(
+        seed in any::<u64>(),
+        authority_ms in 1000u64..6000,
+        faults in schedule(),
+    ) {
+        prop_assert_eq!(run(false, seed, authority_ms, &faults).violation, None);
+    }
+}
--- a/crates/ownership/tests/world/mod.rs
+++ b/crates/ownership/tests/world/mod.rs
@@ -40,6 +40,7 @@
     pub(crate) seed: u64,
     /// Rates of the clocks, in parts per million, taken in turn.
     pub(crate) rates: Vec<i64>,
+    pub(crate) drift_ppm: u32,
 }
 
 impl Default for Shape {
@@ -54,6 +55,7 @@
             authority: Duration::from_secs(4 * 3600),
             seed: 1,
             rates: vec![0],
+            drift_ppm: 1_000,
         }
     }
 }
@@ -216,7 +218,7 @@
         let zone = format!("z{}", index % self.shape.zones).parse().unwrap();
         let settings = Settings::builder(name.clone(), address, zone, &life.to_string())
             .authority(self.shape.authority)
-            .drift_ppm(1_000)
+            .drift_ppm(self.shape.drift_ppm)
             .seed(self.shape.seed ^ life)
             .build();
         let node = Node {
