The operator's command

Operators check settings and bundles, sign bundles and roll them, and must know in every case whether a roll took effect. Ruled out: reading back the row bundle/current alone, as a later roll overwrites it; the row bundle/VERSION is written once and tells for ever whose transaction took effect. Ruled out too: raw flags in the logic; flags and checked arguments are two layers. Before: no command.

--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,230 @@
+//! Checked arguments.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+use clap_complete::Shell;
+use derive_more::{Display, Error};
+use eelgrassrock_config::secret::Source;
+use eelgrassrock_model::Approver;
+
+const SECRET_VARIABLE: &str = "EELGRASSROCK_SECRET";
+
+/// What the operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Arguments {
+    /// `settings check`
+    SettingsCheck {
+        /// Settings file.
+        file: PathBuf,
+    },
+    /// `bundle check`
+    BundleCheck {
+        /// Bundle file.
+        file: PathBuf,
+    },
+    /// `bundle diff`
+    BundleDiff {
+        /// Bundle before.
+        old: PathBuf,
+        /// Bundle after.
+        new: PathBuf,
+    },
+    /// `bundle keygen`
+    BundleKeygen {
+        /// New file for the private key.
+        key_file: PathBuf,
+    },
+    /// `bundle approve`
+    BundleApprove(Approve),
+    /// `bundle roll`
+    BundleRoll {
+        /// Bundle file.
+        file: PathBuf,
+        /// Services of the platform.
+        platform: Platform,
+    },
+    /// `bundle status`
+    BundleStatus(BundleStatus),
+    /// `status`
+    Status(Status),
+    /// `completions`
+    Completions {
+        /// Shell that they are for.
+        shell: Shell,
+    },
+    /// `man`
+    Man,
+}
+
+/// Services of the platform.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display("--table {table} --objects {objects}")]
+pub struct Platform {
+    /// Transactional table.
+    pub table: SocketAddr,
+    /// Object store.
+    pub objects: SocketAddr,
+}
+
+/// Arguments of `bundle approve`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Approve {
+    /// Bundle file.
+    pub file: PathBuf,
+    /// File with the private key.
+    pub key_file: PathBuf,
+    /// Who signs.
+    pub approver: Approver,
+    /// Services of the platform.
+    pub platform: Platform,
+}
+
+/// Arguments of `bundle status`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BundleStatus {
+    /// Bundle to ask about.
+    pub file: Option<PathBuf>,
+    /// Whether to print JSON.
+    pub json: bool,
+    /// Services of the platform.
+    pub platform: Platform,
+}
+
+/// Arguments of `status`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Status {
+    /// Admin port of the router.
+    pub admin: SocketAddr,
+    /// Where the secret is.
+    pub secret: Source,
+    /// Whether to print JSON.
+    pub json: bool,
+}
+
+/// Argument that isn't allowed.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("{flag} `{value}` is not allowed; allowed: {allowed}")]
+pub struct Usage {
+    /// Flag or position.
+    pub flag: &'static str,
+    /// Value as it was given.
+    pub value: String,
+    /// What is allowed instead.
+    pub allowed: &'static str,
+}
+
+impl TryFrom<&ArgMatches> for Arguments {
+    type Error = Usage;
+
+    fn try_from(matches: &ArgMatches) -> Result<Self, Usage> {
+        match matches.subcommand() {
+            Some(("settings", group)) => Ok(settings(inner(group).1)),
+            Some(("bundle", group)) => bundle(group),
+            Some(("status", matches)) => status(matches),
+            Some(("completions", matches)) => completions(matches),
+            _ => Ok(Self::Man),
+        }
+    }
+}
+
+/// Returns the command within a group, which the declaration requires.
+fn inner(group: &ArgMatches) -> (&str, &ArgMatches) {
+    group.subcommand().expect("a group requires a command")
+}
+
+fn settings(matches: &ArgMatches) -> Arguments {
+    Arguments::SettingsCheck {
+        file: path(matches, "FILE"),
+    }
+}
+
+fn bundle(group: &ArgMatches) -> Result<Arguments, Usage> {
+    let (name, matches) = inner(group);
+    match name {
+        "check" => Ok(Arguments::BundleCheck {
+            file: path(matches, "FILE"),
+        }),
+        "diff" => Ok(Arguments::BundleDiff {
+            old: path(matches, "OLD"),
+            new: path(matches, "NEW"),
+        }),
+        "keygen" => Ok(Arguments::BundleKeygen {
+            key_file: path(matches, "key-file"),
+        }),
+        "approve" => approve(matches),
+        "roll" => Ok(Arguments::BundleRoll {
+            file: path(matches, "FILE"),
+            platform: platform(matches)?,
+        }),
+        _ => Ok(Arguments::BundleStatus(BundleStatus {
+            file: text(matches, "FILE").map(PathBuf::from),
+            json: matches.get_flag("json"),
+            platform: platform(matches)?,
+        })),
+    }
+}
+
+fn approve(matches: &ArgMatches) -> Result<Arguments, Usage> {
+    let name = required(matches, "approver");
+    let approver = name.parse().map_err(|_| Usage {
+        flag: "--approver",
+        value: name.to_owned(),
+        allowed: "a name of 1 to 63 characters made of a-z, 0-9 and `-`",
+    })?;
+    Ok(Arguments::BundleApprove(Approve {
+        file: path(matches, "FILE"),
+        key_file: path(matches, "key-file"),
+        approver,
+        platform: platform(matches)?,
+    }))
+}
+
+fn status(matches: &ArgMatches) -> Result<Arguments, Usage> {
+    let file = text(matches, "secret-file").map(|path| Source::File(path.to_owned()));
+    let variable = text(matches, "secret-env").unwrap_or(SECRET_VARIABLE);
+    Ok(Arguments::Status(Status {
+        admin: address(matches, "admin", "--admin")?,
+        secret: file.unwrap_or_else(|| Source::Environment(variable.to_owned())),
+        json: matches.get_flag("json"),
+    }))
+}
+
+fn completions(matches: &ArgMatches) -> Result<Arguments, Usage> {
+    let name = required(matches, "SHELL");
+    let shell = name.parse().map_err(|_| Usage {
+        flag: "SHELL",
+        value: name.to_owned(),
+        allowed: "bash, elvish, fish, powershell or zsh",
+    })?;
+    Ok(Arguments::Completions { shell })
+}
+
+fn platform(matches: &ArgMatches) -> Result<Platform, Usage> {
+    Ok(Platform {
+        table: address(matches, "table", "--table")?,
+        objects: address(matches, "objects", "--objects")?,
+    })
+}
+
+fn address(matches: &ArgMatches, id: &str, flag: &'static str) -> Result<SocketAddr, Usage> {
+    let value = required(matches, id);
+    value.parse().map_err(|_| Usage {
+        flag,
+        value: value.to_owned(),
+        allowed: "an IP number and a port, such as `10.20.0.2:9000`",
+    })
+}
+
+fn path(matches: &ArgMatches, id: &str) -> PathBuf {
+    PathBuf::from(required(matches, id))
+}
+
+fn required<'a>(matches: &'a ArgMatches, id: &str) -> &'a str {
+    text(matches, id).expect("the declaration requires it")
+}
+
+fn text<'a>(matches: &'a ArgMatches, id: &str) -> Option<&'a str> {
+    matches.get_one::<String>(id).map(String::as_str)
+}
--- /dev/null
+++ b/crates/cli/src/bundle/keygen.rs
@@ -0,0 +1,33 @@
+//! `bundle keygen`.
+
+use std::fs::OpenOptions;
+use std::io::{self, Write};
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::Path;
+
+use eelgrassrock_config::approval::Key;
+
+use crate::answer::Answer;
+
+const OWNER_ONLY: u32 = 0o600;
+
+pub(crate) fn keygen(path: &Path) -> Answer {
+    let key = Key::generate(&mut rand::rng());
+    match write(path, &key) {
+        Ok(()) => Answer::done(format!("public-key = {}", key.public())),
+        Err(fault) => Answer::refused(format!(
+            "{}: the key can't be written: {fault}; allowed: a path of a new file",
+            path.display()
+        )),
+    }
+}
+
+fn write(path: &Path, key: &Key) -> io::Result<()> {
+    let mut options = OpenOptions::new();
+    let mut file = options
+        .write(true)
+        .create_new(true)
+        .mode(OWNER_ONLY)
+        .open(path)?;
+    writeln!(file, "{}", key.expose())
+}
--- /dev/null
+++ b/crates/cli/src/flags.rs
@@ -0,0 +1,225 @@
+//! Raw flags and their help.
+
+use clap::{Arg, ArgAction, Command};
+
+const EXIT_CODES: &str = "\
+Exit codes:
+  0  done, or all is well
+  1  refused or found wanting; nothing was changed
+  2  wrong arguments; nothing was done
+  3  unknown: the write may have taken effect; the text names the command that
+     tells";
+
+/// Returns the declaration of all commands.
+///
+/// ```
+/// use eelgrassrock_cli::flags;
+///
+/// flags::command().debug_assert();
+/// ```
+pub fn command() -> Command {
+    Command::new("eelgrassrock")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Checks settings, approves and rolls bundles, and shows the state of routers")
+        .long_about(
+            "Checks settings, approves and rolls bundles, and shows the state of routers.\n\n\
+             A bundle is an INI file that declares the services, upstreams, partners and routes \
+             of a deployment. It comes into force by a roll, once enough approvers have signed it.",
+        )
+        .after_long_help(EXIT_CODES)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands([settings(), bundle(), status(), completions(), man()])
+}
+
+fn settings() -> Command {
+    let check = Command::new("check")
+        .about("Check a settings file and print the effective settings")
+        .long_about(
+            "Checks a settings file and prints the effective settings, defaults included. The \
+             secret is looked up where the file says, but never printed. All faults are printed \
+             at once, each with file, line, section, key, value and what is allowed.",
+        )
+        .after_long_help(
+            "Example:\n  EELGRASSROCK_SECRET=0123456789abcdef \\\n    eelgrassrock settings check \
+             examples/first/router.ini",
+        )
+        .arg(file("FILE", "Settings file"));
+    group("settings", "Check the settings of a daemon").subcommand(check)
+}
+
+fn bundle() -> Command {
+    group("bundle", "Check, compare, approve and roll bundles").subcommands([
+        bundle_check(),
+        bundle_diff(),
+        bundle_keygen(),
+        bundle_approve(),
+        bundle_roll(),
+        bundle_status(),
+    ])
+}
+
+fn bundle_check() -> Command {
+    Command::new("check")
+        .about("Check a bundle and print what it declares")
+        .long_about(
+            "Checks a bundle and prints what it declares. All faults are printed at once, each \
+             with file, line, section, key, value and what is allowed.",
+        )
+        .after_long_help("Example:\n  eelgrassrock bundle check examples/umuhanga/bundle.ini")
+        .arg(file("FILE", "Bundle file"))
+}
+
+fn bundle_diff() -> Command {
+    Command::new("diff")
+        .about("Show what one bundle changes in another")
+        .long_about(
+            "Shows what bundle NEW changes in bundle OLD, a line for each change. Changes that \
+             no roll may make, such as another number of shards of a service, are marked with \
+             `!` and make the command exit with 1.",
+        )
+        .after_long_help("Example:\n  eelgrassrock bundle diff v1.ini v2.ini")
+        .arg(file("OLD", "Bundle before"))
+        .arg(file("NEW", "Bundle after"))
+}
+
+fn bundle_keygen() -> Command {
+    Command::new("keygen")
+        .about("Create the key of an approver")
+        .long_about(
+            "Creates an Ed25519 key. The private key goes to a new file that only its owner can \
+             read; the public key is printed as a line for the `[approver NAME]` section.",
+        )
+        .after_long_help("Example:\n  eelgrassrock bundle keygen --key-file imena.key")
+        .arg(value("key-file", "PATH", "New file for the private key").required(true))
+}
+
+fn bundle_approve() -> Command {
+    Command::new("approve")
+        .about("Sign a bundle as an approver")
+        .long_about(
+            "Signs version and digest of a bundle, and stores the approval in the table. Shows \
+             what the bundle changes. Refuses if the approval would not count: approvers and \
+             keys are those of the bundle in force, or of the bundle itself if it is the first.",
+        )
+        .after_long_help(
+            "Example:\n  eelgrassrock bundle approve v2.ini --key-file imena.key --approver imena \
+             \\\n    --table 10.20.0.2:9000 --objects 10.20.0.3:9000",
+        )
+        .arg(file("FILE", "Bundle file"))
+        .arg(value("key-file", "PATH", "File with the private key").required(true))
+        .arg(value("approver", "NAME", "Name of the approver in the bundle").required(true))
+        .args(platform())
+}
+
+fn bundle_roll() -> Command {
+    Command::new("roll")
+        .about("Bring an approved bundle into force")
+        .long_about(
+            "Brings an approved bundle into force. It must replace the version in force, and \
+             have the approvals that the bundle in force demands. Of two rolls at once exactly \
+             one takes effect; the other is told which version won and what differs.\n\n\
+             If the answer of the table is lost, the command reads back. If that fails as well, \
+             it exits with 3 and names the command that tells.",
+        )
+        .after_long_help(
+            "Example:\n  eelgrassrock bundle roll v2.ini \\\n    --table 10.20.0.2:9000 --objects \
+             10.20.0.3:9000",
+        )
+        .arg(file("FILE", "Bundle file"))
+        .args(platform())
+}
+
+fn bundle_status() -> Command {
+    Command::new("status")
+        .about("Show the bundle in force")
+        .long_about(
+            "Shows the bundle in force and who approved it. With FILE, tells instead whether \
+             this very bundle has been rolled: exits with 0 if it has, and with 1 if not.",
+        )
+        .after_long_help(
+            "Example:\n  eelgrassrock bundle status --table 10.20.0.2:9000 --objects \
+             10.20.0.3:9000",
+        )
+        .arg(file("FILE", "Bundle file to ask about").required(false))
+        .arg(json())
+        .args(platform())
+}
+
+fn status() -> Command {
+    Command::new("status")
+        .about("Show homes, leases, assignments and queues of a router")
+        .long_about(
+            "Asks the admin port of a router for its state: homes, leases, assignments, the \
+             queue of each upstream and the versions that routers have in force.\n\n\
+             The deployment's secret is read from the environment variable EELGRASSROCK_SECRET \
+             unless a flag names another place.",
+        )
+        .after_long_help("Example:\n  eelgrassrock status --admin 10.20.1.5:7402 --json")
+        .arg(
+            value(
+                "admin",
+                "ADDRESS",
+                "Admin port of the router, such as 10.20.1.5:7402",
+            )
+            .required(true),
+        )
+        .arg(
+            value("secret-file", "PATH", "File that holds the secret").conflicts_with("secret-env"),
+        )
+        .arg(value(
+            "secret-env",
+            "NAME",
+            "Environment variable that holds the secret",
+        ))
+        .arg(json())
+}
+
+fn completions() -> Command {
+    Command::new("completions")
+        .about("Print completions for a shell")
+        .long_about("Prints completions for a shell.")
+        .after_long_help(
+            "Example:\n  eelgrassrock completions bash > \
+             /etc/bash_completion.d/eelgrassrock",
+        )
+        .arg(file("SHELL", "bash, elvish, fish, powershell or zsh"))
+}
+
+fn man() -> Command {
+    Command::new("man")
+        .about("Print the manual page")
+        .long_about("Prints the manual page in roff.")
+        .after_long_help("Example:\n  eelgrassrock man | man -l -")
+}
+
+fn group(name: &'static str, about: &'static str) -> Command {
+    Command::new(name)
+        .about(about)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+}
+
+fn file(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).value_name(name).help(help).required(true)
+}
+
+fn value(name: &'static str, value_name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name(value_name).help(help)
+}
+
+fn json() -> Arg {
+    Arg::new("json")
+        .long("json")
+        .help("Print JSON instead of text")
+        .action(ArgAction::SetTrue)
+}
+
+fn platform() -> [Arg; 2] {
+    let table = "Address of the transactional table, such as 10.20.0.2:9000";
+    let objects = "Address of the object store, such as 10.20.0.3:9000";
+    [
+        value("table", "ADDRESS", table).required(true),
+        value("objects", "ADDRESS", objects).required(true),
+    ]
+}
--- a/crates/config/src/secret.rs
+++ b/crates/config/src/secret.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::sync::Arc;
 
+use derive_more::{Display, Error};
+
 /// Shortest secret that is accepted, in bytes.
 pub const MIN_SECRET_BYTES: usize = 16;
 
@@ -59,6 +61,42 @@
     }
 }
 
+/// Why a place gives no secret.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum Fault {
+    /// The file can't be read.
+    #[display("the file can't be read: {_0}")]
+    File(#[error(not(source))] String),
+    /// The variable isn't set.
+    #[display("the environment variable is not set")]
+    Unset,
+    /// What is there can't be a secret.
+    #[display("the secret there is too short or not visible ASCII")]
+    Unusable,
+}
+
+impl Source {
+    /// Reads the secret.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none. The text never holds the secret.
+    ///
+    /// ```
+    /// use eelgrassrock_config::secret::{Fault, Process, Source};
+    ///
+    /// let source = Source::Environment("NO_SUCH_VARIABLE".to_owned());
+    /// assert_eq!(source.load(&Process), Err(Fault::Unset));
+    /// ```
+    pub fn load(&self, surroundings: &impl Surroundings) -> Result<Secret, Fault> {
+        let text = match self {
+            Self::File(path) => surroundings.file(path).map_err(Fault::File)?,
+            Self::Environment(name) => surroundings.variable(name).ok_or(Fault::Unset)?,
+        };
+        Secret::new(&text).ok_or(Fault::Unusable)
+    }
+}
+
 /// What reading settings needs from outside.
 pub trait Surroundings {
     /// Returns the contents of the file at `path`.
--- a/crates/config/src/settings/read.rs
+++ b/crates/config/src/settings/read.rs
@@ -217,31 +217,18 @@
             return None;
         }
     };
-    match load(&source, surroundings) {
+    match source.load(surroundings) {
         Ok(secret) => Some((source, secret)),
-        Err(reason) => {
+        Err(fault) => {
             let allowed = format!(
                 "a secret of at least {MIN_SECRET_BYTES} visible ASCII characters in that place"
             );
-            fields.conflict(key, reason, &allowed);
+            fields.conflict(key, fault.to_string(), &allowed);
             None
         }
     }
 }
 
-fn load(source: &Source, surroundings: &impl Surroundings) -> Result<Secret, String> {
-    let text = match source {
-        Source::File(path) => surroundings
-            .file(path)
-            .map_err(|reason| format!("the file can't be read: {reason}"))?,
-        Source::Environment(name) => surroundings
-            .variable(name)
-            .ok_or("the environment variable is not set")?,
-    };
-    Secret::new(&text)
-        .ok_or_else(|| "the secret there is too short or not visible ASCII".to_owned())
-}
-
 fn read_limits(fields: &mut Fields<'_>) -> Limits {
     let default = Limits::default();
     let timeouts = Span(millis(100)..=seconds(60));
