Replay of recorded traces, and schedules of a home that is cut off

Cause: decisions and measures must be provable from a recorded trace, and the schedule of an isolated home deserves tests of its own. Ruled out: traces of actions; decisions say what matters and change less.

--- a/crates/ownership/src/decision.rs
+++ b/crates/ownership/src/decision.rs
@@ -30,7 +30,7 @@
         service: Service,
         /// First shard.
         first: Shard,
-        /// Number of shards, from the first to the last one that changed.
+        /// Number of shards that changed.
         count: u32,
         /// New owner.
         upstream: Upstream,
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -16,6 +16,7 @@
 mod machine;
 mod message;
 mod place;
+pub mod replay;
 mod route;
 pub mod row;
 mod settings;
--- a/crates/ownership/src/machine/assign.rs
+++ b/crates/ownership/src/machine/assign.rs
@@ -206,15 +206,14 @@
     ) {
         let owners: Vec<_> = owners.iter().collect();
         for run in owners.chunk_by(|a, b| a.1 == b.1) {
-            let (first, last) = (run[0].0, run[run.len() - 1].0);
             let epochs = run.iter().filter_map(|(shard, _)| {
                 let entry = self.view.entry(service, **shard)?;
                 Some(entry.epoch.next())
             });
             let what = What::Assigned {
                 service: service.clone(),
-                first: *first,
-                count: last.0 - first.0 + 1,
+                first: *run[0].0,
+                count: run.len() as u32,
                 upstream: run[0].1.clone(),
                 prior: from.cloned(),
                 epoch: epochs.max().unwrap_or(Epoch(0)),
--- /dev/null
+++ b/crates/ownership/tests/fencing.rs
@@ -0,0 +1,80 @@
+//! A home that is cut off while a later one acts: the schedules that random
+//! ones rarely hit, one by one.
+
+mod world;
+
+use std::time::Duration;
+
+use eelgrassrock_model::{Name, Router};
+use eelgrassrock_ownership::Event;
+use rstest::rstest;
+use world::{Shape, World, router, upstream};
+
+const SECOND: Duration = Duration::from_secs(1);
+const AUTHORITY: Duration = Duration::from_secs(20);
+
+/// Starts a world and cuts the home of the first upstream off from all but the
+/// upstreams. Returns the world after another router took over.
+fn isolated(checks_orders: bool) -> (World, Router) {
+    let mut world = World::settled(Shape {
+        checks_orders,
+        authority: AUTHORITY,
+        ..Shape::default()
+    });
+    world.run_for(2 * SECOND);
+    let home = world.home_of(&upstream(0));
+    world.cut_table(home.as_str());
+    for other in 0..3 {
+        world.cut(home.as_str(), router(other).as_str());
+    }
+    world.run_for(2 * SECOND);
+    assert_ne!(world.home_of(&upstream(0)), home);
+    (world, home)
+}
+
+#[rstest]
+#[case::checking(true, 0)]
+#[case::unchecking(false, 64)]
+fn takes_nothing_away_before_the_earlier_home_is_fenced(
+    #[case] checks_orders: bool,
+    #[case] left: usize,
+) {
+    let (mut world, _) = isolated(checks_orders);
+    let owned = world.count_of(0);
+    world.send_all(&Event::Leaving(vec![upstream(0)]));
+    world.run_for(5 * SECOND);
+    assert_eq!(world.violation, None);
+    assert_eq!(world.count_of(0), owned.min(left));
+    world.run_for(AUTHORITY + SECOND);
+    assert_eq!(world.violation, None);
+    assert_eq!(world.count_of(0), 0);
+}
+
+#[rstest]
+#[case::checking(true)]
+#[case::unchecking(false)]
+fn isolated_home_grants_nothing_stale_to_a_restarted_upstream(#[case] checks_orders: bool) {
+    let (mut world, home) = isolated(checks_orders);
+    world.send_all(&Event::Leaving(vec![upstream(0)]));
+    world.run_for(2 * SECOND);
+    // Only the isolated home reaches the upstream after its restart.
+    for other in (0..3).map(router).filter(|it| *it != home) {
+        world.cut(other.as_str(), upstream(0).as_str());
+    }
+    world.upstreams[&upstream(0)].restart();
+    world.run_for(AUTHORITY + 5 * SECOND);
+    assert_eq!(world.violation, None);
+}
+
+#[rstest]
+#[case::checking(true)]
+#[case::unchecking(false)]
+fn isolated_home_goes_on_while_the_next_one_cannot_reach_the_upstream(#[case] checks_orders: bool) {
+    let (mut world, home) = isolated(checks_orders);
+    for other in (0..3).map(router).filter(|it| *it != home) {
+        world.cut(other.as_str(), upstream(0).as_str());
+    }
+    world.run_for(AUTHORITY + 5 * SECOND);
+    assert_eq!(world.violation, None);
+    assert_eq!(world.unserved(), []);
+}
--- a/crates/ownership/tests/world/mod.rs
+++ b/crates/ownership/tests/world/mod.rs
@@ -16,6 +16,7 @@
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_model::{Name, Router, Service, Upstream, Version};
 use eelgrassrock_ownership::grant::Answer;
+use eelgrassrock_ownership::replay::{Arrival, Line, Start, Stated};
 use eelgrassrock_ownership::{Action, Decision, Event, Machine, Member, Route, Settings};
 use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng};
@@ -124,6 +125,8 @@
     queue: BinaryHeap<Reverse<Due>>,
     sent: u64,
     rng: ChaCha8Rng,
+    /// Trace of all events, if it is recorded.
+    pub(crate) trace: Option<Vec<Line>>,
     /// First violation of sole ownership.
     pub(crate) violation: Option<String>,
 }
@@ -167,6 +170,11 @@
 
 impl World {
     pub(crate) fn new(shape: Shape) -> Self {
+        Self::with_trace(shape, None)
+    }
+
+    /// Creates a world. `trace` records it if it is some.
+    pub(crate) fn with_trace(shape: Shape, trace: Option<Vec<Line>>) -> Self {
         let fleet = fleet(&shape);
         let mut world = Self {
             now: Instant::from_millis(1_000),
@@ -182,6 +190,7 @@
             queue: BinaryHeap::new(),
             sent: 0,
             rng: ChaCha8Rng::seed_from_u64(shape.seed),
+            trace,
             violation: None,
             fleet,
             shape,
@@ -216,11 +225,19 @@
         let rate_ppm = rates[(index + 1) % rates.len()];
         let address = format!("10.0.0.{index}:1").parse().unwrap();
         let zone = format!("z{}", index % self.shape.zones).parse().unwrap();
-        let settings = Settings::builder(name.clone(), address, zone, &life.to_string())
-            .authority(self.shape.authority)
-            .drift_ppm(self.shape.drift_ppm)
-            .seed(self.shape.seed ^ life)
-            .build();
+        let start = Start {
+            router: name.clone(),
+            address,
+            data_centre: zone,
+            nonce: life.to_string(),
+            lease_ms: 500,
+            heartbeat_ms: 100,
+            drift_ppm: self.shape.drift_ppm,
+            authority_ms: self.shape.authority.as_millis() as u64,
+            seed: self.shape.seed ^ life,
+        };
+        let settings = Settings::from(&start);
+        self.record(Line::Start(start));
         let node = Node {
             machine: Machine::new(settings),
             up: true,
@@ -353,17 +370,27 @@
             return;
         }
         let local = local(self.now, node.rate_ppm);
+        let arrival = Arrival {
+            router: name.clone(),
+            at_us: local.as_micros(),
+            event: event.clone(),
+        };
         let actions = node.machine.step(local, event);
         if let Some(wake) = node.machine.next_wake() {
             let at = (self.now + (wake - local)).max(self.now + MS);
             node.wake_at = Some(at);
             self.push(at, Item::Wake(name.clone(), life));
         }
+        self.record(Line::Event(arrival));
         for action in actions {
             self.execute(name, life, action);
         }
     }
 
+    fn record(&mut self, line: Line) {
+        self.trace.iter_mut().for_each(|it| it.push(line.clone()));
+    }
+
     fn execute(&mut self, name: &Router, life: u64, action: Action) {
         match action {
             Action::Scan { .. } | Action::Read { .. } | Action::Write(_) => {
@@ -398,6 +425,11 @@
             }
             Action::Decide(decision) => {
                 let now = self.now;
+                let stated = Stated {
+                    router: name.clone(),
+                    decision: decision.clone(),
+                };
+                self.record(Line::Decided(stated));
                 self.nodes[name].decisions.push((now, decision));
             }
             Action::Drained => self.nodes[name].drained = true,
@@ -591,9 +623,20 @@
     /// Starts everything and waits until all shards are served.
     pub(crate) fn settled(shape: Shape) -> Self {
         let mut world = Self::new(shape);
+        world.settle();
+        world
+    }
+
+    pub(crate) fn settle(&mut self) {
+        let world = self;
         let took = world.run_while(Duration::from_secs(20), |it| !it.unserved().is_empty());
         assert!(took < Duration::from_secs(20), "{:?}", world.unserved());
-        world
+    }
+
+    /// Loses a router.
+    pub(crate) fn stop(&mut self, name: &Router) {
+        self.nodes[name].up = false;
+        self.record(Line::Stop(name.clone()));
     }
 
     /// Runs for `span` and returns the longest time that any shard was
