Metrics are counted where they happen

Cause: the names in docs/METRICS.md were declared but nothing counted them. The log line of a decision on a request carries its identifier now.

--- a/crates/daemon/src/chores.rs
+++ b/crates/daemon/src/chores.rs
@@ -9,6 +9,7 @@
 use eelgrassrock_model::{Digest, Version};
 use eelgrassrock_ownership as ownership;
 use eelgrassrock_platform::{Fault, Kind};
+use eelgrassrock_telemetry::metrics::Counter;
 use serde::Serialize;
 use tokio::sync::mpsc::UnboundedReceiver;
 
@@ -144,7 +145,7 @@
 }
 
 async fn poll_table(node: Arc<Node>) {
-    let reading = match node.table.read(roll::CURRENT_KEY).await {
+    let reading = match node.read_row(roll::CURRENT_KEY).await {
         Ok(Some(row)) => match read_record(&row) {
             Ok(record) => adoption::Reading::Row(Some(record)),
             Err(reason) => {
@@ -181,9 +182,12 @@
     let in_force = node.bundle();
     let verdict = match node.store.check(in_force.as_deref(), record) {
         Ok(_) => adoption::Verdict::Accepted,
-        Err(reason) => adoption::Verdict::Refused {
-            reason: Arc::from(reason),
-        },
+        Err(reason) => {
+            node.account.count(Counter::BundlesRefused);
+            adoption::Verdict::Refused {
+                reason: Arc::from(reason),
+            }
+        }
     };
     node.mesh.step_adoption(adoption::Event::Checked {
         digest: record.digest,
@@ -200,6 +204,7 @@
     if !node.set_bundle(Arc::new(bundle)) {
         return;
     }
+    node.account.count(Counter::BundlesApplied);
     node.links.set_fleet(&fleet);
     node.desk
         .step(eelgrassrock_request::Event::Fleet(fleet.clone()), None);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -19,6 +19,7 @@
 use tokio::time::timeout;
 use {eelgrassrock_ownership as ownership, eelgrassrock_request as request};
 
+use crate::account::{Account, State};
 use crate::clock::Clock;
 use crate::desk::Desk;
 use crate::errands::spawn_forever;
@@ -168,7 +169,8 @@
             .logger
             .decide("stopped", &Line { stopped, cut_off });
         self.node.logger.flush();
-        self.node.metrics.flush();
+        self.node.account.cut_off(cut_off);
+        self.node.account.flush();
         stopped
     }
 
@@ -230,6 +232,7 @@
         .map_err(StartError::Secret)?;
     let logger = Logger::new(&settings.log).map_err(StartError::Log)?;
     let metrics = Metrics::new(&settings.metrics).map_err(StartError::Metrics)?;
+    let account = Arc::new(Account::new(metrics));
     let name = settings.router.name.clone();
     let data_centre = settings.router.data_centre.clone();
     let address = settings.listen.peers;
@@ -249,7 +252,7 @@
     let node = Arc::new(Node {
         clock,
         logger,
-        metrics,
+        account: Arc::clone(&account),
         body_limit: usize::try_from(settings.limits.body_bytes).unwrap_or(usize::MAX),
         hop_token: secret.token(hop::TOKEN_PURPOSE).to_string(),
         secret_token: secret.token(hop::TOKEN_PURPOSE),
@@ -257,7 +260,7 @@
         desk: Arc::new(desk),
         mesh,
         links: Links::default(),
-        post: Post::new(name, address, secret, port),
+        post: Post::new(name, address, secret, port, account),
         store: Store::default(),
         meter: Arc::new(Meter::default()),
         table: table::Client::new(endpoints.table, platform::Settings::default()),
@@ -349,6 +352,7 @@
     match node.post.open(bytes) {
         Ok(frame) => chores::receive(node, frame.sender, frame.body),
         Err(fault) => {
+            node.account.count(metrics::Counter::PeerRefused);
             node.logger.log(
                 log::Level::Warn,
                 "frame",
@@ -371,7 +375,14 @@
 async fn flush_metrics(node: Arc<Node>) {
     loop {
         tokio::time::sleep(METRICS_PERIOD).await;
-        node.metrics.flush();
+        node.account.report(&State {
+            requests: node.desk.snapshot(),
+            homes: node.keeper.grants().len(),
+            peers: node.mesh.live().len(),
+            bundle: node.bundle().map_or(0, |bundle| bundle.version().0),
+            now: node.clock.now(),
+        });
+        node.account.flush();
     }
 }
 
--- a/crates/daemon/src/desk.rs
+++ b/crates/daemon/src/desk.rs
@@ -7,7 +7,10 @@
 use std::time::Duration;
 
 use eelgrassrock_model::{Upstream, table};
-use eelgrassrock_request::{Action, Event, Id, Machine, Settings, Snapshot, Stored, Verdict};
+use eelgrassrock_request::{
+    Action, Decision, Event, Id, Machine, Settings, Snapshot, Stored, Verdict,
+};
+use serde::Serialize;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use crate::alarm::Alarm;
@@ -40,6 +43,22 @@
     },
 }
 
+/// Log line of a decision on a request.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub(crate) struct Line {
+    /// Identifier of the request, end to end.
+    pub(crate) request_id: Option<Arc<str>>,
+    /// Decision.
+    #[serde(flatten)]
+    pub(crate) decision: Decision,
+}
+
+/// Task that holds a request.
+struct Holder {
+    request_id: Arc<str>,
+    directives: UnboundedSender<Directive>,
+}
+
 /// What the request machine wants of the rest of the daemon.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Errand {
@@ -52,7 +71,7 @@
     /// Tell the placement that an upstream seems unable to serve.
     Suspect(Upstream),
     /// Log a decision.
-    Decide(eelgrassrock_request::Decision),
+    Decide(Line),
     /// Every request is answered.
     Drained,
 }
@@ -61,7 +80,7 @@
 pub(crate) struct Desk {
     clock: Clock,
     machine: Mutex<Machine>,
-    holders: Mutex<HashMap<Id, UnboundedSender<Directive>>>,
+    holders: Mutex<HashMap<Id, Holder>>,
     errands: UnboundedSender<Errand>,
     alarm: Alarm,
     next_id: AtomicU64,
@@ -84,10 +103,14 @@
     }
 
     /// Registers the task that holds a new request.
-    pub(crate) fn register(&self) -> (Id, UnboundedReceiver<Directive>) {
+    pub(crate) fn register(&self, request_id: Arc<str>) -> (Id, UnboundedReceiver<Directive>) {
         let id = Id(self.next_id.fetch_add(1, Ordering::Relaxed));
         let (sender, receiver) = unbounded_channel();
-        self.lock_holders().insert(id, sender);
+        let holder = Holder {
+            request_id,
+            directives: sender,
+        };
+        self.lock_holders().insert(id, holder);
         (id, receiver)
     }
 
@@ -159,7 +182,16 @@
             Action::Read { key } => self.run(Errand::Read(key)),
             Action::Probe { upstream } => self.run(Errand::Probe(upstream)),
             Action::Suspect { upstream } => self.run(Errand::Suspect(upstream)),
-            Action::Decide(decision) => self.run(Errand::Decide(decision)),
+            Action::Decide(decision) => {
+                let holders = self.lock_holders();
+                let holder = holders.get(&decision.request);
+                let request_id = holder.map(|holder| Arc::clone(&holder.request_id));
+                drop(holders);
+                self.run(Errand::Decide(Line {
+                    request_id,
+                    decision,
+                }));
+            }
             Action::Drained => self.run(Errand::Drained),
         }
     }
@@ -167,7 +199,7 @@
     fn direct(&self, request: Id, directive: Directive) {
         if let Some(holder) = self.lock_holders().get(&request) {
             // A task that has ended has no use for the directive.
-            let _ = holder.send(directive);
+            let _ = holder.directives.send(directive);
         }
     }
 
@@ -180,7 +212,7 @@
         self.machine.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn lock_holders(&self) -> MutexGuard<'_, HashMap<Id, UnboundedSender<Directive>>> {
+    fn lock_holders(&self) -> MutexGuard<'_, HashMap<Id, Holder>> {
         self.holders.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/daemon/src/doors.rs
+++ b/crates/daemon/src/doors.rs
@@ -6,6 +6,7 @@
 
 use eelgrassrock_config::bundle::Bundle;
 use eelgrassrock_model::Partner;
+use eelgrassrock_telemetry::metrics::Counter;
 use http::header::AUTHORIZATION;
 use http::{HeaderMap, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -26,10 +27,12 @@
 ) -> Result<Response<Body>, Infallible> {
     let request_id = request_id::keep_or_make(request.headers());
     let read = read_caller(&node, Arc::clone(&request_id), request).await;
-    Ok(match read {
+    let response = match read {
         Ok(inbound) => serve(&node, inbound, Door::Entry, None).await,
         Err(problem) => problem.into_response(&request_id),
-    })
+    };
+    node.account.answered(&response);
+    Ok(response)
 }
 
 /// Answers another router.
@@ -40,10 +43,12 @@
     let request_id = request_id::keep_or_make(request.headers());
     let carried = hop::carried(request.headers());
     let read = read_router(&node, Arc::clone(&request_id), request).await;
-    Ok(match read {
+    let response = match read {
         Ok(inbound) => serve(&node, inbound, Door::Home, carried).await,
         Err(problem) => problem.into_response(&request_id),
-    })
+    };
+    node.account.answered(&response);
+    Ok(response)
 }
 
 async fn read_caller(
@@ -52,7 +57,10 @@
     request: Request<Incoming>,
 ) -> Result<Inbound, Problem> {
     let bundle = bundle(node)?;
-    let partner = authenticate(&bundle, request.headers())?;
+    let authenticated = authenticate(&bundle, request.headers());
+    let partner = authenticated.inspect_err(|_| {
+        node.account.count(Counter::CredentialsRefused);
+    })?;
     let now = node.clock.now();
     let head = Head {
         request_id,
--- a/crates/daemon/src/errands.rs
+++ b/crates/daemon/src/errands.rs
@@ -6,6 +6,7 @@
 
 use eelgrassrock_model::Upstream;
 use eelgrassrock_model::table::Transaction;
+use eelgrassrock_model::time::Instant;
 use eelgrassrock_ownership as ownership;
 use eelgrassrock_request as request;
 use eelgrassrock_request::Grant;
@@ -38,19 +39,19 @@
     use ownership::{Action, Event};
     match action {
         Action::Scan { scan, prefix } => later(node, move |node| async move {
-            match node.table.scan(&prefix).await {
+            match node.scan_rows(&prefix).await {
                 Ok(rows) => node.keeper.step(Event::Scanned { scan, rows }),
                 Err(_) => node.keeper.step(Event::ScanFailed { scan }),
             }
         }),
         Action::Read { id, key } => later(node, move |node| async move {
-            match node.table.read(&key).await {
+            match node.read_row(&key).await {
                 Ok(row) => node.keeper.step(Event::Read { id, row }),
                 Err(_) => node.keeper.step(Event::ReadFailed { id }),
             }
         }),
         Action::Write(transaction) => later(node, move |node| async move {
-            let outcome = node.table.write(&transaction).await;
+            let outcome = node.write_rows(&transaction).await;
             node.keeper.step(Event::Written {
                 operation: transaction.operation,
                 outcome,
@@ -87,7 +88,10 @@
             node.post.send(address, Message::Ownership(message));
         }
         Action::RoutesChanged => {}
-        Action::Decide(decision) => node.logger.decide("placement", &decision),
+        Action::Decide(decision) => {
+            node.account.placed(&decision);
+            node.logger.decide("placement", &decision);
+        }
         Action::Drained => {
             node.handed_over.send_replace(true);
         }
@@ -113,10 +117,13 @@
     upstream: &Upstream,
     order: &ownership::grant::Order,
 ) -> ownership::grant::Answer {
-    match node.links.orders(upstream) {
-        Some(link) => orders::give(&link, order, order_timeout(node)).await,
-        None => ownership::grant::Answer::Unknown,
-    }
+    let Some(link) = node.links.orders(upstream) else {
+        return ownership::grant::Answer::Unknown;
+    };
+    let started = node.clock.now();
+    let answer = orders::give(&link, order, order_timeout(node)).await;
+    node.account.ordered(&answer, node.clock.now() - started);
+    answer
 }
 
 /// An order that isn't answered within half a lease is given up, so that a
@@ -143,7 +150,7 @@
                 write_claims(&node, transaction).await;
             }),
             Errand::Read(key) => later(&node, move |node| async move {
-                let row = node.table.read(&key).await.map_err(|_| request::Unreadable);
+                let row = node.read_row(&key).await.map_err(|_| request::Unreadable);
                 node.desk.step(Event::Read { key, row }, None);
             }),
             Errand::Probe(upstream) => later(&node, move |node| async move {
@@ -160,14 +167,17 @@
                 }
                 node.logger.decide("suspect", &Suspect { upstream });
             }
-            Errand::Decide(decision) => node.logger.decide("request", &decision),
+            Errand::Decide(line) => {
+                node.account.decided(&line.decision);
+                node.logger.decide("request", &line);
+            }
             Errand::Drained => {}
         }
     }
 }
 
 async fn write_claims(node: &Node, transaction: Transaction) {
-    let outcome = node.table.write(&transaction).await;
+    let outcome = node.write_rows(&transaction).await;
     let event = request::Event::Written {
         operation: transaction.operation,
         outcome,
@@ -178,18 +188,22 @@
 /// Tells the request machine of changes of grants. Never returns.
 pub(crate) async fn watch_grants(node: Arc<Node>) {
     let mut known: IndexMap<Upstream, Grant> = IndexMap::new();
+    let mut lapsed: IndexMap<Upstream, Instant> = IndexMap::new();
     let mut routes = node.keeper.watch_routes();
     loop {
         let grants = node.keeper.grants();
         for (upstream, grant) in &grants {
-            if known.get(upstream) != Some(grant) {
+            let before = known.get(upstream).copied();
+            if before != Some(*grant) {
                 tell_grant(&node, upstream, *grant);
+                note_lapse(&node, &mut lapsed, upstream, before, *grant);
             }
         }
-        for upstream in known
+        let gone = known
             .keys()
-            .filter(|upstream| !grants.contains_key(*upstream))
-        {
+            .filter(|upstream| !grants.contains_key(*upstream));
+        for upstream in gone {
+            lapsed.swap_remove(upstream);
             tell_grant(&node, upstream, Grant::Released);
         }
         known = grants;
@@ -197,6 +211,25 @@
     }
 }
 
+fn note_lapse(
+    node: &Node,
+    lapsed: &mut IndexMap<Upstream, Instant>,
+    upstream: &Upstream,
+    before: Option<Grant>,
+    grant: Grant,
+) {
+    let now = node.clock.now();
+    if before == Some(Grant::Held) && grant == Grant::Lapsed {
+        node.account.lapsed(upstream);
+        lapsed.insert(upstream.clone(), now);
+    }
+    if grant == Grant::Held
+        && let Some(since) = lapsed.swap_remove(upstream)
+    {
+        node.account.restored(upstream, now - since);
+    }
+}
+
 fn tell_grant(node: &Node, upstream: &Upstream, grant: Grant) {
     if grant != Grant::Held
         && let Some(link) = node.links.upstream(upstream)
--- a/crates/daemon/src/hold.rs
+++ b/crates/daemon/src/hold.rs
@@ -39,7 +39,7 @@
     upstream: Upstream,
     carried: Option<Carried>,
 ) -> Held {
-    let (id, directives) = node.desk.register();
+    let (id, directives) = node.desk.register(Arc::clone(&inbound.request_id));
     let (answer, answered) = oneshot::channel();
     let holder = Holder {
         node: Arc::clone(node),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! `eelgrassrock-membership` decide; this crate turns sockets and timers into
 //! their events, and their actions into I/O.
 
+mod account;
 mod admin;
 mod alarm;
 mod attempt;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -4,12 +4,13 @@
 
 use eelgrassrock_config::bundle::Bundle;
 use eelgrassrock_config::settings::Settings;
-use eelgrassrock_platform::{objects, table, vms};
+use eelgrassrock_model::table::{Outcome, Row, Transaction};
+use eelgrassrock_platform::{Fault, objects, table, vms};
 use eelgrassrock_telemetry::log::Logger;
-use eelgrassrock_telemetry::metrics::Metrics;
 use eelgrassrock_wire::Token;
 use tokio::sync::watch;
 
+use crate::account::Account;
 use crate::clock::Clock;
 use crate::desk::Desk;
 use crate::keeper::Keeper;
@@ -28,7 +29,7 @@
     /// Log.
     pub(crate) logger: Logger,
     /// Metrics.
-    pub(crate) metrics: Metrics,
+    pub(crate) account: Arc<Account>,
     /// Longest body of a request, in bytes.
     pub(crate) body_limit: usize,
     /// Credential for hops, as text.
@@ -72,6 +73,33 @@
         secret.ct_eq(credential.as_bytes()).into()
     }
 
+    /// Reads a row of the table.
+    pub(crate) async fn read_row(&self, key: &str) -> Result<Option<Row>, Fault> {
+        let started = self.clock.now();
+        let read = self.table.read(key).await;
+        let now = self.clock.now();
+        self.account.read(read.is_ok(), now - started, now);
+        read
+    }
+
+    /// Reads all rows of the table with a prefix.
+    pub(crate) async fn scan_rows(&self, prefix: &str) -> Result<Vec<Row>, Fault> {
+        let started = self.clock.now();
+        let scanned = self.table.scan(prefix).await;
+        let now = self.clock.now();
+        self.account.read(scanned.is_ok(), now - started, now);
+        scanned
+    }
+
+    /// Writes to the table once.
+    pub(crate) async fn write_rows(&self, transaction: &Transaction) -> Outcome {
+        let started = self.clock.now();
+        let outcome = self.table.write(transaction).await;
+        let now = self.clock.now();
+        self.account.wrote(&outcome, now - started, now);
+        outcome
+    }
+
     /// Returns the bundle in force, `None` if there is none yet.
     pub(crate) fn bundle(&self) -> Option<Arc<Bundle>> {
         self.in_force
--- a/crates/daemon/src/post.rs
+++ b/crates/daemon/src/post.rs
@@ -1,32 +1,41 @@
 //! Sending of sealed messages to other routers.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use eelgrassrock_model::Router;
 use eelgrassrock_wire::{Fault, Frame, MAX_DATAGRAM_BYTES, Secret};
 
+use crate::account::Account;
 use crate::message::{Envelope, Message};
 use crate::peer::{Outbox, Port};
 
 /// Sends messages to other routers and opens those that arrive.
-#[derive(Debug)]
 pub(crate) struct Post {
     me: Router,
     address: SocketAddr,
     secret: Secret,
     outbox: Outbox,
     port: Port,
+    account: Arc<Account>,
 }
 
 impl Post {
     /// Creates the post of the router `me`, reached at `address`.
-    pub(crate) fn new(me: Router, address: SocketAddr, secret: Secret, port: Port) -> Self {
+    pub(crate) fn new(
+        me: Router,
+        address: SocketAddr,
+        secret: Secret,
+        port: Port,
+        account: Arc<Account>,
+    ) -> Self {
         Self {
             me,
             address,
             secret,
             outbox: Outbox::default(),
             port,
+            account,
         }
     }
 
@@ -35,6 +44,7 @@
         // A message that is too long can't arrive; what depends on it is asked
         // for again in smaller parts.
         if let Ok(bytes) = self.seal(message) {
+            self.account.sent(bytes.len());
             self.outbox.send(to, bytes);
         }
     }
@@ -42,7 +52,10 @@
     /// Sends a message as a datagram.
     pub(crate) fn send_datagram(&self, to: SocketAddr, message: Message) {
         match self.seal(message) {
-            Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => self.port.send(to, &bytes),
+            Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => {
+                self.account.sent(bytes.len());
+                self.port.send(to, &bytes);
+            }
             _ => {}
         }
     }
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -6,6 +6,7 @@
 use eelgrassrock_model::fleet::{Patience, Repeat};
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_ownership::{Absence, Route};
+use eelgrassrock_telemetry::metrics::Counter;
 use http::{Response, StatusCode};
 use serde::Serialize;
 use tokio::time::timeout;
@@ -146,6 +147,7 @@
     }
 
     async fn pass(&mut self, address: std::net::SocketAddr, carried: Option<Carried>) -> Next {
+        self.node.account.count(Counter::RequestsForwarded);
         let link = self.node.links.router(address);
         let left = self.inbound.deadline - self.node.clock.now();
         let token = &self.node.hop_token;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -41,7 +41,7 @@
 names! {
     /// Number of events since the last report.
     Counter {
-        /// Requests whose answer was passed on whole.
+        /// Requests whose whole answer came from the upstream.
         RequestsDone => "requests.done",
         /// Requests that were refused with proof that they didn't run.
         RequestsNotRun => "requests.not-run",
@@ -53,8 +53,6 @@
         RequestsForwarded => "requests.forwarded",
         /// Second and later tries of idempotent requests.
         Retries => "requests.retries",
-        /// Retries that the budget refused.
-        RetriesRefused => "requests.retries-refused",
         /// Repeated requests that were answered from the record of the first.
         Duplicates => "requests.duplicates",
         /// Callers without a valid credential.
@@ -99,14 +97,8 @@
         InFlight => "requests.in-flight",
         /// Requests that wait for a slot.
         Queued => "requests.queued",
-        /// Connections from callers.
-        Connections => "requests.connections",
         /// Upstreams whose home this router is.
         Homes => "ownership.homes",
-        /// Shards of these upstreams that are covered by a lease.
-        ShardsServed => "ownership.shards-served",
-        /// Shards of these upstreams that aren't.
-        ShardsUnavailable => "ownership.shards-unavailable",
         /// Milliseconds since the last contact with the table.
         TableSilence => "table.silence-ms",
         /// Version of the bundle in force.
@@ -125,12 +117,10 @@
         QueueWait => "requests.queue-time",
         /// From an order to its acceptance.
         Order => "ownership.order-time",
-        /// Time for which a shard had no valid grant.
+        /// Time for which an upstream had no valid grant.
         Unavailable => "ownership.unavailable-time",
         /// Calls to the table.
         TableCall => "table.time",
-        /// From the roll of a bundle to its application here.
-        BundleDelay => "bundle.delay",
     }
 }
 
