Health from traffic, slow start, lapse, and graceful stop

Cause: frozen, shedding, lost and misleading upstreams must not hold callers. The health of an upstream is a statig machine: well, limited, unwell. When a grant lapses, reads are taken back at once. Event::Restarted is new: the daemon gives it when an upstream shows a new incarnation.

--- a/crates/request/src/event.rs
+++ b/crates/request/src/event.rs
@@ -102,6 +102,12 @@
         /// Whether the upstream answered that it is well.
         well: bool,
     },
+    /// The upstream started anew: it has a new incarnation, and begins with few
+    /// requests.
+    Restarted {
+        /// Upstream concerned.
+        upstream: Upstream,
+    },
     /// This router stops: nothing new is admitted.
     Drain,
 }
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -49,6 +49,7 @@
 mod event;
 pub mod example;
 pub mod experiment;
+mod health;
 pub mod idempotency;
 mod machine;
 mod queue;
--- a/crates/request/src/machine.rs
+++ b/crates/request/src/machine.rs
@@ -7,6 +7,7 @@
 mod dispatch;
 mod fleet;
 mod foreign;
+mod health;
 mod request;
 mod station;
 mod timer;
@@ -41,6 +42,7 @@
     stations: IndexMap<Upstream, Station>,
     requests: HashMap<Id, Request>,
     timers: BTreeSet<(Instant, Id)>,
+    alarms: BTreeSet<(Instant, Upstream)>,
     ledger: Ledger,
     writer: Writer,
     draining: bool,
@@ -67,6 +69,7 @@
             stations: IndexMap::new(),
             requests: HashMap::new(),
             timers: BTreeSet::new(),
+            alarms: BTreeSet::new(),
             draining: false,
             drained: false,
             actions: Vec::new(),
@@ -84,6 +87,7 @@
     /// ```
     pub fn step(&mut self, now: Instant, event: Event) -> Vec<Action> {
         self.run_timers(now);
+        self.run_alarms(now);
         match event {
             Event::Tick => {}
             Event::Fleet(fleet) => self.adopt(now, fleet),
@@ -91,7 +95,7 @@
             Event::Moved { upstream, shard } => self.move_shard(now, &upstream, shard),
             Event::Arrive(arrival) => self.arrive(now, arrival),
             Event::Began { request, attempt } => self.begin(request, attempt),
-            Event::Responding { request, attempt } => self.respond(request, attempt),
+            Event::Responding { request, attempt } => self.respond(now, request, attempt),
             Event::Answered {
                 request,
                 attempt,
@@ -102,7 +106,8 @@
             Event::Read { key, row } => self.row_read(now, &key, row),
             Event::StoreDown => self.store_down(now),
             Event::StoreUp => self.writer.set_down(None),
-            Event::Probed { .. } => {}
+            Event::Probed { upstream, well } => self.probed(now, &upstream, well),
+            Event::Restarted { upstream } => self.restarted(now, &upstream),
             Event::Drain => self.draining = true,
         }
         self.pump(now);
@@ -119,7 +124,11 @@
     /// ```
     pub fn next_wake(&self) -> Option<Instant> {
         let timer = self.timers.first().map(|(at, _)| *at);
-        [timer, self.writer.wake()].into_iter().flatten().min()
+        let alarm = self.alarms.first().map(|(at, _)| *at);
+        [timer, alarm, self.writer.wake()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Returns the state of all upstreams for operators and metrics.
--- a/crates/request/src/machine/admission.rs
+++ b/crates/request/src/machine/admission.rs
@@ -71,6 +71,9 @@
             Grant::Lapsed if wants_prompt_answer(arrival) => {
                 Admission::Refuse(Reason::NotServing, Some(self.settings.lapse_retry))
             }
+            _ if station.is_unwell() && wants_prompt_answer(arrival) => {
+                Admission::Refuse(Reason::Unwell, Some(station.pause()))
+            }
             Grant::Lapsed | Grant::Held => admit_to_queue(&self.settings, station, now, arrival),
         }
     }
--- a/crates/request/src/machine/answer.rs
+++ b/crates/request/src/machine/answer.rs
@@ -11,6 +11,7 @@
 use super::request::{Attempt, Phase};
 use crate::action::{Action, Outcome, Reason, Step, Verdict};
 use crate::event::{Answer, Id, Stored};
+use crate::health::Evidence;
 
 impl Machine {
     pub(crate) fn begin(&mut self, id: Id, attempt: u32) {
@@ -20,12 +21,16 @@
         }
     }
 
-    pub(crate) fn respond(&mut self, id: Id, attempt: u32) {
+    pub(crate) fn respond(&mut self, now: Instant, id: Id, attempt: u32) {
         let Some(running) = self.running(id, attempt) else {
             return;
         };
         running.began = true;
-        running.responding = true;
+        let first = !std::mem::replace(&mut running.responding, true);
+        let upstream = self.requests[&id].arrival.upstream.clone();
+        let station = &mut self.stations[&upstream];
+        station.responding += u32::from(first);
+        station.progress_at = now;
         if !self.requests[&id].told {
             self.set_timer(id, None);
         }
@@ -47,6 +52,10 @@
             return;
         };
         let running = *running;
+        self.observe_answer(now, id, &answer);
+        if self.running(id, attempt).is_none() {
+            return;
+        }
         match answer {
             Answer::Done(stored) => self.answer_done(now, id, stored),
             Answer::NotOwner => self.redirect(now, id, Reason::NotOwner),
@@ -57,6 +66,23 @@
         }
     }
 
+    fn observe_answer(&mut self, now: Instant, id: Id, answer: &Answer) {
+        let upstream = self.requests[&id].arrival.upstream.clone();
+        let evidence = match answer {
+            Answer::Done(_) | Answer::NotOwner => Evidence::Succeeded,
+            Answer::Shed { .. } => Evidence::Shed,
+            Answer::NotSent | Answer::Broken | Answer::TimedOut => Evidence::Failed,
+        };
+        if let Answer::Shed {
+            retry_after: Some(pause),
+        } = answer
+        {
+            self.stations[&upstream].paused_until = now + *pause;
+            self.set_alarm(&upstream, now + *pause);
+        }
+        self.observe(now, &upstream, evidence);
+    }
+
     fn answer_done(&mut self, now: Instant, id: Id, stored: Stored) {
         let verdict = Verdict {
             outcome: Outcome::Done,
@@ -91,7 +117,7 @@
     }
 
     /// Takes a retry out of the budget if time and attempts are left for it.
-    fn may_retry(&mut self, now: Instant, id: Id, pause: Duration) -> bool {
+    pub(crate) fn may_retry(&mut self, now: Instant, id: Id, pause: Duration) -> bool {
         let request = &self.requests[&id];
         let arrival = &request.arrival;
         let latest = arrival.deadline - (now + pause);
--- a/crates/request/src/machine/dispatch.rs
+++ b/crates/request/src/machine/dispatch.rs
@@ -40,24 +40,27 @@
 
     /// Sends queued requests while slots are free.
     pub(crate) fn dispatch(&mut self, now: Instant, upstream: &Upstream) {
-        while let Some(id) = self.take_next(upstream) {
+        while let Some(id) = self.take_next(now, upstream) {
             self.send(now, id);
         }
     }
 
-    fn take_next(&mut self, upstream: &Upstream) -> Option<Id> {
+    fn take_next(&mut self, now: Instant, upstream: &Upstream) -> Option<Id> {
         let station = self.stations.get_mut(upstream)?;
-        if !station.has_free_slot() {
+        if !station.may_send(now) {
             return None;
         }
         let (partner, entry) = station.queue.pop()?;
+        if station.awaited() == 0 {
+            station.progress_at = now;
+        }
+        station.busy += 1;
         let request = self.requests.get_mut(&entry.request);
         let request = request.expect("a queued request is known");
         let flow = station.queue.flow_mut(&partner);
         let flow = flow.expect("the partner is known");
         flow.bytes -= u64::from(request.arrival.bytes);
         flow.busy += 1;
-        station.busy += 1;
         if request.attempts == request.arrival.attempts {
             flow.budget.deposit();
         }
@@ -80,10 +83,22 @@
             left: deadline - now,
         };
         self.set_timer(id, Some(deadline));
+        self.watch(now, id);
         self.actions.push(action);
         self.decide(now, id, Step::Send, Reason::Slot);
     }
 
+    /// Has the upstream looked at if it answers nothing.
+    fn watch(&mut self, now: Instant, id: Id) {
+        let upstream = self.requests[&id].arrival.upstream.clone();
+        let station = &self.stations[&upstream];
+        if station.alarm.is_none()
+            && let Some(at) = station.next_look(now)
+        {
+            self.set_alarm(&upstream, at);
+        }
+    }
+
     /// Gives the slot of an attempt back and starts the next request.
     /// The time of an attempt that was cut short counts as well: without it the
     /// estimate would miss the longest ones.
@@ -91,6 +106,7 @@
         let arrival = &request.arrival;
         let station = &mut self.stations[&arrival.upstream];
         station.busy -= 1;
+        station.responding -= u32::from(attempt.responding);
         let held = attempt.began.then(|| now - attempt.since);
         if let Some(held) = held {
             station.service.record(held);
--- a/crates/request/src/machine/fleet.rs
+++ b/crates/request/src/machine/fleet.rs
@@ -9,7 +9,8 @@
 use super::request::Request;
 use super::station::Station;
 use crate::action::Reason;
-use crate::event::{Grant, Id};
+use crate::event::Grant;
+use crate::health::Evidence;
 
 impl Machine {
     pub(crate) fn adopt(&mut self, now: Instant, fleet: Fleet) {
@@ -46,14 +47,27 @@
             return;
         }
         let station = &mut self.stations[upstream];
-        station.grant = grant;
+        let before = std::mem::replace(&mut station.grant, grant);
         match grant {
+            Grant::Held if before == Grant::Lapsed => self.restarted(now, upstream),
             Grant::Held | Grant::Leaving => self.dispatch(now, upstream),
-            Grant::Lapsed => self.stop_prompt(now, upstream),
+            Grant::Lapsed => self.lapse(now, upstream),
             Grant::Released => self.redirect_queued(now, upstream, |_| true),
         }
     }
 
+    /// Begins with few requests at an upstream that has just started or come back.
+    pub(crate) fn restarted(&mut self, now: Instant, upstream: &Upstream) {
+        self.observe(now, upstream, Evidence::Restarted);
+        self.dispatch(now, upstream);
+    }
+
+    fn lapse(&mut self, now: Instant, upstream: &Upstream) {
+        let retry_after = self.settings.lapse_retry;
+        self.stop_prompt(now, upstream, Reason::NotServing, retry_after);
+        self.take_back(now, upstream);
+    }
+
     fn add_station(&mut self, upstream: &Upstream) -> bool {
         let Some(declared) = self.fleet.upstreams.get(upstream) else {
             return false;
@@ -74,7 +88,7 @@
         upstream: &Upstream,
         moved: impl Fn(Shard) -> bool,
     ) {
-        for id in self.waiting(upstream) {
+        for id in self.requests_at(upstream, Request::is_waiting) {
             let waits = self
                 .requests
                 .get(&id)
@@ -84,30 +98,4 @@
             }
         }
     }
-
-    /// Refuses what waits and whose callers want a prompt answer.
-    fn stop_prompt(&mut self, now: Instant, upstream: &Upstream) {
-        for id in self.waiting(upstream) {
-            let waits = self
-                .requests
-                .get(&id)
-                .filter(|request| request.is_waiting());
-            if waits.is_some_and(Request::wants_prompt_answer) {
-                let retry_after = Some(self.settings.lapse_retry);
-                self.refuse(now, id, Reason::NotServing, retry_after);
-            }
-        }
-    }
-
-    /// Returns the requests that wait for a slot or for the next attempt.
-    fn waiting(&self, upstream: &Upstream) -> Vec<Id> {
-        let requests = self.requests.iter();
-        let mut waiting: Vec<Id> = requests
-            .filter(|(_, request)| request.arrival.upstream == *upstream)
-            .filter(|(_, request)| request.is_waiting())
-            .map(|(id, _)| *id)
-            .collect();
-        waiting.sort_unstable();
-        waiting
-    }
 }
--- a/crates/request/src/machine/request.rs
+++ b/crates/request/src/machine/request.rs
@@ -75,6 +75,12 @@
         self.arrival.class.repeat == Repeat::Once
     }
 
+    /// Returns whether it runs and may be cancelled and sent again.
+    pub(crate) fn may_be_taken_back(&self) -> bool {
+        let responding = self.attempt().is_some_and(|attempt| attempt.responding);
+        self.attempt().is_some() && !responding && !self.must_go_on()
+    }
+
     /// Returns whether the request may have begun and must not be repeated.
     pub(crate) fn must_go_on(&self) -> bool {
         self.runs_once() && self.attempt().is_some_and(|attempt| attempt.began)
--- a/crates/request/src/machine/timer.rs
+++ b/crates/request/src/machine/timer.rs
@@ -6,6 +6,7 @@
 use super::request::Phase;
 use crate::action::{Action, Outcome, Reason, Verdict};
 use crate::event::Id;
+use crate::health::Evidence;
 
 impl Machine {
     pub(crate) fn set_timer(&mut self, id: Id, at: Option<Instant>) {
@@ -62,6 +63,11 @@
             self.set_timer(id, Some(now + self.settings.linger));
             return;
         }
+        let upstream = request.arrival.upstream.clone();
+        self.observe(now, &upstream, Evidence::Failed);
+        if !self.requests.contains_key(&id) {
+            return;
+        }
         self.actions.push(Action::Cancel { request: id });
         self.finish(now, id, verdict);
     }
