A connection on which nothing comes is closed; tests of drain and answers

Cause: a thousand idle connections stayed open for more than 20 s, since the HTTP library starts the time limit of the head at the first byte. They used up the connections of the port. The server now waits for the first byte within the same limit, and gives up when it stops. Conclusion: an HTTP/2 connection that is idle after its preface is still not closed; no test covers it.

--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -9,12 +9,13 @@
 
 use http::{Request, Response};
 use hyper::body::Incoming;
-use hyper::service::service_fn;
+use hyper::service::{Service, service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
-use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::server::graceful::{GracefulShutdown, Watcher};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::time::timeout;
 
 use crate::body::Body;
 use crate::node::Node;
@@ -86,7 +87,14 @@
                 _ = stop.wait_for(|stop| *stop) => break,
             };
             if let Some((stream, permit)) = stream {
-                self.attend(&graceful, stream, permit, &node, &answer);
+                let answer = answer.clone();
+                let node = Arc::clone(&node);
+                let service = service_fn(move |request| answer.answer(Arc::clone(&node), request));
+                let attended = self.attend(graceful.watcher(), stream, stop.clone(), service);
+                tokio::spawn(async move {
+                    attended.await;
+                    drop(permit);
+                });
             }
         }
         drop(self.listener);
@@ -104,28 +112,31 @@
         }
     }
 
-    fn attend<A: Answer>(
+    /// Serves one connection to its end.
+    fn attend<S>(
         &self,
-        graceful: &GracefulShutdown,
+        watcher: Watcher,
         stream: TcpStream,
-        permit: OwnedSemaphorePermit,
-        node: &Arc<Node>,
-        answer: &A,
-    ) {
+        stop: watch::Receiver<bool>,
+        service: S,
+    ) -> impl Future<Output = ()> + Send + 'static
+    where
+        S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>,
+        S: Send + 'static,
+        S::Future: Send + 'static,
+    {
         // Small answers must not wait for more bytes.
         let _ = stream.set_nodelay(true);
-        let (node, answer) = (Arc::clone(node), answer.clone());
-        let service = service_fn(move |request| answer.answer(Arc::clone(&node), request));
         let builder = self.builder();
-        let connection = builder
-            .serve_connection(TokioIo::new(stream), service)
-            .into_owned();
-        let watched = graceful.watch(connection);
-        tokio::spawn(async move {
+        let limit = self.limits.header_timeout;
+        async move {
+            if !has_spoken(&stream, limit, stop).await {
+                return;
+            }
+            let connection = builder.serve_connection(TokioIo::new(stream), service);
             // The other side is told by the end of the connection.
-            let _ = watched.await;
-            drop(permit);
-        });
+            let _ = watcher.watch(connection.into_owned()).await;
+        }
     }
 
     fn builder(&self) -> auto::Builder<TokioExecutor> {
@@ -145,3 +156,17 @@
 
 /// Least buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: u32 = 8 << 10;
+
+/// Waits for the first byte of a connection. The HTTP library measures the
+/// time of the head only from there, so that a connection on which nothing
+/// ever comes would stay for ever.
+async fn has_spoken(stream: &TcpStream, limit: Duration, mut stop: watch::Receiver<bool>) -> bool {
+    let mut first = [0];
+    tokio::select! {
+        biased;
+        peeked = timeout(limit, stream.peek(&mut first)) => {
+            matches!(peeked, Ok(Ok(count)) if count > 0)
+        }
+        _ = stop.wait_for(|stop| *stop) => false,
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/answers.rs
@@ -0,0 +1,151 @@
+//! Answers belong to their callers and are whole, or have visibly failed.
+
+mod support;
+
+use std::sync::Arc;
+
+use http::{Method, StatusCode};
+use rstest::rstest;
+use support::{Answer, Deployment, Size};
+use tokio::task::JoinSet;
+
+const SIZE: Size = Size {
+    daemons: 2,
+    upstreams: 2,
+    checks_orders: true,
+};
+
+const DAMAGES: [&str; 6] = ["none", "close", "short", "garbage", "twice", "lost"];
+
+const ANSWER_BYTES: usize = 200_000;
+
+/// Asserts that an answer with a good status is whole and that of a request.
+fn assert_own(answer: &Answer, request_id: &str, bytes: usize) {
+    assert_eq!(answer.headers["eelgrassrock-request-id"], request_id);
+    if answer.status != StatusCode::OK {
+        return;
+    }
+    let text = std::str::from_utf8(&answer.body).unwrap();
+    let (head, filling) = text.split_once('\n').unwrap();
+    let head: serde_json::Value = serde_json::from_str(head).unwrap();
+    assert_eq!(head["request_id"], request_id);
+    assert!(text.len() >= bytes, "{request_id}: {} bytes", text.len());
+    let mut lines: Vec<&str> = filling.lines().collect();
+    // The last line may be cut by the size that was asked for.
+    let last = lines.pop().unwrap_or_default();
+    assert!(request_id.starts_with(last), "{request_id} got {last}");
+    assert!(
+        lines.iter().all(|line| *line == request_id),
+        "{request_id} got another's"
+    );
+}
+
+async fn read(deployment: &Deployment, daemon: usize, path: &str, id: &str) -> Option<Answer> {
+    let headers = [("eelgrassrock-request-id", id)];
+    deployment
+        .try_send(daemon, Method::GET, path, &headers, b"")
+        .await
+}
+
+/// Damaged and whole answers alternate over the same connections to the
+/// upstreams.
+#[tokio::test(flavor = "multi_thread")]
+async fn nobody_gets_an_answer_that_is_short_or_of_another() {
+    const CALLERS: usize = 8;
+    const ROUNDS: usize = 30;
+    let deployment = Arc::new(Deployment::start(SIZE).await);
+    let mut callers = JoinSet::new();
+    for caller in 0..CALLERS {
+        let deployment = deployment.clone();
+        callers.spawn(async move {
+            let mut whole = 0;
+            for round in 0..ROUNDS {
+                let damage = DAMAGES[(caller + round) % DAMAGES.len()];
+                let bytes = if round % 3 == 0 { ANSWER_BYTES } else { 0 };
+                let id = format!("caller-{caller}-round-{round}");
+                let path = format!("/sheets/key-{caller}?damage={damage}&bytes={bytes}");
+                let answer = read(&deployment, caller % SIZE.daemons, &path, &id).await;
+                if let Some(answer) = answer {
+                    assert_own(&answer, &id, bytes);
+                    whole += usize::from(answer.status == StatusCode::OK);
+                }
+            }
+            whole
+        });
+    }
+    let mut whole = 0;
+    while let Some(result) = callers.join_next().await {
+        whole += result.unwrap();
+    }
+    assert!(whole > 0, "nobody got anything");
+    deployment.until_served().await;
+}
+
+#[rstest]
+#[case::broken_off("close")]
+#[case::too_short("short")]
+#[case::not_http("garbage")]
+#[case::lost("lost")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_damaged_answer_fails_visibly(
+    #[case] damage: &str,
+    #[values(0, ANSWER_BYTES)] bytes: usize,
+) {
+    let deployment = Deployment::start(SIZE).await;
+    for daemon in 0..SIZE.daemons {
+        let path = format!("/sheets/key-1?damage={damage}&bytes={bytes}");
+        let answer = read(&deployment, daemon, &path, "one").await;
+        if let Some(answer) = answer {
+            assert!(answer.status.is_server_error(), "{answer:?}");
+            assert_eq!(answer.json()["outcome"], "unknown");
+        }
+    }
+}
+
+/// A run whose answer was damaged has happened, and mustn't happen again.
+#[rstest]
+#[case::broken_off("close")]
+#[case::too_short("short")]
+#[case::not_http("garbage")]
+#[case::lost("lost")]
+#[case::twice("twice")]
+#[tokio::test(flavor = "multi_thread")]
+async fn what_must_not_repeat_runs_once_though_its_answer_is_damaged(#[case] damage: &str) {
+    let deployment = Deployment::start(SIZE).await;
+    let path = format!("/sheets/key-1?damage={damage}");
+    let headers = [("idempotency-key", "issue-1")];
+    for daemon in [0, 1, 0, 1] {
+        let answer = deployment
+            .try_send(daemon, Method::POST, &path, &headers, b"sheet")
+            .await;
+        if let Some(answer) = answer.filter(|answer| !answer.status.is_success()) {
+            assert_ne!(answer.json()["outcome"], "not-run", "{answer:?}");
+        }
+    }
+    assert_eq!(deployment.runs("issue-1"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn repeats_of_an_issue_through_any_router_get_the_first_answer() {
+    let deployment = Deployment::start(SIZE).await;
+    let headers = [("idempotency-key", "issue-1")];
+    let mut counts = Vec::new();
+    for daemon in [0, 1, 1, 0] {
+        let answer = deployment
+            .send(daemon, Method::POST, "/sheets/key-1", &headers, b"sheet")
+            .await;
+        assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+        counts.push(answer.json()["count"].clone());
+    }
+    assert!(
+        counts.windows(2).all(|pair| pair[0] == pair[1]),
+        "{counts:?}"
+    );
+    assert_eq!(deployment.runs("issue-1"), 1);
+
+    let other = deployment
+        .send(0, Method::POST, "/sheets/key-1", &headers, b"another sheet")
+        .await;
+    assert_eq!(other.status, StatusCode::UNPROCESSABLE_ENTITY);
+    assert_eq!(deployment.runs("issue-1"), 1);
+}
--- a/crates/daemon/tests/process/sole.rs
+++ b/crates/daemon/tests/process/sole.rs
@@ -3,7 +3,7 @@
 use std::time::SystemTime;
 
 use eelgrassrock_standin::upstream::Tenure;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::Deserialize;
 
 use super::{Fleet, Upstream};
@@ -43,6 +43,16 @@
 }
 
 impl Upstream {
+    /// Returns the tenures that followed an earlier one of the same shard and
+    /// epoch: between the two the grant had lapsed.
+    pub async fn gaps(&self) -> Vec<Tenure> {
+        let mut seen = IndexSet::new();
+        let tenures = self.tenures().await.into_iter().map(|held| held.tenure);
+        tenures
+            .filter(|tenure| !seen.insert(tenure.grant))
+            .collect()
+    }
+
     async fn tenures(&self) -> Vec<Held> {
         let read_us = now_us();
         let Some(report) = self.report::<Report>("/grants/v1/tenures").await else {
