Replay of a trace from the command line

Operators want the measures of a recorded trace. Ruled out: printing every decision, as the log has them. Before: the library had no command. Also a test that a write which conflicts with itself after two lost answers counts as done; it was red when the conflict was believed at once. Not run green: the two recorded traces of the ownership crate lack the field `priors` here, which its own test reports as well; this crate's tests use a trace of two lines instead.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -49,6 +49,13 @@
     BundleStatus(BundleStatus),
     /// `status`
     Status(Status),
+    /// `replay`
+    Replay {
+        /// Recorded trace.
+        trace: PathBuf,
+        /// Whether to print JSON.
+        json: bool,
+    },
     /// `completions`
     Completions {
         /// Shell that they are for.
@@ -123,6 +130,10 @@
             Some(("settings", group)) => Ok(settings(inner(group).1)),
             Some(("bundle", group)) => bundle(group),
             Some(("status", matches)) => status(matches),
+            Some(("replay", matches)) => Ok(Self::Replay {
+                trace: path(matches, "TRACE"),
+                json: matches.get_flag("json"),
+            }),
             Some(("completions", matches)) => completions(matches),
             _ => Ok(Self::Man),
         }
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -29,7 +29,14 @@
         .after_long_help(EXIT_CODES)
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommands([settings(), bundle(), status(), completions(), man()])
+        .subcommands([
+            settings(),
+            bundle(),
+            status(),
+            replay(),
+            completions(),
+            man(),
+        ])
 }
 
 fn settings() -> Command {
@@ -175,6 +182,19 @@
         .arg(json())
 }
 
+fn replay() -> Command {
+    Command::new("replay")
+        .about("Replay a recorded trace and print its measures")
+        .long_about(
+            "Feeds the events of a trace to the decisions, compares what they decide with what \
+             the trace states, and prints imbalance, churn and unavailable time. Exits with 1 if \
+             a decision differs or a bound that the trace states isn't kept.",
+        )
+        .after_long_help("Example:\n  eelgrassrock replay testdata/ownership/losses.jsonl")
+        .arg(file("TRACE", "File with one JSON object per line"))
+        .arg(json())
+}
+
 fn completions() -> Command {
     Command::new("completions")
         .about("Print completions for a shell")
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod args;
 mod bundle;
 pub mod flags;
+mod replay;
 mod settings;
 mod shell;
 mod status;
@@ -56,6 +57,7 @@
         Arguments::BundleRoll { file, platform } => bundle::roll::roll(&file, &platform).await,
         Arguments::BundleStatus(status) => bundle::status::status(&status).await,
         Arguments::Status(status) => status::status(&status).await,
+        Arguments::Replay { trace, json } => replay::replay(&trace, json),
         Arguments::Completions { shell } => shell::completions(shell),
         Arguments::Man => shell::man(),
     }
--- a/crates/cli/tests/offline.rs
+++ b/crates/cli/tests/offline.rs
@@ -101,6 +101,37 @@
     assert!(answer.err.contains("[ownership] lease `600`"), "{answer:?}");
 }
 
+const TRACE: &str = r#"{"start":{"router":"r0","address":"10.0.0.1:1","data_centre":"z0","nonce":"1","lease_ms":500,"heartbeat_ms":100,"drift_ppm":1000,"authority_ms":60000,"seed":0}}
+{"bounds":{"least_moves":0,"imbalance":1.0,"churn":1.0,"worst_unavailable_ms":0}}
+"#;
+
+#[tokio::test]
+async fn replay_prints_measures() {
+    let platform = Platform::start().await;
+    let file = platform.file("trace.jsonl", TRACE);
+    let answer = run(&["replay", &file]).await;
+    assert_eq!(answer.exit, Exit::Done, "{answer:?}");
+    assert!(answer.out.contains("\nmoves: 0\n"), "{answer:?}");
+    let answer = run(&["replay", "--json", &file]).await;
+    let measures: serde_json::Value = serde_json::from_str(&answer.out).unwrap();
+    assert_eq!(measures["moves"], 0);
+}
+
+#[rstest]
+#[case::bound("\"imbalance\":1.0", "\"imbalance\":-1.0", "line 2: ")]
+#[case::line("{\"bounds\"", "{\"bonds\"", "line 2: ")]
+#[tokio::test]
+async fn trace_that_fails_is_refused(#[case] from: &str, #[case] to: &str, #[case] part: &str) {
+    let platform = Platform::start().await;
+    let file = platform.file("trace.jsonl", &TRACE.replace(from, to));
+    let answer = run(&["replay", &file]).await;
+    assert_eq!(answer.exit, Exit::Refused, "{answer:?}");
+    assert!(
+        answer.err.starts_with(&format!("{file}: {part}")),
+        "{answer:?}"
+    );
+}
+
 #[rstest]
 #[case::nothing(&[], "Usage")]
 #[case::unknown(&["bundel"], "bundle")]
@@ -124,6 +155,7 @@
 #[case::roll(&["bundle", "roll"])]
 #[case::bundle_status(&["bundle", "status"])]
 #[case::status(&["status"])]
+#[case::replay(&["replay"])]
 #[case::completions(&["completions"])]
 #[case::man(&["man"])]
 #[tokio::test]
--- a/crates/cli/tests/roll.rs
+++ b/crates/cli/tests/roll.rs
@@ -3,6 +3,11 @@
 mod support;
 
 use eelgrassrock_cli::answer::Exit;
+use eelgrassrock_cli::args;
+use eelgrassrock_cli::store::{Change, Store};
+use eelgrassrock_config::bundle::Bundle;
+use eelgrassrock_config::roll::Record;
+use eelgrassrock_model::Version;
 use eelgrassrock_standin::fault::Outage;
 use eelgrassrock_standin::{objects, table};
 use proptest::prelude::*;
@@ -200,6 +205,26 @@
     assert_eq!(platform.in_force().await["version"], 1);
 }
 
+/// The answer of the write is lost and that of reading back is cut, so the
+/// write is sent again and conflicts with itself.
+#[tokio::test]
+async fn conflict_with_the_own_write_is_no_loss() {
+    let platform = Platform::start().await;
+    let store = Store::new(&args::Platform {
+        table: platform.table.address(),
+        objects: platform.objects.address(),
+    });
+    let record = Record::new(&Bundle::parse("v1.ini", &bundle(1)).unwrap(), Vec::new());
+    platform.table.set_faults(table::Faults {
+        lose_answers: 1,
+        cut_answers: 2,
+        ..table::Faults::default()
+    });
+    assert_eq!(store.roll(Version(0), &record).await, Change::Done);
+    assert_eq!(platform.table.calls().writes, 2);
+    assert_eq!(store.roll(Version(0), &record).await, Change::Conflict);
+}
+
 /// The table takes each write and loses the answer, and its reads fail as well.
 #[tokio::test]
 async fn roll_that_cannot_be_read_back_is_unknown() {
