Only a home of the moving term proves a release; homes spread and recover

The row now names the term of the home that moved the shard (`prior_term`), and a home of an earlier term proves nothing. Also: first homes wait 1 s for other routers; a router with more than twice its fair number of homes offers one; upstreams that a bundle removed keep their address until they are empty; failures of the table back off to 1 s. Ruled out: proof of the term in the table before each release, as it would stop planned moves in an outage.

--- a/crates/ownership/src/held.rs
+++ b/crates/ownership/src/held.rs
@@ -107,6 +107,8 @@
     pub(crate) cleared_at: Option<Instant>,
     /// Busy share of the slots by shard.
     pub(crate) busy: BTreeMap<Shard, f64>,
+    /// Whether the other homes were told that it may get shards.
+    pub(crate) received: bool,
     /// Whether any load was reported.
     pub(crate) has_load: bool,
     /// When the shards were gained.
@@ -158,6 +160,7 @@
             predecessor_asked_at: None,
             cleared_at: None,
             busy: BTreeMap::new(),
+            received: false,
             has_load: false,
             gained: BTreeMap::new(),
             since: now,
@@ -187,6 +190,11 @@
         matches!(self.state(), State::Granting {} | State::Suspect {})
     }
 
+    /// Returns whether the upstream answered its last request.
+    pub(crate) fn is_granting(&self) -> bool {
+        self.state() == State::Granting {}
+    }
+
     /// Returns the busy share of the slots.
     pub(crate) fn busy_share(&self) -> f64 {
         self.busy.values().sum()
--- a/crates/ownership/src/machine/assign.rs
+++ b/crates/ownership/src/machine/assign.rs
@@ -69,6 +69,11 @@
 
     /// Assigns the shards of a service that have no owner.
     fn place_unowned(&mut self, service: &Service) {
+        let shares = self.shares(service, None);
+        if shares.is_empty() {
+            self.unplaced.insert(service.clone(), self.now);
+            return;
+        }
         let since = self.unplaced[service];
         let Some(rank) = self.placer_rank(service) else {
             return;
@@ -93,7 +98,6 @@
             let unowned = entries.filter(|(_, entry)| entry.owner.is_none());
             shards.extend(unowned.map(|(at, _)| Shard(index * BLOCK_SHARDS + at as u32)));
         }
-        let shares = self.shares(service, None);
         let parts = place::divide(&shards, &shares);
         self.assign(service, parts, None, Purpose::Place, Reason::Unowned);
     }
@@ -151,6 +155,7 @@
         reason: Reason,
     ) {
         let keeps_prior = matches!(purpose, Purpose::Move(_));
+        let term = from.and_then(|it| self.held.get(it)).map(|it| it.term);
         let mut owners: BTreeMap<Shard, Upstream> = BTreeMap::new();
         for (owner, shards) in parts {
             owners.extend(shards.into_iter().map(|shard| (shard, owner.clone())));
@@ -163,10 +168,12 @@
                 block.entries.clone()
             });
             if let Some(entry) = entries.get_mut((shard.0 % BLOCK_SHARDS) as usize) {
+                let prior = entry.owner.take().filter(|_| keeps_prior);
                 *entry = Entry {
                     owner: Some(owner.clone()),
                     epoch: entry.epoch.next(),
-                    prior: entry.owner.take().filter(|_| keeps_prior),
+                    prior_term: term.filter(|_| prior.is_some()),
+                    prior,
                 };
             }
         }
@@ -387,7 +394,9 @@
             }
             let block = &view.services[&service].blocks[index as usize];
             let entries = blocks.entry(index).or_insert_with(|| block.entries.clone());
-            entries[(shard.0 % BLOCK_SHARDS) as usize].prior = None;
+            let entry = &mut entries[(shard.0 % BLOCK_SHARDS) as usize];
+            entry.prior = None;
+            entry.prior_term = None;
         }
         for (index, entries) in blocks {
             let key = Key::Block(service.clone(), index).text();
--- a/crates/ownership/src/machine/claim.rs
+++ b/crates/ownership/src/machine/claim.rs
@@ -19,10 +19,16 @@
 /// Time that each router leaves to those that rank before it.
 const CLAIM_STAGGER: Duration = Duration::from_millis(250);
 
+/// Time to wait for other routers before the first homes are chosen.
+const START_DELAY: Duration = Duration::from_secs(1);
+
 impl Machine {
     pub(super) fn on_members(&mut self, members: Vec<Member>) {
         let members = members.into_iter().map(|it| (it.router.clone(), it));
         let members: IndexMap<_, _> = members.collect();
+        if self.members.is_empty() {
+            self.started_at = self.now + START_DELAY;
+        }
         let gone: Vec<_> = self
             .members
             .keys()
@@ -103,8 +109,7 @@
     }
 
     pub(super) fn data_centre_of(&self, upstream: &Upstream) -> Option<&DataCentre> {
-        let upstream = self.view.fleet.upstreams.get(upstream)?;
-        Some(&upstream.data_centre)
+        Some(&self.view.declared(upstream)?.data_centre)
     }
 
     /// Computes when this router claims an orphan.
@@ -117,8 +122,14 @@
             let data_centre = self.data_centre_of(upstream);
             place::rank(me, upstream, data_centre, self.members.values())
         };
+        let known = self.view.homes.contains_key(upstream);
+        let earliest = if known {
+            self.now
+        } else {
+            self.started_at.max(self.now)
+        };
         let at = match rank.and_then(|rank| u32::try_from(rank).ok()) {
-            Some(rank) => self.now + CLAIM_STAGGER * rank,
+            Some(rank) => earliest + CLAIM_STAGGER * rank,
             None => Instant::from_micros(u64::MAX),
         };
         self.orphans.insert(upstream.clone(), at);
--- a/crates/ownership/src/machine/handover.rs
+++ b/crates/ownership/src/machine/handover.rs
@@ -6,7 +6,9 @@
 
 use eelgrassrock_model::table::{Operation, Row};
 use eelgrassrock_model::time::Instant;
-use eelgrassrock_model::{Router, Sequence, Term, Upstream, Version};
+use eelgrassrock_model::{Name, Router, Sequence, Term, Upstream, Version};
+
+use indexmap::IndexSet;
 
 use super::Machine;
 use crate::action::Action;
@@ -19,9 +21,18 @@
 /// Time between two questions about one handover.
 const ASK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time after which an accepted offer that led to nothing is dropped.
+const OFFER_LIFETIME: Duration = Duration::from_secs(5);
+
 /// Time after which a stopping router no longer waits for its successors.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time between two homes that are given to routers that have fewer.
+const RELIEF_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Multiple of the fair number of homes that a router keeps.
+const RELIEF_FACTOR: usize = 2;
+
 /// Bits of the version of an acting home that count handovers of one term.
 const HOP_BITS: u32 = 16;
 
@@ -50,6 +61,7 @@
 pub(super) struct Offer {
     router: Router,
     term: Term,
+    offered_at: Instant,
     asked_at: Instant,
     /// Identifier of the acceptance, zero if this router made the offer.
     question: u64,
@@ -181,10 +193,80 @@
         for (upstream, term) in asking {
             self.ask_predecessor(&upstream, term);
         }
-        if let Some(since) = self.draining
-            && !self.drained
-        {
-            self.poll_drain(since);
+        self.accept_again();
+        match self.draining {
+            Some(since) if !self.drained => self.poll_drain(since),
+            None => self.relieve_homes(),
+            _ => {}
+        }
+    }
+
+    /// Accepts offers again whose answer is overdue.
+    fn accept_again(&mut self) {
+        let now = self.now;
+        self.offers
+            .retain(|_, offer| offer.question == 0 || now < offer.offered_at + OFFER_LIFETIME);
+        let overdue = |it: &Offer| it.question != 0 && now >= it.asked_at + ASK_INTERVAL;
+        let offers = self.offers.iter().filter(|(_, offer)| overdue(offer));
+        let overdue: Vec<_> = offers
+            .map(|(upstream, offer)| (upstream.clone(), offer.clone()))
+            .collect();
+        for (upstream, offer) in overdue {
+            self.accept(&offer.router, &upstream, offer.term, offer.offered_at);
+        }
+    }
+
+    fn accept(&mut self, from: &Router, upstream: &Upstream, term: Term, offered_at: Instant) {
+        let question = self.take_id();
+        let offer = Offer {
+            router: from.clone(),
+            term,
+            offered_at,
+            asked_at: self.now,
+            question,
+        };
+        self.offers.insert(upstream.clone(), offer);
+        let message = Message::AcceptHandover {
+            upstream: upstream.clone(),
+            term,
+            question,
+        };
+        self.tell(from, message);
+    }
+
+    /// Offers a home to a router that has far fewer, one at a time.
+    fn relieve_homes(&mut self) {
+        let recent = self.now < self.relieved_at + RELIEF_INTERVAL;
+        if recent || self.members.is_empty() {
+            return;
+        }
+        let fair = self.view.fleet.upstreams.len().div_ceil(self.members.len());
+        if self.held.len() <= fair * RELIEF_FACTOR {
+            return;
+        }
+        self.relieved_at = self.now;
+        let settled = self.held.iter().find(|(upstream, held)| {
+            held.is_granting() && held.is_settled(self.now) && !self.is_changing(upstream)
+        });
+        let Some(upstream) = settled.map(|(upstream, _)| upstream.clone()) else {
+            return;
+        };
+        let data_centre = self.data_centre_of(&upstream);
+        let homes = |router: &Router| self.view.by_router.get(router).map_or(0, IndexSet::len);
+        let me = &self.settings.router;
+        let others = self.members.values().filter(|it| it.router != *me);
+        let next = others.min_by_key(|member| {
+            let near = Some(&member.data_centre) == data_centre;
+            let weight = place::weight(&member.router, upstream.as_str());
+            (
+                homes(&member.router) > fair,
+                near,
+                homes(&member.router),
+                weight,
+            )
+        });
+        if let Some(next) = next.map(|it| it.router.clone()) {
+            self.offer_to(&upstream, &next);
         }
     }
 
@@ -212,18 +294,24 @@
             return false;
         };
         let next = next.router.clone();
+        self.offer_to(upstream, &next);
+        true
+    }
+
+    fn offer_to(&mut self, upstream: &Upstream, next: &Router) {
         let offered = self.offers.get(upstream);
         let recent = offered.is_some_and(|it| self.now < it.asked_at + ASK_INTERVAL);
         let Some(held) = self.held.get(upstream) else {
-            return true;
+            return;
         };
         if recent || held.is_loading() || self.is_changing(upstream) {
-            return true;
+            return;
         }
         let term = held.term;
         let offer = Offer {
             router: next.clone(),
             term,
+            offered_at: self.now,
             asked_at: self.now,
             question: 0,
         };
@@ -232,8 +320,7 @@
             upstream: upstream.clone(),
             term,
         };
-        self.tell(&next, message);
-        true
+        self.tell(next, message);
     }
 
     /// Returns whether a transaction that depends on this home is under way.
@@ -250,20 +337,7 @@
         if self.draining.is_some() || self.held.contains_key(upstream) {
             return;
         }
-        let question = self.take_id();
-        let offer = Offer {
-            router: from.clone(),
-            term,
-            asked_at: self.now,
-            question,
-        };
-        self.offers.insert(upstream.clone(), offer);
-        let message = Message::AcceptHandover {
-            upstream: upstream.clone(),
-            term,
-            question,
-        };
-        self.tell(from, message);
+        self.accept(from, upstream, term, self.now);
     }
 
     pub(super) fn on_accept(
@@ -280,7 +354,6 @@
         let held = self.held.get(upstream).filter(|held| held.term == term);
         if let Some(held) = held
             && ready
-            && self.draining.is_some()
             && !self.is_changing(upstream)
         {
             let ceded = Self::ceded_to(held, from, self.now);
--- a/crates/ownership/src/machine/lease.rs
+++ b/crates/ownership/src/machine/lease.rs
@@ -23,12 +23,12 @@
 impl Machine {
     /// Returns whether an upstream refuses orders of an earlier term.
     pub(super) fn checks_orders(&self, upstream: &Upstream) -> bool {
-        let upstream = self.view.fleet.upstreams.get(upstream);
-        upstream.is_some_and(|it| it.checks_orders)
+        let declared = self.view.declared(upstream);
+        declared.is_some_and(|it| it.checks_orders)
     }
 
     fn address_of(&self, upstream: &Upstream) -> Option<SocketAddr> {
-        Some(self.view.fleet.upstreams.get(upstream)?.address)
+        Some(self.view.declared(upstream)?.address)
     }
 
     /// Notes that the rows of the shards were read after the takeover.
@@ -86,9 +86,13 @@
     }
 
     fn note_alive(&mut self, upstream: &Upstream, was_alive: bool) {
-        let Some(held) = self.held.get(upstream) else {
+        let Some(held) = self.held.get_mut(upstream) else {
             return;
         };
+        let receives = held.is_granting();
+        if std::mem::replace(&mut held.received, receives) != receives {
+            self.next_report = self.now;
+        }
         let alive = held.is_alive();
         if alive == was_alive {
             return;
@@ -103,7 +107,6 @@
             alive,
         };
         self.decide(what, reason);
-        self.next_report = self.now;
     }
 
     pub(super) fn poll_leases(&mut self) {
--- a/crates/ownership/src/machine/message.rs
+++ b/crates/ownership/src/machine/message.rs
@@ -134,7 +134,7 @@
         let held = self.held.get(upstream);
         Report {
             upstream: upstream.clone(),
-            alive: held.is_some_and(crate::held::Held::is_alive),
+            alive: held.is_some_and(crate::held::Held::is_granting),
             leaving: self.is_leaving(upstream),
             busy_ppm: held.map_or(0, |held| (held.busy_share() * 1e6) as u32),
         }
--- a/crates/ownership/src/machine/mod.rs
+++ b/crates/ownership/src/machine/mod.rs
@@ -77,6 +77,12 @@
     reads: IndexMap<u64, Read>,
     /// Time until which the rows of another router are awaited.
     peer_deadline: Option<Instant>,
+    /// Time before which no home is chosen for the first time.
+    started_at: Instant,
+    /// Failures of the table since its last answer.
+    table_failures: u32,
+    /// When a home was last offered to a router that has fewer.
+    relieved_at: Instant,
     homes_known: bool,
     blocks_known: IndexSet<Service>,
     next_id: u64,
@@ -108,6 +114,9 @@
             scans: IndexMap::new(),
             reads: IndexMap::new(),
             peer_deadline: None,
+            started_at: Instant::default(),
+            table_failures: 0,
+            relieved_at: Instant::default(),
             homes_known: false,
             blocks_known: IndexSet::new(),
             next_id: 1,
--- a/crates/ownership/src/machine/release.rs
+++ b/crates/ownership/src/machine/release.rs
@@ -25,8 +25,14 @@
         let Some(held) = self.held.get(prior) else {
             return false;
         };
-        let known = self.view.entry(service, shard);
-        known.is_some_and(|entry| entry.epoch >= epoch)
+        let Some(entry) = self.view.entry(service, shard) else {
+            return false;
+        };
+        // A home that was superseded doesn't know the orders of the home that
+        // moved the shard away.
+        let moved = entry.epoch == epoch && entry.prior.as_ref() == Some(prior);
+        moved
+            && entry.prior_term.is_some_and(|term| held.term >= term)
             && held.is_settled(self.now)
             && !held.grants_stale
             && !held.may_hold(shard, epoch)
--- a/crates/ownership/src/machine/table.rs
+++ b/crates/ownership/src/machine/table.rs
@@ -22,6 +22,9 @@
 /// Longest wait before an exchange is tried again.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 
+/// Most doublings of the wait.
+const MAX_DOUBLINGS: u32 = 10;
+
 /// Share of the authority after which a home proves its term again.
 const PROOF_SHARE: u32 = 16;
 
@@ -150,6 +153,7 @@
         let Some(scan) = self.scans.swap_remove(&scan) else {
             return;
         };
+        self.table_failures = 0;
         self.learn(rows);
         match scan.subject {
             Subject::Homes => {
@@ -173,8 +177,11 @@
         }
     }
 
+    /// Leaves the table alone for at least `span`, longer with each failure.
     fn back_off(&mut self, span: Duration) {
-        let span = self.jitter(span);
+        let factor = 2_u32.pow(self.table_failures.min(MAX_DOUBLINGS));
+        self.table_failures = self.table_failures.saturating_add(1);
+        let span = self.jitter((MIN_BACKOFF * factor).min(MAX_BACKOFF).max(span));
         self.table_retry_at = self.table_retry_at.max(self.now + span);
     }
 
@@ -204,6 +211,7 @@
         let Some(read) = self.reads.swap_remove(&id) else {
             return;
         };
+        self.table_failures = 0;
         let version = row.as_ref().map_or(Version(0), |row| row.version);
         self.learn(row.into_iter().collect());
         if let Some(Key::Home(upstream)) = Key::parse(&read.key)
@@ -296,6 +304,10 @@
         if pending.phase != Phase::Sent {
             return;
         }
+        let tries = pending.tries;
+        if matches!(outcome, Outcome::Committed(_) | Outcome::Conflict { .. }) {
+            self.table_failures = 0;
+        }
         match outcome {
             Outcome::Committed(versions) => self.on_committed(operation, &versions),
             Outcome::Conflict { row, .. } => self.on_conflict(operation, row),
@@ -310,7 +322,7 @@
             }
             Outcome::Unknown => {
                 pending.in_doubt = true;
-                let backoff = MIN_BACKOFF * 2_u32.saturating_pow(pending.tries.min(10));
+                let backoff = MIN_BACKOFF * 2_u32.pow(tries.min(MAX_DOUBLINGS));
                 self.back_off(MIN_BACKOFF);
                 self.retry_later(operation, backoff.min(MAX_BACKOFF));
             }
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -59,7 +59,7 @@
 pub struct Report {
     /// Upstream.
     pub upstream: Upstream,
-    /// Whether its grant is valid.
+    /// Whether it answers and may get shards.
     pub alive: bool,
     /// Whether it is leaving.
     pub leaving: bool,
--- a/crates/ownership/src/row.rs
+++ b/crates/ownership/src/row.rs
@@ -160,6 +160,10 @@
     /// Owner before, if it isn't proven that it released the shard.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub prior: Option<Upstream>,
+    /// Term of the home of the prior owner that moved the shard away. Homes of
+    /// an earlier term can't prove the release.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub prior_term: Option<Term>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -254,6 +258,9 @@
     if entry.prior.is_some() && entry.prior == entry.owner {
         return Err(Fault::Contents("the prior owner equals the owner"));
     }
+    if entry.prior.is_some() != entry.prior_term.is_some() {
+        return Err(Fault::Contents("a prior owner needs the term of its home"));
+    }
     if entry.owner.is_none() && entry.prior.is_some() {
         return Err(Fault::Contents("a prior owner needs an owner"));
     }
--- a/crates/ownership/src/view.rs
+++ b/crates/ownership/src/view.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use eelgrassrock_model::fleet::Fleet;
+use eelgrassrock_model::fleet::{self, Fleet};
 use eelgrassrock_model::shard::{Count, Shard};
 use eelgrassrock_model::table::Row;
 use eelgrassrock_model::{Epoch, Router, Service, Upstream, Version};
@@ -77,6 +77,8 @@
     incoming: IndexMap<Upstream, BTreeSet<Shard>>,
     outgoing: IndexMap<Upstream, BTreeMap<Shard, Outgoing>>,
     service_of: IndexMap<Upstream, Service>,
+    /// Upstreams that a bundle removed, which may still own shards.
+    retired: IndexMap<Upstream, fleet::Upstream>,
     /// Rows of services that no bundle declared yet.
     waiting: IndexMap<Arc<str>, Row>,
 }
@@ -98,7 +100,11 @@
                 .or_default()
                 .push(name.clone());
         }
-        self.fleet = fleet;
+        let before = std::mem::replace(&mut self.fleet, fleet);
+        self.retired.extend(before.upstreams);
+        let fleet = &self.fleet;
+        self.retired
+            .retain(|name, _| !fleet.upstreams.contains_key(name));
         let waiting = std::mem::take(&mut self.waiting);
         waiting.into_values().map(|row| self.apply(row)).collect()
     }
@@ -285,6 +291,12 @@
             .map_or(Version(0), |home| home.row.version)
     }
 
+    /// Returns what the latest bundle that had the upstream declared of it.
+    pub(crate) fn declared(&self, upstream: &Upstream) -> Option<&fleet::Upstream> {
+        let present = self.fleet.upstreams.get(upstream);
+        present.or_else(|| self.retired.get(upstream))
+    }
+
     /// Returns the service that an upstream belongs to.
     pub(crate) fn service_of(&self, upstream: &Upstream) -> Option<&Service> {
         self.service_of.get(upstream)
