--- a/crates/ownership/tests/fencing.rs
+++ b/crates/ownership/tests/fencing.rs
@@ -11,6 +11,7 @@
 use world::{Shape, World, router, upstream};
 
 const SECOND: Duration = Duration::from_secs(1);
+const ROUTERS: usize = 4;
 const AUTHORITY: Duration = Duration::from_secs(20);
 
 /// Starts a world and cuts the home of the first upstream off from all but the
@@ -18,20 +19,25 @@
 fn isolated(checks_orders: bool) -> (World, Router) {
     let mut world = World::settled(Shape {
         checks_orders,
+        routers: ROUTERS,
         authority: AUTHORITY,
         ..Shape::default()
     });
     world.run_for(2 * SECOND);
     let home = world.home_of(&upstream(0));
-    world.cut_table(home.as_str());
-    for other in 0..3 {
-        world.cut(home.as_str(), router(other).as_str());
-    }
+    isolate(&mut world, &home);
     world.run_for(2 * SECOND);
     assert_ne!(world.home_of(&upstream(0)), home);
     (world, home)
 }
 
+fn isolate(world: &mut World, home: &Router) {
+    world.cut_table(home.as_str());
+    for other in 0..ROUTERS {
+        world.cut(home.as_str(), router(other).as_str());
+    }
+}
+
 #[rstest]
 #[case::checking(true, 0)]
 #[case::unchecking(false, 64)]
@@ -58,7 +64,7 @@
     world.send_all(&Event::Leaving(vec![upstream(0)]));
     world.run_for(2 * SECOND);
     // Only the isolated home reaches the upstream after its restart.
-    for other in (0..3).map(router).filter(|it| *it != home) {
+    for other in (0..ROUTERS).map(router).filter(|it| *it != home) {
         world.cut(other.as_str(), upstream(0).as_str());
     }
     world.upstreams[&upstream(0)].restart();
@@ -71,10 +77,84 @@
 #[case::unchecking(false)]
 fn isolated_home_goes_on_while_the_next_one_cannot_reach_the_upstream(#[case] checks_orders: bool) {
     let (mut world, home) = isolated(checks_orders);
-    for other in (0..3).map(router).filter(|it| *it != home) {
+    for other in (0..ROUTERS).map(router).filter(|it| *it != home) {
         world.cut(other.as_str(), upstream(0).as_str());
     }
     world.run_for(AUTHORITY + 5 * SECOND);
     assert_eq!(world.violation, None);
     assert_eq!(world.unserved(), []);
 }
+
+/// Asserts that the home takes nothing from the first upstream before the
+/// authority of an earlier home has ended.
+fn assert_unsettled(mut world: World) {
+    let owned = world.count_of(0);
+    assert_ne!(owned, 0);
+    world.send_all(&Event::Leaving(vec![upstream(0)]));
+    world.run_for(3 * SECOND);
+    assert_eq!(world.violation, None);
+    assert_eq!(world.count_of(0), owned);
+    world.run_for(AUTHORITY + 2 * SECOND);
+    assert_eq!(world.violation, None);
+    assert_eq!(world.count_of(0), 0);
+}
+
+#[test]
+fn handover_by_a_home_that_was_not_settled_settles_nothing() {
+    let (mut world, _) = isolated(false);
+    let second = world.home_of(&upstream(0));
+    world.nodes[&second].paused_until = world.now + 2 * SECOND;
+    world.run_for(3 * SECOND);
+    assert_ne!(world.home_of(&upstream(0)), second);
+    assert_unsettled(world);
+}
+
+#[test]
+fn handover_by_an_earlier_home_than_the_last_settles_nothing() {
+    let (mut world, first) = isolated(false);
+    let second = world.home_of(&upstream(0));
+    isolate(&mut world, &second);
+    world.run_for(2 * SECOND);
+    assert!(![&first, &second].contains(&&world.home_of(&upstream(0))));
+    world.cuts.clear();
+    isolate(&mut world, &second);
+    world.run_for(2 * SECOND);
+    assert_unsettled(world);
+}
+
+/// Starts a world and delays an order that grants the shards of the first
+/// upstream, so that it arrives shortly before it expires.
+fn with_late_order(checks_orders: bool) -> World {
+    let mut world = World::settled(Shape {
+        checks_orders,
+        ..Shape::default()
+    });
+    world.run_for(2 * SECOND);
+    world.late_order = Some((upstream(0), Duration::from_millis(470)));
+    world.run_while(SECOND, |it| it.late_order.is_some());
+    world
+}
+
+#[rstest]
+#[case::checking(true)]
+#[case::unchecking(false)]
+fn order_that_is_under_way_counts_until_it_expires(#[case] checks_orders: bool) {
+    let mut world = with_late_order(checks_orders);
+    world.send_all(&Event::Leaving(vec![upstream(0)]));
+    world.run_for(3 * SECOND);
+    assert_eq!(world.violation, None);
+    assert_eq!(world.count_of(0), 0);
+}
+
+#[rstest]
+#[case::checking(true)]
+#[case::unchecking(false)]
+fn shard_moves_on_only_after_its_release(#[case] checks_orders: bool) {
+    let mut world = with_late_order(checks_orders);
+    world.send_all(&Event::Leaving(vec![upstream(0)]));
+    world.run_for(Duration::from_millis(30));
+    world.send_all(&Event::Leaving(vec![upstream(0), upstream(1)]));
+    world.run_for(3 * SECOND);
+    assert_eq!(world.violation, None);
+    assert_eq!((world.count_of(0), world.count_of(1)), (0, 0));
+}
--- a/crates/ownership/tests/world/mod.rs
+++ b/crates/ownership/tests/world/mod.rs
@@ -119,6 +119,8 @@
     pub(crate) upstreams: IndexMap<Upstream, upstream::Upstream>,
     pub(crate) nodes: IndexMap<Router, Node>,
     pub(crate) noise: Noise,
+    /// Upstream whose next order is late, and by how much.
+    pub(crate) late_order: Option<(Upstream, Duration)>,
     /// Names that can't reach each other.
     pub(crate) cuts: HashSet<(String, String)>,
     heard: HashMap<(Router, Router), Instant>,
@@ -185,6 +187,7 @@
             upstreams: IndexMap::new(),
             nodes: IndexMap::new(),
             noise: Noise::default(),
+            late_order: None,
             cuts: HashSet::new(),
             heard: HashMap::new(),
             queue: BinaryHeap::new(),
@@ -302,6 +305,15 @@
         Duration::from_micros(self.rng.random_range(200..=limit))
     }
 
+    fn order_delay(&mut self, action: &Action) -> Duration {
+        let delay = self.delay();
+        let Action::Order { upstream, .. } = action else {
+            return delay;
+        };
+        let late = self.late_order.take_if(|(name, _)| name == upstream);
+        late.map_or(delay, |(_, late)| late)
+    }
+
     fn is_lost(&mut self) -> bool {
         self.rng.random_range(0..1000) < self.noise.lost
     }
@@ -402,7 +414,7 @@
                 );
             }
             Action::AskTicket { .. } | Action::Order { .. } => {
-                let delay = self.delay();
+                let delay = self.order_delay(&action);
                 let at = self.now + delay;
                 if delay > CLIENT_TIMEOUT
                     && let Some(event) = lost_answer(&action)
