--- a/crates/ownership/src/machine/claim.rs
+++ b/crates/ownership/src/machine/claim.rs
@@ -33,10 +33,16 @@
     claim_at: Option<Instant>,
 }
 
+/// Time to wait for other routers before the first homes are chosen.
+const START_DELAY: Duration = Duration::from_secs(1);
+
 impl Machine {
     pub(super) fn on_members(&mut self, members: Vec<Member>) {
         let members = members.into_iter().map(|it| (it.router.clone(), it));
         let members: IndexMap<_, _> = members.collect();
+        if self.members.is_empty() {
+            self.started_at = self.now + START_DELAY;
+        }
         let gone: Vec<_> = self
             .members
             .keys()
@@ -122,8 +128,7 @@
     }
 
     pub(super) fn data_centre_of(&self, upstream: &Upstream) -> Option<&DataCentre> {
-        let upstream = self.view.fleet.upstreams.get(upstream)?;
-        Some(&upstream.data_centre)
+        Some(&self.view.declared(upstream)?.data_centre)
     }
 
     /// Computes when this router claims an orphan.
@@ -152,6 +157,7 @@
         });
         match self.orphans.get(upstream) {
             Some(orphan) if unseen => self.now.max(orphan.since + ACQUAINTANCE),
+            _ if home.is_none() => self.now.max(self.started_at),
             _ => self.now,
         }
     }
