Count requests that wait for claims in admission and bounds

Cause: requests whose claim was being written were in no queue, so admission took the queue for shorter than it was, and nothing bounded their number.

--- a/crates/request/src/experiment/driver.rs
+++ b/crates/request/src/experiment/driver.rs
@@ -22,6 +22,8 @@
 
 const TABLE_ROUND_TRIP: Duration = Duration::from_millis(3);
 const PROBE_TIME: Duration = Duration::from_millis(6);
+/// Wait after which a refusal counts as late.
+const LATE: Duration = Duration::from_millis(50);
 /// Time after the end of the trace in which the last answers come in.
 const TAIL: Duration = Duration::from_secs(60);
 
@@ -324,7 +326,10 @@
         }
         match verdict.outcome {
             Outcome::Done => return self.note_answer(now, index),
-            Outcome::NotRun => self.report.refused += 1,
+            Outcome::NotRun => {
+                self.report.refused += 1;
+                self.report.refused_late += u64::from(now - due.at > LATE);
+            }
             Outcome::Unknown => self.report.unknown += 1,
         }
         self.report.slowest_refusal = self.report.slowest_refusal.max(now - due.at);
--- a/crates/request/src/experiment/driver/setup.rs
+++ b/crates/request/src/experiment/driver/setup.rs
@@ -16,6 +16,8 @@
 use crate::{Event, Grant, Machine, Settings};
 
 const SHARDS: u32 = 64;
+/// Transactions per second of all ten routers of a deployment together.
+const CLAIMS_PER_SECOND: u32 = 200;
 
 impl<'a> Driver<'a> {
     pub(super) fn new(load: &'a Load, trace: &'a Trace, routers: u32) -> Self {
@@ -34,7 +36,8 @@
             let settings = Settings::builder()
                 .router(Arc::from(format!("router-{router}")))
                 .seed(load.seed + u64::from(router))
-                .service_time(load.service_time);
+                .service_time(load.service_time)
+                .claims_per_second(CLAIMS_PER_SECOND);
             Machine::new(settings.build())
         };
         Self {
--- a/crates/request/src/experiment/report.rs
+++ b/crates/request/src/experiment/report.rs
@@ -63,6 +63,8 @@
     pub late: u64,
     /// Requests that were told that they did not run.
     pub refused: u64,
+    /// Of these: requests that had waited for more than 50 ms.
+    pub refused_late: u64,
     /// Requests whose outcome was told to be unknown.
     pub unknown: u64,
     /// Longest time from due to a final answer other than that of the upstream.
--- a/crates/request/src/machine/admission.rs
+++ b/crates/request/src/machine/admission.rs
@@ -38,6 +38,7 @@
             timer: None,
             attempts: arrival.attempts,
             may_have_run: arrival.attempts > 0 && arrival.class.repeat == Repeat::Idempotent,
+            claiming: false,
             told: false,
             arrival,
         };
@@ -131,7 +132,7 @@
     let service_time = station.service.mean();
     let wait = station.wait(station.queue.ahead(&arrival.partner, entry));
     let flow = station.queue.flow(&arrival.partner);
-    let queued = flow.map_or(0, |flow| flow.entries.len());
+    let queued = flow.map_or(0, |flow| flow.entries.len() + flow.claiming);
     let bytes = flow.map_or(0, |flow| flow.bytes) + u64::from(arrival.bytes);
     if queued >= settings.queue_requests || bytes > settings.queue_bytes {
         return Admission::Refuse(Reason::Bound, Some(wait.max(service_time)));
--- a/crates/request/src/machine/dispatch.rs
+++ b/crates/request/src/machine/dispatch.rs
@@ -14,17 +14,16 @@
 impl Machine {
     /// Puts a request into the queue of its upstream.
     pub(crate) fn enqueue(&mut self, now: Instant, id: Id) {
-        let request = self.requests.get_mut(&id).expect("the request is known");
+        let mut request = self.requests.remove(&id).expect("the request is known");
+        self.uncount_claim(&mut request);
         request.phase = Phase::Queued;
         let upstream = request.arrival.upstream.clone();
         let partner = request.arrival.partner.clone();
         let (entry, bytes) = (request.entry(), request.arrival.bytes);
         let start_by = request.start_by;
+        self.stations[&upstream].flow_for(&request.arrival, &self.settings);
+        self.requests.insert(id, request);
         let station = &mut self.stations[&upstream];
-        if station.queue.flow(&partner).is_none() {
-            let fresh = station.fresh(&self.settings);
-            station.queue.set_weight(&partner, 1, fresh);
-        }
         station.queue.push(&partner, entry, bytes);
         self.set_timer(id, Some(start_by));
         self.dispatch(now, &upstream);
@@ -123,7 +122,8 @@
     /// Takes a request out of its phase: out of the queue or off its slot.
     pub(crate) fn detach(&mut self, now: Instant, id: Id) -> Option<Request> {
         self.set_timer(id, None);
-        let request = self.requests.remove(&id)?;
+        let mut request = self.requests.remove(&id)?;
+        self.uncount_claim(&mut request);
         match request.phase {
             Phase::Queued => self.unqueue(&request),
             Phase::Sent(attempt) => self.free_slot(now, &request, attempt),
--- a/crates/request/src/machine/health.rs
+++ b/crates/request/src/machine/health.rs
@@ -14,7 +14,7 @@
 impl Machine {
     /// Takes in what an upstream did or failed to do.
     pub(crate) fn observe(&mut self, now: Instant, upstream: &Upstream, evidence: Evidence) {
-        let may_stop = self.may_stop(upstream);
+        let may_stop = evidence != Evidence::Succeeded && self.may_stop(upstream);
         let Some(station) = self.stations.get_mut(upstream) else {
             return;
         };
--- a/crates/request/src/machine/request.rs
+++ b/crates/request/src/machine/request.rs
@@ -20,6 +20,8 @@
     /// Row of its claim, if it needs one.
     pub(crate) claim: Option<Arc<str>>,
     pub(crate) attempts: u32,
+    /// Whether it is counted among those that wait for their claims.
+    pub(crate) claiming: bool,
     /// Whether an earlier attempt may have run.
     pub(crate) may_have_run: bool,
     /// Whether the caller has its final answer or has left.
--- a/crates/request/src/machine/station.rs
+++ b/crates/request/src/machine/station.rs
@@ -7,9 +7,9 @@
 use statig::blocking::{InitializedStateMachine, IntoStateMachineExt};
 
 use crate::estimate::Estimate;
-use crate::event::Grant;
+use crate::event::{Arrival, Grant};
 use crate::health::{Context, Evidence, Health, Order, State};
-use crate::queue::{Fresh, Queue};
+use crate::queue::{Flow, Fresh, Queue};
 use crate::settings::Settings;
 use crate::snapshot;
 
@@ -82,6 +82,15 @@
         self.busy < self.open_slots()
     }
 
+    /// Returns the flow of the partner of a request, adding it if need be.
+    pub(crate) fn flow_for(&mut self, arrival: &Arrival, settings: &Settings) -> Option<&mut Flow> {
+        if self.queue.flow(&arrival.partner).is_none() {
+            let fresh = self.fresh(settings);
+            self.queue.set_weight(&arrival.partner, 1, fresh);
+        }
+        self.queue.flow_mut(&arrival.partner)
+    }
+
     /// Returns whether a request may be sent now.
     pub(crate) fn may_send(&self, now: Instant) -> bool {
         self.has_free_slot() && now >= self.paused_until
--- a/crates/request/src/queue.rs
+++ b/crates/request/src/queue.rs
@@ -18,7 +18,7 @@
 use crate::event::Id;
 
 const SCALE: u64 = 1 << 10;
-const CREDIT_REQUESTS: u32 = 8;
+const CREDIT_REQUESTS: u32 = 2;
 
 /// Request in the queue. The order is the order of service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -34,6 +34,8 @@
     pub(crate) entries: VecDeque<Entry>,
     pub(crate) bytes: u64,
     pub(crate) busy: u32,
+    /// Requests that wait for their claims and come into the queue after that.
+    pub(crate) claiming: usize,
     pub(crate) budget: Budget,
     pub(crate) service: Estimate,
     start: u64,
@@ -89,6 +91,7 @@
             entries: VecDeque::new(),
             bytes: 0,
             busy: 0,
+            claiming: 0,
             budget: Budget::new(fresh.retry_share),
             service: fresh.service,
             start: self.now,
@@ -158,7 +161,8 @@
         let Some(flow) = self.flows.get(partner) else {
             return self.len as f64;
         };
-        let rank = flow.entries.partition_point(|other| *other < entry) as f64;
+        let before = flow.entries.partition_point(|other| *other < entry);
+        let rank = (before + flow.claiming) as f64;
         let weight = f64::from(flow.weight.max(1));
         let others = if flow.entries.is_empty() {
             self.ready_weight as f64
--- a/crates/request/tests/idempotency.rs
+++ b/crates/request/tests/idempotency.rs
@@ -319,3 +319,26 @@
     step(machine, table, at(2001), done(id, 1));
     step(machine, table, now, Event::Tick);
 }
+
+#[test]
+fn requests_that_wait_for_claims_count_towards_the_bound() {
+    let mut machine = machine(Settings::builder().queue_requests(5).build());
+    let mut refused = Vec::new();
+    for id in 1..=9 {
+        let arrival = once(id, at(1), &format!("key-{id}"), 0);
+        refused.extend(finished(&machine.step(at(1), Event::Arrive(arrival))));
+    }
+    assert_eq!(refused.len(), 4);
+    assert!(
+        refused
+            .iter()
+            .all(|(_, verdict)| verdict.reason == Reason::Bound)
+    );
+    let partners = &machine.snapshot().stations[&upstream()].partners;
+    assert_eq!(partners[0].bytes, 500);
+    machine.step(at(9_000), Event::StoreDown);
+    assert_eq!(
+        machine.snapshot().stations[&upstream()].partners[0].bytes,
+        0
+    );
+}
