--- a/crates/request/examples/grid.rs
+++ b/crates/request/examples/grid.rs
@@ -1,6 +1,6 @@
 //! Prints the grid of measurements of docs/design/REQUESTS.md.
 //!
-//! `cargo run --release -p eelgrassrock-request --example grid -- load|fault|shape|claims|cost`
+//! `cargo run -p eelgrassrock-request --example grid -- load|fault|shape|shares|claims|cost`
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -9,7 +9,7 @@
 use eelgrassrock_model::fleet::{Class, Patience, Repeat};
 use eelgrassrock_model::shard::Shard;
 use eelgrassrock_model::time::Instant;
-use eelgrassrock_request::experiment::{Discipline, Fault, Load, Report, run};
+use eelgrassrock_request::experiment::{Customer, Discipline, Fault, Load, Report, run};
 use eelgrassrock_request::{Action, Answer, Arrival, Event, Grant, Id, Machine, Settings, Stored};
 
 const SECONDS: u64 = 20;
@@ -20,9 +20,10 @@
         Some("load") => print_loads(),
         Some("fault") => print_faults(),
         Some("shape") => print_shapes(),
+        Some("shares") => print_shares(),
         Some("claims") => print_claims(),
         Some("cost") => print_cost(),
-        _ => println!("name one of: load, fault, shape, claims, cost"),
+        _ => println!("name one of: load, fault, shape, shares, claims, cost"),
     }
 }
 
@@ -243,3 +244,59 @@
         }
     }
 }
+
+/// Prints what a partner sees alone on its share of the slots, alone on all
+/// slots, and beside a partner that offers ten times its share.
+fn print_shares() {
+    println!(
+        "| slots | part of its share % | p99 wait ms: own slots | all slots | beside | p99 answer ms: own slots | all slots | beside | share of busy time beside % |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|");
+    for slots in [2, 4] {
+        for percent in [50, 70, 90] {
+            let own = run(&quiet(slots / 2, percent, 0.0), Discipline::Home);
+            let all = run(&quiet(slots, percent / 2, 0.0), Discipline::Home);
+            let flood = 1000.0;
+            let total = (f64::from(percent) + flood) / 2.0;
+            let mut load = quiet(slots, total as u32, flood);
+            load.customers[0].part = f64::from(percent);
+            let beside = run(&load, Discipline::Home);
+            let reports = [&own, &all, &beside];
+            let wait = reports.map(|report| report.partners[0].queue(0.99).as_millis());
+            let answer = reports.map(|report| report.partners[0].answer(0.99).as_millis());
+            let busy = beside.partners[0].busy.as_secs_f64();
+            let both = busy + beside.partners[1].busy.as_secs_f64();
+            println!(
+                "| {slots} | {percent} | {} | {} | {} | {} | {} | {} | {:.1} |",
+                wait[0],
+                wait[1],
+                wait[2],
+                answer[0],
+                answer[1],
+                answer[2],
+                100.0 * busy / both,
+            );
+        }
+    }
+}
+
+fn quiet(slots: u32, percent: u32, flood: f64) -> Load {
+    let customer = |name: &str, part| Customer {
+        name: name.to_owned(),
+        weight: 1,
+        part,
+    };
+    let mut customers = vec![customer("quiet", 1.0)];
+    if flood > 0.0 {
+        customers.push(customer("flood", flood));
+    }
+    let mut load = Load::booking()
+        .at_percent(percent)
+        .seconds(300)
+        .with_customers(customers);
+    load.repeat = Repeat::Idempotent;
+    load.patience = Patience::Wait;
+    load.upstreams = 1;
+    load.slots = slots;
+    load
+}
--- a/crates/request/src/experiment/driver.rs
+++ b/crates/request/src/experiment/driver.rs
@@ -100,7 +100,7 @@
                 self.report.offered += 1;
                 let customer = self.trace.due[index].customer;
                 self.report.partners[customer].offered += 1;
-                self.arrive(now, index, 0);
+                self.arrive(now, index, 0, None);
             }
             Happening::Served(ticket) => self.serve(now, ticket),
             Happening::Tell(router, event) => self.step(now, router, *event),
@@ -160,7 +160,7 @@
         due.customer * self.servers.len() + due.upstream
     }
 
-    fn arrive(&mut self, now: Instant, index: usize, attempts: u32) {
+    fn arrive(&mut self, now: Instant, index: usize, attempts: u32, claim: Option<table::Check>) {
         let due = self.trace.due[index];
         let router = index % self.machines.len();
         let upstream = self.names[self.owner(index)].clone();
@@ -174,7 +174,7 @@
             deadline: due.at + self.load.deadline,
             attempts,
             bytes: 1_000,
-            idempotency: once.then(|| token(index)),
+            idempotency: once.then(|| token(index, claim)),
         };
         self.step(now, router, Event::Arrive(arrival));
     }
@@ -220,8 +220,10 @@
             Action::Cancel { request } => self.cancel(now, router, request),
             Action::Finish { request, verdict } => self.finish(now, request, verdict),
             Action::Redirect {
-                request, attempts, ..
-            } => self.arrive(now, request.0 as usize, attempts),
+                request,
+                attempts,
+                claim,
+            } => self.arrive(now, request.0 as usize, attempts, claim),
             Action::Write(transaction) => self.write(now, router, &transaction),
             Action::Read { key } => self.read(now, router, key),
             Action::Probe { upstream } => self.probe(now, router, upstream),
@@ -375,10 +377,10 @@
     }
 }
 
-fn token(index: usize) -> Token {
+fn token(index: usize, carried: Option<table::Check>) -> Token {
     Token {
         key: Key::try_from(format!("key-{index}").as_str()).expect("a valid key"),
         body: Digest::from_bytes([0; 32]),
-        carried: None,
+        carried,
     }
 }
