Deletion of claims whose retention is over

Cause: rows of ended runs, and of runs that lost routers left behind, stayed for ever. The home of the first upstream of a service reads its claims page by page once an hour and deletes what has expired for an hour more, under a check of the version. A row that is being deleted is claimed anew before anything runs. Event::TimeOfDay, Event::Scanned and Action::Scan are new; without a time of day nothing expires. Measured: nothing but the tests; the cost at 17 million rows is an estimate. Seen red: expiry ignored; deletion under way not noted; home not asked.

--- a/crates/request/src/action.rs
+++ b/crates/request/src/action.rs
@@ -62,6 +62,16 @@
         /// Key of the row.
         key: Arc<str>,
     },
+    /// Read a page of rows and report it by
+    /// [`Event::Scanned`](crate::Event::Scanned).
+    Scan {
+        /// Beginning of the keys of the rows.
+        prefix: Arc<str>,
+        /// Key after which the page begins.
+        after: Arc<str>,
+        /// Most rows of the page.
+        limit: usize,
+    },
     /// Ask the upstream whether it is well and report the answer by
     /// [`Event::Probed`](crate::Event::Probed).
     Probe {
--- a/crates/request/src/claim.rs
+++ b/crates/request/src/claim.rs
@@ -91,6 +91,22 @@
         }
     }
 
+    /// Creates the record of a row whose retention is over.
+    pub(crate) fn expired(body: Digest, version: Version) -> Self {
+        let mut record = Self::claiming(Id(0), body, version, Duration::ZERO);
+        record.expire(version);
+        record
+    }
+
+    /// Has the row deleted, since its retention is over. Whoever uses the key
+    /// meanwhile claims it anew.
+    pub(crate) fn expire(&mut self, version: Version) {
+        self.state = State::Free;
+        self.expect = version;
+        self.intent = Some(Intent::Delete);
+        self.deleting = true;
+    }
+
     /// Begins a new claim by another request.
     pub(crate) fn claim_again(&mut self, request: Id) {
         self.state = State::Claiming(request);
--- a/crates/request/src/event.rs
+++ b/crates/request/src/event.rs
@@ -91,6 +91,20 @@
         /// Row as it is, `Ok(None)` if it is absent, `Err` if it can't be read.
         row: Result<Option<table::Row>, Unreadable>,
     },
+    /// A page that [`Action::Scan`](crate::Action::Scan) asked for was read, or
+    /// couldn't be read.
+    Scanned {
+        /// Rows in the order of their keys.
+        rows: Result<Vec<table::Row>, Unreadable>,
+        /// Whether more rows follow.
+        more: bool,
+    },
+    /// Time of day, given at the start and now and then. It serves only to
+    /// delete claims whose retention is over.
+    TimeOfDay {
+        /// Time since the Unix epoch.
+        unix: Duration,
+    },
     /// The table is known to be out of reach.
     StoreDown,
     /// The table answers again.
--- a/crates/request/src/experiment/driver.rs
+++ b/crates/request/src/experiment/driver.rs
@@ -227,7 +227,10 @@
             Action::Write(transaction) => self.write(now, router, &transaction),
             Action::Read { key } => self.read(now, router, key),
             Action::Probe { upstream } => self.probe(now, router, upstream),
-            Action::Replay { .. } | Action::Suspect { .. } | Action::Decide(_) => {}
+            Action::Scan { .. }
+            | Action::Replay { .. }
+            | Action::Suspect { .. }
+            | Action::Decide(_) => {}
             Action::Drained => {}
         }
     }
--- a/crates/request/src/machine.rs
+++ b/crates/request/src/machine.rs
@@ -10,6 +10,7 @@
 mod health;
 mod request;
 mod station;
+mod sweep;
 mod timer;
 
 use std::collections::{BTreeSet, HashMap};
@@ -28,6 +29,7 @@
 use crate::snapshot::Snapshot;
 use request::Request;
 use station::Station;
+use sweep::Sweep;
 
 /// Decides on the requests of all upstreams that one router is home of.
 ///
@@ -45,6 +47,7 @@
     alarms: BTreeSet<(Instant, Upstream)>,
     ledger: Ledger,
     writer: Writer,
+    sweep: Sweep,
     draining: bool,
     drained: bool,
     actions: Vec<Action>,
@@ -64,6 +67,7 @@
             random: ChaCha8Rng::seed_from_u64(settings.seed),
             ledger: Ledger::new(settings.records, settings.record_bytes),
             writer: Writer::new(settings.claims_per_second),
+            sweep: Sweep::default(),
             settings,
             fleet: Fleet::default(),
             stations: IndexMap::new(),
@@ -104,12 +108,15 @@
             Event::Left { request } => self.leave(now, request),
             Event::Written { operation, outcome } => self.written(now, &operation, outcome),
             Event::Read { key, row } => self.row_read(now, &key, row),
+            Event::Scanned { rows, more } => self.scanned(now, rows, more),
+            Event::TimeOfDay { unix } => self.set_time_of_day(now, unix),
             Event::StoreDown => self.store_down(now),
             Event::StoreUp => self.writer.set_down(None),
             Event::Probed { upstream, well } => self.probed(now, &upstream, well),
             Event::Restarted { upstream } => self.restarted(now, &upstream),
-            Event::Drain => self.draining = true,
+            Event::Drain => self.drain(),
         }
+        self.run_sweep(now);
         self.pump(now);
         self.report_drained();
         std::mem::take(&mut self.actions)
@@ -125,7 +132,7 @@
     pub fn next_wake(&self) -> Option<Instant> {
         let timer = self.timers.first().map(|(at, _)| *at);
         let alarm = self.alarms.first().map(|(at, _)| *at);
-        [timer, alarm, self.writer.wake()]
+        [timer, alarm, self.writer.wake(), self.sweep.wake()]
             .into_iter()
             .flatten()
             .min()
@@ -150,6 +157,11 @@
         }
     }
 
+    fn drain(&mut self) {
+        self.draining = true;
+        self.sweep.stop();
+    }
+
     fn report_drained(&mut self) {
         if self.draining && !self.drained && self.requests.is_empty() && self.writer.is_idle() {
             self.drained = true;
--- a/crates/request/src/machine/commit.rs
+++ b/crates/request/src/machine/commit.rs
@@ -52,7 +52,7 @@
         let mut checks = Vec::with_capacity(rows.len());
         let mut writes = Vec::with_capacity(rows.len());
         for (key, intent) in &rows {
-            let value = self.row_value(key, *intent);
+            let value = self.row_value(now, key, *intent);
             let record = self.ledger.get_mut(key).expect("the record is known");
             record.submitted(&operation);
             record.deleting |= *intent == Intent::Delete;
@@ -77,7 +77,7 @@
         }));
     }
 
-    fn row_value(&self, key: &str, intent: Intent) -> Option<Arc<str>> {
+    fn row_value(&self, now: Instant, key: &str, intent: Intent) -> Option<Arc<str>> {
         let record = self.ledger.get(key).expect("the record is known");
         let life = match (intent, &record.state) {
             (Intent::Delete, _) => return None,
@@ -85,12 +85,13 @@
             (Intent::Record, State::Done(stored)) => Life::Done(stored.status),
             (Intent::Record, _) => Life::Unknown,
         };
+        let time_of_day = self.sweep.time_of_day(now);
         let row = claim::Row {
             router: self.settings.router.clone(),
             body: record.body,
             life,
             within: record.within,
-            expires: None,
+            expires: time_of_day.map(|time| time + self.settings.retention),
         };
         Some(row.encode())
     }
--- a/crates/request/src/settings.rs
+++ b/crates/request/src/settings.rs
@@ -20,6 +20,7 @@
     pub(crate) records: usize,
     pub(crate) record_bytes: usize,
     pub(crate) retention: Duration,
+    pub(crate) sweep_interval: Duration,
 }
 
 impl Settings {
@@ -56,6 +57,7 @@
             records: 1 << 16,
             record_bytes: 16 << 20,
             retention: Duration::from_secs(24 * 60 * 60),
+            sweep_interval: Duration::from_secs(60 * 60),
         })
     }
 }
@@ -111,4 +113,6 @@
     record_bytes: usize,
     /// Sets how long the outcome of an idempotency key is kept.
     retention: Duration,
+    /// Sets the pause between two searches for claims whose retention is over.
+    sweep_interval: Duration,
 }
--- a/crates/request/tests/drain.rs
+++ b/crates/request/tests/drain.rs
@@ -32,6 +32,10 @@
     let last = machine.step(at(6), done(3, 1));
     assert!(drained(&last));
     assert!(!drained(&machine.step(at(7), Event::Tick)));
+    let unix = std::time::Duration::from_secs(1);
+    machine.step(at(8), Event::TimeOfDay { unix });
+    machine.step(at(1_000), Event::Tick);
+    assert_eq!(machine.next_wake(), None, "nothing is left to do");
 }
 
 #[test]
--- a/crates/request/tests/world/mod.rs
+++ b/crates/request/tests/world/mod.rs
@@ -236,7 +236,7 @@
                 let well = true;
                 self.step(router, Event::Probed { upstream, well });
             }
-            Action::Suspect { .. } | Action::Decide(_) | Action::Drained => {}
+            Action::Scan { .. } | Action::Suspect { .. } | Action::Decide(_) | Action::Drained => {}
         }
     }
 
