Defaults of the ownership settings match the decisions

A router stops granting when its last contact with the table is older than `authority`. Ruled out: a required key, as a newcomer can't choose the value yet. Before: lease 600 ms, heartbeat 150 ms, authority 60 s. After: 500 ms, 100 ms, 4 h, and times may be written in hours.

--- a/crates/config/src/rule.rs
+++ b/crates/config/src/rule.rs
@@ -110,6 +110,7 @@
             "ms" => 1,
             "s" => 1_000,
             "min" => 60_000,
+            "h" => 3_600_000,
             _ => return None,
         };
         let span = Duration::from_millis(number.checked_mul(factor_ms)?);
@@ -118,7 +119,7 @@
 
     fn allowed(&self) -> String {
         let (start, end) = (show_span(*self.0.start()), show_span(*self.0.end()));
-        format!("a time from {start} to {end}, a whole number with `ms`, `s` or `min`")
+        format!("a time from {start} to {end}, a whole number with `ms`, `s`, `min` or `h`")
     }
 }
 
@@ -133,6 +134,7 @@
     let millis = span.as_millis();
     match millis {
         0 => "0 ms".to_owned(),
+        _ if millis.is_multiple_of(3_600_000) => format!("{} h", millis / 3_600_000),
         _ if millis.is_multiple_of(60_000) => format!("{} min", millis / 60_000),
         _ if millis.is_multiple_of(1_000) => format!("{} s", millis / 1_000),
         _ => format!("{millis} ms"),
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -188,10 +188,10 @@
 impl Default for Ownership {
     fn default() -> Self {
         Self {
-            lease: Duration::from_millis(600),
-            heartbeat: Duration::from_millis(150),
+            lease: Duration::from_millis(500),
+            heartbeat: Duration::from_millis(100),
             drift_ppm: 1_000,
-            authority: Duration::from_secs(60),
+            authority: Duration::from_hours(4),
         }
     }
 }
--- a/crates/config/src/settings/read.rs
+++ b/crates/config/src/settings/read.rs
@@ -28,6 +28,8 @@
 /// Fewest orders that must fit into one lease, so that a lost one costs nothing.
 const MIN_HEARTBEATS_PER_LEASE: u32 = 3;
 
+const MAX_AUTHORITY: Duration = Duration::from_hours(7 * 24);
+
 const LEVEL: Choice<Level> = Choice(&[
     ("error", Level::Error),
     ("warn", Level::Warn),
@@ -273,7 +275,7 @@
         drift_ppm: fields.or("drift-ppm", Small(1..=100_000), default.drift_ppm),
         authority: fields.or(
             "authority",
-            Span(seconds(1)..=seconds(86_400)),
+            Span(seconds(1)..=MAX_AUTHORITY),
             default.authority,
         ),
     };
