Bench: slopes of processor time, memory and traffic

Ruled out: elapsed time, and processor time from the system (in steps of 4 ms here): on the shared machine both gave slopes that differ by up to 2 between runs. Time is now the median of short runs in multiples of reference work around each run. Before: no measurements.

--- /dev/null
+++ b/crates/bench/src/capacity/bundle.rs
@@ -0,0 +1,52 @@
+//! Reading and comparing of bundles.
+
+use std::hint::black_box;
+
+use eelgrassrock_config::approval::Key;
+use eelgrassrock_config::bundle::Bundle;
+use eelgrassrock_config::diff;
+use rand::SeedableRng;
+use rand_chacha::ChaCha20Rng;
+
+use super::deployment::bundle_text;
+use super::{Series, micros};
+use crate::{cpu, memory};
+
+const UPSTREAMS: [usize; 4] = [128, 256, 512, 1_024];
+const RUNS: usize = 5;
+
+fn text(upstreams: usize, version: u64, weight: u32) -> String {
+    let key = Key::generate(&mut ChaCha20Rng::seed_from_u64(1));
+    let approver = format!("[approver imena]\npublic-key = {}\n", key.public());
+    bundle_text(upstreams, version, weight) + &approver
+}
+
+fn parse(text: &str) -> Bundle {
+    Bundle::parse("bundle.ini", text).unwrap_or_else(|report| panic!("{report}"))
+}
+
+pub(crate) fn measure() -> Vec<Series> {
+    let mut size = Series::new("bundle.bytes", "B", "upstream");
+    let mut reading = Series::new("bundle.parse", "us", "upstream");
+    let mut comparing = Series::new("bundle.diff", "us", "upstream");
+    let mut changes = Series::flat("bundle.changes", "differences", "upstream");
+    let mut kept = Series::new("bundle.memory", "B", "upstream");
+    for upstreams in UPSTREAMS {
+        let (old, new) = (text(upstreams, 1, 1), text(upstreams, 2, 2));
+        size.push(upstreams, old.len() as f64);
+        let span = cpu::median(RUNS, || (), |()| drop(black_box(parse(&old))));
+        reading.push(upstreams, micros(span));
+        let ((old, fleet), bytes) = memory::retained(|| {
+            let bundle = parse(&old);
+            let fleet = bundle.fleet();
+            (bundle, fleet)
+        });
+        kept.push(upstreams, bytes as f64);
+        drop(fleet);
+        let new = parse(&new);
+        let span = cpu::median(RUNS, || (), |()| drop(black_box(diff::diff(&old, &new))));
+        comparing.push(upstreams, micros(span));
+        changes.push(upstreams, diff::diff(&old, &new).len() as f64);
+    }
+    vec![size, reading, comparing, changes, kept]
+}
