--- a/crates/ownership/src/held.rs
+++ b/crates/ownership/src/held.rs
@@ -1,7 +1,6 @@
 //! Upstream of which this router is home.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +13,7 @@
 use crate::grant::{Answer, Grant, Order, Ticket};
 use crate::ledger::Ledger;
 use crate::life::{Happening, Life, State};
+use crate::row::Prior;
 use crate::settings::Settings;
 
 /// Most requests that were given up and whose late answers still count.
@@ -65,6 +65,13 @@
     pub(crate) reason: Reason,
 }
 
+/// Earlier home, and the time by which its orders have expired if it is known.
+#[derive(Clone, Debug)]
+pub(crate) struct Earlier {
+    pub(crate) prior: Prior,
+    pub(crate) ended_at: Option<Instant>,
+}
+
 /// Upstream of which this router is home.
 pub(crate) struct Held {
     pub(crate) term: Term,
@@ -100,13 +107,24 @@
     /// Writes in flight that take shards away without waiting for a release.
     pub(crate) reassigning: usize,
     pub(crate) plans: Vec<Plan>,
-    /// Home of the term before, which may still give orders.
-    pub(crate) predecessor: Option<(Router, SocketAddr)>,
-    pub(crate) predecessor_asked_at: Option<Instant>,
+    /// Router and start of the process in the row of the home, if this router
+    /// goes on under the term of another one.
+    pub(crate) holder: Option<(Router, Arc<str>)>,
+    /// Earlier homes that may still give orders.
+    pub(crate) priors: Vec<Earlier>,
+    pub(crate) priors_asked_at: Option<Instant>,
     /// Start of the wait before releases are noted in the table.
     pub(crate) cleared_at: Option<Instant>,
-    /// Busy share of the slots, in parts per million.
-    pub(crate) busy_ppm: u32,
+    /// Busy share of the slots by shard.
+    pub(crate) busy: BTreeMap<Shard, f64>,
+    /// Whether any load was reported.
+    pub(crate) has_load: bool,
+    /// When the shards were gained.
+    pub(crate) gained: BTreeMap<Shard, Instant>,
+    /// When this router became home.
+    pub(crate) since: Instant,
+    /// Time before which no shards are moved without need.
+    pub(crate) next_round: Instant,
     /// Whether this router goes on under the term of another one.
     pub(crate) is_acting: bool,
     life: InitializedStateMachine<Life>,
@@ -146,10 +164,15 @@
             leaving: false,
             reassigning: 0,
             plans: Vec::new(),
-            predecessor: None,
-            predecessor_asked_at: None,
+            holder: None,
+            priors: Vec::new(),
+            priors_asked_at: None,
             cleared_at: None,
-            busy_ppm: 0,
+            busy: BTreeMap::new(),
+            has_load: false,
+            gained: BTreeMap::new(),
+            since: now,
+            next_round: now,
             is_acting: false,
             life: Life.uninitialized_state_machine().init(),
         }
@@ -175,6 +198,20 @@
         matches!(self.state(), State::Granting {} | State::Suspect {})
     }
 
+    /// Brings the end of the wait for earlier homes forward when all are known
+    /// to have ended.
+    pub(crate) fn settle_when_all_ended(&mut self) {
+        let ends: Option<Vec<Instant>> = self.priors.iter().map(|it| it.ended_at).collect();
+        if let Some(last) = ends.and_then(|ends| ends.into_iter().max()) {
+            self.settles_at = self.settles_at.min(last);
+        }
+    }
+
+    /// Returns the busy share of the slots.
+    pub(crate) fn busy_share(&self) -> f64 {
+        self.busy.values().sum()
+    }
+
     /// Returns whether no earlier home can give orders.
     pub(crate) fn is_settled(&self, now: Instant) -> bool {
         self.state() != State::Loading {} && now >= self.settles_at
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -6,6 +6,7 @@
 //! ever own one shard.
 
 mod action;
+mod balance;
 mod decision;
 mod event;
 pub mod grant;
@@ -15,6 +16,7 @@
 mod machine;
 mod message;
 mod place;
+pub mod replay;
 mod route;
 pub mod row;
 mod settings;
--- a/crates/ownership/src/machine/placement.rs
+++ b/crates/ownership/src/machine/assign.rs
@@ -1,4 +1,4 @@
-//! Placement: which upstream owns which shards.
+//! Assignments: which upstream owns which shards, written to the table.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -11,7 +11,6 @@
 use super::Machine;
 use crate::action::Action;
 use crate::decision::{Reason, What};
-use crate::event::Load;
 use crate::held::Plan;
 use crate::life::State;
 use crate::message::Message;
@@ -207,15 +206,14 @@
     ) {
         let owners: Vec<_> = owners.iter().collect();
         for run in owners.chunk_by(|a, b| a.1 == b.1) {
-            let (first, last) = (run[0].0, run[run.len() - 1].0);
             let epochs = run.iter().filter_map(|(shard, _)| {
                 let entry = self.view.entry(service, **shard)?;
                 Some(entry.epoch.next())
             });
             let what = What::Assigned {
                 service: service.clone(),
-                first: *first,
-                count: last.0 - first.0 + 1,
+                first: *run[0].0,
+                count: run.len() as u32,
                 upstream: run[0].1.clone(),
                 prior: from.cloned(),
                 epoch: epochs.max().unwrap_or(Epoch(0)),
@@ -225,7 +223,7 @@
     }
 
     /// Returns the shards of an upstream whose rows aren't being written.
-    fn free_shards(&self, service: &Service, upstream: &Upstream) -> Vec<Shard> {
+    pub(super) fn free_shards(&self, service: &Service, upstream: &Upstream) -> Vec<Shard> {
         let owned = self.view.owned(upstream);
         let mut last: Option<(u32, bool)> = None;
         owned
@@ -255,8 +253,7 @@
         };
         let mut shards = self.free_shards(&service, upstream);
         shards.retain(|shard| self.is_movable(&service, upstream, *shard));
-        let shares = self.shares(&service, Some(upstream));
-        let parts = place::divide(&shards, &shares);
+        let parts = self.divide(&service, upstream, &shards);
         if !parts.is_empty() {
             let purpose = Purpose::Reassign(upstream.clone());
             self.assign(&service, parts, Some(upstream), purpose, Reason::Lost);
@@ -264,7 +261,7 @@
     }
 
     /// Returns whether the prior owner of a shard, if any, has released it.
-    fn is_movable(&self, service: &Service, owner: &Upstream, shard: Shard) -> bool {
+    pub(super) fn is_movable(&self, service: &Service, owner: &Upstream, shard: Shard) -> bool {
         let Some(entry) = self.view.entry(service, shard) else {
             return false;
         };
@@ -273,33 +270,6 @@
         entry.prior.is_none() || released == Some(&entry.epoch)
     }
 
-    /// Plans moves away from upstreams of this router that are leaving.
-    fn plan_moves(&mut self) {
-        let upstreams: Vec<Upstream> = self.held.keys().cloned().collect();
-        for upstream in upstreams {
-            if self.is_leaving(&upstream) {
-                self.plan_departure(&upstream);
-            }
-        }
-    }
-
-    fn plan_departure(&mut self, upstream: &Upstream) {
-        let Some(service) = self.view.service_of(upstream).cloned() else {
-            return;
-        };
-        let Some(held) = self.held.get(upstream) else {
-            return;
-        };
-        if !held.plans.is_empty() || !held.is_settled(self.now) || !held.is_alive() {
-            return;
-        }
-        let mut shards = self.free_shards(&service, upstream);
-        shards.retain(|shard| self.is_movable(&service, upstream, *shard));
-        let shares = self.shares(&service, Some(upstream));
-        let parts = place::divide(&shards, &shares);
-        self.plan(upstream, parts, Reason::Leaving);
-    }
-
     /// Asks the homes of the next owners whether these are ready.
     pub(super) fn plan(
         &mut self,
@@ -433,19 +403,4 @@
             held.released.retain(|shard, _| !cleared.contains(shard));
         }
     }
-
-    pub(super) fn on_load(&mut self, loads: &[Load]) {
-        for load in loads {
-            let slots = self.view.fleet.upstreams.get(&load.upstream);
-            let slots = slots.map_or(1, |it| it.slots.max(1));
-            let busy: Duration = load.shards.iter().map(|(_, busy)| *busy).sum();
-            let capacity = load.window * slots;
-            if let Some(held) = self.held.get_mut(&load.upstream)
-                && !capacity.is_zero()
-            {
-                let share = busy.as_secs_f64() / capacity.as_secs_f64();
-                held.busy_ppm = (share * 1e6) as u32;
-            }
-        }
-    }
 }
--- a/crates/ownership/src/machine/message.rs
+++ b/crates/ownership/src/machine/message.rs
@@ -23,8 +23,12 @@
         match message {
             Message::AskRelease(release) => self.on_ask_release(from, &release),
             Message::Released(release) => self.on_released(&release),
-            Message::AskHandover { upstream, term } => {
-                self.on_ask_handover(from, &upstream, term);
+            Message::AskHandover {
+                upstream,
+                nonce,
+                term,
+            } => {
+                self.on_ask_handover(from, &upstream, &nonce, term);
             }
             Message::OfferHandover { upstream, term } => self.on_offer(from, &upstream, term),
             Message::AcceptHandover {
@@ -136,7 +140,7 @@
             upstream: upstream.clone(),
             alive: held.is_some_and(crate::held::Held::is_alive),
             leaving: self.is_leaving(upstream),
-            busy_ppm: held.map_or(0, |held| held.busy_ppm),
+            busy_ppm: held.map_or(0, |held| (held.busy_share() * 1e6) as u32),
         }
     }
 
--- a/crates/ownership/src/machine/mod.rs
+++ b/crates/ownership/src/machine/mod.rs
@@ -1,10 +1,11 @@
 //! The machine: state, dispatch of events, and queries.
 
+mod assign;
 mod claim;
 mod handover;
 mod lease;
 mod message;
-mod placement;
+mod rebalance;
 mod release;
 mod table;
 
@@ -29,6 +30,7 @@
 use crate::view::{Change, View};
 use crate::write::Pending;
 
+use claim::Orphan;
 use handover::{Ceded, Offer};
 use table::{Read, Scan};
 
@@ -68,7 +70,9 @@
     statuses: IndexMap<Upstream, Status>,
     leaving: IndexSet<Upstream>,
     /// Upstreams without live home, and when this router claims them.
-    orphans: IndexMap<Upstream, Instant>,
+    orphans: IndexMap<Upstream, Orphan>,
+    /// Routers that were members once and aren't any more.
+    departed: IndexSet<Router>,
     /// Services with shards without owner, and since when.
     unplaced: IndexMap<Service, Instant>,
     pending: IndexMap<Operation, Pending>,
@@ -102,6 +106,7 @@
             statuses: IndexMap::new(),
             leaving: IndexSet::new(),
             orphans: IndexMap::new(),
+            departed: IndexSet::new(),
             unplaced: IndexMap::new(),
             pending: IndexMap::new(),
             scans: IndexMap::new(),
@@ -163,6 +168,7 @@
         self.poll_releases();
         self.poll_placement();
         self.poll_reports();
+        self.poll_settled();
         self.poll_handovers();
     }
 
@@ -306,9 +312,7 @@
             }
             Change::Block(service, touched) => {
                 for upstream in &touched {
-                    if let Some(held) = self.held.get_mut(upstream) {
-                        held.grants_stale = true;
-                    }
+                    self.note_gained(&service, upstream);
                     self.watch(upstream);
                 }
                 self.watch_service(&service);
@@ -318,6 +322,21 @@
         }
     }
 
+    /// Notes which shards an upstream of this router gained or lost.
+    fn note_gained(&mut self, service: &Service, upstream: &Upstream) {
+        let Some(held) = self.held.get_mut(upstream) else {
+            return;
+        };
+        held.grants_stale = true;
+        let owner = |shard: Shard| self.view.entry(service, shard)?.owner.as_ref();
+        held.gained
+            .retain(|shard, _| owner(*shard) == Some(upstream));
+        held.busy.retain(|shard, _| owner(*shard) == Some(upstream));
+        for shard in self.view.owned(upstream) {
+            held.gained.entry(shard).or_insert(self.now);
+        }
+    }
+
     fn on_bad_row(&mut self, row: &Row, fault: &str) {
         for held in self.held.values_mut() {
             held.grants_stale = true;
--- a/crates/request/src/machine/admission.rs
+++ b/crates/request/src/machine/admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use eelgrassrock_model::fleet::Patience;
+use eelgrassrock_model::fleet::{Patience, Repeat};
 use eelgrassrock_model::time::Instant;
 use rand::RngExt;
 
@@ -37,6 +37,7 @@
             claim: self.claim_row(&arrival),
             timer: None,
             attempts: arrival.attempts,
+            may_have_run: arrival.attempts > 0 && arrival.class.repeat == Repeat::Idempotent,
             told: false,
             arrival,
         };
@@ -70,6 +71,9 @@
             Grant::Lapsed if wants_prompt_answer(arrival) => {
                 Admission::Refuse(Reason::NotServing, Some(self.settings.lapse_retry))
             }
+            _ if station.is_unwell() && wants_prompt_answer(arrival) => {
+                Admission::Refuse(Reason::Unwell, Some(station.pause()))
+            }
             Grant::Lapsed | Grant::Held => admit_to_queue(&self.settings, station, now, arrival),
         }
     }
--- a/crates/request/src/machine/answer.rs
+++ b/crates/request/src/machine/answer.rs
@@ -11,13 +11,7 @@
 use super::request::{Attempt, Phase};
 use crate::action::{Action, Outcome, Reason, Step, Verdict};
 use crate::event::{Answer, Id, Stored};
-
-/// What follows an attempt that ended without the whole answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Next {
-    Retry(Duration),
-    Finish(Verdict),
-}
+use crate::health::Evidence;
 
 impl Machine {
     pub(crate) fn begin(&mut self, id: Id, attempt: u32) {
@@ -27,12 +21,16 @@
         }
     }
 
-    pub(crate) fn respond(&mut self, id: Id, attempt: u32) {
+    pub(crate) fn respond(&mut self, now: Instant, id: Id, attempt: u32) {
         let Some(running) = self.running(id, attempt) else {
             return;
         };
         running.began = true;
-        running.responding = true;
+        let first = !std::mem::replace(&mut running.responding, true);
+        let upstream = self.requests[&id].arrival.upstream.clone();
+        let station = &mut self.stations[&upstream];
+        station.responding += u32::from(first);
+        station.progress_at = now;
         if !self.requests[&id].told {
             self.set_timer(id, None);
         }
@@ -54,6 +52,10 @@
             return;
         };
         let running = *running;
+        self.observe_answer(now, id, &answer);
+        if self.running(id, attempt).is_none() {
+            return;
+        }
         match answer {
             Answer::Done(stored) => self.answer_done(now, id, stored),
             Answer::NotOwner => self.redirect(now, id, Reason::NotOwner),
@@ -64,6 +66,23 @@
         }
     }
 
+    fn observe_answer(&mut self, now: Instant, id: Id, answer: &Answer) {
+        let upstream = self.requests[&id].arrival.upstream.clone();
+        let evidence = match answer {
+            Answer::Done(_) | Answer::NotOwner => Evidence::Succeeded,
+            Answer::Shed { .. } => Evidence::Shed,
+            Answer::NotSent | Answer::Broken | Answer::TimedOut => Evidence::Failed,
+        };
+        if let Answer::Shed {
+            retry_after: Some(pause),
+        } = answer
+        {
+            self.stations[&upstream].paused_until = now + *pause;
+            self.set_alarm(&upstream, now + *pause);
+        }
+        self.observe(now, &upstream, evidence);
+    }
+
     fn answer_done(&mut self, now: Instant, id: Id, stored: Stored) {
         let verdict = Verdict {
             outcome: Outcome::Done,
@@ -75,50 +94,30 @@
     }
 
     fn answer_shed(&mut self, now: Instant, id: Id, retry_after: Option<Duration>) {
-        let verdict = Verdict {
-            outcome: Outcome::NotRun,
-            reason: Reason::Shed,
-            retry_after,
-        };
-        let next = match retry_after {
-            Some(pause) if self.may_retry(now, id, pause) => Next::Retry(pause),
-            _ => Next::Finish(verdict),
-        };
-        self.follow(now, id, next, Reason::Shed);
+        match retry_after {
+            Some(pause) if self.may_retry(now, id, pause) => {
+                self.retry(now, id, pause, Reason::Shed);
+            }
+            _ => self.refuse(now, id, Reason::Shed, retry_after),
+        }
     }
 
     fn answer_failed(&mut self, now: Instant, id: Id, began: bool, reason: Reason) {
         let request = &self.requests[&id];
         let responding = request.attempt().is_some_and(|attempt| attempt.responding);
         let repeatable = !began || (!request.runs_once() && !responding);
-        let outcome = if began {
-            Outcome::Unknown
-        } else {
-            Outcome::NotRun
-        };
-        let verdict = Verdict {
-            outcome,
-            reason,
-            retry_after: None,
-        };
+        let request = self.requests.get_mut(&id).expect("the request is known");
+        request.may_have_run |= began;
         let pause = self.backoff(id);
-        let next = if repeatable && self.may_retry(now, id, pause) {
-            Next::Retry(pause)
+        if repeatable && self.may_retry(now, id, pause) {
+            self.retry(now, id, pause, reason);
         } else {
-            Next::Finish(verdict)
-        };
-        self.follow(now, id, next, reason);
-    }
-
-    fn follow(&mut self, now: Instant, id: Id, next: Next, reason: Reason) {
-        match next {
-            Next::Finish(verdict) => self.finish(now, id, verdict),
-            Next::Retry(pause) => self.retry(now, id, pause, reason),
+            self.refuse(now, id, reason, None);
         }
     }
 
     /// Takes a retry out of the budget if time and attempts are left for it.
-    fn may_retry(&mut self, now: Instant, id: Id, pause: Duration) -> bool {
+    pub(crate) fn may_retry(&mut self, now: Instant, id: Id, pause: Duration) -> bool {
         let request = &self.requests[&id];
         let arrival = &request.arrival;
         let latest = arrival.deadline - (now + pause);
--- a/crates/request/src/machine/request.rs
+++ b/crates/request/src/machine/request.rs
@@ -20,6 +20,8 @@
     /// Row of its claim, if it needs one.
     pub(crate) claim: Option<Arc<str>>,
     pub(crate) attempts: u32,
+    /// Whether an earlier attempt may have run.
+    pub(crate) may_have_run: bool,
     /// Whether the caller has its final answer or has left.
     pub(crate) told: bool,
 }
@@ -64,10 +66,21 @@
         }
     }
 
+    /// Returns whether it waits for a slot or for the next attempt.
+    pub(crate) fn is_waiting(&self) -> bool {
+        matches!(self.phase, Phase::Queued | Phase::Backoff)
+    }
+
     pub(crate) fn runs_once(&self) -> bool {
         self.arrival.class.repeat == Repeat::Once
     }
 
+    /// Returns whether it runs and may be cancelled and sent again.
+    pub(crate) fn may_be_taken_back(&self) -> bool {
+        let responding = self.attempt().is_some_and(|attempt| attempt.responding);
+        self.attempt().is_some() && !responding && !self.must_go_on()
+    }
+
     /// Returns whether the request may have begun and must not be repeated.
     pub(crate) fn must_go_on(&self) -> bool {
         self.runs_once() && self.attempt().is_some_and(|attempt| attempt.began)
--- a/crates/request/tests/slots.rs
+++ b/crates/request/tests/slots.rs
@@ -33,9 +33,10 @@
     for id in 1..=3 {
         machine.step(at(1), Event::Arrive(read(id, at(1))));
     }
-    let wake = machine.next_wake().unwrap();
-    assert_eq!(wake, at(1) + (DEADLINE - Duration::from_millis(10)));
-    let actions = machine.step(wake, Event::Tick);
+    let latest = at(1) + (DEADLINE - Duration::from_millis(10));
+    assert!(finished(&machine.step(at(1_990), Event::Tick)).is_empty());
+    assert_eq!(machine.next_wake(), Some(latest));
+    let actions = machine.step(latest, Event::Tick);
     let verdicts = finished(&actions);
     assert_eq!(verdicts.len(), 1);
     let (id, verdict) = verdicts[0];
@@ -119,3 +120,41 @@
     assert!(actions.contains(&redirect));
     assert_eq!(machine.snapshot().requests, 2);
 }
+
+#[test]
+fn refused_retry_of_an_attempt_that_began_is_unknown() {
+    let mut machine = machine(Settings::builder().build());
+    machine.step(at(1), Event::Arrive(read(1, at(1))));
+    machine.step(at(1), began(1, 1));
+    machine.step(at(2), answered(1, 1, Answer::Broken));
+    let grant = Grant::Lapsed;
+    let upstream = upstream();
+    machine.step(at(3), Event::Serving { upstream, grant });
+    let verdicts = finished(&machine.step(at(9000), Event::Tick));
+    assert_eq!(verdicts[0].1.outcome, Outcome::Unknown);
+}
+
+#[rstest]
+#[case::requests(Settings::builder().queue_requests(5), 100, 5)]
+#[case::bytes(Settings::builder().queue_bytes(4_000), 1_000, 4)]
+fn queue_of_a_partner_is_bounded(
+    #[case] settings: eelgrassrock_request::Builder,
+    #[case] bytes: u32,
+    #[case] bound: usize,
+) {
+    let mut machine = machine(settings.build());
+    let mut refused = Vec::new();
+    for id in 0..20 {
+        let mut arrival = read(id, at(1));
+        arrival.bytes = bytes;
+        refused.extend(finished(&machine.step(at(1), Event::Arrive(arrival))));
+    }
+    assert_eq!(machine.snapshot().stations[&upstream()].queued, bound);
+    assert_eq!(refused.len(), 20 - 2 - bound);
+    let bound =
+        |verdict: &Verdict| verdict.reason == Reason::Bound && verdict.retry_after.is_some();
+    assert!(refused.iter().all(|(_, verdict)| bound(verdict)));
+    let mut other = read(99, at(1));
+    other.partner = "chemist".parse().unwrap();
+    assert!(finished(&machine.step(at(1), Event::Arrive(other))).is_empty());
+}
