Claims whose retention is over are deleted by the daemon

Cause: the request machine asks for pages of claim rows and the time of day; the daemon did not know these actions. The platform's client reads one page at a time now, so that a scan never loads the table. Ruled out: scanning all claims at once, which grows without bound.

--- a/crates/bench/src/capacity/shards.rs
+++ b/crates/bench/src/capacity/shards.rs
@@ -38,6 +38,7 @@
             owner: Some(upstream(shard % upstreams)),
             epoch: Epoch(1 + u64::from(offset == 0) * version),
             prior: None,
+            prior_term: None,
         }
     };
     let entries: Vec<Entry> = (0..BLOCK_SHARDS).map(entry).collect();
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -47,6 +47,9 @@
 /// VMs once per [`VMS_PERIOD`]. With more routers each reads less often.
 const VMS_READERS: u32 = 16;
 
+/// Time between two readings of the time of day.
+const TIME_OF_DAY_PERIOD: Duration = Duration::from_secs(60);
+
 /// Time between two flushes of metrics.
 const METRICS_PERIOD: Duration = Duration::from_secs(1);
 
@@ -327,6 +330,7 @@
     spawn_forever(receive_messages(Arc::clone(node), inbox));
     spawn_forever(report_load(Arc::clone(node)));
     spawn_forever(read_vms(Arc::clone(node)));
+    spawn_forever(tell_time_of_day(Arc::clone(node)));
     spawn_forever(flush_metrics(Arc::clone(node)));
 }
 
@@ -372,6 +376,17 @@
     }
 }
 
+/// Tells the request machine the time of day, by which it deletes claims whose
+/// retention is over.
+async fn tell_time_of_day(node: Arc<Node>) {
+    loop {
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let unix = unix.unwrap_or_default();
+        node.desk.step(request::Event::TimeOfDay { unix }, None);
+        tokio::time::sleep(TIME_OF_DAY_PERIOD).await;
+    }
+}
+
 async fn flush_metrics(node: Arc<Node>) {
     loop {
         tokio::time::sleep(METRICS_PERIOD).await;
--- a/crates/daemon/src/desk.rs
+++ b/crates/daemon/src/desk.rs
@@ -66,6 +66,15 @@
     Write(table::Transaction),
     /// Read a row of the table.
     Read(Arc<str>),
+    /// Read a page of rows of the table.
+    Scan {
+        /// Beginning of the keys.
+        prefix: Arc<str>,
+        /// Key after which the page begins.
+        after: Arc<str>,
+        /// Most rows.
+        limit: usize,
+    },
     /// Ask an upstream whether it is well.
     Probe(Upstream),
     /// Tell the placement that an upstream seems unable to serve.
@@ -180,6 +189,15 @@
             }
             Action::Write(transaction) => self.run(Errand::Write(transaction)),
             Action::Read { key } => self.run(Errand::Read(key)),
+            Action::Scan {
+                prefix,
+                after,
+                limit,
+            } => self.run(Errand::Scan {
+                prefix,
+                after,
+                limit,
+            }),
             Action::Probe { upstream } => self.run(Errand::Probe(upstream)),
             Action::Suspect { upstream } => self.run(Errand::Suspect(upstream)),
             Action::Decide(decision) => {
--- a/crates/daemon/src/errands.rs
+++ b/crates/daemon/src/errands.rs
@@ -153,6 +153,18 @@
                 let row = node.read_row(&key).await.map_err(|_| request::Unreadable);
                 node.desk.step(Event::Read { key, row }, None);
             }),
+            Errand::Scan {
+                prefix,
+                after,
+                limit,
+            } => later(&node, move |node| async move {
+                let page = node.read_page(&prefix, &after, limit).await;
+                let (rows, more) = match page {
+                    Ok((rows, more)) => (Ok(rows), more),
+                    Err(_) => (Err(request::Unreadable), false),
+                };
+                node.desk.step(Event::Scanned { rows, more }, None);
+            }),
             Errand::Probe(upstream) => later(&node, move |node| async move {
                 let well = match node.links.orders(&upstream) {
                     Some(link) => orders::probe(&link, PROBE_TIMEOUT).await,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -91,6 +91,20 @@
         scanned
     }
 
+    /// Reads a page of rows of the table with a prefix.
+    pub(crate) async fn read_page(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<(Vec<Row>, bool), Fault> {
+        let started = self.clock.now();
+        let page = self.table.page(prefix, after, limit).await;
+        let now = self.clock.now();
+        self.account.read(page.is_ok(), now - started, now);
+        page
+    }
+
     /// Writes to the table once.
     pub(crate) async fn write_rows(&self, transaction: &Transaction) -> Outcome {
         let started = self.clock.now();
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -102,6 +102,33 @@
         Ok(rows)
     }
 
+    /// Returns at most `limit` rows whose keys begin with `prefix` and follow
+    /// `after`, and whether more rows follow.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Client::scan`].
+    ///
+    /// # Panics
+    ///
+    /// Panics if `prefix` or `after` has characters other than `a-z 0-9 - /`.
+    pub async fn page(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<(Vec<Row>, bool), Fault> {
+        assert!(wire::is_key(prefix), "`{prefix}` is not a prefix of keys");
+        assert!(
+            after.is_empty() || wire::is_key(after),
+            "`{after}` is not a key"
+        );
+        let mut rows = Vec::new();
+        let path = page_path(prefix, after, limit.clamp(1, PAGE_ROWS));
+        let next = self.read_page(path, prefix, &mut rows).await?;
+        Ok((rows, next == Next::Page))
+    }
+
     /// Sends a transaction. Whatever happens after the request may have left,
     /// save for an answer of the table, is [`Outcome::Unknown`].
     ///
@@ -139,7 +166,18 @@
     }
 
     async fn scan_page(&self, prefix: &str, rows: &mut Vec<Row>) -> Result<Next, Fault> {
-        let call = Call::get(scan_path(prefix, rows.last()));
+        let after = rows.last().map_or("", |row| &row.key);
+        let path = page_path(prefix, after, PAGE_ROWS);
+        self.read_page(path, prefix, rows).await
+    }
+
+    async fn read_page(
+        &self,
+        path: String,
+        prefix: &str,
+        rows: &mut Vec<Row>,
+    ) -> Result<Next, Fault> {
+        let call = Call::get(path);
         let answer = self.endpoint.call(&call).await?;
         let result = match answer.status {
             StatusCode::OK => append_page(&answer.body, prefix, rows),
@@ -156,9 +194,8 @@
     End,
 }
 
-fn scan_path(prefix: &str, last: Option<&Row>) -> String {
-    let after = last.map_or("", |row| &row.key);
-    format!("/v1/rows?prefix={prefix}&after={after}&limit={PAGE_ROWS}")
+fn page_path(prefix: &str, after: &str, limit: usize) -> String {
+    format!("/v1/rows?prefix={prefix}&after={after}&limit={limit}")
 }
 
 fn parse_row(body: &[u8], key: &str) -> Result<Row, Kind> {
