A hot shard falls behind the other shards of its partner

Cause: within a partner the earliest deadline went first, so that forty waiting requests of one hot departure held every other key back. Now a shard that asks for more than one slot can serve is put behind by its excess, as in a virtual clock, at most 64 service times. A request of another shard with the same deadline now starts after 3 instead of 40 others. Seen red: excess ignored (hot_shard_does_not_starve_others).

--- a/crates/request/src/machine/admission.rs
+++ b/crates/request/src/machine/admission.rs
@@ -10,8 +10,7 @@
 use super::request::{Phase, Request};
 use super::station::Station;
 use crate::action::Reason;
-use crate::event::{Arrival, Grant, Id};
-use crate::queue::Entry;
+use crate::event::{Arrival, Grant};
 use crate::settings::Settings;
 
 const RETRY_AFTER_SPREAD: f64 = 0.25;
@@ -35,6 +34,7 @@
             start_by: start_by(now, &arrival, self.attempt_time(&arrival)),
             phase: Phase::Claiming,
             claim: self.claim_row(&arrival),
+            place: None,
             timer: None,
             attempts: arrival.attempts,
             may_have_run: arrival.attempts > 0 && arrival.class.repeat == Repeat::Idempotent,
@@ -125,12 +125,8 @@
     now: Instant,
     arrival: &Arrival,
 ) -> Admission {
-    let entry = Entry {
-        deadline: arrival.deadline,
-        request: Id(u64::MAX),
-    };
     let service_time = station.service.mean();
-    let wait = station.wait(station.queue.ahead(&arrival.partner, entry));
+    let wait = station.wait(station.queue.ahead(now, arrival));
     let flow = station.queue.flow(&arrival.partner);
     let queued = flow.map_or(0, |flow| flow.entries.len() + flow.claiming);
     let bytes = flow.map_or(0, |flow| flow.bytes) + u64::from(arrival.bytes);
--- a/crates/request/src/machine/dispatch.rs
+++ b/crates/request/src/machine/dispatch.rs
@@ -18,13 +18,11 @@
         self.uncount_claim(&mut request);
         request.phase = Phase::Queued;
         let upstream = request.arrival.upstream.clone();
-        let partner = request.arrival.partner.clone();
-        let (entry, bytes) = (request.entry(), request.arrival.bytes);
         let start_by = request.start_by;
-        self.stations[&upstream].flow_for(&request.arrival, &self.settings);
-        self.requests.insert(id, request);
         let station = &mut self.stations[&upstream];
-        station.queue.push(&partner, entry, bytes);
+        station.flow_for(&request.arrival, &self.settings);
+        request.place = Some(station.queue.push(now, &request.arrival));
+        self.requests.insert(id, request);
         self.set_timer(id, Some(start_by));
         self.dispatch(now, &upstream);
     }
@@ -133,9 +131,12 @@
     }
 
     fn unqueue(&mut self, request: &Request) {
+        let Some(place) = request.place else {
+            return;
+        };
         let arrival = &request.arrival;
         let station = &mut self.stations[&arrival.upstream];
-        if !station.queue.remove(&arrival.partner, request.entry()) {
+        if !station.queue.remove(&arrival.partner, place) {
             return;
         }
         if let Some(flow) = station.queue.flow_mut(&arrival.partner) {
--- a/crates/request/src/machine/request.rs
+++ b/crates/request/src/machine/request.rs
@@ -16,6 +16,8 @@
     /// Latest time at which an attempt may start.
     pub(crate) start_by: Instant,
     pub(crate) phase: Phase,
+    /// Its place in the queue.
+    pub(crate) place: Option<Entry>,
     pub(crate) timer: Option<Instant>,
     /// Row of its claim, if it needs one.
     pub(crate) claim: Option<Arc<str>>,
@@ -54,13 +56,6 @@
 }
 
 impl Request {
-    pub(crate) fn entry(&self) -> Entry {
-        Entry {
-            deadline: self.arrival.deadline,
-            request: self.arrival.request,
-        }
-    }
-
     pub(crate) fn attempt(&self) -> Option<Attempt> {
         match self.phase {
             Phase::Sent(attempt) => Some(attempt),
--- a/crates/request/src/queue.rs
+++ b/crates/request/src/queue.rs
@@ -5,25 +5,32 @@
 //! request, and the partner with the lowest start time is served first. A
 //! partner that was idle keeps a bounded credit of the share that it left
 //! unused, so that its bursts aren't held up by a partner that always has
-//! requests waiting. Within a partner the earliest deadline goes first.
+//! requests waiting. Within a partner the earliest deadline goes first, where a shard that asks for more than one slot
+//! can serve is put behind by its excess, so that a hot key doesn't starve others.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use eelgrassrock_model::Partner;
+use eelgrassrock_model::shard::Shard;
 use eelgrassrock_model::time::Instant;
 use indexmap::IndexMap;
 
 use crate::budget::Budget;
 use crate::estimate::Estimate;
-use crate::event::Id;
+use crate::event::{Arrival, Id};
 
 const SCALE: u64 = 1 << 10;
 const CREDIT_REQUESTS: u32 = 2;
+/// Most service times by which a shard is put behind others.
+const MAX_EXCESS_REQUESTS: u32 = 64;
+/// Number of shards with an excess above which those without are dropped.
+const MAX_EXCESSES: usize = 256;
 
 /// Request in the queue. The order is the order of service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Entry {
-    pub(crate) deadline: Instant,
+    /// Deadline, put off by the excess of the shard.
+    pub(crate) due: Instant,
     pub(crate) request: Id,
 }
 
@@ -39,9 +46,33 @@
     pub(crate) budget: Budget,
     pub(crate) service: Estimate,
     start: u64,
+    /// Times until which shards have used up one slot.
+    used_until: HashMap<Shard, Instant>,
 }
 
 impl Flow {
+    /// Returns the place in the queue of a request of `shard` that comes in now.
+    pub(crate) fn entry(&self, now: Instant, shard: Shard, deadline: Instant, id: Id) -> Entry {
+        let used_until = self.used_until.get(&shard).copied().unwrap_or_default();
+        let excess = used_until - now;
+        Entry {
+            due: deadline + excess,
+            request: id,
+        }
+    }
+
+    /// Counts a request against its shard.
+    fn use_shard(&mut self, now: Instant, shard: Shard) {
+        if self.used_until.len() > MAX_EXCESSES {
+            self.used_until.retain(|_, until| *until > now);
+        }
+        let service_time = self.service.mean();
+        let limit = now + service_time * MAX_EXCESS_REQUESTS;
+        let until = self.used_until.entry(shard).or_default();
+        let used = ((*until).max(now) + service_time).min(limit);
+        *until = used.max(*until);
+    }
+
     /// Returns the virtual time that `requests` take.
     fn cost(&self, requests: u32) -> u64 {
         let span = self.service.mean() * requests;
@@ -95,6 +126,7 @@
             budget: Budget::new(fresh.retry_share),
             service: fresh.service,
             start: self.now,
+            used_until: HashMap::new(),
         };
         self.flows.insert(partner.clone(), flow);
     }
@@ -107,9 +139,12 @@
         self.flows.get_mut(partner)
     }
 
-    /// Adds a request of a partner that is known.
-    pub(crate) fn push(&mut self, partner: &Partner, entry: Entry, bytes: u32) {
+    /// Adds a request of a partner that is known, and returns its place.
+    pub(crate) fn push(&mut self, now: Instant, arrival: &Arrival) -> Entry {
+        let partner = &arrival.partner;
         let flow = self.flows.get_mut(partner).expect("the partner is known");
+        let entry = flow.entry(now, arrival.shard, arrival.deadline, arrival.request);
+        flow.use_shard(now, arrival.shard);
         if flow.entries.is_empty() {
             let credit = flow.cost(CREDIT_REQUESTS);
             flow.start = flow.start.max(self.now.saturating_sub(credit));
@@ -118,8 +153,9 @@
         }
         let rank = flow.entries.partition_point(|other| *other < entry);
         flow.entries.insert(rank, entry);
-        flow.bytes += u64::from(bytes);
+        flow.bytes += u64::from(arrival.bytes);
         self.len += 1;
+        entry
     }
 
     /// Takes the next request out and charges its partner.
@@ -155,12 +191,14 @@
         true
     }
 
-    /// Returns how many service times pass, at one slot, before a request of
-    /// `partner` with this deadline starts.
-    pub(crate) fn ahead(&self, partner: &Partner, entry: Entry) -> f64 {
-        let Some(flow) = self.flows.get(partner) else {
+    /// Returns how many service times pass, at one slot, before
+    /// this arrival starts.
+    pub(crate) fn ahead(&self, now: Instant, arrival: &Arrival) -> f64 {
+        let Some(flow) = self.flows.get(&arrival.partner) else {
             return self.len as f64;
         };
+        let last = Id(u64::MAX);
+        let entry = flow.entry(now, arrival.shard, arrival.deadline, last);
         let before = flow.entries.partition_point(|other| *other < entry);
         let rank = (before + flow.claiming) as f64;
         let weight = f64::from(flow.weight.max(1));
--- a/crates/request/tests/fairness.rs
+++ b/crates/request/tests/fairness.rs
@@ -1,6 +1,13 @@
 //! One partner's load doesn't crowd another out.
 
+mod support;
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use eelgrassrock_model::shard::Shard;
 use eelgrassrock_request::experiment::{Customer, Discipline, Load, Report, run};
+use eelgrassrock_request::{Event, Settings};
 use rstest::rstest;
 
 const FLOOD: f64 = 10.0;
@@ -70,3 +77,34 @@
         "only {good} of {offered} served"
     );
 }
+
+/// Returns how many requests are sent before the one that comes in last, of
+/// another shard than the forty that wait.
+fn sent_before_last(deadlines_ms: [u64; 2]) -> usize {
+    let mut machine = support::machine(Settings::builder().build());
+    let now = support::at(1);
+    let mut running = VecDeque::new();
+    let mut order = Vec::new();
+    for id in 0..=40 {
+        let mut arrival = support::read(id, now);
+        arrival.shard = Shard(u32::from(id == 40));
+        let deadline = deadlines_ms[usize::from(id == 40)];
+        arrival.deadline = now + Duration::from_millis(deadline);
+        running.extend(support::sent(&machine.step(now, Event::Arrive(arrival))));
+    }
+    while let Some(id) = running.pop_front() {
+        order.push(id);
+        machine.step(now, support::began(id, 1));
+        running.extend(support::sent(&machine.step(now, support::done(id, 1))));
+    }
+    order.iter().position(|id| *id == 40).expect("it is sent")
+}
+
+#[rstest]
+#[case::same_deadline([2_000, 2_000], 3)]
+#[case::later_deadline([2_000, 2_100], 14)]
+#[case::much_later_deadline([2_000, 9_000], 40)]
+fn hot_shard_does_not_starve_others(#[case] deadlines_ms: [u64; 2], #[case] most: usize) {
+    let before = sent_before_last(deadlines_ms);
+    assert!(before <= most, "{before} were sent before");
+}
