Schedules with answers under way, restarts and probes; log replays

Cause: the schedules didn't drive Responding, Restarted and negative probes, and a kept answer was given without a line in the log. Ruled out: a second harness for health; the schedules take the events in.

--- a/crates/request/src/machine/claims.rs
+++ b/crates/request/src/machine/claims.rs
@@ -10,7 +10,7 @@
 
 use super::Machine;
 use super::request::{Phase, Request};
-use crate::action::{Action, Outcome, Reason, Verdict};
+use crate::action::{Action, Outcome, Reason, Step, Verdict};
 use crate::claim::{Intent, Record, State};
 use crate::event::{Arrival, Grant, Id, Stored};
 
@@ -90,6 +90,7 @@
             };
             return self.finish(now, id, verdict);
         }
+        let status = stored.status;
         let stored = stored.clone();
         let request = self.requests.get_mut(&id).expect("the request is known");
         if !std::mem::replace(&mut request.told, true) {
@@ -97,6 +98,7 @@
                 request: id,
                 stored,
             });
+            self.decide(now, id, Step::Finish, Reason::AlreadyRan(Some(status)));
         }
         self.forget(now, id, &Settled::NotRun);
     }
--- a/crates/request/tests/world/exchange.rs
+++ b/crates/request/tests/world/exchange.rs
@@ -104,6 +104,36 @@
         }
     }
 
+    /// Passes the head of an answer on: the request ran.
+    pub(crate) fn respond(&mut self, pick: usize) {
+        let open = self.exchanges.iter().enumerate();
+        let open = open.filter(|(_, exchange)| exchange.open && exchange.ran);
+        let open: Vec<usize> = open.map(|(index, _)| index).collect();
+        if open.is_empty() {
+            return;
+        }
+        let exchange = self.exchanges[open[pick % open.len()]];
+        let event = Event::Responding {
+            request: exchange.request,
+            attempt: exchange.attempt,
+        };
+        self.step(exchange.router, event);
+        self.requests
+            .get_mut(&exchange.request.0)
+            .unwrap()
+            .responding = true;
+    }
+
+    /// Cuts the answers off that are being passed on.
+    pub(crate) fn fail_responding(&mut self) {
+        for index in 0..self.exchanges.len() {
+            let exchange = self.exchanges[index];
+            if exchange.open && self.requests[&exchange.request.0].responding {
+                self.fail(index, Answer::Broken);
+            }
+        }
+    }
+
     fn answer_done(&mut self, index: usize) {
         if !self.exchanges[index].ran {
             return;
--- a/crates/request/tests/world/fate.rs
+++ b/crates/request/tests/world/fate.rs
@@ -23,6 +23,9 @@
     Crash { router: u8 },
     Lapse { index: u8, grant: Grant },
     Move,
+    Respond { pick: u8 },
+    Restart { index: u8 },
+    Probe { index: u8, well: bool },
     Leave { pick: u8 },
     Store { router: u8, up: bool },
 }
@@ -106,6 +109,9 @@
             1 => (0u8..2).prop_map(|router| Self::Crash { router }),
             2 => (0u8..2, grant()).prop_map(|(index, grant)| Self::Lapse { index, grant }),
             1 => Just(Self::Move),
+            1 => any::<u8>().prop_map(|pick| Self::Respond { pick }),
+            1 => (0u8..2).prop_map(|index| Self::Restart { index }),
+            1 => (0u8..2, any::<bool>()).prop_map(|(index, well)| Self::Probe { index, well }),
             1 => any::<u8>().prop_map(|pick| Self::Leave { pick }),
             1 => (0u8..2, any::<bool>()).prop_map(|(router, up)| Self::Store { router, up }),
         ]
