--- a/crates/request/src/machine/admission.rs
+++ b/crates/request/src/machine/admission.rs
@@ -10,11 +10,13 @@
 use super::request::{Phase, Request};
 use super::station::Station;
 use crate::action::Reason;
-use crate::event::{Arrival, Grant, Id};
-use crate::queue::Entry;
+use crate::event::{Arrival, Grant};
 use crate::settings::Settings;
 
 const RETRY_AFTER_SPREAD: f64 = 0.25;
+/// Part of the time until the latest start that the expected wait may take. The
+/// rest is left for waits that turn out longer than expected.
+const ADMITTED_WAIT: f64 = 0.9;
 
 /// Whether a request may wait for a slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,6 +37,7 @@
             start_by: start_by(now, &arrival, self.attempt_time(&arrival)),
             phase: Phase::Claiming,
             claim: self.claim_row(&arrival),
+            place: None,
             timer: None,
             attempts: arrival.attempts,
             may_have_run: arrival.attempts > 0 && arrival.class.repeat == Repeat::Idempotent,
@@ -125,19 +128,16 @@
     now: Instant,
     arrival: &Arrival,
 ) -> Admission {
-    let entry = Entry {
-        deadline: arrival.deadline,
-        request: Id(u64::MAX),
-    };
     let service_time = station.service.mean();
-    let wait = station.wait(station.queue.ahead(&arrival.partner, entry));
+    let wait = station.wait(station.queue.ahead(now, arrival));
     let flow = station.queue.flow(&arrival.partner);
     let queued = flow.map_or(0, |flow| flow.entries.len() + flow.claiming);
     let bytes = flow.map_or(0, |flow| flow.bytes) + u64::from(arrival.bytes);
     if queued >= settings.queue_requests || bytes > settings.queue_bytes {
         return Admission::Refuse(Reason::Bound, Some(wait.max(service_time)));
     }
-    let allowed = start_by(now, arrival, station.service.tail()) - now;
+    let latest = start_by(now, arrival, station.service.tail());
+    let allowed = (latest - now).mul_f64(ADMITTED_WAIT);
     if arrival.deadline <= now || wait > allowed {
         let retry_after = wait.saturating_sub(allowed).max(service_time);
         return Admission::Refuse(Reason::Overload, Some(retry_after));
