--- a/crates/cli/tests/offline.rs
+++ b/crates/cli/tests/offline.rs
@@ -117,6 +117,15 @@
     assert_eq!(measures["moves"], 0);
 }
 
+#[rstest]
+#[tokio::test]
+async fn recorded_traces_replay(#[values("losses", "departure")] name: &str) {
+    let trace = example(&format!("../testdata/ownership/{name}.jsonl"));
+    let answer = run(&["replay", trace.to_str().unwrap()]).await;
+    assert_eq!(answer.exit, Exit::Done, "{answer:?}");
+    assert!(answer.out.contains("\nchurn: 1.00\n"), "{answer:?}");
+}
+
 #[rstest]
 #[case::bound("\"imbalance\":1.0", "\"imbalance\":-1.0", "line 2: ")]
 #[case::line("{\"bounds\"", "{\"bonds\"", "line 2: ")]
--- a/crates/config/tests/examples.rs
+++ b/crates/config/tests/examples.rs
@@ -76,3 +76,17 @@
         Verdict::Accepted(_)
     ));
 }
+
+#[rstest]
+fn guide_has_every_key(#[values("umuhanga", "sneslaede", "first")] name: &str) {
+    let guide = example("../docs/GUIDE.md");
+    let texts = ["router.ini", "bundle.ini"].map(|file| example(&format!("{name}/{file}")));
+    let lines = texts.iter().flat_map(|text| text.lines());
+    let keys = lines
+        .filter_map(|line| line.split_once(" = "))
+        .map(|(key, _)| key);
+    let absent: Vec<&str> = keys
+        .filter(|key| !guide.contains(&format!("`{key}`")))
+        .collect();
+    assert_eq!(absent, Vec::<&str>::new());
+}
