The command believes a bundle in force only if the rule accepts it

The command judged approvals by whatever bundle/current named, so a row that was written around it could appoint approvers. Ruled out: walking back to version 1, which takes a read and an object for each version; one step back suffices as long as the row before is sound. Before: a row without approvals was shown as in force. After: status, approve and roll refuse it and say what the rule finds; the test is red without the check.

--- a/crates/cli/src/store.rs
+++ b/crates/cli/src/store.rs
@@ -6,7 +6,7 @@
 use derive_more::{Display, Error, From};
 use eelgrassrock_config::approval::{self, Approval};
 use eelgrassrock_config::bundle::Bundle;
-use eelgrassrock_config::roll::{self, CURRENT_KEY, Record};
+use eelgrassrock_config::roll::{self, CURRENT_KEY, Record, Refusal, Verdict};
 use eelgrassrock_model::table::{Check, Operation, Outcome, Row, Transaction, Write};
 use eelgrassrock_model::{Digest, Version};
 use eelgrassrock_platform::settings::Settings;
@@ -56,6 +56,23 @@
         /// Its version.
         version: Version,
     },
+    /// A row that is needed is absent.
+    #[display("row `{key}` is missing, which is needed to check the bundle after it")]
+    Missing {
+        /// Key of the row.
+        key: String,
+    },
+    /// The bundle in force was written around the rule.
+    #[display(
+        "version {version} came into force without the rule: {}",
+        show_refusals(refusals)
+    )]
+    Unapproved {
+        /// Its version.
+        version: Version,
+        /// What the rule says of it.
+        refusals: Vec<Refusal>,
+    },
     /// The stored bundle has faults.
     #[display("the stored bundle of version {version} has faults:\n{report}")]
     Faulty {
@@ -99,12 +116,38 @@
         };
         let record = record(&row)?;
         let bundle = self.bundle(&record).await?;
+        self.verify(&bundle, &record).await?;
         Ok(Current {
             row: row.version,
             bundle: Some((bundle, record)),
         })
     }
 
+    /// Checks that a bundle came into force by the rule, so that a row that was
+    /// written around it appoints no approvers.
+    async fn verify(&self, bundle: &Bundle, record: &Record) -> Result<(), Fault> {
+        let before = self.before(bundle).await?;
+        match roll::check(before.as_ref(), bundle, &record.approvals) {
+            Verdict::Accepted(_) => Ok(()),
+            Verdict::Refused(refusals) => Err(Fault::Unapproved {
+                version: record.version,
+                refusals,
+            }),
+        }
+    }
+
+    async fn before(&self, bundle: &Bundle) -> Result<Option<Bundle>, Fault> {
+        let version = bundle.replaces();
+        if version == Version(0) {
+            return Ok(None);
+        }
+        let record = self.version(version).await?;
+        let record = record.ok_or_else(|| Fault::Missing {
+            key: roll::version_key(version),
+        })?;
+        self.bundle(&record).await.map(Some)
+    }
+
     /// Reads the record of one version.
     pub async fn version(&self, version: Version) -> Result<Option<Record>, Fault> {
         let row = self.read(&roll::version_key(version)).await?;
@@ -210,6 +253,11 @@
     }
 }
 
+fn show_refusals(refusals: &[Refusal]) -> String {
+    let lines: Vec<String> = refusals.iter().map(ToString::to_string).collect();
+    lines.join("; ")
+}
+
 fn record(row: &Row) -> Result<Record, Fault> {
     Record::from_json(&row.value).map_err(|fault| Fault::Record {
         key: row.key.to_string(),
--- a/crates/cli/tests/roll.rs
+++ b/crates/cli/tests/roll.rs
@@ -205,6 +205,37 @@
     assert_eq!(platform.in_force().await["version"], 1);
 }
 
+/// A row that was written around the command appoints no approvers.
+#[tokio::test]
+async fn bundle_that_was_not_approved_is_not_believed() {
+    let platform = Platform::start().await;
+    platform.roll_first().await;
+    let store = Store::new(&args::Platform {
+        table: platform.table.address(),
+        objects: platform.objects.address(),
+    });
+    let forged = Bundle::parse("v2.ini", &bundle(2)).unwrap();
+    let row = store.current().await.unwrap().row;
+    store.put(&forged).await.unwrap();
+    let record = Record::new(&forged, Vec::new());
+    assert_eq!(store.roll(row, &record).await, Change::Done);
+    let file = platform.file("v3.ini", &bundle(3));
+    for words in [["bundle", "status", "--json"], ["bundle", "roll", &file]] {
+        let answer = platform.run(&words).await;
+        assert_eq!(answer.exit, Exit::Refused, "{answer:?}");
+        assert!(
+            answer
+                .err
+                .contains("version 2 came into force without the rule"),
+            "{answer:?}"
+        );
+        assert!(
+            answer.err.contains("0 of 2 required approvals"),
+            "{answer:?}"
+        );
+    }
+}
+
 /// The answer of the write is lost and that of reading back is cut, so the
 /// write is sent again and conflicts with itself.
 #[tokio::test]
