Proof that news cross to other data centres after a cut

Ruled out: that the tree or the pollers repair it (only the bundle has pollers). Conclusion: the pings between data centres carry the repair.

--- a/crates/membership/tests/adoption.rs
+++ b/crates/membership/tests/adoption.rs
@@ -10,6 +10,8 @@
     Action, Contents, Event, Machine, Record, Settings, Verdict,
 };
 use eelgrassrock_membership::member::Live;
+use eelgrassrock_membership::spread::{self, News};
+use eelgrassrock_model::Version;
 use eelgrassrock_model::time::Instant;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -230,6 +232,30 @@
     );
 }
 
+/// Rows that changed on one side of a cut reach the other side after it.
+#[test]
+fn news_cross_to_other_data_centres_after_a_cut() {
+    let mut bag = fleet(10);
+    bag.part = (0..12).map(|index| u32::from(index % 3 == 0)).collect();
+    bag.run(5 * SECOND);
+    let payload = b"r0"[..].into();
+    let news = News {
+        key: "home/u1".into(),
+        version: Version(1),
+        payload,
+    };
+    bag.spread(0, spread::Event::Publish(news));
+    bag.run(5 * SECOND);
+    bag.part = vec![0; 12];
+    let knows = |bag: &Bag| {
+        bag.nodes
+            .iter()
+            .all(|node| node.tree.get("home/u1").is_some())
+    };
+    let took = bag.run_until(10 * SECOND, knows);
+    println!("known after {:?}", took.expect("all know in time"));
+}
+
 /// Step of a schedule.
 #[derive(Clone, Debug)]
 enum Step {
--- a/crates/membership/tests/bag/node.rs
+++ b/crates/membership/tests/bag/node.rs
@@ -81,6 +81,7 @@
                 spread::Action::Send { to, message } => {
                     self.send(index, to, Packet::Spread(message));
                 }
+                spread::Action::Learned { news, .. } if &*news.key != KEY => {}
                 spread::Action::Learned { news, from } => {
                     let record: Record = serde_json::from_slice(&news.payload).unwrap();
                     self.tell(index, &record);
