A late timer isn't taken for a pause at once

Cause: a router whose timer runs 60 ms late on a busy machine forgot its open pings each time, so that it could never find anyone dead. Ruled out: no forgiveness at all (own_pause_accuses_nobody is red without it, seen again). Conclusion: a suspicion lasts longer than the lateness that isn't forgiven.

--- a/crates/membership/src/member/machine.rs
+++ b/crates/membership/src/member/machine.rs
@@ -151,7 +151,7 @@
     /// After a pause of this process the missing answers prove nothing.
     fn forgive_own_pause(&mut self, now: Instant) {
         let late = now - self.next_wake();
-        if late <= self.settings.ping_timeout {
+        if late <= self.settings.period {
             return;
         }
         self.probes.clear();
