--- a/crates/ownership/src/machine/rebalance.rs
+++ b/crates/ownership/src/machine/rebalance.rs
@@ -25,6 +25,9 @@
 /// Busy share below which a shard counts as idle.
 const IDLE: f64 = 1e-6;
 
+/// Busy share by which an upstream that gets more shards may exceed the giver.
+const SPARE: f64 = 0.05;
+
 /// Part of the shards of an upstream that one round moves at most.
 const ROUND_PART: usize = 4;
 
@@ -85,19 +88,11 @@
         let Some(goal) = self.goal_of(service) else {
             return;
         };
-        let held = &self.held[upstream];
-        let own = held.busy_share();
-        let others = self.receivers(service, upstream);
-        let (parts, reason) = if held.has_load && is_loaded(own, &others) {
-            let shards = self.rested_shards(service, upstream);
-            let shards: Vec<_> = shards
-                .into_iter()
-                .map(|shard| (shard, held.busy.get(&shard).copied().unwrap_or(0.0)))
-                .collect();
-            let parts = balance::relieve(&shards, own, &others, goal);
-            (parts, Reason::Busy)
-        } else {
-            (self.even_out(service, upstream, goal), Reason::Uneven)
+        let loaded = self.relieve(service, upstream, goal);
+        let (parts, reason) = match (goal, loaded) {
+            (Goal::Balance, Some(parts)) => (parts, Reason::Busy),
+            (Goal::Availability, Some(parts)) if !parts.is_empty() => (parts, Reason::Busy),
+            _ => (self.even_out(service, upstream, goal), Reason::Uneven),
         };
         if parts.is_empty() {
             return;
@@ -108,6 +103,26 @@
         self.plan(upstream, parts, reason);
     }
 
+    /// Returns the moves that make an upstream less busy, `None` if the load is
+    /// too low to tell.
+    fn relieve(
+        &self,
+        service: &Service,
+        upstream: &Upstream,
+        goal: Goal,
+    ) -> Option<Vec<(Upstream, Vec<Shard>)>> {
+        let held = &self.held[upstream];
+        let own = held.busy_share();
+        let others = self.receivers(service, upstream);
+        if !held.has_load || !is_loaded(own, &others) {
+            return None;
+        }
+        let shards = self.rested_shards(service, upstream).into_iter();
+        let busy = |shard: &Shard| held.busy.get(shard).copied().unwrap_or(0.0);
+        let shards: Vec<_> = shards.map(|shard| (shard, busy(&shard))).collect();
+        Some(balance::relieve(&shards, own, &others, goal))
+    }
+
     pub(super) fn goal_of(&self, service: &Service) -> Option<Goal> {
         Some(self.view.fleet.services.get(service)?.goal)
     }
@@ -119,7 +134,10 @@
         goal: Goal,
     ) -> Vec<(Upstream, Vec<Shard>)> {
         let shares = self.shares(service, None);
-        let gifts = balance::even(&shares, upstream, goal);
+        let mut gifts = balance::even(&shares, upstream, goal);
+        let own = self.held[upstream].busy_share();
+        let busy = |it: &Upstream| self.status(it).map_or(0, |status| status.busy_ppm);
+        gifts.retain(|(to, _)| f64::from(busy(to)) / 1e6 <= own + SPARE);
         if gifts.is_empty() {
             return Vec::new();
         }
--- a/crates/ownership/tests/bounds.rs
+++ b/crates/ownership/tests/bounds.rs
@@ -110,6 +110,22 @@
     assert_eq!(worst, Duration::ZERO);
 }
 
+#[rstest]
+#[case::unchecking(false)]
+#[case::checking(true)]
+fn upstream_that_restarts_in_a_store_outage(#[case] waits: bool) {
+    let mut world = calm(waits);
+    world.table.up = false;
+    world.run_for(SECOND);
+    world.upstreams[&upstream(0)].restart();
+    let worst = world.worst_gap(5 * SECOND);
+    assert_eq!(worst > SECOND, waits, "{worst:?}");
+    world.table.up = true;
+    let took = world.run_while(10 * SECOND, |it| !it.unserved().is_empty());
+    assert!(took < 3 * SECOND, "{took:?}");
+    assert_eq!(world.violation, None);
+}
+
 #[rstest]
 #[case::checking(true, true)]
 #[case::unchecking(false, true)]
--- a/crates/ownership/tests/fencing.rs
+++ b/crates/ownership/tests/fencing.rs
@@ -158,3 +158,27 @@
     assert_eq!(world.violation, None);
     assert_eq!((world.count_of(0), world.count_of(1)), (0, 0));
 }
+
+#[rstest]
+#[case::checking(true)]
+#[case::unchecking(false)]
+fn write_whose_answer_was_lost_may_still_take_effect(#[case] checks_orders: bool) {
+    let mut world = World::settled(Shape {
+        checks_orders,
+        ..Shape::default()
+    });
+    world.run_for(2 * SECOND);
+    world.upstreams[&upstream(0)].paused_until = world.now + 20 * SECOND;
+    world.late_write = Some(Duration::from_millis(400));
+    world.run_while(2 * SECOND, |it| it.late_write.is_some());
+    world.upstreams[&upstream(0)].paused_until = world.now + Duration::from_millis(50);
+    world.run_for(Duration::from_millis(500));
+    // Another home takes over and reads the rows.
+    let home = world.home_of(&upstream(0));
+    let mut others = [1, 2].map(|it| world.home_of(&upstream(it))).into_iter();
+    let other = others.find(|it| *it != home).unwrap();
+    world.stop(&other);
+    world.run_for(3 * SECOND);
+    assert_eq!(world.violation, None);
+    assert_eq!(world.unserved(), []);
+}
--- a/crates/ownership/tests/world/mod.rs
+++ b/crates/ownership/tests/world/mod.rs
@@ -17,7 +17,7 @@
 use eelgrassrock_model::{Name, Router, Service, Upstream, Version};
 use eelgrassrock_ownership::grant::Answer;
 use eelgrassrock_ownership::replay::{Arrival, Line, Start, Stated};
-use eelgrassrock_ownership::row::{Entry, decode_block};
+use eelgrassrock_ownership::row::{Entry, Home, decode_block};
 use eelgrassrock_ownership::{Action, Decision, Event, Load, Machine, Member, Route, Settings};
 use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng};
@@ -43,6 +43,7 @@
     /// Rates of the clocks, in parts per million, taken in turn.
     pub(crate) rates: Vec<i64>,
     pub(crate) drift_ppm: u32,
+    pub(crate) slots: u32,
 }
 
 impl Default for Shape {
@@ -58,6 +59,7 @@
             seed: 1,
             rates: vec![0],
             drift_ppm: 1_000,
+            slots: 2,
         }
     }
 }
@@ -122,6 +124,8 @@
     pub(crate) noise: Noise,
     /// Upstream whose next order is late, and by how much.
     pub(crate) late_order: Option<(Upstream, Duration)>,
+    /// By how much the next write to the table is late.
+    pub(crate) late_write: Option<Duration>,
     /// Names that can't reach each other.
     pub(crate) cuts: HashSet<(String, String)>,
     heard: HashMap<(Router, Router), Instant>,
@@ -161,7 +165,7 @@
             service: service(),
             data_centre: format!("z{}", index % shape.zones).parse().unwrap(),
             address: format!("10.0.1.{index}:1").parse().unwrap(),
-            slots: 2,
+            slots: shape.slots,
             connections: 110,
             checks_orders: shape.checks_orders,
             checks_idempotency: false,
@@ -189,6 +193,7 @@
             nodes: IndexMap::new(),
             noise: Noise::default(),
             late_order: None,
+            late_write: None,
             cuts: HashSet::new(),
             heard: HashMap::new(),
             queue: BinaryHeap::new(),
@@ -315,6 +320,14 @@
         late.map_or(delay, |(_, late)| late)
     }
 
+    fn write_delay(&mut self, action: &Action) -> Duration {
+        let delay = self.delay();
+        let late = self
+            .late_write
+            .take_if(|_| matches!(action, Action::Write(_)));
+        late.unwrap_or(delay)
+    }
+
     fn is_lost(&mut self) -> bool {
         self.rng.random_range(0..1000) < self.noise.lost
     }
@@ -408,11 +421,19 @@
         match action {
             Action::Scan { .. } | Action::Read { .. } | Action::Write(_) => {
                 self.nodes[name].table_calls += 1;
-                let delay = self.delay();
-                self.push(
-                    self.now + delay,
-                    Item::Table(name.clone(), life, Box::new(action)),
-                );
+                let delay = self.write_delay(&action);
+                if let Action::Write(transaction) = &action
+                    && delay > CLIENT_TIMEOUT
+                {
+                    let event = Event::Written {
+                        operation: transaction.operation.clone(),
+                        outcome: Outcome::Unknown,
+                    };
+                    let item = Item::Event(name.clone(), life, Box::new(event));
+                    self.push(self.now + CLIENT_TIMEOUT, item);
+                }
+                let item = Item::Table(name.clone(), life, Box::new(action));
+                self.push(self.now + delay, item);
             }
             Action::AskTicket { .. } | Action::Order { .. } => {
                 let delay = self.order_delay(&action);
@@ -598,21 +619,21 @@
     /// home knows.
     pub(crate) fn unserved(&self) -> Vec<Shard> {
         let mut served = HashSet::new();
-        for node in self.nodes.values() {
-            if !node.up || node.paused_until > self.now {
+        for (name, model) in &self.upstreams {
+            if !model.up || model.paused_until > self.now {
                 continue;
             }
-            for index in 0..self.shape.shards {
-                let shard = Shard(index);
-                if let Route::Local {
-                    upstream, epoch, ..
-                } = node.machine.route(&service(), shard)
-                {
-                    let model = &self.upstreams[&upstream];
-                    let works = model.up && model.paused_until <= self.now;
-                    if works && model.owned(self.now).contains(&(shard, epoch)) {
-                        served.insert(shard);
-                    }
+            let homes = self.working_nodes_of(name);
+            for (shard, granted) in model.owned(self.now) {
+                let mut routes = homes.iter().map(|it| it.machine.route(&service(), *shard));
+                let routed = routes.any(|route| match route {
+                    Route::Local {
+                        upstream, epoch, ..
+                    } => upstream == *name && epoch == *granted,
+                    _ => false,
+                });
+                if routed {
+                    served.insert(*shard);
                 }
             }
         }
@@ -620,12 +641,26 @@
         all.filter(|shard| !served.contains(shard)).collect()
     }
 
+    /// Returns the routers that work, the home by the table first.
+    fn working_nodes_of(&self, upstream: &Upstream) -> Vec<&Node> {
+        let row = format!("home/{}", upstream.as_str());
+        let known = self.table.rows.get(row.as_str());
+        let home = known.and_then(|row| Home::decode(&row.value).ok());
+        let home = home.map(|it| it.router);
+        let works = |node: &&Node| node.up && node.paused_until <= self.now;
+        let others = self
+            .nodes
+            .iter()
+            .filter(|(name, _)| Some(*name) != home.as_ref());
+        let first = home.as_ref().and_then(|it| self.nodes.get(it));
+        let nodes = first.into_iter().chain(others.map(|(_, node)| node));
+        nodes.filter(works).collect()
+    }
+
     /// Returns the router that is home of an upstream by the table.
     pub(crate) fn home_of(&self, upstream: &Upstream) -> Router {
         let row = &self.table.rows[format!("home/{}", upstream.as_str()).as_str()];
-        eelgrassrock_ownership::row::Home::decode(&row.value)
-            .unwrap()
-            .router
+        Home::decode(&row.value).unwrap().router
     }
 
     pub(crate) fn count_of(&self, index: usize) -> usize {
@@ -638,6 +673,13 @@
     pub(crate) fn send_load(&mut self, busy: impl Fn(Shard) -> Duration) {
         let mut loads: IndexMap<Router, Vec<Load>> = IndexMap::new();
         for (name, model) in &self.upstreams {
+            if !self
+                .table
+                .rows
+                .contains_key(format!("home/{}", name.as_str()).as_str())
+            {
+                continue;
+            }
             let shards = model.owned(self.now).iter();
             let load = Load {
                 upstream: name.clone(),
