Homes report at once when another home changes

Cause: a router that became home without having one before got no reports on the other upstreams for up to 1 s, and moved nothing that long. Found with a new schedule, an order under way at a graceful stop (tests/fencing.rs). That schedule was seen red with `lapses_in` of the handover set to zero: "u0 and u1 own 11 same shards" at 4587 ms. Ruled out: reports at a shorter interval; the change itself is rare. Measured: all tests of the crate green, 16 schedules in tests/fencing.rs.

--- a/crates/ownership/src/machine/claim.rs
+++ b/crates/ownership/src/machine/claim.rs
@@ -187,6 +187,8 @@
 
     /// Reacts to another row of a home.
     pub(super) fn on_home_changed(&mut self, upstream: &Upstream) {
+        // The new home lacks the reports on the other upstreams.
+        self.next_report = self.now;
         let Some(home) = self.view.homes.get(upstream) else {
             self.watch(upstream);
             return;
--- a/crates/ownership/tests/fencing.rs
+++ b/crates/ownership/tests/fencing.rs
@@ -146,6 +146,20 @@
     assert_eq!(world.count_of(0), 0);
 }
 
+#[rstest]
+#[case::checking(true)]
+#[case::unchecking(false)]
+fn order_under_way_counts_after_a_graceful_stop(#[case] checks_orders: bool) {
+    let mut world = with_late_order(checks_orders);
+    let home = world.home_of(&upstream(0));
+    world.send(&home, Event::Drain);
+    world.run_for(Duration::from_millis(60));
+    world.send_all(&Event::Leaving(vec![upstream(0)]));
+    world.run_for(3 * SECOND);
+    assert_eq!(world.violation, None);
+    assert_eq!(world.count_of(0), 0);
+}
+
 #[rstest]
 #[case::checking(true)]
 #[case::unchecking(false)]
