A bundle is judged by the one before it, also after missed rolls

Cause: a router that was more than one version behind judged a bundle by the approvers that the bundle names itself. Whoever can write the table could name himself. Each missed roll is now checked in turn, a fresh router checks the last one. Ruled out: refusing every gap, which would strand a router after one missed poll. Left open: a fresh router in a store outage takes the word of peers.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -17,6 +17,7 @@
 use crate::body::Body;
 use crate::node::Node;
 use crate::problem::{Outcome, Problem};
+use crate::store::Refused;
 
 /// State of one router.
 #[derive(Serialize)]
@@ -26,6 +27,7 @@
     version: Version,
     ready: bool,
     draining: bool,
+    refused_bundle: Option<Refused>,
     members: Vec<Live>,
     ownership: eelgrassrock_ownership::Snapshot,
     requests: eelgrassrock_request::Snapshot,
@@ -73,6 +75,7 @@
         version: node.bundle().map_or(Version(0), |bundle| bundle.version()),
         ready: node.mesh.is_ready(),
         draining: *node.draining.borrow(),
+        refused_bundle: node.store.last_refused(),
         members: node.mesh.live(),
         ownership: node.keeper.snapshot(),
         requests: node.desk.snapshot(),
--- a/crates/daemon/src/chores.rs
+++ b/crates/daemon/src/chores.rs
@@ -13,9 +13,11 @@
 use serde::Serialize;
 use tokio::sync::mpsc::UnboundedReceiver;
 
+use crate::judge::{Judgement, judge};
 use crate::mesh::{self, Chore};
 use crate::message::{Envelope, Message};
 use crate::node::Node;
+use crate::store;
 
 /// Log line of something that was refused.
 #[derive(Serialize)]
@@ -122,7 +124,10 @@
         Action::FetchFromPeer { digest, peer, .. } => {
             node.post.send(peer, Message::AskContents(digest));
         }
-        Action::Check(record) => check(node, &record),
+        Action::Check(record) => {
+            let node = Arc::clone(node);
+            tokio::spawn(async move { check(&node, &record).await });
+        }
         Action::Adopt(record) => adopt(node, &record),
         Action::Spread(record) => {
             node.mesh.publish(&Row {
@@ -178,16 +183,23 @@
         .step_adoption(adoption::Event::Contents { digest, contents });
 }
 
-fn check(node: &Node, record: &adoption::Record) {
-    let in_force = node.bundle();
-    let verdict = match node.store.check(in_force.as_deref(), record) {
-        Ok(_) => adoption::Verdict::Accepted,
-        Err(reason) => {
+async fn check(node: &Node, record: &adoption::Record) {
+    let verdict = match judge(node, record).await {
+        Judgement::Accepted(bundle) => {
+            node.store.accept(*bundle);
+            adoption::Verdict::Accepted
+        }
+        Judgement::Refused(reason) => {
             node.account.count(Counter::BundlesRefused);
-            adoption::Verdict::Refused {
-                reason: Arc::from(reason),
-            }
+            let reason: Arc<str> = Arc::from(reason);
+            node.store.note_refused(store::Refused {
+                version: record.version,
+                reason: Arc::clone(&reason),
+            });
+            adoption::Verdict::Refused { reason }
         }
+        // The machine asks again when its time for the check is over.
+        Judgement::Undecided(reason) => return refuse(node, roll::CURRENT_KEY, reason),
     };
     node.mesh.step_adoption(adoption::Event::Checked {
         digest: record.digest,
@@ -196,9 +208,8 @@
 }
 
 fn adopt(node: &Node, record: &adoption::Record) {
-    let in_force = node.bundle();
-    let Ok(bundle) = node.store.check(in_force.as_deref(), record) else {
-        return refuse(node, roll::CURRENT_KEY, "the contents are gone".to_owned());
+    let Some(bundle) = node.store.take_accepted(record.digest) else {
+        return refuse(node, roll::CURRENT_KEY, "the bundle is gone".to_owned());
     };
     let fleet = bundle.fleet();
     if !node.set_bundle(Arc::new(bundle)) {
@@ -206,8 +217,8 @@
     }
     node.account.count(Counter::BundlesApplied);
     node.links.set_fleet(&fleet);
-    node.desk
-        .step(eelgrassrock_request::Event::Fleet(fleet.clone()), None);
+    let adopted = eelgrassrock_request::Event::Fleet(fleet.clone());
+    node.desk.step(adopted, None);
     node.keeper.step(ownership::Event::Fleet(fleet));
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 mod hold;
 mod hop;
 mod inbound;
+mod judge;
 mod keeper;
 mod kept;
 mod link;
--- a/crates/daemon/src/store.rs
+++ b/crates/daemon/src/store.rs
@@ -3,18 +3,29 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use eelgrassrock_config::bundle::{Bundle, digest_of};
-use eelgrassrock_config::roll::{self, Record, Refusal, Verdict};
 use eelgrassrock_membership::adoption;
-use eelgrassrock_model::Digest;
+use eelgrassrock_model::{Digest, Version};
 use indexmap::IndexMap;
+use serde::Serialize;
 
 /// Number of bundles whose contents are kept.
 const KEPT_BUNDLES: usize = 4;
 
+/// Bundle that was refused.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(crate) struct Refused {
+    /// Its version.
+    pub(crate) version: Version,
+    /// Why.
+    pub(crate) reason: Arc<str>,
+}
+
 /// Contents of the latest bundles by digest.
 #[derive(Debug, Default)]
 pub(crate) struct Store {
     contents: Mutex<IndexMap<Digest, Arc<[u8]>>>,
+    accepted: Mutex<Option<Bundle>>,
+    refused: Mutex<Option<Refused>>,
 }
 
 impl Store {
@@ -37,45 +48,26 @@
         contents.get(&digest).cloned()
     }
 
-    /// Reads the bundle of a record and checks whether it may come into force.
-    pub(crate) fn check(
-        &self,
-        in_force: Option<&Bundle>,
-        record: &adoption::Record,
-    ) -> Result<Bundle, String> {
-        let bytes = self
-            .get(record.digest)
-            .ok_or("its contents are not at hand")?;
-        let text = std::str::from_utf8(&bytes).map_err(|error| error.to_string())?;
-        let name = format!("bundle {}", record.version);
-        let bundle = Bundle::parse(&name, text).map_err(|report| report.to_string())?;
-        let roll = Record::from_json(&record.approvals).map_err(|error| error.to_string())?;
-        if roll.version != bundle.version() || roll.digest != record.digest {
-            return Err("its record is of another bundle".to_owned());
-        }
-        approve(in_force, &bundle, &roll)?;
-        Ok(bundle)
+    /// Notes that a bundle was refused.
+    pub(crate) fn note_refused(&self, refused: Refused) {
+        *self.refused.lock().unwrap_or_else(PoisonError::into_inner) = Some(refused);
+    }
+
+    /// Returns the bundle that was refused last.
+    pub(crate) fn last_refused(&self) -> Option<Refused> {
+        let refused = self.refused.lock().unwrap_or_else(PoisonError::into_inner);
+        refused.clone()
+    }
+
+    /// Keeps a bundle that was accepted until it comes into force.
+    pub(crate) fn accept(&self, bundle: Bundle) {
+        let mut accepted = self.accepted.lock().unwrap_or_else(PoisonError::into_inner);
+        *accepted = Some(bundle);
     }
-}
 
-/// Applies the rule of rolls. A router that missed versions in between, or has
-/// none yet, judges a bundle by the approvers that it names itself: the table
-/// accepted the versions in between one by one.
-fn approve(in_force: Option<&Bundle>, next: &Bundle, record: &Record) -> Result<(), String> {
-    let follows = in_force.is_some_and(|bundle| bundle.version().next() == next.version());
-    let judge = if follows { in_force } else { None };
-    let Verdict::Refused(refusals) = roll::check(judge, next, &record.approvals) else {
-        return Ok(());
-    };
-    let gap = |refusal: &&Refusal| !follows && matches!(refusal, Refusal::Version { .. });
-    let reasons: Vec<String> = refusals
-        .iter()
-        .filter(|refusal| !gap(refusal))
-        .map(ToString::to_string)
-        .collect();
-    if reasons.is_empty() {
-        Ok(())
-    } else {
-        Err(reasons.join("; "))
+    /// Takes the bundle that was accepted, if it has this digest.
+    pub(crate) fn take_accepted(&self, digest: Digest) -> Option<Bundle> {
+        let mut accepted = self.accepted.lock().unwrap_or_else(PoisonError::into_inner);
+        accepted.take_if(|bundle| bundle.digest() == digest)
     }
 }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use eelgrassrock_config::approval::Key;
 use eelgrassrock_config::bundle::{Bundle, digest_of};
-use eelgrassrock_config::roll::{CURRENT_KEY, Record};
+use eelgrassrock_config::roll::{CURRENT_KEY, Record, version_key};
 use eelgrassrock_config::secret::Surroundings;
 use eelgrassrock_config::settings::Settings;
 use eelgrassrock_daemon::Daemon;
@@ -205,28 +205,57 @@
 
     /// Puts a bundle into the object store and the table, approved.
     pub async fn roll(&self, text: &str) {
+        self.roll_as(text, &approver_key()).await;
+    }
+
+    /// Puts a bundle into the object store and the table, signed with `key`,
+    /// without asking whether it may come into force.
+    pub async fn roll_as(&self, text: &str, key: &Key) {
         let bundle = Bundle::parse("bundle.ini", text).unwrap();
-        let approval = approver_key().approve("imena".parse().unwrap(), &bundle);
+        let approval = key.approve("imena".parse().unwrap(), &bundle);
         let objects = objects::Client::new(self.objects.address(), platform::Settings::default());
         objects.put(Bytes::from(text.to_owned())).await.unwrap();
         let client = table::Client::new(self.table.address(), platform::Settings::default());
         let row = client.read(CURRENT_KEY).await.unwrap();
         let version = row.map_or(Version(0), |row| row.version);
+        let value = Some(Record::new(&bundle, vec![approval]).to_json());
+        let write = |key: &str| Write {
+            key: key.into(),
+            value: value.clone(),
+        };
         let transaction = Transaction {
             operation: Operation("test-roll".into()),
             checks: vec![Check {
                 key: CURRENT_KEY.into(),
                 version,
             }],
-            writes: vec![Write {
-                key: CURRENT_KEY.into(),
-                value: Some(Record::new(&bundle, vec![approval]).to_json()),
-            }],
+            writes: vec![write(CURRENT_KEY), write(&version_key(bundle.version()))],
         };
         let outcome = client.write(&transaction).await;
         assert!(matches!(outcome, Outcome::Committed(_)), "{outcome:?}");
     }
 
+    /// Waits until a daemon has refused a bundle.
+    pub async fn until_seen_refused(&self, daemon: usize) {
+        let started = Instant::now();
+        while self.status(daemon).await["refused_bundle"].is_null() {
+            assert!(started.elapsed() < PATIENCE, "no bundle was refused");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Waits until a daemon has this version in force.
+    pub async fn until_version(&self, daemon: usize, version: u64) {
+        let started = Instant::now();
+        while self.status(daemon).await["version"] != version {
+            assert!(
+                started.elapsed() < PATIENCE,
+                "version {version} isn't in force"
+            );
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Waits until every daemon serves every key of a sample.
     pub async fn until_served(&self) {
         for index in 0..self.daemons.len() {
@@ -369,6 +398,6 @@
     format!("kigali-{}", index % 2)
 }
 
-fn approver_key() -> Key {
+pub fn approver_key() -> Key {
     Key::parse(&"07".repeat(32)).unwrap()
 }
