--- a/crates/ownership/src/machine/lease.rs
+++ b/crates/ownership/src/machine/lease.rs
@@ -209,15 +209,16 @@
     }
 
     fn ask_ticket(&mut self, upstream: &Upstream) {
-        let Some(address) = self.address_of(upstream) else {
-            return;
-        };
         let id = self.take_id();
+        let address = self.address_of(upstream);
         let Some(held) = self.held.get_mut(upstream) else {
             return;
         };
-        held.start_ticket(id, self.now);
         held.next_beat = self.now + self.settings.heartbeat;
+        let Some(address) = address else {
+            return;
+        };
+        held.start_ticket(id, self.now);
         self.out.push(Action::AskTicket {
             upstream: upstream.clone(),
             address,
@@ -226,14 +227,15 @@
     }
 
     fn order(&mut self, upstream: &Upstream) {
-        let Some(address) = self.address_of(upstream) else {
-            return;
-        };
         let id = self.take_id();
+        let address = self.address_of(upstream);
         let Some(held) = self.held.get_mut(upstream) else {
             return;
         };
         held.next_beat = self.now + self.settings.heartbeat;
+        let Some(address) = address else {
+            return;
+        };
         match held.start_order(id, self.now, &self.settings) {
             Some(order) => self.out.push(Action::Order {
                 upstream: upstream.clone(),
--- a/crates/ownership/src/machine/mod.rs
+++ b/crates/ownership/src/machine/mod.rs
@@ -36,6 +36,9 @@
 use handover::{Ceded, Offer};
 use table::{Read, Scan};
 
+/// Shortest time between two looks at what is due.
+const MIN_SLEEP: Duration = Duration::from_millis(1);
+
 /// Longest time between two looks at what is due.
 const MAX_SLEEP: Duration = Duration::from_secs(1);
 
@@ -193,7 +196,9 @@
         } else {
             MAX_SLEEP
         };
-        beats.chain([self.now + sleep]).min()
+        let earliest = self.now + MIN_SLEEP;
+        let wake = beats.chain([self.now + sleep]).min();
+        wake.map(|at| at.max(earliest))
     }
 
     fn is_busy(&self) -> bool {
