Schedule of a graceful stop while a write has no known outcome

Cause: nothing was red when a home was handed over under the same term while its write of next owners might still take effect. Ruled out: fencing by the next term alone; the next home may not reach the table, as in this schedule.

--- a/crates/ownership/tests/fencing.rs
+++ b/crates/ownership/tests/fencing.rs
@@ -196,3 +196,28 @@
     assert_eq!(world.violation, None);
     assert_eq!(world.unserved(), []);
 }
+
+#[rstest]
+#[case::checking(true)]
+#[case::unchecking(false)]
+fn graceful_stop_waits_for_a_write_whose_answer_was_lost(#[case] checks_orders: bool) {
+    let mut world = World::settled(Shape {
+        checks_orders,
+        ..Shape::default()
+    });
+    world.run_for(2 * SECOND);
+    let home = world.home_of(&upstream(0));
+    world.upstreams[&upstream(0)].paused_until = world.now + 20 * SECOND;
+    world.late_write = Some(Duration::from_millis(400));
+    world.run_while(2 * SECOND, |it| it.late_write.is_some());
+    // The next home can't reach the table, so that the write isn't fenced.
+    for other in (0..3).map(router).filter(|it| *it != home) {
+        world.cut_table(other.as_str());
+    }
+    world.send(&home, Event::Drain);
+    world.upstreams[&upstream(0)].paused_until = world.now + Duration::from_millis(50);
+    world.run_for(Duration::from_millis(600));
+    world.cuts.clear();
+    world.run_for(3 * SECOND);
+    assert_eq!(world.violation, None);
+}
