Routers that stop together do not wait for each other

Cause: a stopping router ignored the offers of others, so routers that were stopped at once offered their upstreams in a circle until the limit of 10 s. The offer is declined now, and the next router is asked. Ruled out: leaving the membership first; the others would take the upstreams for lost and claim them. Also adds a test with daemons: a read under way at a frozen upstream.

--- a/crates/daemon/tests/recovery.rs
+++ b/crates/daemon/tests/recovery.rs
@@ -7,6 +7,7 @@
 use eelgrassrock_daemon::Stopped;
 use eelgrassrock_standin::fault::Outage;
 use eelgrassrock_standin::table::Faults;
+use eelgrassrock_standin::upstream;
 use http::{Method, StatusCode};
 use rstest::rstest;
 use support::{Deployment, Size};
@@ -92,3 +93,31 @@
             .await;
     }
 }
+
+/// The deadline is 10 s and the freeze lasts longer, so that an answer can only
+/// come from the next owner.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_read_under_way_at_a_frozen_upstream_is_served_by_the_next_owner() {
+    let deployment = Deployment::start(SIZE).await;
+    let answer = deployment
+        .send(0, Method::GET, "/sheets/key-1", &[], b"")
+        .await;
+    let frozen = answer.json()["upstream"].clone();
+    let index = (0..SIZE.upstreams).find(|index| frozen == format!("sheets-{index}"));
+    let server = &deployment.upstreams[index.expect("the owner is one of the upstreams")];
+    let path = "/sheets/key-1?work_ms=400";
+    let read = deployment.send(0, Method::GET, path, &[], b"");
+    let freeze = async {
+        while server.runs().started < 2 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        server.set_faults(upstream::Faults {
+            freeze_ms: 60_000,
+            ..upstream::Faults::default()
+        });
+    };
+    let (answer, ()) = tokio::join!(read, freeze);
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    assert_ne!(answer.json()["upstream"], frozen);
+}
--- a/crates/ownership/src/machine/message.rs
+++ b/crates/ownership/src/machine/message.rs
@@ -36,6 +36,9 @@
                 term,
                 question,
             } => self.on_accept(from, &upstream, term, question),
+            Message::DeclineHandover { upstream, term } => {
+                self.on_decline(from, &upstream, term);
+            }
             Message::Handover(handover) => self.on_handover(from, handover),
             Message::HandoverDone { upstream, term } => {
                 self.on_handover_done(from, &upstream, term);
--- a/crates/ownership/src/machine/mod.rs
+++ b/crates/ownership/src/machine/mod.rs
@@ -77,6 +77,8 @@
     leaving: IndexSet<Upstream>,
     /// Upstreams without live home, and when this router claims them.
     orphans: IndexMap<Upstream, Orphan>,
+    /// Routers that declined an offer of this router, since they stop too.
+    declined: IndexSet<Router>,
     /// Routers that were members once and aren't any more.
     departed: IndexSet<Router>,
     /// Services with shards without owner, and since when.
@@ -118,6 +120,7 @@
             statuses: IndexMap::new(),
             leaving: IndexSet::new(),
             orphans: IndexMap::new(),
+            declined: IndexSet::new(),
             departed: IndexSet::new(),
             unplaced: IndexMap::new(),
             pending: IndexMap::new(),
--- a/crates/ownership/src/machine/offer.rs
+++ b/crates/ownership/src/machine/offer.rs
@@ -10,6 +10,7 @@
 use super::handover::{ASK_INTERVAL, Ceded, Offer, Successor};
 use crate::action::Action;
 use crate::decision::{Reason, What};
+use crate::event::Member;
 use crate::held::Held;
 use crate::message::Message;
 use crate::place;
@@ -85,7 +86,8 @@
     /// Offers an upstream to the next router. Returns whether there is one.
     pub(super) fn offer(&mut self, upstream: &Upstream) -> bool {
         let me = &self.settings.router;
-        let others = self.members.values().filter(|it| it.router != *me);
+        let willing = |it: &&Member| it.router != *me && !self.declined.contains(&it.router);
+        let others = self.members.values().filter(willing);
         let data_centre = self.data_centre_of(upstream);
         let Some(next) = place::first(upstream, data_centre, others) else {
             return false;
@@ -120,6 +122,16 @@
         self.tell(next, message);
     }
 
+    /// Notes that a router stops too, and offers the upstream to the next one.
+    pub(super) fn on_decline(&mut self, from: &Router, upstream: &Upstream, term: Term) {
+        let offer = self.offers.get(upstream);
+        let is_answer = |it: &Offer| it.router == *from && it.question == 0 && it.term == term;
+        if offer.is_some_and(is_answer) && self.draining.is_some() {
+            self.offers.swap_remove(upstream);
+            self.declined.insert(from.clone());
+        }
+    }
+
     /// Returns whether a transaction that depends on this home is under way.
     pub(super) fn is_changing(&self, upstream: &Upstream) -> bool {
         let key = Key::Home(upstream.clone()).text();
--- a/crates/ownership/src/machine/succession.rs
+++ b/crates/ownership/src/machine/succession.rs
@@ -61,7 +61,14 @@
     }
 
     pub(super) fn on_offer(&mut self, from: &Router, upstream: &Upstream, term: Term) {
-        if self.draining.is_some() || self.held.contains_key(upstream) {
+        if self.draining.is_some() {
+            let message = Message::DeclineHandover {
+                upstream: upstream.clone(),
+                term,
+            };
+            return self.tell(from, message);
+        }
+        if self.held.contains_key(upstream) {
             return;
         }
         self.accept(from, upstream, term, self.now);
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -134,4 +134,11 @@
         /// Whether the sender has read the whole table or got it from another.
         complete: bool,
     },
+    /// Declines an offer: the sender stops as well.
+    DeclineHandover {
+        /// Upstream.
+        upstream: Upstream,
+        /// Term.
+        term: Term,
+    },
 }
--- a/crates/ownership/tests/bounds.rs
+++ b/crates/ownership/tests/bounds.rs
@@ -144,6 +144,21 @@
     assert_eq!(world.violation, None);
 }
 
+/// Found by the demo, which stops all routers at its end.
+#[test]
+fn routers_that_stop_together_do_not_wait_for_each_other() {
+    let mut world = calm(true);
+    let routers: Vec<_> = world.nodes.keys().cloned().collect();
+    for router in &routers {
+        world.send(router, Event::Drain);
+    }
+    let took = world.run_while(10 * SECOND, |it| {
+        it.nodes.values().any(|node| !node.drained)
+    });
+    assert!(took < SECOND, "{took:?}");
+    assert_eq!(world.violation, None);
+}
+
 #[test]
 fn loss_of_home_and_unchecking_upstream_waits_for_the_authority() {
     let authority = 5 * SECOND;
