Two ways to a second owner, found by longer random schedules

Cause 1: a router that took an upstream over again counted the late answer to an order of its earlier term as an order of the new one, and settled at once. Cause 2: a router that had handed a home over under its own term and took it over again waited for itself only, while the router in between was cut off and went on ordering. Ruled out: the checker; the traces show the orders of both homes. Change: only an answer to an order of this term settles; a process answers for what went on under its terms only when that has ended.

--- a/crates/ownership/src/held.rs
+++ b/crates/ownership/src/held.rs
@@ -65,6 +65,17 @@
     pub(crate) reason: Reason,
 }
 
+/// Which order an answer belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Taken {
+    /// The last one that this home gave under its term.
+    Current,
+    /// An earlier one that this home gave under its term.
+    Late,
+    /// None of this home under its term.
+    Foreign,
+}
+
 /// Earlier home, and the time by which its orders have expired if it is known.
 #[derive(Clone, Debug)]
 pub(crate) struct Earlier {
@@ -335,14 +346,14 @@
         checks_orders: bool,
         now: Instant,
         settings: &Settings,
-    ) -> bool {
+    ) -> Taken {
         let last = self.request.take_if(|it| it.id == id);
         let is_last = last.is_some();
         let Some(request) = last.or_else(|| self.take_late(id)) else {
-            return false;
+            return Taken::Foreign;
         };
         let Some(sent) = request.order else {
-            return false;
+            return Taken::Foreign;
         };
         match answer {
             Answer::Accepted(ticket) => {
@@ -371,7 +382,7 @@
                 }
             }
         }
-        is_last && *answer != Answer::Unknown
+        if is_last { Taken::Current } else { Taken::Late }
     }
 
     fn take_late(&mut self, id: u64) -> Option<Request> {
--- a/crates/ownership/src/machine/handover.rs
+++ b/crates/ownership/src/machine/handover.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrassrock_model::table::Row;
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_model::{Router, Sequence, Term, Upstream, Version};
 
@@ -74,6 +75,10 @@
         if let Some(next) = next {
             self.tell_handover(upstream, &next.router.clone(), 0);
         }
+        // The router that handed over answers for what was done under its term.
+        if let Some((delegator, _)) = held.holder {
+            self.tell_handover(upstream, &delegator, 0);
+        }
     }
 
     /// Tells the next home that this router no longer gives orders.
@@ -127,14 +132,16 @@
     }
 
     /// Returns the earlier homes that a new home waits for. What an earlier
-    /// term of this process granted is known.
+    /// term of this process granted is known, unless another router went on
+    /// under it.
     pub(super) fn wait_for(&self, upstream: &Upstream, home: &row::Home) -> Vec<Earlier> {
         let (router, nonce) = self.process();
         let own = self
             .ceded
             .get(upstream)
             .map_or(self.now, |ceded| ceded.lapses_at);
-        let is_own = |prior: &row::Prior| prior.router == router && prior.nonce == nonce;
+        let alone = !self.delegates.contains_key(upstream);
+        let is_own = |prior: &row::Prior| alone && prior.router == router && prior.nonce == nonce;
         let priors = home.priors.iter().cloned();
         let earlier = |prior: row::Prior| Earlier {
             ended_at: is_own(&prior).then_some(own),
@@ -157,14 +164,30 @@
             return;
         }
         held.priors_asked_at = Some(now);
+        let term = held.term;
         let open = held.priors.iter().filter(|it| it.ended_at.is_none());
-        for Earlier { prior, .. } in open {
+        let open: Vec<row::Prior> = open.map(|it| it.prior.clone()).collect();
+        let rows: Vec<Row> = row.into_iter().collect();
+        if let Some((delegate, _)) = self.delegates.get(upstream).cloned() {
+            let nonce = self.settings.nonce.as_str().into();
+            let upstream = upstream.clone();
+            self.tell(&delegate, Message::Rows(rows.clone()));
+            self.tell(
+                &delegate,
+                Message::AskHandover {
+                    upstream,
+                    nonce,
+                    term,
+                },
+            );
+        }
+        for prior in open {
             let ask = Message::AskHandover {
                 upstream: upstream.clone(),
                 nonce: Arc::clone(&prior.nonce),
-                term: held.term,
+                term,
             };
-            for message in [Message::Rows(row.iter().cloned().collect()), ask] {
+            for message in [Message::Rows(rows.clone()), ask] {
                 self.out.push(Action::Tell {
                     router: prior.router.clone(),
                     address: prior.address,
@@ -184,27 +207,37 @@
         nonce: &str,
         term: Term,
     ) {
-        if nonce != self.settings.nonce || self.held.contains_key(upstream) {
+        if self.held.contains_key(upstream) {
+            return;
+        }
+        if self.acted_for(from, nonce, upstream, term) {
+            return self.tell_handover(upstream, from, 0);
+        }
+        if nonce != self.settings.nonce {
             return;
         }
         let known = self.view.home(upstream).map(|home| home.term);
         if known.is_none_or(|known| known < term) {
             return;
         }
-        match self.ceded.get(upstream) {
-            Some(Ceded {
-                successor: Some(successor),
-                ..
-            }) => {
-                let home = self.view.homes.get(upstream).map(|it| it.row.clone());
-                let to = successor.router.clone();
-                self.tell(&to, Message::Rows(home.into_iter().collect()));
-            }
-            ceded => {
-                let lapses_at = ceded.map_or(self.now, |ceded| ceded.lapses_at);
-                self.tell_ended(from, upstream, term, lapses_at);
-            }
+        if let Some((delegate, _)) = self.delegates.get(upstream).cloned() {
+            let home = self.view.homes.get(upstream).map(|it| it.row.clone());
+            return self.tell(&delegate, Message::Rows(home.into_iter().collect()));
         }
+        let ceded = self.ceded.get(upstream);
+        let lapses_at = ceded.map_or(self.now, |ceded| ceded.lapses_at);
+        self.tell_ended(from, upstream, term, lapses_at);
+    }
+
+    /// Returns whether this router went on under a term of the asker and has
+    /// ended since.
+    fn acted_for(&self, asker: &Router, nonce: &str, upstream: &Upstream, term: Term) -> bool {
+        let ended = |it: &Ceded| {
+            let (router, holder) = &it.holder;
+            let for_asker = router == asker && &**holder == nonce;
+            for_asker && it.term < term && it.successor.is_none()
+        };
+        self.ceded.get(upstream).is_some_and(ended)
     }
 
     /// Tells that this process gives no orders of a term before `term`.
@@ -238,12 +271,16 @@
     pub(super) fn on_handover(&mut self, from: &Router, handover: Handover) {
         match &handover.succession {
             Some(succession) => self.succeed(from, &handover, succession.clone()),
-            None => self.settle(handover),
+            None => self.settle(from, handover),
         }
     }
 
     /// Notes that an earlier home has ended, and settles when all have.
-    fn settle(&mut self, handover: Handover) {
+    fn settle(&mut self, from: &Router, handover: Handover) {
+        let delegate = self.delegates.get(&handover.upstream);
+        if delegate.is_some_and(|(router, term)| router == from && *term <= handover.term) {
+            self.delegates.swap_remove(&handover.upstream);
+        }
         let ended_at = self.now + self.settings.longer(handover.lapses_in);
         let Some(held) = self.held.get_mut(&handover.upstream) else {
             return;
--- a/crates/ownership/src/machine/lease.rs
+++ b/crates/ownership/src/machine/lease.rs
@@ -9,7 +9,7 @@
 use crate::action::Action;
 use crate::decision::{Reason, What};
 use crate::grant::{Answer, Grant, Refusal, Ticket};
-use crate::held::Held;
+use crate::held::{Held, Taken};
 use crate::life::{Happening, State};
 use crate::row::Key;
 
@@ -68,9 +68,11 @@
             return;
         };
         let was_alive = held.is_alive();
-        let counts = held.take_answer(id, answer, checks_orders, now, &self.settings);
+        let taken = held.take_answer(id, answer, checks_orders, now, &self.settings);
         match answer {
-            Answer::Accepted(_) if checks_orders => {
+            // The answer to an order that this router gave under an earlier
+            // term says nothing of this one.
+            Answer::Accepted(_) if checks_orders && taken != Taken::Foreign => {
                 held.settles_at = held.settles_at.min(now);
             }
             Answer::Refused {
@@ -79,7 +81,7 @@
             } => self.read(Key::Home(upstream.clone()).text()),
             _ => {}
         }
-        if counts {
+        if taken == Taken::Current && *answer != Answer::Unknown {
             self.note_alive(upstream, was_alive);
             self.out.push(Action::RoutesChanged);
         }
--- a/crates/ownership/src/machine/mod.rs
+++ b/crates/ownership/src/machine/mod.rs
@@ -17,7 +17,7 @@
 use eelgrassrock_model::shard::Shard;
 use eelgrassrock_model::table::{Operation, Row};
 use eelgrassrock_model::time::Instant;
-use eelgrassrock_model::{Router, Service, Upstream};
+use eelgrassrock_model::{Router, Service, Term, Upstream};
 use indexmap::{IndexMap, IndexSet};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
@@ -77,6 +77,9 @@
     leaving: IndexSet<Upstream>,
     /// Upstreams without live home, and when this router claims them.
     orphans: IndexMap<Upstream, Orphan>,
+    /// Routers that went on under a term of this process, with that term. Until
+    /// they end, this process can't say that its authority has ended.
+    delegates: IndexMap<Upstream, (Router, Term)>,
     /// Routers that declined an offer of this router, since they stop too.
     declined: IndexSet<Router>,
     /// Routers that were members once and aren't any more.
@@ -120,6 +123,7 @@
             statuses: IndexMap::new(),
             leaving: IndexSet::new(),
             orphans: IndexMap::new(),
+            delegates: IndexMap::new(),
             declined: IndexSet::new(),
             departed: IndexSet::new(),
             unplaced: IndexMap::new(),
--- a/crates/ownership/src/machine/offer.rs
+++ b/crates/ownership/src/machine/offer.rs
@@ -160,6 +160,8 @@
         {
             let ceded = self.ceded_to(held, from, self.now);
             self.ceded.insert(upstream.clone(), ceded);
+            let delegate = (from.clone(), term);
+            self.delegates.insert(upstream.clone(), delegate);
             self.held.swap_remove(upstream);
             self.offers.swap_remove(upstream);
             let what = What::Ceded {
--- a/crates/ownership/tests/safety.rs
+++ b/crates/ownership/tests/safety.rs
@@ -192,3 +192,48 @@
         prop_assert_eq!(run(false, seed, authority_ms, &faults).violation, None);
     }
 }
+
+/// A router took an upstream over again, and the answer to an order of its
+/// earlier term came late. It took that for an order of the new term.
+#[test]
+fn late_answer_to_an_earlier_term_settles_nothing() {
+    let noise = Noise {
+        lost: 187,
+        doubled: 61,
+        late: 183,
+    };
+    let faults = vec![
+        (2010, Fault::TableUp),
+        (329, Fault::StartUpstream(1)),
+        (0, Fault::Noise(noise)),
+        (1013, Fault::CutRouters(1, 2)),
+        (1285, Fault::Leaving(vec![0])),
+    ];
+    let world = run(true, 8781811462434346026, 4856, &faults);
+    assert_eq!(world.violation, None);
+}
+
+/// A router handed a home over under its term and took it over again, while
+/// the one in between was cut off. It counted itself as the only earlier home.
+#[test]
+fn home_that_was_handed_over_waits_for_the_router_in_between() {
+    let faults = vec![
+        (77, Fault::PauseUpstream(0, 519)),
+        (0, Fault::Leaving(vec![])),
+        (97, Fault::PauseRouter(1, 324)),
+        (762, Fault::StopRouter(2)),
+        (653, Fault::Isolate(1)),
+        (1042, Fault::StopUpstream(0)),
+        (2669, Fault::Heal),
+        (0, Fault::PauseRouter(1, 1035)),
+        (1351, Fault::StartRouter(3)),
+        (4, Fault::CutUpstream(0, 0)),
+        (35, Fault::StartRouter(2)),
+        (180, Fault::TableDown),
+        (0, Fault::TableUp),
+        (0, Fault::Isolate(2)),
+        (337, Fault::Leaving(vec![1])),
+    ];
+    let world = run(false, 7653968001162235818, 3777, &faults);
+    assert_eq!(world.violation, None);
+}
