A home looks for moves four times a second, not in every step

Cause: a step looked at every upstream of the home, and each look at all shards of the service, until it found a move; so the processor time of a home grew with the power 2.5 of its upstreams.

--- a/crates/ownership/src/machine/claim.rs
+++ b/crates/ownership/src/machine/claim.rs
@@ -253,20 +253,23 @@
         if !self.may_write() {
             return;
         }
-        let settled = self
-            .held
-            .iter()
-            .filter(|(_, held)| held.is_settled(self.now));
+        let settled = self.held.iter().filter(|(upstream, held)| {
+            held.is_settled(self.now) && self.lists_earlier_homes(upstream)
+        });
         let settled: Vec<Upstream> = settled.map(|(upstream, _)| upstream.clone()).collect();
         for upstream in settled {
             self.note_settled(&upstream);
         }
     }
 
+    fn lists_earlier_homes(&self, upstream: &Upstream) -> bool {
+        let home = self.row_of_home(upstream);
+        home.is_some_and(|home| !home.priors.is_empty() && self.is_mine(home))
+    }
+
     fn note_settled(&mut self, upstream: &Upstream) {
         let key = Key::Home(upstream.clone()).text();
-        let home = self.row_of_home(upstream).filter(|home| self.is_mine(home));
-        let Some(home) = home.filter(|home| !home.priors.is_empty()) else {
+        let Some(home) = self.row_of_home(upstream) else {
             return;
         };
         if self.is_writing(&key) {
--- a/crates/ownership/src/machine/rebalance.rs
+++ b/crates/ownership/src/machine/rebalance.rs
@@ -19,6 +19,10 @@
 /// necessary.
 const ROUND_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Time between two looks for moves that aren't necessary, when the last look
+/// found none.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Weight of the latest window in the average busy time of a shard.
 const LOAD_WEIGHT: f64 = 0.5;
 
@@ -94,12 +98,17 @@
             (Goal::Availability, Some(parts)) if !parts.is_empty() => (parts, Reason::Busy),
             _ => (self.even_out(service, upstream, goal), Reason::Uneven),
         };
+        let pause = if parts.is_empty() {
+            LOOK_INTERVAL
+        } else {
+            ROUND_INTERVAL
+        };
+        if let Some(held) = self.held.get_mut(upstream) {
+            held.next_round = self.now + pause;
+        }
         if parts.is_empty() {
             return;
         }
-        if let Some(held) = self.held.get_mut(upstream) {
-            held.next_round = self.now + ROUND_INTERVAL;
-        }
         self.plan(upstream, parts, reason);
     }
 
