--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -334,6 +334,11 @@
         SocketAddr::new(self.host, base_port(daemon) + 1)
     }
 
+    /// Returns the address for hops of a daemon.
+    pub fn hops(&self, daemon: usize) -> SocketAddr {
+        SocketAddr::new(self.host, base_port(daemon) + 2)
+    }
+
     /// Returns the address for operators of a daemon.
     pub fn admin(&self, daemon: usize) -> SocketAddr {
         SocketAddr::new(self.host, base_port(daemon) + 3)
