settings check says that peers-http is the port after peers

Cause: the daemon refused another port when it started, but the check of a settings file passed it. The rule stands with the other rules of the file now, with line, value and remedy. Ruled out: dropping the key, which would break files that name it. Seen red: before the rule the new case of tests/settings.rs has no fault. Measured: tests of config and cli pass.

--- a/crates/config/src/settings/read.rs
+++ b/crates/config/src/settings/read.rs
@@ -167,6 +167,7 @@
         refuse_same_address(fields, key, addresses[index], &addresses[..index]);
     }
     let [callers, peers, peers_http, admin] = addresses;
+    refuse_other_port(fields, peers, peers_http);
     Some(Listen {
         callers: callers?,
         peers: peers?,
@@ -175,6 +176,24 @@
     })
 }
 
+/// Other routers know the address of `peers` only, and find that of
+/// `peers-http` by this rule.
+fn refuse_other_port(
+    fields: &mut Fields<'_>,
+    peers: Option<SocketAddr>,
+    peers_http: Option<SocketAddr>,
+) {
+    let (Some(peers), Some(found)) = (peers, peers_http) else {
+        return;
+    };
+    let expected = SocketAddr::new(peers.ip(), peers.port().wrapping_add(1));
+    if found != expected {
+        let reason = "other routers can't find it there".to_owned();
+        let allowed = format!("`{expected}`, the port after `peers`");
+        fields.conflict("peers-http", reason, &allowed);
+    }
+}
+
 fn refuse_same_address(
     fields: &mut Fields<'_>,
     key: &'static str,
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -62,6 +62,7 @@
 #[case::host_name("10.0.0.1:8080", "localhost:8080", &["r.ini:5: [listen] callers `localhost:8080`", "an IP number"])]
 #[case::any_address("10.0.0.1:8080", "0.0.0.0:8080", &["r.ini:5:", "0.0.0.0"])]
 #[case::no_port("10.0.0.1:7402", "10.0.0.1:0", &["r.ini:8: [listen] admin `10.0.0.1:0`"])]
+#[case::other_port("10.0.0.1:7401", "10.0.0.1:7409", &["r.ini:7: [listen] peers-http `10.0.0.1:7409`", "`10.0.0.1:7401`, the port after `peers`"])]
 #[case::same_address("10.0.0.1:7402", "10.0.0.1:8080", &["r.ini:8:", "another listener", "of its own"])]
 #[case::name("name = r1", "name = R1", &["r.ini:2: [router] name `R1`", "a-z, 0-9"])]
 #[case::missing_key("name = r1\n", "", &["r.ini:1: [router] name:", "missing"])]
--- a/crates/daemon/src/account.rs
+++ b/crates/daemon/src/account.rs
@@ -3,10 +3,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use eelgrassrock_model::Name;
-use eelgrassrock_model::Upstream;
 use eelgrassrock_model::table::Outcome;
 use eelgrassrock_model::time::Instant;
+use eelgrassrock_model::{Name, Upstream};
 use eelgrassrock_ownership as ownership;
 use eelgrassrock_request as request;
 use eelgrassrock_telemetry::metrics::{Counter, Gauge, Metrics, Tag, Timer};
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrassrock_model::Name;
 use eelgrassrock_model::fleet::{Patience, Repeat};
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_ownership::{Absence, Route};
@@ -197,7 +198,6 @@
             } => (Some(upstream), Some(router), Some(epoch), "remote"),
             Route::Unavailable(absence) => (None, None, None, detail(*absence)),
         };
-        use eelgrassrock_model::Name;
         let line = Line {
             request_id: &self.inbound.request_id,
             service: self.inbound.matched.service.as_str(),
