One token for hops, kept as text

Cause: the node held the same credential twice, as text for sending and as bytes for checking, and each hop that came in wrote the bytes out as text again before it compared them. Ruled out: comparing decoded bytes; the text is what arrives, and the comparison stays in constant time. Behaviour is the same.

--- a/crates/daemon/src/doors.rs
+++ b/crates/daemon/src/doors.rs
@@ -85,7 +85,7 @@
     let token = headers
         .get(header::HOP)
         .and_then(|value| value.to_str().ok());
-    if !token.is_some_and(|token| node.secret_token.matches(token)) {
+    if !token.is_some_and(|token| node.hop_token.matches(token)) {
         let detail = "this port is for the routers of the deployment";
         return Err(Problem::new(StatusCode::FORBIDDEN, Outcome::NotRun, detail));
     }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -32,10 +32,8 @@
     pub(crate) account: Arc<Account>,
     /// Longest body of a request, in bytes.
     pub(crate) body_limit: usize,
-    /// Credential for hops, as text.
-    pub(crate) hop_token: String,
     /// Credential for hops.
-    pub(crate) secret_token: Token,
+    pub(crate) hop_token: Token,
     /// Ownership.
     pub(crate) keeper: Arc<Keeper>,
     /// Requests.
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -151,7 +151,7 @@
         self.node.account.count(Counter::RequestsForwarded);
         let link = self.node.links.router(address);
         let left = self.inbound.deadline - self.node.clock.now();
-        let token = &self.node.hop_token;
+        let token = self.node.hop_token.as_str();
         match hop::pass(&link, token, self.inbound, carried.as_ref(), left).await {
             Passed::Answered(response) => Next::Answer(response),
             Passed::Elsewhere(carried) => Next::Again(carried),
--- a/crates/wire/src/secret.rs
+++ b/crates/wire/src/secret.rs
@@ -27,7 +27,7 @@
 /// Credential derived from the secret for one purpose, so that the secret
 /// itself never travels.
 #[derive(Clone, PartialEq, Eq)]
-pub struct Token([u8; TAG_BYTES]);
+pub struct Token(String);
 
 impl Secret {
     /// Creates a secret from its bytes.
@@ -53,7 +53,8 @@
     /// # Ok::<(), eelgrassrock_wire::Short>(())
     /// ```
     pub fn token(&self, purpose: &str) -> Token {
-        Token(self.tag(&[b"token", purpose.as_bytes()]))
+        let tag = self.tag(&[b"token", purpose.as_bytes()]);
+        Token(tag.iter().map(|byte| format!("{byte:02x}")).collect())
     }
 
     pub(crate) fn tag(&self, parts: &[&[u8]]) -> [u8; TAG_BYTES] {
@@ -72,15 +73,20 @@
 }
 
 impl Token {
+    /// Returns the token as 64 hexadecimal digits.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
     /// Tells whether `text` is this token, in constant time.
     pub fn matches(&self, text: &str) -> bool {
-        self.to_string().as_bytes().ct_eq(text.as_bytes()).into()
+        self.0.as_bytes().ct_eq(text.as_bytes()).into()
     }
 }
 
 impl fmt::Display for Token {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+        f.write_str(&self.0)
     }
 }
 
