--- a/crates/cli/src/store.rs
+++ b/crates/cli/src/store.rs
@@ -9,8 +9,8 @@
 use eelgrassrock_config::roll::{self, CURRENT_KEY, Record, Refusal, Verdict};
 use eelgrassrock_model::table::{Check, Operation, Outcome, Row, Transaction, Write};
 use eelgrassrock_model::{Digest, Version};
-use eelgrassrock_platform::settings::Settings;
-use eelgrassrock_platform::{objects, table};
+use eelgrassrock_store::settings::Settings;
+use eelgrassrock_store::{objects, table};
 
 use crate::args::Platform;
 
@@ -39,7 +39,7 @@
 pub enum Fault {
     /// A call failed.
     #[display("the platform can't be used: {_0}")]
-    Platform(eelgrassrock_platform::Fault),
+    Platform(eelgrassrock_store::Fault),
     /// A row holds something else than a record.
     #[display("row `{key}`: {fault}; it was left as it is")]
     Record {
@@ -283,9 +283,9 @@
 }
 
 /// Makes a call that changes nothing, or nothing twice, until it succeeds.
-async fn retry<T, F>(call: impl Fn() -> F) -> Result<T, eelgrassrock_platform::Fault>
+async fn retry<T, F>(call: impl Fn() -> F) -> Result<T, eelgrassrock_store::Fault>
 where
-    F: Future<Output = Result<T, eelgrassrock_platform::Fault>>,
+    F: Future<Output = Result<T, eelgrassrock_store::Fault>>,
 {
     let mut pause = FIRST_PAUSE;
     for _ in 1..ATTEMPTS {
--- a/crates/daemon/src/chores.rs
+++ b/crates/daemon/src/chores.rs
@@ -8,7 +8,7 @@
 use eelgrassrock_model::table::{Operation, Row};
 use eelgrassrock_model::{Digest, Version};
 use eelgrassrock_ownership as ownership;
-use eelgrassrock_platform::{Fault, Kind};
+use eelgrassrock_store::{Fault, Kind};
 use eelgrassrock_telemetry::metrics::Counter;
 use serde::Serialize;
 use tokio::sync::mpsc::UnboundedReceiver;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -9,7 +9,7 @@
 use eelgrassrock_config::settings::Settings;
 use eelgrassrock_membership::{adoption, member, spread};
 use eelgrassrock_model::{Name, Upstream};
-use eelgrassrock_platform::{objects, settings as platform, table, vms};
+use eelgrassrock_store::{objects, settings as platform, table, vms};
 use eelgrassrock_telemetry::log::{self, Logger};
 use eelgrassrock_telemetry::metrics::{self, Metrics};
 use eelgrassrock_wire::{Secret, Short};
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -5,7 +5,7 @@
 use eelgrassrock_config::bundle::Bundle;
 use eelgrassrock_config::settings::Settings;
 use eelgrassrock_model::table::{Outcome, Row, Transaction};
-use eelgrassrock_platform::{Fault, objects, table, vms};
+use eelgrassrock_store::{Fault, objects, table, vms};
 use eelgrassrock_telemetry::log::Logger;
 use eelgrassrock_wire::Token;
 use tokio::sync::watch;
--- a/crates/daemon/tests/process/mod.rs
+++ b/crates/daemon/tests/process/mod.rs
@@ -20,7 +20,7 @@
 use eelgrassrock_config::roll::{CURRENT_KEY, Record};
 use eelgrassrock_model::Version;
 use eelgrassrock_model::table::{Check, Operation, Outcome, Transaction, Write};
-use eelgrassrock_platform::settings::Settings;
+use eelgrassrock_store::settings::Settings;
 use eelgrassrock_standin::upstream::{Runs, State};
 use eelgrassrock_standin::{Addresses, objects, table, upstream, vms};
 use http::{Method, StatusCode};
@@ -212,9 +212,9 @@
         let approval = approver_key().approve("imena".parse().unwrap(), &bundle);
         let settings = Settings::default();
         let objects =
-            eelgrassrock_platform::objects::Client::new(self.objects.address(), settings.clone());
+            eelgrassrock_store::objects::Client::new(self.objects.address(), settings.clone());
         objects.put(Bytes::from(text)).await.unwrap();
-        let table = eelgrassrock_platform::table::Client::new(self.table.address(), settings);
+        let table = eelgrassrock_store::table::Client::new(self.table.address(), settings);
         let transaction = Transaction {
             operation: Operation("test-roll".into()),
             checks: vec![Check {
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -20,7 +20,7 @@
 use eelgrassrock_daemon::Daemon;
 use eelgrassrock_model::Version;
 use eelgrassrock_model::table::{Check, Operation, Outcome, Transaction, Write};
-use eelgrassrock_platform::{objects, settings as platform, table};
+use eelgrassrock_store::{objects, settings as platform, table};
 use eelgrassrock_standin::{Addresses, objects as stand_objects, table as stand_table};
 use eelgrassrock_standin::{upstream, vms};
 use http::{HeaderMap, Method, Request, StatusCode};
--- /dev/null
+++ b/crates/dispatch/src/directory.rs
@@ -0,0 +1,140 @@
+//! Routes and services as an operator declares them, with a look-up by host
+//! and longest prefix.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+pub use eelgrassrock_model::fleet::Repeat;
+
+/// Everything that one version of the configuration declares.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Directory {
+    /// Version; a router never goes back to a lower one.
+    pub version: u64,
+    /// Routes of each host, longest prefix first.
+    routes: IndexMap<Arc<str>, Vec<Arc<Route>>>,
+    /// Services by name.
+    pub services: IndexMap<Arc<str>, Service>,
+    /// What callers may send.
+    pub limits: Limits,
+}
+
+/// Requests of one host whose paths begin with one prefix.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name for logs and metrics.
+    pub name: Arc<str>,
+    /// Host that callers name.
+    pub host: Arc<str>,
+    /// Beginning of the path, with a slash at both ends.
+    pub prefix: Arc<str>,
+    /// Whether its requests may run more than once.
+    pub repeat: Repeat,
+    /// Longest time that a caller is kept waiting.
+    pub timeout: Option<Duration>,
+    /// Time within which an answer is worth most.
+    pub target: Option<Duration>,
+    /// Rank among the requests of a service, 0 is the highest.
+    pub priority: u8,
+    /// Most upstreams that one request may be sent to.
+    pub max_attempts: u32,
+    /// Services that share its requests by weight; never empty.
+    pub parts: Vec<Part>,
+}
+
+/// Share of a route's requests that go to one service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Part {
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// Weight relative to the other parts.
+    pub weight: u32,
+}
+
+/// Upstreams that are interchangeable, or divide keys among themselves.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Connections that one upstream accepts from all routers together.
+    pub max_connections: u32,
+    /// How keys are divided, `None` if any upstream takes any request.
+    pub keyed: Option<Keyed>,
+}
+
+/// Properties of a service whose keys are divided among its upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Keyed {
+    /// Time for which a key is slow at a holder that got it without the
+    /// token of the holder before.
+    pub warm_up: Duration,
+}
+
+/// What callers may send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest head of a request, in bytes.
+    pub max_header_bytes: usize,
+    /// Largest body of a request, in bytes.
+    pub max_body_bytes: u64,
+    /// Time within which the head must be complete.
+    pub header_timeout: Duration,
+    /// Time after which an unused connection is closed.
+    pub idle_timeout: Duration,
+}
+
+impl Default for Limits {
+    /// Limits of a router that has no configuration yet.
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 16 << 10,
+            max_body_bytes: 64 << 20,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+impl Directory {
+    /// Creates a directory.
+    pub fn new(
+        version: u64,
+        routes: impl IntoIterator<Item = Route>,
+        services: IndexMap<Arc<str>, Service>,
+        limits: Limits,
+    ) -> Self {
+        let mut hosts: IndexMap<Arc<str>, Vec<Arc<Route>>> = IndexMap::new();
+        for route in routes {
+            let host = hosts.entry(Arc::clone(&route.host)).or_default();
+            host.push(Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Self {
+            version,
+            routes: hosts,
+            services,
+            limits,
+        }
+    }
+
+    /// Returns the route of a request: among those of its host, the one with
+    /// the longest prefix that begins its path.
+    ///
+    /// ```
+    /// use eelgrassrock_dispatch::directory::Directory;
+    ///
+    /// let directory = Directory::default();
+    /// assert!(directory.route("sheets.example", "/issue/7").is_none());
+    /// ```
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.routes.get(host)?;
+        routes.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+}
--- /dev/null
+++ b/crates/edge/src/exchange.rs
@@ -0,0 +1,156 @@
+//! One send of a request to an upstream.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use eelgrassrock_dispatch::service::Report;
+use eelgrassrock_dispatch::upstream::Upstream;
+use http::{HeaderMap, Request, Response, StatusCode, request};
+use tokio::time::timeout;
+
+use crate::link::{self, Link};
+use crate::node::Node;
+use crate::payload::{self, Payload, Taken};
+use crate::seam::{Head, Platform, Verdict};
+
+/// Time that an upstream's own answer at its time limit takes to arrive.
+const ANSWER_MARGIN: Duration = Duration::from_millis(25);
+
+/// How a send ended.
+pub(crate) enum Exchange {
+    /// The upstream's own answer, whole or still coming.
+    Answer(Response<Payload>),
+    /// There is no answer that could be passed on.
+    None(Report),
+}
+
+/// Request as it is sent; whole bodies can be sent more than once.
+pub(crate) struct Message {
+    pub(crate) parts: request::Parts,
+    pub(crate) body: Content,
+}
+
+pub(crate) enum Content {
+    Whole(Bytes),
+    Once(Option<Payload>),
+}
+
+impl Message {
+    /// Whether it can be sent once more.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        match &self.body {
+            Content::Whole(_) => true,
+            Content::Once(payload) => payload.is_some(),
+        }
+    }
+
+    fn build(&mut self, headers: HeaderMap) -> Request<Payload> {
+        let body = match &mut self.body {
+            Content::Whole(bytes) if bytes.is_empty() => Payload::Whole(None),
+            Content::Whole(bytes) => Payload::whole(bytes.clone()),
+            Content::Once(payload) => payload.take().unwrap_or(Payload::Whole(None)),
+        };
+        let mut request = Request::new(body);
+        *request.method_mut() = self.parts.method.clone();
+        *request.uri_mut() = self.parts.uri.clone();
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+/// Sends a request to an upstream and waits for its answer.
+pub(crate) async fn exchange<P: Platform>(
+    node: &Node<P>,
+    upstream: &Upstream,
+    message: &mut Message,
+    head: &Head,
+    left: Duration,
+) -> Exchange {
+    let mut headers = message.parts.headers.clone();
+    let allowed = left.saturating_sub(ANSWER_MARGIN).max(Duration::from_millis(1));
+    node.platform.address_to(&mut headers, upstream, allowed);
+    let mut request = message.build(headers);
+    loop {
+        let kept = node.links.take(upstream);
+        let was_kept = kept.is_some();
+        let link = match kept {
+            Some(link) => Some(link),
+            None => link::connect(upstream.address, left).await,
+        };
+        let Some(mut link) = link else {
+            message.restore(request);
+            return Exchange::None(Report::Unreachable);
+        };
+        let sent = timeout(left, link.sender.try_send_request(request)).await;
+        match sent {
+            Err(_) => return Exchange::None(Report::Silent),
+            Ok(Ok(response)) => return receive(node, upstream, link, response, head, left).await,
+            Ok(Err(mut error)) => match error.take_message() {
+                // The request comes back only if no byte of it was sent.
+                Some(unsent) if was_kept => request = unsent,
+                Some(unsent) => {
+                    message.restore(unsent);
+                    return Exchange::None(Report::Unreachable);
+                }
+                None => {
+                    if error.into_error().is_parse() {
+                        node.links.distrust(upstream);
+                    }
+                    return Exchange::None(Report::Broken);
+                }
+            },
+        }
+    }
+}
+
+impl Message {
+    /// Takes back a request of which nothing was sent.
+    fn restore(&mut self, request: Request<Payload>) {
+        if let Content::Once(payload) = &mut self.body {
+            *payload = Some(request.into_body());
+        }
+    }
+}
+
+async fn receive<P: Platform>(
+    node: &Node<P>,
+    upstream: &Upstream,
+    link: Link,
+    response: Response<hyper::body::Incoming>,
+    head: &Head,
+    left: Duration,
+) -> Exchange {
+    let (parts, body) = response.into_parts();
+    let verdict = node.platform.judge(head, parts.status, &parts.headers);
+    match verdict {
+        Verdict::Foreign => {
+            node.links.distrust(upstream);
+            return Exchange::None(Report::Broken);
+        }
+        Verdict::Refused | Verdict::Misdirected => {
+            if let Ok(Taken::Whole(_)) = timeout(ANSWER_MARGIN, payload::take(body)).await {
+                node.links.keep(upstream, link, &parts.headers);
+            }
+            let refused = verdict == Verdict::Refused;
+            return Exchange::None(if refused { Report::Refused } else { Report::Misdirected });
+        }
+        Verdict::Own => {}
+    }
+    match timeout(left, payload::take(body)).await {
+        Err(_) => Exchange::None(Report::Silent),
+        Ok(Taken::Broken) => Exchange::None(Report::Broken),
+        Ok(Taken::Whole(bytes)) => {
+            node.links.keep(upstream, link, &parts.headers);
+            Exchange::Answer(Response::from_parts(parts, Payload::whole(bytes)))
+        }
+        Ok(Taken::Partial(first, rest)) => {
+            let payload = Payload::partial(first, rest, Some(link));
+            Exchange::Answer(Response::from_parts(parts, payload))
+        }
+    }
+}
+
+/// Whether a status says that the upstream failed.
+pub(crate) fn is_failure(status: StatusCode) -> bool {
+    status.is_server_error()
+}
--- /dev/null
+++ b/crates/edge/src/front.rs
@@ -0,0 +1,140 @@
+//! Listeners for callers and for the question whether the router is ready.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use eelgrassrock_model::time::Instant;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+use crate::clock;
+use crate::node::Node;
+use crate::payload::Payload;
+use crate::request;
+use crate::seam::Platform;
+
+/// Smallest buffer that the HTTP library takes.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Pause after a failure to accept, for instance when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Share of the grace after which unused connections are closed. Until then,
+/// callers may still send on them, and are told with the answer to leave.
+const CLOSE_SHARE: f64 = 0.7;
+
+/// What a connection does, seen by the task that closes it when unused.
+struct Activity {
+    open: Cell<u32>,
+    last: Cell<Instant>,
+}
+
+/// Accepts callers until the process ends.
+pub(crate) async fn accept<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let node = Rc::clone(&node);
+                tokio::task::spawn_local(connection(node, stream));
+            }
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn connection<P: Platform>(node: Rc<Node<P>>, stream: TcpStream) {
+    // Without this, answers only arrive later.
+    let _ = stream.set_nodelay(true);
+    let limits = node.state.borrow().directory.as_ref().map(|directory| directory.limits.clone());
+    let limits = limits.unwrap_or_default();
+    let activity = Rc::new(Activity {
+        open: Cell::new(0),
+        last: Cell::new(clock::now()),
+    });
+    let service = service_fn(|request: Request<Incoming>| {
+        let (node, activity) = (Rc::clone(&node), Rc::clone(&activity));
+        activity.open.set(activity.open.get() + 1);
+        let busy = Busy(activity);
+        async move {
+            let response = request::serve(node, request).await;
+            drop(busy);
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES));
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    loop {
+        let pause = next_look(&node, &activity, limits.idle_timeout);
+        tokio::select! {
+            // The caller or its network ended the connection: what was open
+            // is cancelled by dropping it.
+            _ = connection.as_mut() => return,
+            () = sleep(pause) => {}
+            () = node.stop.notified() => {}
+        }
+        if is_unused(&node, &activity, limits.idle_timeout) {
+            connection.as_mut().graceful_shutdown();
+        }
+    }
+}
+
+fn next_look<P: Platform>(node: &Node<P>, activity: &Activity, idle: Duration) -> Duration {
+    let idle = if node.is_stopping() { node.settings.grace.mul_f64(CLOSE_SHARE) } else { idle };
+    let used = clock::now() - activity.last.get();
+    let left = idle.saturating_sub(used);
+    left.clamp(Duration::from_millis(100), idle)
+}
+
+fn is_unused<P: Platform>(node: &Node<P>, activity: &Activity, idle: Duration) -> bool {
+    let now = clock::now();
+    let closes = node.stopped.get().is_some_and(|at| now - at >= node.settings.grace.mul_f64(CLOSE_SHARE));
+    activity.open.get() == 0 && (closes || now - activity.last.get() >= idle)
+}
+
+/// Counts one request of a connection as open.
+struct Busy(Rc<Activity>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+        self.0.last.set(clock::now());
+    }
+}
+
+/// Answers the question whether callers may be sent here.
+pub(crate) async fn accept_readiness<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let node = Rc::clone(&node);
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request| {
+                let response = readiness(&node, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            // A probe that breaks off has nothing to be told.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+fn readiness<P: Platform>(node: &Node<P>, request: &Request<Incoming>) -> Response<Payload> {
+    let asks = node.platform.asks_readiness(request.method(), request.uri().path());
+    let status = match (asks, node.is_ready()) {
+        (false, _) => StatusCode::NOT_FOUND,
+        (true, true) => StatusCode::OK,
+        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut response = Response::new(Payload::Whole(None));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/edge/src/gossip.rs
@@ -0,0 +1,102 @@
+//! Counts of requests under way, told to the routers of the data centre.
+//!
+//! An upstream has a few slots for all routers. Those of its own data centre
+//! send it most of its requests, so they tell each other. Losing a datagram
+//! makes a choice worse, not wrong.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::node::Node;
+use crate::seam::Platform;
+
+/// Time between two messages: a fraction of the time for one request.
+const INTERVAL: Duration = Duration::from_millis(50);
+/// Largest message that is read, in bytes.
+const MAX_BYTES: usize = 8 << 10;
+/// Pause after a failure of the socket.
+const FAULT_PAUSE: Duration = Duration::from_millis(100);
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Counts {
+    router: Arc<str>,
+    /// Service, upstream, and requests under way.
+    counts: Vec<(Arc<str>, Arc<str>, u32)>,
+}
+
+/// Tells the counts of this router as long as they aren't zero.
+pub(crate) async fn tell<P: Platform>(node: Rc<Node<P>>, socket: Rc<UdpSocket>) {
+    let mut was_empty = true;
+    loop {
+        sleep(INTERVAL).await;
+        let counts = counts(&node);
+        if counts.is_empty() && was_empty {
+            continue;
+        }
+        was_empty = counts.is_empty();
+        let message = Counts {
+            router: Arc::clone(&node.settings.router),
+            counts,
+        };
+        if let Ok(bytes) = postcard::to_allocvec(&message) {
+            for address in neighbours(&node) {
+                // The next message makes up for one that isn't sent.
+                let _ = socket.try_send_to(&bytes, address);
+            }
+        }
+    }
+}
+
+fn counts<P: Platform>(node: &Node<P>) -> Vec<(Arc<str>, Arc<str>, u32)> {
+    let state = node.state.borrow();
+    let mut counts = Vec::new();
+    for (name, service) in &state.services {
+        for (upstream, count) in service.in_flight() {
+            counts.push((Arc::clone(name), Arc::clone(upstream), count));
+        }
+    }
+    counts
+}
+
+fn neighbours<P: Platform>(node: &Node<P>) -> Vec<SocketAddr> {
+    let state = node.state.borrow();
+    let own = &node.settings;
+    let near = state.routers.iter().filter(|(name, router)| {
+        **name != own.router && router.data_centre == own.data_centre
+    });
+    near.map(|(_, router)| router.address).collect()
+}
+
+/// Hears the counts of other routers.
+pub(crate) async fn hear<P: Platform>(node: Rc<Node<P>>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_BYTES];
+    loop {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            sleep(FAULT_PAUSE).await;
+            continue;
+        };
+        let known = node.state.borrow().routers.values().any(|router| router.address.ip() == from.ip());
+        let Some(message) = postcard::from_bytes::<Counts>(&buffer[..length]).ok().filter(|_| known)
+        else {
+            continue;
+        };
+        take(&node, &message);
+    }
+}
+
+fn take<P: Platform>(node: &Rc<Node<P>>, message: &Counts) {
+    let names: Vec<Arc<str>> = node.state.borrow().services.keys().cloned().collect();
+    for name in names {
+        node.with(&name, |service, now| {
+            let counts = message.counts.iter().filter(|(of, _, _)| *of == name);
+            let counts = counts.map(|(_, upstream, count)| (&**upstream, *count));
+            service.hear(&message.router, counts, now);
+        });
+    }
+}
--- /dev/null
+++ b/crates/edge/src/node.rs
@@ -0,0 +1,236 @@
+//! What all tasks of a process share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassrock_dispatch::Split;
+use eelgrassrock_dispatch::directory::{Directory, Route};
+use eelgrassrock_dispatch::service::{Service, Span, Step};
+use eelgrassrock_model::time::Instant;
+use eelgrassrock_ranges::map::Map;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{Notify, oneshot};
+
+use crate::book::Book;
+use crate::clock;
+use crate::duty::Duties;
+use crate::link::Links;
+use crate::log::Log;
+use crate::seam::{Platform, Table};
+use crate::settings::Settings;
+
+/// Time between two looks at a queue that no event moves.
+const QUEUE_POLL: Duration = Duration::from_millis(20);
+
+/// Another router, as it lies in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Router {
+    pub(crate) address: SocketAddr,
+    pub(crate) data_centre: Arc<str>,
+    pub(crate) incarnation: u64,
+}
+
+/// What all tasks of a process share.
+pub(crate) struct Node<P> {
+    pub(crate) platform: P,
+    pub(crate) settings: Settings,
+    pub(crate) log: Log,
+    pub(crate) links: Links,
+    pub(crate) state: RefCell<State>,
+    pub(crate) duties: Duties,
+    /// When the process was told to stop.
+    pub(crate) stopped: Cell<Option<Instant>>,
+    pub(crate) stop: Notify,
+    /// Requests that have no answer yet.
+    pub(crate) open_requests: Cell<u64>,
+    next_ticket: Cell<u64>,
+}
+
+/// What the process believes.
+pub(crate) struct State {
+    pub(crate) directory: Option<Arc<Directory>>,
+    pub(crate) book: Book,
+    pub(crate) services: IndexMap<Arc<str>, Service>,
+    pub(crate) maps: IndexMap<Arc<str>, (Map, u64)>,
+    pub(crate) routers: IndexMap<Arc<str>, Router>,
+    splits: HashMap<Arc<str>, Split>,
+    waiters: HashMap<u64, oneshot::Sender<Step>>,
+    polling: HashMap<Arc<str>, ()>,
+    /// Tables that answered to the last call.
+    pub(crate) contact: HashMap<Table, bool>,
+}
+
+impl<P: Platform> Node<P> {
+    pub(crate) fn new(platform: P, settings: Settings, log: Log) -> Self {
+        let duties = Duties::default();
+        let book = Book::new(settings.return_time);
+        Self {
+            platform,
+            settings,
+            log,
+            links: Links::default(),
+            state: RefCell::new(State {
+                directory: None,
+                book,
+                services: IndexMap::new(),
+                maps: IndexMap::new(),
+                routers: IndexMap::new(),
+                splits: HashMap::new(),
+                waiters: HashMap::new(),
+                polling: HashMap::new(),
+                contact: HashMap::new(),
+            }),
+            duties,
+            stopped: Cell::new(None),
+            stop: Notify::new(),
+            open_requests: Cell::new(0),
+            next_ticket: Cell::new(1),
+        }
+    }
+
+    pub(crate) fn ticket(&self) -> u64 {
+        let ticket = self.next_ticket.get();
+        self.next_ticket.set(ticket + 1);
+        ticket
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopped.get().is_some()
+    }
+
+    /// Whether callers may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        !self.is_stopping() && state.directory.is_some() && state.book.len() > 0
+    }
+
+    /// Returns the service that takes the next request of a route.
+    pub(crate) fn part(&self, route: &Route) -> Arc<str> {
+        if let [part] = &*route.parts {
+            return Arc::clone(&part.service);
+        }
+        let mut state = self.state.borrow_mut();
+        let split = state.splits.entry(Arc::clone(&route.name)).or_default();
+        Arc::clone(&route.parts[split.choose(&route.parts)].service)
+    }
+
+    /// Calls `decide` for a service, and passes on what follows for requests
+    /// that wait.
+    pub(crate) fn with<T>(
+        self: &Rc<Self>,
+        service: &Arc<str>,
+        decide: impl FnOnce(&mut Service, Instant) -> T,
+    ) -> Option<T> {
+        let now = clock::now();
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
+        let entry = state.services.get_mut(service)?;
+        let result = decide(entry, now);
+        for (ticket, step) in entry.poll(now) {
+            // A caller that left meanwhile has taken itself off the queue.
+            if let Some(waiter) = state.waiters.remove(&ticket) {
+                let _ = waiter.send(step);
+            }
+        }
+        let waits = entry.waiting() > 0 && !state.polling.contains_key(service);
+        if waits {
+            state.polling.insert(Arc::clone(service), ());
+            let node = Rc::clone(self);
+            let service = Arc::clone(service);
+            tokio::task::spawn_local(async move { node.poll_queue(service).await });
+        }
+        Some(result)
+    }
+
+    async fn poll_queue(self: Rc<Self>, service: Arc<str>) {
+        loop {
+            tokio::time::sleep(QUEUE_POLL).await;
+            let waiting = self.with(&service, |service, _| service.waiting());
+            if waiting.unwrap_or(0) == 0 {
+                self.state.borrow_mut().polling.remove(&service);
+                return;
+            }
+        }
+    }
+
+    /// Returns what will say how a queued request goes on.
+    pub(crate) fn wait_for(&self, ticket: u64) -> oneshot::Receiver<Step> {
+        let (sender, receiver) = oneshot::channel();
+        self.state.borrow_mut().waiters.insert(ticket, sender);
+        receiver
+    }
+
+    pub(crate) fn forget(&self, ticket: u64) {
+        self.state.borrow_mut().waiters.remove(&ticket);
+    }
+
+    /// Brings the services in line with the configuration, the registry, the
+    /// maps and the routers.
+    pub(crate) fn refresh(self: &Rc<Self>) {
+        let names = {
+            let mut guard = self.state.borrow_mut();
+            let state = &mut *guard;
+            let Some(directory) = state.directory.clone() else {
+                return;
+            };
+            let now = clock::now();
+            state.services.retain(|name, _| directory.services.contains_key(name));
+            for (name, declared) in &directory.services {
+                let data_centre = &self.settings.data_centre;
+                let service = state
+                    .services
+                    .entry(Arc::clone(name))
+                    .or_insert_with(|| Service::new(Arc::clone(data_centre), self.settings.repeats));
+                service.set_upstreams(state.book.of(name), now);
+                service.set_routers(state.routers.len());
+                let map = state.maps.get(name).map(|(map, _)| map);
+                service.set_spans(declared.keyed.map(|_| map.map(spans).unwrap_or_default()));
+            }
+            state.services.keys().cloned().collect::<Vec<_>>()
+        };
+        for name in names {
+            self.with(&name, |_, _| ());
+            let keyed = self.state.borrow().directory.as_ref().is_some_and(|directory| {
+                directory.services.get(&name).is_some_and(|service| service.keyed.is_some())
+            });
+            if keyed {
+                self.tend(&name);
+            }
+        }
+    }
+
+    /// Takes a map unless a later one is known. Returns whether it is new.
+    pub(crate) fn learn_map(self: &Rc<Self>, service: &Arc<str>, map: Map, version: u64) -> bool {
+        {
+            let mut state = self.state.borrow_mut();
+            if state.maps.get(service).is_some_and(|(_, known)| *known >= version) {
+                return false;
+            }
+            let spans = spans(&map);
+            state.maps.insert(Arc::clone(service), (map, version));
+            if let Some(service) = state.services.get_mut(service) {
+                service.set_spans(Some(spans));
+            }
+        }
+        self.with(service, |_, _| ());
+        true
+    }
+}
+
+/// Requests go to a holder only when no earlier one can have the keys.
+fn spans(map: &Map) -> Vec<Span> {
+    let span = |range: &eelgrassrock_ranges::map::Range| Span {
+        from: range.from,
+        to: range.to,
+        holder: match (&range.source, &range.holder) {
+            (None, Some(holder)) => Some(Arc::clone(&holder.upstream)),
+            _ => None,
+        },
+    };
+    map.ranges.iter().map(span).collect()
+}
--- /dev/null
+++ b/crates/edge/src/process.rs
@@ -0,0 +1,205 @@
+//! Start and stop of the process.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use eelgrassrock_telemetry::log::Logger;
+use serde::Serialize;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+use crate::clock;
+use crate::log::Log;
+use crate::node::{Node, Router};
+use crate::seam::{Commit, Platform, Table, Transaction};
+use crate::settings::Settings;
+use crate::watch::{self, ROUTER};
+use crate::{front, gossip, peer};
+
+/// Time between two clean-ups.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Pause after a failure to write the row of this router.
+const REGISTER_PAUSE: Duration = Duration::from_millis(200);
+/// Time kept free at the end of the grace.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Share of the grace after which a process without open requests ends: by
+/// then the platform sends it no callers, and unused connections are closed.
+const END_SHARE: f64 = 0.75;
+/// Time between two looks at what is still open.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// Why a process can't run.
+#[derive(Debug, Display, Error)]
+pub enum Fault {
+    /// An address can't be listened on.
+    #[display("can't listen on {address}: {source}")]
+    Listen {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+    /// The runtime can't start.
+    #[display("can't start: {source}")]
+    Runtime {
+        /// Why.
+        source: io::Error,
+    },
+    /// The log can't be set up.
+    #[display("{source}")]
+    Log {
+        /// Why.
+        source: eelgrassrock_telemetry::log::Fault,
+    },
+}
+
+#[derive(Serialize)]
+struct Start<'a> {
+    router: &'a str,
+    data_centre: &'a str,
+    incarnation: u64,
+    version: &'a str,
+}
+
+#[derive(Serialize)]
+struct Stop {
+    open_requests: u64,
+    elapsed_ms: u64,
+}
+
+/// Runs a router until it is told to stop.
+///
+/// # Errors
+///
+/// Returns [`Fault`] if the process can't start.
+pub fn run<P: Platform>(platform: P, settings: Settings) -> Result<(), Fault> {
+    let logger = Logger::to(io::stdout(), settings.log.level).map_err(|source| Fault::Log { source })?;
+    let log = Log::new(logger, settings.log);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_io()
+        .enable_time()
+        .build()
+        .map_err(|source| Fault::Runtime { source })?;
+    let node = Rc::new(Node::new(platform, settings, log));
+    LocalSet::new().block_on(&runtime, main(node))
+}
+
+async fn main<P: Platform>(node: Rc<Node<P>>) -> Result<(), Fault> {
+    let settings = node.settings.clone();
+    node.log.note(
+        "start",
+        &Start {
+            router: &settings.router,
+            data_centre: &settings.data_centre,
+            incarnation: settings.incarnation,
+            version: env!("CARGO_PKG_VERSION"),
+        },
+    );
+    let mut terminate =
+        signal(SignalKind::terminate()).map_err(|source| Fault::Runtime { source })?;
+    let mut reload = signal(SignalKind::hangup()).map_err(|source| Fault::Runtime { source })?;
+    let front = listen(settings.front).await?;
+    let readiness = listen(settings.readiness).await?;
+    let peers = listen(settings.peer).await?;
+    let socket = UdpSocket::bind(settings.peer).await;
+    let address = settings.peer;
+    let socket = Rc::new(socket.map_err(|source| Fault::Listen { address, source })?);
+    spawn_local(front::accept(Rc::clone(&node), front));
+    spawn_local(front::accept_readiness(Rc::clone(&node), readiness));
+    spawn_local(peer::accept(Rc::clone(&node), peers));
+    spawn_local(gossip::tell(Rc::clone(&node), Rc::clone(&socket)));
+    spawn_local(gossip::hear(Rc::clone(&node), socket));
+    for table in [Table::Configuration, Table::Registry, Table::Routers] {
+        spawn_local(watch::follow(Rc::clone(&node), table));
+    }
+    spawn_local(register(Rc::clone(&node)));
+    spawn_local(sweep(Rc::clone(&node)));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => node.log.note("reload", &"no setting changes while running"),
+        }
+    }
+    stop(&node).await;
+    Ok(())
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Fault> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|source| Fault::Listen { address, source })
+}
+
+/// Makes this router known to the others.
+async fn register<P: Platform>(node: Rc<Node<P>>) {
+    let router = Router {
+        address: node.settings.peer,
+        data_centre: Arc::clone(&node.settings.data_centre),
+        incarnation: node.settings.incarnation,
+    };
+    let Ok(value) = postcard::to_allocvec(&router) else {
+        return;
+    };
+    let transaction = Transaction {
+        put: vec![(row_of(&node.settings), value.into())],
+        ..Transaction::default()
+    };
+    while !matches!(node.platform.commit(&transaction).await, Commit::Done(_)) {
+        sleep(REGISTER_PAUSE).await;
+    }
+}
+
+fn row_of(settings: &Settings) -> Arc<str> {
+    format!("{ROUTER}{}", settings.router).into()
+}
+
+/// Forgets what is too old to matter.
+async fn sweep<P: Platform>(node: Rc<Node<P>>) {
+    loop {
+        sleep(SWEEP_INTERVAL).await;
+        let now = clock::now();
+        let mut guard = node.state.borrow_mut();
+        let state = &mut *guard;
+        state.services.values_mut().for_each(|service| service.sweep(now));
+        node.links.sweep(|id| state.book.get(id).is_some());
+    }
+}
+
+/// Leaves in an orderly way: no new callers, what is open gets its answer, and
+/// duties go to another router first.
+async fn stop<P: Platform>(node: &Rc<Node<P>>) {
+    let began = clock::now();
+    node.stopped.set(Some(began));
+    node.stop.notify_waiters();
+    let line = |elapsed: Duration| Stop {
+        open_requests: node.open_requests.get(),
+        elapsed_ms: elapsed.as_millis() as u64,
+    };
+    node.log.note("stopping", &line(Duration::ZERO));
+    let leaving = Rc::clone(node);
+    spawn_local(async move {
+        leaving.hand_over().await;
+        let transaction = Transaction {
+            remove: vec![row_of(&leaving.settings)],
+            ..Transaction::default()
+        };
+        // A row that stays only makes the others count one router too many.
+        let _ = leaving.platform.commit(&transaction).await;
+    });
+    let grace = node.settings.grace;
+    loop {
+        let elapsed = clock::now() - began;
+        let is_done = elapsed >= grace.mul_f64(END_SHARE) && node.open_requests.get() == 0;
+        if is_done || elapsed + GRACE_MARGIN >= grace {
+            node.log.note("stop", &line(elapsed));
+            node.log.flush();
+            return;
+        }
+        sleep(STOP_POLL).await;
+    }
+}
--- /dev/null
+++ b/crates/edge/src/request.rs
@@ -0,0 +1,438 @@
+//! One request from its arrival to its answer.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassrock_dispatch::directory::{Repeat, Route};
+use eelgrassrock_dispatch::service::{self, Reason, Refusal, Report, Request as Work, Step};
+use eelgrassrock_dispatch::upstream::Upstream;
+use eelgrassrock_model::time::Instant;
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, RETRY_AFTER,
+    TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::Serialize;
+use tokio::time::timeout;
+
+use crate::clock;
+use crate::exchange::{Content, Exchange, Message, exchange, is_failure};
+use crate::node::Node;
+use crate::payload::{self, Payload, Taken};
+use crate::seam::{Head, Platform};
+
+/// Time that a caller is given who names none, and whose route has none.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+/// What a caller is told while the router has no configuration yet.
+const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Pause before a request goes on whose upstream said that it doesn't hold the
+/// key: news of the map takes about this time.
+const MISDIRECTED_PAUSE: Duration = Duration::from_millis(40);
+/// Pause before the only holder of a key is tried again.
+const HOLDER_PAUSE: Duration = Duration::from_millis(60);
+/// Time that an answer takes to the caller, kept free at the end of its time.
+const RETURN_MARGIN: Duration = Duration::from_millis(5);
+
+/// One request that was accepted.
+struct Job {
+    head: Head,
+    route: Arc<Route>,
+    service: Arc<str>,
+    message: Message,
+    work: Work,
+}
+
+/// Final answer and why it is what it is.
+struct Final {
+    response: Response<Payload>,
+    outcome: &'static str,
+    upstream: Option<Arc<str>>,
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    id: Option<&'a str>,
+    route: &'a str,
+    service: &'a str,
+    key: Option<u16>,
+    outcome: &'a str,
+    status: u16,
+    upstream: Option<&'a str>,
+    runs: u32,
+    elapsed_ms: u64,
+    allowed_ms: u64,
+    configuration: u64,
+}
+
+/// Serves one request.
+pub(crate) async fn serve<P: Platform>(
+    node: Rc<Node<P>>,
+    request: Request<Incoming>,
+) -> Response<Payload> {
+    node.open_requests.set(node.open_requests.get() + 1);
+    let open = Open(Rc::clone(&node));
+    let mut response = answer(&node, request).await;
+    strip(response.headers_mut());
+    if node.is_stopping() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    drop(open);
+    response
+}
+
+/// Counts one request as open.
+struct Open<P: Platform>(Rc<Node<P>>);
+
+impl<P: Platform> Drop for Open<P> {
+    fn drop(&mut self) {
+        self.0.open_requests.set(self.0.open_requests.get() - 1);
+    }
+}
+
+async fn answer<P: Platform>(node: &Rc<Node<P>>, request: Request<Incoming>) -> Response<Payload> {
+    let arrived = clock::now();
+    let Some(directory) = node.state.borrow().directory.clone() else {
+        return refusal(StatusCode::SERVICE_UNAVAILABLE, "no-configuration", NO_CONFIGURATION_RETRY_AFTER);
+    };
+    let host = request.headers().get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| request.uri().host()).unwrap_or_default();
+    let found = directory.route(host, request.uri().path()).or_else(|| {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        directory.route(name, request.uri().path())
+    });
+    let Some(route) = found.cloned() else {
+        return plain(StatusCode::NOT_FOUND, "no-route");
+    };
+    if too_long(request.headers(), directory.limits.max_body_bytes) {
+        return plain(StatusCode::PAYLOAD_TOO_LARGE, "body-too-long");
+    }
+    let head = node.platform.head(request.headers());
+    let (mut parts, body) = request.into_parts();
+    let content = match payload::take(body).await {
+        Taken::Whole(bytes) => Content::Whole(bytes),
+        Taken::Partial(first, rest) => Content::Once(Some(Payload::partial(first, rest, None))),
+        Taken::Broken => return plain(StatusCode::BAD_REQUEST, "body-incomplete"),
+    };
+    strip(&mut parts.headers);
+    parts.headers.remove(EXPECT);
+    parts.uri = origin_form(&parts.uri);
+    let job = job(node, route, head, Message { parts, body: content }, arrived);
+    let version = directory.version;
+    if job.route.repeat == Repeat::Idempotent {
+        return run(node, job, version).await;
+    }
+    // What must not repeat goes on when its caller leaves, so that it isn't
+    // broken off halfway.
+    let task = {
+        let node = Rc::clone(node);
+        tokio::task::spawn_local(async move { run(&node, job, version).await })
+    };
+    match task.await {
+        Ok(response) => response,
+        Err(_) => plain(StatusCode::BAD_GATEWAY, "aborted"),
+    }
+}
+
+fn job<P: Platform>(
+    node: &Node<P>,
+    route: Arc<Route>,
+    head: Head,
+    message: Message,
+    arrived: Instant,
+) -> Job {
+    let patience = head.patience.map(|patience| patience.saturating_sub(RETURN_MARGIN));
+    let allowed = match (patience, route.timeout) {
+        (Some(patience), Some(timeout)) => patience.min(timeout),
+        (Some(limit), None) | (None, Some(limit)) => limit,
+        (None, None) => DEFAULT_PATIENCE,
+    };
+    let work = Work {
+        ticket: node.ticket(),
+        key: head.key,
+        priority: route.priority,
+        repeat: route.repeat,
+        arrived,
+        target: service::target(arrived, route.target, allowed),
+        give_up: arrived + allowed,
+        max_attempts: route.max_attempts.max(1),
+        runs: 0,
+        tried: Vec::new(),
+        retry_at: arrived,
+        is_repeat: false,
+    };
+    Job {
+        head,
+        service: node.part(&route),
+        route,
+        message,
+        work,
+    }
+}
+
+async fn run<P: Platform>(node: &Rc<Node<P>>, mut job: Job, version: u64) -> Response<Payload> {
+    let done = attempt(node, &mut job).await;
+    let now = clock::now();
+    let is_plain = done.outcome == "answered" && job.work.runs <= 1;
+    if !is_plain || node.log.samples() {
+        node.log.request(
+            "request",
+            &Line {
+                id: job.head.id.as_deref(),
+                route: &job.route.name,
+                service: &job.service,
+                key: job.head.key,
+                outcome: done.outcome,
+                status: done.response.status().as_u16(),
+                upstream: done.upstream.as_deref(),
+                runs: job.work.runs,
+                elapsed_ms: (now - job.work.arrived).as_millis() as u64,
+                allowed_ms: (job.work.give_up - job.work.arrived).as_millis() as u64,
+                configuration: version,
+            },
+        );
+    }
+    done.response
+}
+
+/// Sends a request until it has an answer, or none can be had.
+async fn attempt<P: Platform>(node: &Rc<Node<P>>, job: &mut Job) -> Final {
+    if let Some(key) = job.work.key {
+        node.duties.record(&job.service, key);
+    }
+    let work = job.work.clone();
+    let mut step = node.with(&job.service, |service, now| service.admit(work, now));
+    let mut failed: Option<Final> = None;
+    loop {
+        let current = match step {
+            Some(Step::Wait) => queued(node, job).await,
+            Some(other) => other,
+            None => Step::Refuse(Refusal {
+                reason: Reason::NoUpstream,
+                retry_after: NO_CONFIGURATION_RETRY_AFTER,
+            }),
+        };
+        let (upstream, started) = match current {
+            Step::Send { upstream, started } => (upstream, started),
+            Step::Refuse(refusal) => return failed.unwrap_or_else(|| refused(job, refusal)),
+            Step::Wait => {
+                step = Some(Step::Wait);
+                continue;
+            }
+        };
+        match send(node, job, &upstream, started).await {
+            Next::Done(done) => return done,
+            Next::Again(fallback) => failed = fallback.or(failed),
+        }
+        let work = job.work.clone();
+        step = node.with(&job.service, |service, now| service.again(work, now));
+    }
+}
+
+enum Next {
+    Done(Final),
+    /// It may be sent again; the answer to give if that isn't possible.
+    Again(Option<Final>),
+}
+
+async fn send<P: Platform>(
+    node: &Rc<Node<P>>,
+    job: &mut Job,
+    upstream: &Arc<Upstream>,
+    started: Instant,
+) -> Next {
+    let mut sending = Sending {
+        node: Rc::clone(node),
+        service: Arc::clone(&job.service),
+        upstream: Arc::clone(upstream),
+        started,
+        report: Report::Cancelled,
+    };
+    let left = job.work.give_up - started;
+    let end = exchange(node, upstream, &mut job.message, &job.head, left).await;
+    let is_safe = job.route.repeat == Repeat::Idempotent;
+    let id = Some(Arc::clone(&upstream.id));
+    match end {
+        Exchange::Answer(response) => {
+            let is_bad = is_failure(response.status());
+            sending.report = Report::Answered { failed: is_bad };
+            job.work.runs += 1;
+            job.work.is_repeat = true;
+            let outcome = if is_bad { "upstream-failed" } else { "answered" };
+            let done = Final {
+                response,
+                outcome,
+                upstream: id,
+            };
+            if !is_bad || !is_safe || !job.message.is_repeatable() {
+                return Next::Done(done);
+            }
+            exclude(job, upstream, Report::Answered { failed: true });
+            Next::Again(Some(done))
+        }
+        Exchange::None(report) => {
+            sending.report = report;
+            job.work.is_repeat |= report != Report::Unreachable;
+            let may_repeat = report.proves_not_run() || is_safe;
+            if !report.proves_not_run() {
+                job.work.runs += 1;
+            }
+            let out_of_time = clock::now() >= job.work.give_up;
+            if may_repeat && job.message.is_repeatable() && !out_of_time {
+                exclude(job, upstream, report);
+                return Next::Again(None);
+            }
+            Next::Done(unanswered(job, report, id))
+        }
+    }
+}
+
+/// Notes where a request is not to be sent again, or not at once.
+fn exclude(job: &mut Job, upstream: &Upstream, report: Report) {
+    let now = clock::now();
+    if job.work.key.is_none() {
+        job.work.tried.push(Arc::clone(&upstream.id));
+    } else {
+        let pause = match report {
+            Report::Misdirected => MISDIRECTED_PAUSE,
+            _ => HOLDER_PAUSE,
+        };
+        job.work.retry_at = now + pause;
+    }
+}
+
+/// Ends a send in the picture of the upstream, also if its future is dropped.
+struct Sending<P: Platform> {
+    node: Rc<Node<P>>,
+    service: Arc<str>,
+    upstream: Arc<Upstream>,
+    started: Instant,
+    report: Report,
+}
+
+impl<P: Platform> Drop for Sending<P> {
+    fn drop(&mut self) {
+        let (upstream, started, report) = (&self.upstream.id, self.started, self.report);
+        self.node.with(&self.service, |service, now| service.end(upstream, started, report, now));
+    }
+}
+
+/// Takes a request off the queue if its future is dropped.
+struct Queued<'a, P: Platform> {
+    node: &'a Rc<Node<P>>,
+    service: &'a Arc<str>,
+    ticket: u64,
+}
+
+impl<P: Platform> Drop for Queued<'_, P> {
+    fn drop(&mut self) {
+        self.node.forget(self.ticket);
+        self.node.with(self.service, |service, _| service.leave(self.ticket));
+    }
+}
+
+async fn queued<P: Platform>(node: &Rc<Node<P>>, job: &Job) -> Step {
+    let receiver = node.wait_for(job.work.ticket);
+    let queued = Queued {
+        node,
+        service: &job.service,
+        ticket: job.work.ticket,
+    };
+    let left = job.work.give_up - clock::now();
+    let step = timeout(left, receiver).await;
+    drop(queued);
+    match step {
+        Ok(Ok(step)) => step,
+        _ => Step::Refuse(Refusal {
+            reason: Reason::Busy,
+            retry_after: NO_CONFIGURATION_RETRY_AFTER,
+        }),
+    }
+}
+
+/// Only what has not run may be answered with a status that says so.
+fn refused(job: &Job, refused: Refusal) -> Final {
+    let outcome = refused.reason.as_str();
+    let response = if job.work.runs == 0 {
+        refusal(StatusCode::SERVICE_UNAVAILABLE, outcome, refused.retry_after)
+    } else {
+        plain(StatusCode::BAD_GATEWAY, outcome)
+    };
+    Final {
+        response,
+        outcome,
+        upstream: None,
+    }
+}
+
+fn unanswered(job: &Job, report: Report, upstream: Option<Arc<str>>) -> Final {
+    let (response, outcome) = match report {
+        Report::Silent => (plain(StatusCode::GATEWAY_TIMEOUT, "timeout"), "timeout"),
+        _ if job.work.runs == 0 => {
+            let pause = NO_CONFIGURATION_RETRY_AFTER;
+            (refusal(StatusCode::SERVICE_UNAVAILABLE, "not-run", pause), "not-run")
+        }
+        _ => (plain(StatusCode::BAD_GATEWAY, "unknown"), "unknown"),
+    };
+    Final {
+        response,
+        outcome,
+        upstream,
+    }
+}
+
+fn refusal(status: StatusCode, reason: &'static str, retry_after: Duration) -> Response<Payload> {
+    let mut response = plain(status, reason);
+    let seconds = format!("{:.3}", retry_after.as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+    response
+}
+
+fn plain(status: StatusCode, reason: &'static str) -> Response<Payload> {
+    let mut response = Response::new(Payload::whole(reason));
+    *response.status_mut() = status;
+    response
+}
+
+fn too_long(headers: &HeaderMap, limit: u64) -> bool {
+    let length = headers.get(CONTENT_LENGTH).and_then(|length| length.to_str().ok());
+    length.and_then(|length| length.parse::<u64>().ok()).is_some_and(|length| length > limit)
+}
+
+fn origin_form(uri: &http::Uri) -> http::Uri {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    path.parse().unwrap_or_else(|_| uri.clone())
+}
+
+/// Removes what concerns only one connection.
+fn strip(headers: &mut HeaderMap) {
+    const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+    const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    let single = [
+        CONNECTION,
+        KEEP_ALIVE,
+        PROXY_CONNECTION,
+        PROXY_AUTHENTICATE,
+        PROXY_AUTHORIZATION,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+    ];
+    for name in single {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/watch.rs
@@ -0,0 +1,283 @@
+//! What the store says: configuration, registry, and rows of the routers.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassrock_dispatch::directory::Directory;
+use eelgrassrock_ranges::election::Duty;
+use eelgrassrock_ranges::map::Map;
+use eelgrassrock_store::Fault;
+use serde::Serialize;
+use tokio::time::sleep;
+
+use crate::book::Change;
+use crate::clock;
+use crate::node::{Node, Router};
+use crate::seam::{Changes, Platform, Row, Rows, Table};
+
+/// Bounds of the pause after a call that failed: short, since the bounds on
+/// drains and configurations run on, and longer while the store stays away.
+const MIN_PAUSE: Duration = Duration::from_millis(60);
+const MAX_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two answers, so that rows written one after the other come
+/// in one.
+const GATHER: Duration = Duration::from_millis(15);
+
+/// Prefixes of the rows that routers keep.
+pub(crate) const ROUTER: &str = "router/";
+pub(crate) const DUTY: &str = "duty/";
+pub(crate) const MAP: &str = "map/";
+
+#[derive(Serialize)]
+struct Store<'a> {
+    table: String,
+    reason: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+struct Configuration {
+    version: u64,
+    routes: usize,
+    services: usize,
+}
+
+#[derive(Serialize)]
+struct Bad<'a> {
+    table: String,
+    key: &'a str,
+    version: u64,
+    reason: &'a str,
+}
+
+#[derive(Serialize)]
+struct Registry<'a> {
+    upstream: &'a str,
+    service: &'a str,
+    incarnation: u64,
+    sequence: u64,
+}
+
+/// Follows one table until the process ends.
+pub(crate) async fn follow<P: Platform>(node: Rc<Node<P>>, table: Table) {
+    let mut after = None;
+    let mut pause = MIN_PAUSE;
+    loop {
+        match step(&node, table, after).await {
+            Ok(next) => {
+                note_contact(&node, table, None);
+                after = next;
+                pause = MIN_PAUSE;
+                sleep(GATHER).await;
+            }
+            Err(fault) => {
+                note_contact(&node, table, Some(&fault));
+                sleep(pause).await;
+                pause = (pause * 2).min(MAX_PAUSE);
+            }
+        }
+    }
+}
+
+/// Makes one call and takes what it brings. Returns the version to go on from,
+/// `None` if the table must be read anew.
+async fn step<P: Platform>(
+    node: &Rc<Node<P>>,
+    table: Table,
+    after: Option<u64>,
+) -> Result<Option<u64>, Fault> {
+    let Some(after) = after else {
+        let rows = node.platform.rows(table).await?;
+        note_contact(node, table, None);
+        take_all(node, table, &rows);
+        return Ok(Some(rows.version));
+    };
+    match node.platform.changes(table, after).await? {
+        Changes::Forgotten => Ok(None),
+        Changes::Rows(rows) => {
+            note_contact(node, table, None);
+            take(node, table, &rows.rows);
+            Ok(Some(rows.version.max(after)))
+        }
+    }
+}
+
+fn note_contact<P: Platform>(node: &Rc<Node<P>>, table: Table, fault: Option<&Fault>) {
+    let mut state = node.state.borrow_mut();
+    let has = fault.is_none();
+    let had = state.contact.insert(table, has);
+    if had == Some(has) {
+        return;
+    }
+    let name = table.to_string();
+    match fault {
+        None => {
+            if table == Table::Registry && had == Some(false) {
+                state.book.regain(clock::now());
+            }
+            node.log.note("store reached", &Store { table: name, reason: None });
+        }
+        Some(fault) => {
+            let reason = fault.to_string();
+            let reason = Some(&*reason);
+            node.log.warn("store lost", &Store { table: name, reason });
+        }
+    }
+}
+
+fn take_all<P: Platform>(node: &Rc<Node<P>>, table: Table, rows: &Rows) {
+    match table {
+        Table::Registry => {
+            let present: Vec<Arc<str>> = rows.rows.iter().map(|row| Arc::clone(&row.key)).collect();
+            let lapsed = node.state.borrow_mut().book.retain(&present, clock::now());
+            lapsed.iter().for_each(|change| note_change(node, change));
+        }
+        Table::Routers => {
+            let mut state = node.state.borrow_mut();
+            let present = |name: &str| {
+                rows.rows.iter().any(|row| row.key.strip_prefix(ROUTER) == Some(name))
+            };
+            state.routers.retain(|name, _| present(name));
+        }
+        Table::Configuration => {}
+    }
+    take(node, table, &rows.rows);
+}
+
+fn take<P: Platform>(node: &Rc<Node<P>>, table: Table, rows: &[Row]) {
+    if rows.is_empty() {
+        return;
+    }
+    for row in rows {
+        match table {
+            Table::Configuration => take_configuration(node, row),
+            Table::Registry => take_upstream(node, row),
+            Table::Routers => take_own(node, row),
+        }
+    }
+    if table == Table::Registry {
+        settle(node);
+    }
+    node.refresh();
+}
+
+/// Drops upstreams that are gone for good, now or as soon as that is known.
+pub(crate) fn settle<P: Platform>(node: &Rc<Node<P>>) {
+    let unsettled = {
+        let mut state = node.state.borrow_mut();
+        state.book.settle(clock::now());
+        state.book.is_unsettled()
+    };
+    if unsettled {
+        let node = Rc::clone(node);
+        tokio::task::spawn_local(async move {
+            sleep(node.settings.return_time / 8).await;
+            let changed = node.state.borrow_mut().book.settle(clock::now());
+            if changed {
+                node.refresh();
+            }
+            if node.state.borrow().book.is_unsettled() {
+                settle(&node);
+            }
+        });
+    }
+}
+
+fn take_configuration<P: Platform>(node: &Rc<Node<P>>, row: &Row) {
+    match node.platform.directory(row) {
+        Ok(Some(directory)) => {
+            let mut state = node.state.borrow_mut();
+            let known = state.directory.as_ref().map_or(0, |known| known.version);
+            if state.directory.is_none() || directory.version > known {
+                note_directory(node, &directory);
+                state.directory = Some(Arc::new(directory));
+            }
+        }
+        Ok(None) => {}
+        Err(unreadable) => note_bad(node, Table::Configuration, row, &unreadable.to_string()),
+    }
+}
+
+fn note_directory<P: Platform>(node: &Node<P>, directory: &Directory) {
+    let line = Configuration {
+        version: directory.version,
+        routes: directory.routes().count(),
+        services: directory.services.len(),
+    };
+    node.log.note("configuration in force", &line);
+}
+
+fn note_bad<P: Platform>(node: &Node<P>, table: Table, row: &Row, reason: &str) {
+    let line = Bad {
+        table: table.to_string(),
+        key: &row.key,
+        version: row.version,
+        reason,
+    };
+    node.log.warn("row unreadable", &line);
+}
+
+fn take_upstream<P: Platform>(node: &Rc<Node<P>>, row: &Row) {
+    let change = if row.value.is_none() {
+        node.state.borrow_mut().book.remove(&row.key, clock::now())
+    } else {
+        match node.platform.upstream(row) {
+            Ok(upstream) => node.state.borrow_mut().book.put(upstream),
+            Err(unreadable) => {
+                note_bad(node, Table::Registry, row, &unreadable.to_string());
+                node.state.borrow_mut().book.remove(&row.key, clock::now())
+            }
+        }
+    };
+    note_change(node, &change);
+}
+
+fn note_change<P: Platform>(node: &Node<P>, change: &Change) {
+    let (event, upstream) = match change {
+        Change::Learnt(upstream) => ("upstream learnt", upstream),
+        Change::Leaving(upstream) => ("upstream leaving", upstream),
+        Change::Lapsed(upstream) => ("upstream lapsed", upstream),
+        Change::Nothing | Change::Updated => return,
+    };
+    let line = Registry {
+        upstream: &upstream.id,
+        service: &upstream.service,
+        incarnation: upstream.incarnation,
+        sequence: upstream.sequence,
+    };
+    node.log.note(event, &line);
+}
+
+fn take_own<P: Platform>(node: &Rc<Node<P>>, row: &Row) {
+    if let Some(name) = row.key.strip_prefix(ROUTER) {
+        take_router(node, name, row);
+    } else if let Some(service) = row.key.strip_prefix(DUTY) {
+        match row.value.as_ref().map(|value| postcard::from_bytes::<Duty>(value)) {
+            Some(Ok(duty)) => node.learn_duty(&service.into(), Some((duty, row.version))),
+            Some(Err(error)) => note_bad(node, Table::Routers, row, &error.to_string()),
+            None => {}
+        }
+    } else if let Some(service) = row.key.strip_prefix(MAP) {
+        match row.value.as_ref().map(|value| postcard::from_bytes::<Map>(value)) {
+            Some(Ok(map)) if map.check().is_ok() => {
+                node.learn_map(&service.into(), map, row.version);
+            }
+            Some(Ok(_)) => note_bad(node, Table::Routers, row, "the ranges don't cover every key"),
+            Some(Err(error)) => note_bad(node, Table::Routers, row, &error.to_string()),
+            None => {}
+        }
+    }
+}
+
+fn take_router<P: Platform>(node: &Rc<Node<P>>, name: &str, row: &Row) {
+    let mut state = node.state.borrow_mut();
+    match row.value.as_ref().map(|value| postcard::from_bytes::<Router>(value)) {
+        Some(Ok(router)) => {
+            state.routers.insert(name.into(), router);
+        }
+        Some(Err(error)) => note_bad(node, Table::Routers, row, &error.to_string()),
+        None => {
+            state.routers.shift_remove(name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ranges/src/election.rs
@@ -0,0 +1,167 @@
+//! When a router stands for the duty of the keeper.
+//!
+//! The duty is a row of the store that is taken by compare-and-swap, so two
+//! routers that stand at once do no harm; waiting a little by rank only saves
+//! calls. Who is dead is never decided here: a router that stands without
+//! need merely takes over renewals.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassrock_model::time::Instant;
+use serde::{Deserialize, Serialize};
+
+/// Silence of the keeper after which others stand: two missed reports.
+const SILENCE: Duration = Duration::from_millis(1_100);
+/// Wait after a refused connection, which says that the process has ended.
+const AFTER_REFUSAL: Duration = Duration::from_millis(150);
+/// Wait between the routers that could stand, by rank.
+const RANK_STEP: Duration = Duration::from_millis(120);
+/// Ranks that wait differently; a crowd beyond them stands together.
+const MAX_RANK: u32 = 8;
+/// Wait after a try that failed.
+const RETRY: Duration = Duration::from_millis(300);
+
+/// The duty of the keeper, as it lies in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Duty {
+    /// Counts the routers that have had it.
+    pub term: u64,
+    /// Router that has it.
+    pub router: Arc<str>,
+    /// Start of that router's process.
+    pub incarnation: u64,
+    /// Address for other routers.
+    pub address: SocketAddr,
+    /// Set when the keeper has stopped by itself: whether all of its grants
+    /// were answered.
+    pub released: Option<bool>,
+}
+
+/// What the last contact with the keeper showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Contact {
+    /// It has the duty and acts.
+    Serving,
+    /// It runs but doesn't have the duty, or can't act.
+    Idle,
+    /// Its machine runs no process at its address.
+    Refused,
+    /// It gave no answer.
+    Silent,
+}
+
+/// Decides when one router stands for one duty.
+#[derive(Clone, Debug)]
+pub struct Election {
+    router: Arc<str>,
+    incarnation: u64,
+    duty: Option<(Duty, u64)>,
+    heard: Instant,
+    stand_at: Option<Instant>,
+}
+
+impl Election {
+    /// Creates the decision of a router. It hears of the duty first.
+    pub fn new(router: Arc<str>, incarnation: u64, now: Instant) -> Self {
+        Self {
+            router,
+            incarnation,
+            duty: None,
+            heard: now,
+            stand_at: None,
+        }
+    }
+
+    /// Returns the duty and the version of its row.
+    pub fn duty(&self) -> Option<&(Duty, u64)> {
+        self.duty.as_ref()
+    }
+
+    /// Whether the duty is this process's own.
+    pub fn is_own(&self) -> bool {
+        let own = |duty: &Duty| {
+            duty.router == self.router
+                && duty.incarnation == self.incarnation
+                && duty.released.is_none()
+        };
+        self.duty.as_ref().is_some_and(|(duty, _)| own(duty))
+    }
+
+    /// Notes what the store says, unless something later is known. `rank` is
+    /// the number of routers that stand earlier.
+    pub fn learn(&mut self, duty: Option<(Duty, u64)>, rank: u32, now: Instant) {
+        let version = |duty: &Option<(Duty, u64)>| duty.as_ref().map_or(0, |(_, version)| *version);
+        if version(&duty) < version(&self.duty) {
+            return;
+        }
+        let is_new = version(&duty) > version(&self.duty);
+        self.duty = duty;
+        if is_new {
+            self.heard = now;
+            self.stand_at = None;
+        }
+        let vacant = match &self.duty {
+            None => true,
+            Some((duty, _)) => {
+                duty.released.is_some()
+                    || (duty.router == self.router && duty.incarnation != self.incarnation)
+            }
+        };
+        if vacant {
+            self.prepare(now + wait(rank));
+        }
+    }
+
+    /// Notes what a contact with the keeper showed.
+    pub fn contact(&mut self, contact: Contact, rank: u32, now: Instant) {
+        match contact {
+            Contact::Serving => {
+                self.heard = now;
+                self.stand_at = None;
+            }
+            Contact::Refused => self.prepare(now + AFTER_REFUSAL + wait(rank)),
+            Contact::Idle => self.prepare(now + wait(rank)),
+            Contact::Silent if now - self.heard >= SILENCE => self.prepare(now + wait(rank)),
+            Contact::Silent => {}
+        }
+    }
+
+    fn prepare(&mut self, at: Instant) {
+        let earlier = self.stand_at.is_none_or(|planned| at < planned);
+        if earlier && !self.is_own() {
+            self.stand_at = Some(at);
+        }
+    }
+
+    /// Returns when this router stands, if it is about to.
+    pub fn stands_at(&self) -> Option<Instant> {
+        self.stand_at
+    }
+
+    /// Returns the duty to write and the version that the row must have, if it
+    /// is time to stand.
+    pub fn poll(&mut self, address: SocketAddr, now: Instant) -> Option<(Duty, u64)> {
+        if self.is_own() || self.stand_at.is_none_or(|at| now < at) {
+            return None;
+        }
+        self.stand_at = Some(now + RETRY);
+        let (term, version) = match &self.duty {
+            Some((duty, version)) => (duty.term + 1, *version),
+            None => (1, 0),
+        };
+        let duty = Duty {
+            term,
+            router: Arc::clone(&self.router),
+            incarnation: self.incarnation,
+            address,
+            released: None,
+        };
+        Some((duty, version))
+    }
+}
+
+fn wait(rank: u32) -> Duration {
+    RANK_STEP * rank.min(MAX_RANK)
+}
--- /dev/null
+++ b/crates/ranges/src/lease.rs
@@ -0,0 +1,112 @@
+//! What a keeper knows of the grants that it sent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassrock_model::time::Instant;
+
+use crate::map::{Life, Range};
+
+/// Grant of one range under one fencing token, and its renewals.
+#[derive(Clone, Debug)]
+pub(crate) struct Lease {
+    pub(crate) life: Life,
+    pub(crate) from: u16,
+    pub(crate) to: u16,
+    pub(crate) fence: u64,
+    /// Token of the holder before, which saves the new one the warm-up.
+    pub(crate) handover: Option<Arc<str>>,
+    pub(crate) in_flight: bool,
+    pub(crate) due: Instant,
+    /// Until when calls that were answered may be in force.
+    answered_until: Instant,
+    /// Until when calls that weren't answered may be in force.
+    unanswered_until: Instant,
+    last_answer: Option<Instant>,
+    created: Instant,
+    failures: u32,
+}
+
+/// How a call to an upstream ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was carried out. A release brings the token for the next holder.
+    Done {
+        /// Token that saves the next holder the warm-up.
+        handover: Option<Arc<str>>,
+    },
+    /// It was refused, since a higher fencing token was seen.
+    Fenced,
+    /// Nothing was sent.
+    NotSent,
+    /// It may have been carried out, or may be carried out later.
+    Unknown,
+}
+
+impl Lease {
+    pub(crate) fn new(life: Life, range: &Range, handover: Option<Arc<str>>, now: Instant) -> Self {
+        Self {
+            life,
+            from: range.from,
+            to: range.to,
+            fence: range.fence,
+            handover,
+            in_flight: false,
+            due: now,
+            answered_until: now,
+            unanswered_until: now,
+            last_answer: None,
+            created: now,
+            failures: 0,
+        }
+    }
+
+    pub(crate) fn is_of(&self, range: &Range) -> bool {
+        (self.from, self.to, self.fence) == (range.from, range.to, range.fence)
+    }
+
+    pub(crate) fn overlaps(&self, range: &Range) -> bool {
+        self.from <= range.to && range.from <= self.to
+    }
+
+    pub(crate) fn is_answered(&self) -> bool {
+        self.last_answer.is_some()
+    }
+
+    /// Notes the end of a call. `longest` is the longest time for which a call
+    /// that arrives now is in force.
+    pub(crate) fn end(&mut self, outcome: &Outcome, longest: Duration, now: Instant) {
+        self.in_flight = false;
+        match outcome {
+            Outcome::Done { .. } => {
+                self.answered_until = now + longest;
+                self.last_answer = Some(now);
+                self.failures = 0;
+            }
+            Outcome::Unknown => {
+                self.unanswered_until = now + longest;
+                self.failures += 1;
+            }
+            Outcome::NotSent => self.failures += 1,
+            Outcome::Fenced => {}
+        }
+    }
+
+    /// Whether the holder has answered nothing for `limit` and several calls.
+    pub(crate) fn is_silent(&self, limit: Duration, now: Instant) -> bool {
+        let since = self.last_answer.unwrap_or(self.created);
+        self.failures >= MIN_FAILURES && now - since >= limit
+    }
+
+    /// Until when a call may be in force, after the keys were released or not.
+    pub(crate) fn until(&self, released: bool) -> Instant {
+        if released {
+            self.unanswered_until
+        } else {
+            self.unanswered_until.max(self.answered_until)
+        }
+    }
+}
+
+/// Failed calls in a row before a holder counts as silent.
+const MIN_FAILURES: u32 = 3;
--- /dev/null
+++ b/crates/ranges/src/plan.rs
@@ -0,0 +1,217 @@
+//! Which ranges should change hands.
+//!
+//! Load answered: keys whose popularity is very uneven, with runs of a few
+//! dozen neighbours that suddenly get much of the traffic, on upstreams of
+//! different speed that come and go. A range is cut down to a few keys where
+//! that is what it takes, and a narrow hot piece moves before a wide cold one.
+
+use std::collections::HashMap;
+
+use crate::map::{Life, Map, Range};
+use crate::weights::Load;
+
+/// Difference in use between two upstreams, relative to the mean, that is
+/// worth a move even if the counts are certain.
+const MIN_IMBALANCE: f64 = 0.25;
+/// Standard deviations of the counts that a difference must exceed.
+const NOISE_DEVIATIONS: f64 = 1.5;
+/// A piece up to this much larger than wanted moves whole, without a cut.
+const WHOLE_TOLERANCE: f64 = 1.3;
+/// Ranges per upstream above which neighbours are merged.
+const MAX_RANGES_PER_UPSTREAM: usize = 6;
+
+/// Upstream that may hold keys.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// Its present life.
+    pub life: Life,
+    /// Requests per second that it can work on.
+    pub capacity_per_s: f64,
+    /// Whether it is about to leave, and gives up its keys.
+    pub leaving: bool,
+}
+
+struct Book<'a> {
+    load: &'a Load,
+    capacity: HashMap<&'a Life, f64>,
+    carried: HashMap<&'a Life, f64>,
+    target: f64,
+}
+
+/// Returns a better map, or `None` if the present one should stay.
+///
+/// `is_fixed` names ranges that may not be touched now. At most `max_moves`
+/// ranges with a live holder change hands; ranges without one all get one.
+pub fn improve(
+    map: &Map,
+    load: &Load,
+    candidates: &[Candidate],
+    is_fixed: impl Fn(&Range) -> bool,
+    max_moves: usize,
+) -> Option<Map> {
+    let staying: Vec<&Candidate> = candidates.iter().filter(|other| !other.leaving).collect();
+    if staying.is_empty() {
+        return None;
+    }
+    let capacity: HashMap<&Life, f64> = staying
+        .iter()
+        .map(|candidate| (&candidate.life, candidate.capacity_per_s.max(0.1)))
+        .collect();
+    let mut book = Book {
+        load,
+        carried: capacity.keys().map(|life| (*life, 0.0)).collect(),
+        target: load.total() / capacity.values().sum::<f64>(),
+        capacity,
+    };
+    book.count(map);
+    let mut next = map.clone();
+    let housed = house(&mut next, &mut book, &is_fixed);
+    let mut moved = 0;
+    while moved < max_moves && shift(&mut next, &mut book, &is_fixed) {
+        moved += 1;
+    }
+    if next.ranges.len() > MAX_RANGES_PER_UPSTREAM * staying.len() + MAX_RANGES_PER_UPSTREAM {
+        merge(&mut next, &is_fixed);
+    }
+    (housed || moved > 0).then_some(next)
+}
+
+impl<'a> Book<'a> {
+    fn count(&mut self, map: &Map) {
+        for range in &map.ranges {
+            if let Some(carried) = range.holder.as_ref().and_then(|life| self.carried.get_mut(life)) {
+                *carried += self.load.of(range);
+            }
+        }
+    }
+
+    fn usage(&self, life: &Life) -> f64 {
+        self.carried[life] / self.capacity[life]
+    }
+
+    fn least_used(&self) -> &'a Life {
+        let by_usage = |a: &&&Life, b: &&&Life| self.order(a, b);
+        self.capacity.keys().min_by(by_usage).expect("there is a candidate")
+    }
+
+    fn most_used(&self) -> &'a Life {
+        let by_usage = |a: &&&Life, b: &&&Life| self.order(a, b);
+        self.capacity.keys().max_by(by_usage).expect("there is a candidate")
+    }
+
+    /// Ties are broken by name, so that the same input gives the same plan.
+    fn order(&self, a: &Life, b: &Life) -> std::cmp::Ordering {
+        let by_name = || a.upstream.cmp(&b.upstream);
+        self.usage(a).total_cmp(&self.usage(b)).then_with(by_name)
+    }
+
+    fn room(&self, life: &Life) -> f64 {
+        self.target * self.capacity[life] - self.carried[life]
+    }
+}
+
+/// Gives every range without a staying holder to the least used upstreams.
+fn house(map: &mut Map, book: &mut Book<'_>, is_fixed: &impl Fn(&Range) -> bool) -> bool {
+    let mut housed = false;
+    let mut index = 0;
+    while index < map.ranges.len() {
+        let range = &map.ranges[index];
+        let has_holder = range.holder.as_ref().is_some_and(|life| book.capacity.contains_key(life));
+        if has_holder || is_fixed(range) {
+            index += 1;
+            continue;
+        }
+        let receiver = book.least_used();
+        let room = book.room(receiver).max(0.1 * book.target * book.capacity[receiver]);
+        if book.load.of(range) > WHOLE_TOLERANCE * room {
+            let end = book.load.reach(range.from, range.to, room);
+            if end < range.to {
+                map.cut_before(end + 1);
+            }
+        }
+        let carried = book.load.of(&map.ranges[index]);
+        *book.carried.entry(receiver).or_default() += carried;
+        map.reassign(index, Some(receiver.clone()));
+        housed = true;
+        index += 1;
+    }
+    housed
+}
+
+/// Moves one piece from the most to the least used upstream.
+fn shift(map: &mut Map, book: &mut Book<'_>, is_fixed: &impl Fn(&Range) -> bool) -> bool {
+    let (donor, receiver) = (book.most_used(), book.least_used());
+    let difference = book.usage(donor) - book.usage(receiver);
+    let per_upstream = (book.load.counted / book.capacity.len() as f64).max(1.0);
+    let noise = NOISE_DEVIATIONS / per_upstream.sqrt();
+    if difference <= book.target * (MIN_IMBALANCE + noise) {
+        return false;
+    }
+    // What makes both equally used.
+    let (from, to) = (book.capacity[donor], book.capacity[receiver]);
+    let wanted = difference * from * to / (from + to);
+    let movable = |range: &&Range| range.holder.as_ref() == Some(donor) && !is_fixed(range);
+    let weight = |range: &&Range| book.load.of(range);
+    let Some(range) = map
+        .ranges
+        .iter()
+        .filter(movable)
+        .max_by(|a, b| weight(a).total_cmp(&weight(b)))
+        .cloned()
+    else {
+        return false;
+    };
+    let piece = cut(map, &range, book.load, wanted);
+    let carried = book.load.of(&map.ranges[piece]);
+    if carried > 2.0 * wanted {
+        // One key alone is hotter than the difference: a move would only
+        // change who is overloaded.
+        return false;
+    }
+    *book.carried.entry(donor).or_default() -= carried;
+    *book.carried.entry(receiver).or_default() += carried;
+    map.reassign(piece, Some(receiver.clone()));
+    true
+}
+
+/// Cuts a piece of the wanted load off one end of a range, the end where that
+/// takes fewer keys, and returns its index.
+fn cut(map: &mut Map, range: &Range, load: &Load, wanted: f64) -> usize {
+    let whole = load.of(range);
+    if whole > WHOLE_TOLERANCE * wanted && range.from < range.to {
+        let low_end = load.reach(range.from, range.to, wanted).min(range.to - 1);
+        let high_start = load.reach(range.from, range.to, whole - wanted).max(range.from + 1);
+        if low_end - range.from <= range.to - high_start {
+            map.cut_before(low_end + 1);
+            return index_of(map, range.from);
+        }
+        map.cut_before(high_start);
+        return index_of(map, high_start);
+    }
+    index_of(map, range.from)
+}
+
+fn index_of(map: &Map, key: u16) -> usize {
+    map.ranges.partition_point(|range| range.to < key)
+}
+
+/// Joins settled neighbours of one holder under a new fencing token.
+fn merge(map: &mut Map, is_fixed: &impl Fn(&Range) -> bool) {
+    let mut index = 0;
+    while index + 1 < map.ranges.len() {
+        let (low, high) = (&map.ranges[index], &map.ranges[index + 1]);
+        let joinable = low.holder.is_some()
+            && low.holder == high.holder
+            && low.source.is_none()
+            && high.source.is_none()
+            && !is_fixed(low)
+            && !is_fixed(high);
+        if joinable {
+            map.ranges[index].to = high.to;
+            map.ranges.remove(index + 1);
+            map.ranges[index].fence = map.take_fence();
+        } else {
+            index += 1;
+        }
+    }
+}
--- a/crates/platform/src/endpoint.rs
+++ b/crates/store/src/endpoint.rs
@@ -1,4 +1,4 @@
-//! One address of the platform and the connections to it.
+//! One address and the connections to it: whole answers within stated times.
 
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
@@ -6,11 +6,12 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST, RETRY_AFTER};
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -25,8 +26,20 @@
 ///
 /// A connection is kept for later calls only after a whole answer. If a call
 /// fails or its future is dropped, its connection is closed.
+///
+/// ```
+/// use eelgrassrock_store::endpoint::{Call, Endpoint};
+/// use eelgrassrock_store::settings::Settings;
+///
+/// # async fn example() -> Result<(), eelgrassrock_store::Fault> {
+/// let endpoint = Endpoint::new(([127, 0, 0, 1], 7001).into(), Settings::default());
+/// let answer = endpoint.call(&Call::get("/v1/rows/home")).await?;
+/// println!("{}", answer.status);
+/// # Ok(())
+/// # }
+/// ```
 #[derive(Debug)]
-pub(crate) struct Endpoint {
+pub struct Endpoint {
     address: SocketAddr,
     settings: Settings,
     idle: Mutex<Vec<Connection>>,
@@ -34,22 +47,31 @@
 
 /// Request of one call.
 #[derive(Clone, Debug)]
-pub(crate) struct Call {
-    pub(crate) method: Method,
-    pub(crate) path: String,
-    pub(crate) body: Bytes,
+pub struct Call {
+    /// Method of the request.
+    pub method: Method,
+    /// Path and query of the request.
+    pub path: String,
+    /// Whole body of the request.
+    pub body: Bytes,
 }
 
 /// Whole answer to a call.
 #[derive(Clone, Debug)]
-pub(crate) struct Answer {
-    pub(crate) status: StatusCode,
-    pub(crate) retry_after: Option<Duration>,
-    pub(crate) body: Bytes,
+pub struct Answer {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Header fields of the answer.
+    pub headers: HeaderMap,
+    /// Time after which a refused call may be tried again.
+    pub retry_after: Option<Duration>,
+    /// Whole body of the answer.
+    pub body: Bytes,
 }
 
 impl Endpoint {
-    pub(crate) fn new(address: SocketAddr, settings: Settings) -> Self {
+    /// Creates an endpoint. It connects when the first call is made.
+    pub fn new(address: SocketAddr, settings: Settings) -> Self {
         Self {
             address,
             settings,
@@ -58,13 +80,18 @@
     }
 
     /// Makes a call and returns the whole answer.
-    pub(crate) async fn call(&self, call: &Call) -> Result<Answer, Fault> {
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Fault`] if no whole answer came within the limits. Only
+    /// [`Kind::Unreachable`] proves that nothing was sent.
+    pub async fn call(&self, call: &Call) -> Result<Answer, Fault> {
         let result = self.answer(call).await;
         result.map_err(|kind| self.fault(call, kind))
     }
 
     /// Returns the error of a call that was answered impossibly.
-    pub(crate) fn fault(&self, call: &Call, kind: Kind) -> Fault {
+    pub fn fault(&self, call: &Call, kind: Kind) -> Fault {
         let call = format!("{} {} at {}", call.method, call.path, self.address);
         Fault {
             call: call.into(),
@@ -113,6 +140,7 @@
         let retry_after = parts.headers.get(RETRY_AFTER).and_then(parse_seconds);
         Ok(Some(Answer {
             status: parts.status,
+            headers: parts.headers,
             retry_after,
             body,
         }))
@@ -129,8 +157,9 @@
         let stream = TcpStream::connect(self.address)
             .await
             .map_err(|error| Kind::Unreachable(error.to_string().into()))?;
-        // Delayed packets cost only latency, so a failure is harmless.
+        // Without these options, calls take longer but stay correct.
         let _ = stream.set_nodelay(true);
+        let _ = detect_silence(&stream, self.settings.silence);
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| Kind::Unreachable(error.to_string().into()))?;
@@ -153,7 +182,17 @@
 }
 
 impl Call {
-    pub(crate) fn get(path: impl Into<String>) -> Self {
+    /// Creates a call that sends a JSON body.
+    pub fn post(path: impl Into<String>, body: impl Into<Bytes>) -> Self {
+        Self {
+            method: Method::POST,
+            path: path.into(),
+            body: body.into(),
+        }
+    }
+
+    /// Creates a call without a body.
+    pub fn get(path: impl Into<String>) -> Self {
         Self {
             method: Method::GET,
             path: path.into(),
@@ -177,7 +216,7 @@
 
 impl Answer {
     /// Returns the time to wait if the service refused the call for now.
-    pub(crate) fn busy(&self) -> Option<Duration> {
+    pub fn busy(&self) -> Option<Duration> {
         let refused = [
             StatusCode::TOO_MANY_REQUESTS,
             StatusCode::SERVICE_UNAVAILABLE,
@@ -186,7 +225,7 @@
     }
 
     /// Returns the error for a status that isn't among those of the call.
-    pub(crate) fn refusal(&self) -> Kind {
+    pub fn refusal(&self) -> Kind {
         match self.busy() {
             Some(retry_after) => Kind::Busy { retry_after },
             None => Kind::Status(self.status.as_u16()),
@@ -194,6 +233,22 @@
     }
 }
 
+/// Makes the system end a connection whose other side is silent for `limit`.
+///
+/// # Errors
+///
+/// Fails if the system refuses an option.
+pub fn detect_silence(stream: &TcpStream, limit: Duration) -> std::io::Result<()> {
+    let socket = SockRef::from(stream);
+    let interval = (limit / 3).max(Duration::from_secs(1));
+    let probes = TcpKeepalive::new()
+        .with_time(interval)
+        .with_interval(interval)
+        .with_retries(2);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(limit))
+}
+
 /// Returns `None` if nothing was sent.
 async fn send(
     connection: &mut Connection,
--- a/crates/platform/src/objects.rs
+++ b/crates/store/src/objects.rs
@@ -14,7 +14,7 @@
 /// Returns the digest that names some contents.
 ///
 /// ```
-/// use eelgrassrock_platform::objects;
+/// use eelgrassrock_store::objects;
 ///
 /// let digest = objects::digest(b"version = 1");
 /// assert_eq!(digest, objects::digest(b"version = 1"));
@@ -26,10 +26,10 @@
 /// Client of the object store.
 ///
 /// ```
-/// use eelgrassrock_platform::objects::Client;
-/// use eelgrassrock_platform::settings::Settings;
+/// use eelgrassrock_store::objects::Client;
+/// use eelgrassrock_store::settings::Settings;
 ///
-/// # async fn example() -> Result<(), eelgrassrock_platform::Fault> {
+/// # async fn example() -> Result<(), eelgrassrock_store::Fault> {
 /// let client = Client::new(([127, 0, 0, 1], 7002).into(), Settings::default());
 /// let digest = client.put("version = 1".into()).await?;
 /// assert_eq!(client.get(digest).await?, Some("version = 1".into()));
--- a/crates/platform/src/settings.rs
+++ b/crates/store/src/settings.rs
@@ -6,12 +6,14 @@
 const TIMEOUT_MS: u64 = 2_000;
 const MAX_BODY_BYTES: usize = 16 << 20;
 const MAX_IDLE_CONNECTIONS: usize = 8;
+/// Shortest time that keep-alive probes of whole seconds can tell.
+const SILENCE_MS: u64 = 3_000;
 
 /// Limits of the calls to one service of the platform.
 ///
 /// ```
 /// use std::time::Duration;
-/// use eelgrassrock_platform::settings::Settings;
+/// use eelgrassrock_store::settings::Settings;
 ///
 /// let settings = Settings::builder()
 ///     .connect_timeout(Duration::from_millis(100))
@@ -25,6 +27,7 @@
     pub(crate) timeout: Duration,
     pub(crate) max_body_bytes: usize,
     pub(crate) max_idle_connections: usize,
+    pub(crate) silence: Duration,
 }
 
 /// Builder of [`Settings`].
@@ -55,6 +58,7 @@
             timeout: Duration::from_millis(TIMEOUT_MS),
             max_body_bytes: MAX_BODY_BYTES,
             max_idle_connections: MAX_IDLE_CONNECTIONS,
+            silence: Duration::from_millis(SILENCE_MS),
         }
     }
 }
@@ -85,6 +89,12 @@
         self
     }
 
+    /// Sets the time after which a connection that gives no sign is closed.
+    pub fn silence(mut self, limit: Duration) -> Self {
+        self.settings.silence = limit;
+        self
+    }
+
     /// Returns the settings.
     pub fn build(self) -> Settings {
         self.settings
--- a/crates/platform/src/table.rs
+++ b/crates/store/src/table.rs
@@ -33,10 +33,10 @@
 ///
 /// ```
 /// use eelgrassrock_model::table::{Operation, Outcome, Transaction, Write};
-/// use eelgrassrock_platform::settings::Settings;
-/// use eelgrassrock_platform::table::Client;
+/// use eelgrassrock_store::settings::Settings;
+/// use eelgrassrock_store::table::Client;
 ///
-/// # async fn example() -> Result<(), eelgrassrock_platform::Fault> {
+/// # async fn example() -> Result<(), eelgrassrock_store::Fault> {
 /// let client = Client::new(([127, 0, 0, 1], 7001).into(), Settings::default());
 /// let transaction = Transaction {
 ///     operation: Operation("router-1/17".into()),
--- a/crates/platform/src/vms.rs
+++ b/crates/store/src/vms.rs
@@ -46,10 +46,10 @@
 /// Client of the list of VMs.
 ///
 /// ```
-/// use eelgrassrock_platform::settings::Settings;
-/// use eelgrassrock_platform::vms::Client;
+/// use eelgrassrock_store::settings::Settings;
+/// use eelgrassrock_store::vms::Client;
 ///
-/// # async fn example() -> Result<(), eelgrassrock_platform::Fault> {
+/// # async fn example() -> Result<(), eelgrassrock_store::Fault> {
 /// let client = Client::new(([127, 0, 0, 1], 7003).into(), Settings::default());
 /// for vm in client.list().await? {
 ///     println!("{:?} at {}", vm.role, vm.address);
--- a/crates/platform/tests/exactness.rs
+++ b/crates/store/tests/exactness.rs
@@ -5,7 +5,7 @@
 
 use eelgrassrock_model::Version;
 use eelgrassrock_model::table::{Check, Operation, Outcome, Transaction, Write};
-use eelgrassrock_platform::table::{Client, Resolution};
+use eelgrassrock_store::table::{Client, Resolution};
 use eelgrassrock_standin::Addresses;
 use eelgrassrock_standin::table::{Faults, Server};
 use proptest::prelude::*;
--- a/crates/platform/tests/objects.rs
+++ b/crates/store/tests/objects.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrassrock_platform::Kind;
-use eelgrassrock_platform::objects::{self, Client};
+use eelgrassrock_store::Kind;
+use eelgrassrock_store::objects::{self, Client};
 use eelgrassrock_standin::Addresses;
 use eelgrassrock_standin::fault::Outage;
 use eelgrassrock_standin::objects::{Faults, Server};
--- a/crates/platform/tests/support/mod.rs
+++ b/crates/store/tests/support/mod.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use eelgrassrock_platform::settings::Settings;
+use eelgrassrock_store::settings::Settings;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
--- a/crates/platform/tests/table.rs
+++ b/crates/store/tests/table.rs
@@ -6,8 +6,8 @@
 
 use eelgrassrock_model::Version;
 use eelgrassrock_model::table::{Check, Operation, Outcome, Row, Transaction, Write};
-use eelgrassrock_platform::table::{Client, Resolution};
-use eelgrassrock_platform::{Fault, Kind};
+use eelgrassrock_store::table::{Client, Resolution};
+use eelgrassrock_store::{Fault, Kind};
 use eelgrassrock_standin::Addresses;
 use eelgrassrock_standin::fault::Outage;
 use eelgrassrock_standin::table::{Faults, Server};
--- a/crates/platform/tests/vms.rs
+++ b/crates/store/tests/vms.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use eelgrassrock_platform::Kind;
-use eelgrassrock_platform::vms::{Client, Role, State};
+use eelgrassrock_store::Kind;
+use eelgrassrock_store::vms::{Client, Role, State};
 use eelgrassrock_standin::Addresses;
 use eelgrassrock_standin::fault::Outage;
 use eelgrassrock_standin::vms::{Faults, Server, Vm};
