--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -24,6 +24,8 @@
 use crate::seam::{Platform, Table};
 use crate::settings::Settings;
 
+/// Time kept free at the end of the grace.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// Time between two looks at a queue that no event moves.
 const QUEUE_POLL: Duration = Duration::from_millis(20);
 
@@ -103,6 +105,12 @@
         self.stopped.get().is_some()
     }
 
+    /// When the process ends at the latest, once it was told to stop.
+    pub(crate) fn ends_at(&self) -> Option<Instant> {
+        let stopped = self.stopped.get()?;
+        Some(stopped + self.settings.grace.saturating_sub(GRACE_MARGIN))
+    }
+
     /// Whether callers may be sent here.
     pub(crate) fn is_ready(&self) -> bool {
         let state = self.state.borrow();
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -26,8 +26,6 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause after a failure to write the row of this router.
 const REGISTER_PAUSE: Duration = Duration::from_millis(200);
-/// Time kept free at the end of the grace.
-const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// Share of the grace after which a process without open requests ends: by
 /// then the platform sends it no callers, and unused connections are closed.
 const END_SHARE: f64 = 0.75;
@@ -195,7 +193,7 @@
     loop {
         let elapsed = clock::now() - began;
         let is_done = elapsed >= grace.mul_f64(END_SHARE) && node.open_requests.get() == 0;
-        if is_done || elapsed + GRACE_MARGIN >= grace {
+        if is_done || node.ends_at().is_some_and(|end| clock::now() >= end) {
             node.log.note("stop", &line(elapsed));
             node.log.flush();
             return;
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -27,6 +27,9 @@
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
 /// What a caller is told while the router has no configuration yet.
 const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// What a caller is told whose request might outlast a process that stops:
+/// another router takes it at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(10);
 /// Pause before a request goes on whose upstream said that it doesn't hold the
 /// key: news of the map takes about this time.
 const MISDIRECTED_PAUSE: Duration = Duration::from_millis(40);
@@ -119,6 +122,9 @@
     parts.headers.remove(EXPECT);
     parts.uri = origin_form(&parts.uri);
     let job = job(node, route, head, Message { parts, body: content }, arrived);
+    if node.ends_at().is_some_and(|end| job.work.give_up > end) {
+        return refusal(StatusCode::SERVICE_UNAVAILABLE, "stopping", STOPPING_RETRY_AFTER);
+    }
     let version = directory.version;
     if job.route.repeat == Repeat::Idempotent {
         return run(node, job, version).await;
