One request finds out whether a holder has a key; repeats stay in the budget

Change: a refused range is blocked with growing pauses until the map changes; an answer of another process ends the life; a process at an address replaces all before it; the budget is asked on the way out of the queue as well.

--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -175,6 +175,11 @@
                 self.window = (self.window * WINDOW_CUT).max(MIN_WINDOW);
             }
             Report::Misdirected => self.last_answer = now,
+            Report::Replaced => {
+                self.pause = MAX_PAUSE;
+                self.failures_in_row = FAILURES_TO_PAUSE;
+                self.count_failure(now);
+            }
             Report::Unreachable => {
                 self.note(true, now);
                 self.count_failure(now);
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -34,6 +34,11 @@
 /// What a refused caller is told while a key has no holder: grants are made
 /// within about this time.
 const NO_HOLDER_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Shortest and longest time for which a range gets no requests after its
+/// holder said that it doesn't hold it: news of the map takes the first, an
+/// unanswered request the second.
+const MIN_BLOCK: Duration = Duration::from_millis(60);
+const MAX_BLOCK: Duration = Duration::from_millis(500);
 /// Span over which answers are counted to tell how fast the queue moves.
 const RATE_SPAN: Duration = Duration::from_secs(1);
 
@@ -76,8 +81,10 @@
     },
     /// It said that it had no room, and didn't run the request.
     Refused,
-    /// It said that it isn't the one, or doesn't hold the key.
+    /// It said that it doesn't hold the key.
     Misdirected,
+    /// Another process answered at its address: it has ended.
+    Replaced,
     /// No byte of the request was sent.
     Unreachable,
     /// The connection broke after the request was sent.
@@ -91,7 +98,8 @@
 impl Report {
     /// Whether it proves that the request has not run and never will.
     pub fn proves_not_run(self) -> bool {
-        matches!(self, Self::Refused | Self::Misdirected | Self::Unreachable)
+        let not_run = [Self::Refused, Self::Misdirected, Self::Replaced, Self::Unreachable];
+        not_run.contains(&self)
     }
 }
 
@@ -169,6 +177,16 @@
     budget: Budget,
     routers: usize,
     answers: Vec<Instant>,
+    blocks: Vec<Block>,
+}
+
+/// Range of keys whose holder said that it doesn't hold them.
+#[derive(Clone, Copy, Debug)]
+struct Block {
+    from: u16,
+    to: u16,
+    until: Instant,
+    pause: Duration,
 }
 
 enum Choice {
@@ -189,6 +207,7 @@
             budget: Budget::new(limits),
             routers: 1,
             answers: Vec::new(),
+            blocks: Vec::new(),
         }
     }
 
@@ -219,6 +238,14 @@
 
     /// Replaces the ranges of keys. `None` if any upstream takes any request.
     pub fn set_spans(&mut self, spans: Option<Vec<Span>>) {
+        if let (Some(old), Some(new)) = (&self.spans, &spans) {
+            // What was said of a range holds until the range changes.
+            let stays = |block: &Block| {
+                let is_same = |span: &&Span| (span.from, span.to) == (block.from, block.to);
+                old.iter().find(is_same) == new.iter().find(is_same)
+            };
+            self.blocks.retain(stays);
+        }
         self.spans = spans;
     }
 
@@ -286,11 +313,28 @@
         step
     }
 
-    /// Notes the end of a send that began at `started`.
-    pub fn end(&mut self, upstream: &str, started: Instant, report: Report, now: Instant) {
+    /// Notes the end of a send of a request with this key that began at
+    /// `started`.
+    pub fn end(
+        &mut self,
+        upstream: &str,
+        key: Option<u16>,
+        started: Instant,
+        report: Report,
+        now: Instant,
+    ) {
         if matches!(report, Report::Answered { .. }) {
             self.answers.push(now);
         }
+        if let Some(key) = key {
+            match report {
+                Report::Misdirected | Report::Replaced => self.block(key, now),
+                Report::Answered { .. } => {
+                    self.blocks.retain(|block| !(block.from..=block.to).contains(&key));
+                }
+                _ => {}
+            }
+        }
         if let Some(member) = self.members.get_mut(upstream) {
             member.end(started, report, now);
         }
@@ -312,14 +356,18 @@
         let mut full: HashSet<Option<Arc<str>>> = HashSet::new();
         for request in queue {
             let holder = self.holder(request.key).cloned();
-            let known_full = full.contains(&holder);
+            let known_full = full.contains(&holder) && !self.is_blocked(request.key, now);
             let choice = if known_full { Choice::Full } else { self.choose(&request, now) };
             match choice {
+                Choice::Take(_) if request.is_repeat && !self.budget.allows(now, self.routers) => {
+                    let refusal = self.refuse(Reason::Budget, &request, now);
+                    done.push((request.ticket, refusal));
+                }
                 Choice::Take(upstream) => {
                     if request.is_repeat {
                         self.budget.take(now);
                     }
-                    done.push((request.ticket, self.begin(upstream, now)));
+                    done.push((request.ticket, self.begin(upstream, request.key, now)));
                 }
                 _ if self.is_hopeless(&request, now) => {
                     let reason = match choice {
@@ -330,8 +378,10 @@
                     let refusal = self.refuse(reason, &request, now);
                     done.push((request.ticket, refusal));
                 }
-                _ => {
-                    full.insert(holder);
+                choice => {
+                    if matches!(choice, Choice::Full) && now >= request.retry_at {
+                        full.insert(holder);
+                    }
                     self.queue.push(request);
                 }
             }
@@ -339,7 +389,46 @@
         done
     }
 
-    fn begin(&mut self, upstream: Arc<Upstream>, now: Instant) -> Step {
+    /// Sends no requests for the range of a key for a while: the holder will
+    /// refuse them all, until it or the map changes.
+    fn block(&mut self, key: u16, now: Instant) {
+        let Some(span) = self.span(key).cloned() else {
+            return;
+        };
+        let known = self.blocks.iter_mut().find(|block| block.from == span.from);
+        match known {
+            Some(block) => {
+                block.until = now + block.pause;
+                block.pause = (block.pause * 2).min(MAX_BLOCK);
+            }
+            None => self.blocks.push(Block {
+                from: span.from,
+                to: span.to,
+                until: now + MIN_BLOCK,
+                pause: MIN_BLOCK * 2,
+            }),
+        }
+    }
+
+    /// Whether requests for a key must wait. When the time of a block is over,
+    /// one request may find out whether the holder has the keys now.
+    fn is_blocked(&self, key: Option<u16>, now: Instant) -> bool {
+        let Some(key) = key else {
+            return false;
+        };
+        let covers = |block: &&Block| (block.from..=block.to).contains(&key);
+        self.blocks.iter().find(covers).is_some_and(|block| now < block.until)
+    }
+
+    fn begin(&mut self, upstream: Arc<Upstream>, key: Option<u16>, now: Instant) -> Step {
+        if let Some(key) = key {
+            let covers = |block: &&mut Block| (block.from..=block.to).contains(&key);
+            if let Some(block) = self.blocks.iter_mut().find(covers) {
+                // The others wait for what this one finds out.
+                block.until = now + MAX_BLOCK;
+            }
+        }
+
         if let Some(member) = self.members.get_mut(&upstream.id) {
             member.begin(now);
         }
@@ -351,7 +440,7 @@
 
     fn place(&mut self, request: Request, now: Instant) -> Step {
         match self.choose(&request, now) {
-            Choice::Take(upstream) => self.begin(upstream, now),
+            Choice::Take(upstream) => self.begin(upstream, request.key, now),
             Choice::NoUpstream => self.refuse(Reason::NoUpstream, &request, now),
             Choice::NoHolder if self.can_wait(&request, now) => self.enqueue(request),
             Choice::NoHolder => self.refuse(Reason::NoHolder, &request, now),
@@ -402,9 +491,15 @@
     }
 
     fn choose_holder(&self, request: &Request, now: Instant) -> Choice {
+        if request.key.is_none() {
+            return Choice::NoUpstream;
+        }
         let Some(holder) = self.holder(request.key) else {
             return Choice::NoHolder;
         };
+        if self.is_blocked(request.key, now) {
+            return Choice::NoHolder;
+        }
         match self.members.get(holder) {
             Some(member) if member.is_closed(now) => Choice::NoHolder,
             Some(member) if member.has_room(now) => Choice::Take(Arc::clone(&member.upstream)),
@@ -414,11 +509,13 @@
     }
 
     fn holder(&self, key: Option<u16>) -> Option<&Arc<str>> {
+        self.span(key?)?.holder.as_ref()
+    }
+
+    fn span(&self, key: u16) -> Option<&Span> {
         let spans = self.spans.as_ref()?;
-        let key = key?;
         let index = spans.partition_point(|span| span.to < key);
-        let span = spans.get(index).filter(|span| span.from <= key)?;
-        span.holder.as_ref()
+        spans.get(index).filter(|span| span.from <= key)
     }
 
     /// Whether an answer in time is likely behind those that wait already.
--- /dev/null
+++ b/crates/dispatch/tests/keys.rs
@@ -0,0 +1,104 @@
+//! Requests for keys: one holder, and what follows when it hasn't the keys.
+
+mod support;
+
+use eelgrassrock_dispatch::service::{Reason, Report, Step};
+use support::{NEAR, at, keyed, leaving, request, sent_to, service, span, upstream};
+
+#[test]
+fn a_request_goes_to_the_holder_of_its_key() {
+    let mut service = service(&[upstream("one", NEAR, 2), upstream("two", NEAR, 2)]);
+    service.set_spans(Some(vec![span(0, 99, Some("one")), span(100, u16::MAX, Some("two"))]));
+    let low = service.admit(request(1, Some(99), 0), at(0));
+    let high = service.admit(request(2, Some(100), 0), at(0));
+    assert_eq!((sent_to(&low), sent_to(&high)), (Some("one"), Some("two")));
+}
+
+#[test]
+fn a_request_for_keys_that_change_hands_waits_and_goes_to_the_next_holder() {
+    let mut service = service(&[upstream("one", NEAR, 2), upstream("two", NEAR, 2)]);
+    service.set_spans(Some(vec![span(0, u16::MAX, None)]));
+    assert_eq!(service.admit(request(1, Some(7), 0), at(0)), Step::Wait);
+    assert!(service.poll(at(50)).is_empty());
+    service.set_spans(Some(vec![span(0, u16::MAX, Some("two"))]));
+    let done = service.poll(at(60));
+    assert_eq!(done.len(), 1);
+    assert_eq!(sent_to(&done[0].1), Some("two"));
+}
+
+/// Found on a day on which an address was reused: every waiting request asked
+/// the wrong process again every 40 ms, and the repeats of all routers went
+/// over their budget.
+#[test]
+fn after_a_holder_refuses_a_key_one_request_finds_out_for_all() {
+    let mut service = keyed();
+    let mut sends = 0;
+    for ticket in 0..20 {
+        if sent_to(&service.admit(request(ticket, Some(7), 0), at(0))).is_some() {
+            sends += 1;
+        }
+    }
+    assert!(sends <= 3, "two slots and a short queue, but {sends} sends");
+    for ms in 1..=400 {
+        service.end("one", Some(7), at(0), Report::Misdirected, at(ms));
+        sends += service.poll(at(ms)).iter().filter(|(_, step)| sent_to(step).is_some()).count();
+    }
+    assert!(sends <= 8, "{sends} sends of 20 requests to a holder that refuses them all");
+}
+
+#[test]
+fn a_refused_range_is_open_again_as_soon_as_the_map_changes() {
+    let mut service = service(&[upstream("one", NEAR, 2), upstream("two", NEAR, 2)]);
+    service.set_spans(Some(vec![span(0, u16::MAX, Some("one"))]));
+    let first = service.admit(request(1, Some(7), 0), at(0));
+    assert_eq!(sent_to(&first), Some("one"));
+    service.end("one", Some(7), at(0), Report::Misdirected, at(5));
+    let mut again = request(1, Some(7), 0);
+    again.is_repeat = true;
+    assert_eq!(service.again(again, at(5)), Step::Wait);
+    service.set_spans(Some(vec![span(0, u16::MAX, Some("two"))]));
+    let done = service.poll(at(6));
+    assert_eq!(sent_to(&done[0].1), Some("two"));
+}
+
+/// Found together with the above: the budget was asked when a request went to
+/// the queue, but not when it left it.
+#[test]
+fn the_queue_lets_out_no_more_repeats_than_the_budget_allows() {
+    let mut service = keyed();
+    let mut repeats = 0;
+    for round in 0..200 {
+        let now = at(round * 20);
+        let mut again = request(round, Some(7), round * 20);
+        again.is_repeat = true;
+        again.retry_at = at(round * 20 + 5);
+        service.again(again, now);
+        for (_, step) in service.poll(at(round * 20 + 6)) {
+            if let Step::Send { started, .. } = step {
+                repeats += 1;
+                let report = Report::Answered { failed: false };
+                service.end("one", Some(7), started, report, at(round * 20 + 10));
+            }
+        }
+    }
+    assert!(repeats <= 10, "{repeats} repeats without any first send, 10 are allowed");
+}
+
+#[test]
+fn a_holder_that_leaves_serves_until_its_keys_have_moved() {
+    let mut service = keyed();
+    service.set_upstreams(vec![leaving("one")], at(0));
+    let step = service.admit(request(1, Some(7), 100), at(100));
+    assert_eq!(sent_to(&step), Some("one"));
+    let step = service.admit(request(2, Some(7), 1_100), at(1_100));
+    assert_eq!(step, Step::Wait);
+}
+
+#[test]
+fn a_request_without_key_to_a_service_of_keys_is_refused_at_once() {
+    let step = keyed().admit(request(1, None, 0), at(0));
+    let Step::Refuse(refusal) = step else {
+        panic!("{step:?}");
+    };
+    assert_eq!(refusal.reason, Reason::NoUpstream);
+}
--- a/crates/edge/src/book.rs
+++ b/crates/edge/src/book.rs
@@ -79,6 +79,12 @@
                 };
             }
         }
+        // A process that listens at an address has replaced all before it.
+        self.entries.retain(|id, entry| {
+            *id == upstream.id
+                || entry.upstream.address != upstream.address
+                || entry.upstream.incarnation >= upstream.incarnation
+        });
         let upstream = Arc::new(upstream);
         let entry = Entry {
             upstream: Arc::clone(&upstream),
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -121,12 +121,13 @@
     left: Duration,
 ) -> Exchange {
     let (parts, body) = response.into_parts();
-    let verdict = node.platform.judge(head, parts.status, &parts.headers);
+    let verdict = node.platform.judge(head, &upstream.id, parts.status, &parts.headers);
     match verdict {
         Verdict::Foreign => {
             node.links.distrust(upstream);
             return Exchange::None(Report::Broken);
         }
+        Verdict::Replaced => return Exchange::None(Report::Replaced),
         Verdict::Refused | Verdict::Misdirected => {
             if let Ok(Taken::Whole(_)) = timeout(ANSWER_MARGIN, payload::take(body)).await {
                 node.links.keep(upstream, link, &parts.headers);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -117,6 +117,13 @@
         !self.is_stopping() && state.directory.is_some() && state.book.len() > 0
     }
 
+    /// Whether the keys of a service are divided among its upstreams.
+    pub(crate) fn is_keyed(&self, service: &str) -> bool {
+        let state = self.state.borrow();
+        let declared = state.directory.as_ref().and_then(|directory| directory.services.get(service));
+        declared.is_some_and(|service| service.keyed.is_some())
+    }
+
     /// Returns the service that takes the next request of a route.
     pub(crate) fn part(&self, route: &Route) -> Arc<str> {
         if let [part] = &*route.parts {
@@ -203,10 +210,7 @@
         };
         for name in names {
             self.with(&name, |_, _| ());
-            let keyed = self.state.borrow().directory.as_ref().is_some_and(|directory| {
-                directory.services.get(&name).is_some_and(|service| service.keyed.is_some())
-            });
-            if keyed {
+            if self.is_keyed(&name) {
                 self.tend(&name);
             }
         }
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -30,9 +30,6 @@
 /// What a caller is told whose request might outlast a process that stops:
 /// another router takes it at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(10);
-/// Pause before a request goes on whose upstream said that it doesn't hold the
-/// key: news of the map takes about this time.
-const MISDIRECTED_PAUSE: Duration = Duration::from_millis(40);
 /// Pause before the only holder of a key is tried again.
 const HOLDER_PAUSE: Duration = Duration::from_millis(60);
 /// Time that an answer takes to the caller, kept free at the end of its time.
@@ -154,9 +151,11 @@
         (Some(limit), None) | (None, Some(limit)) => limit,
         (None, None) => DEFAULT_PATIENCE,
     };
+    let service = node.part(&route);
+    let is_keyed = node.is_keyed(&service);
     let work = Work {
         ticket: node.ticket(),
-        key: head.key,
+        key: head.key.filter(|_| is_keyed),
         priority: route.priority,
         repeat: route.repeat,
         arrived,
@@ -170,7 +169,7 @@
     };
     Job {
         head,
-        service: node.part(&route),
+        service,
         route,
         message,
         work,
@@ -252,6 +251,7 @@
         node: Rc::clone(node),
         service: Arc::clone(&job.service),
         upstream: Arc::clone(upstream),
+        key: job.work.key,
         started,
         report: Report::Cancelled,
     };
@@ -301,7 +301,8 @@
         job.work.tried.push(Arc::clone(&upstream.id));
     } else {
         let pause = match report {
-            Report::Misdirected => MISDIRECTED_PAUSE,
+            // The service knows when the range may be asked for again.
+            Report::Misdirected | Report::Replaced => Duration::ZERO,
             _ => HOLDER_PAUSE,
         };
         job.work.retry_at = now + pause;
@@ -313,6 +314,7 @@
     node: Rc<Node<P>>,
     service: Arc<str>,
     upstream: Arc<Upstream>,
+    key: Option<u16>,
     started: Instant,
     report: Report,
 }
@@ -320,7 +322,10 @@
 impl<P: Platform> Drop for Sending<P> {
     fn drop(&mut self) {
         let (upstream, started, report) = (&self.upstream.id, self.started, self.report);
-        self.node.with(&self.service, |service, now| service.end(upstream, started, report, now));
+        let key = self.key;
+        self.node.with(&self.service, |service, now| {
+            service.end(upstream, key, started, report, now);
+        });
     }
 }
 
--- a/crates/edge/src/seam.rs
+++ b/crates/edge/src/seam.rs
@@ -98,8 +98,10 @@
     Own,
     /// The upstream had no room and didn't run the request.
     Refused,
-    /// The upstream isn't the one, or doesn't hold the key.
+    /// The upstream doesn't hold the key.
     Misdirected,
+    /// Another upstream answered: this one has ended.
+    Replaced,
     /// It isn't an answer to this request.
     Foreign,
 }
@@ -162,8 +164,14 @@
     /// time that is left.
     fn address_to(&self, headers: &mut HeaderMap, upstream: &Upstream, left: Duration);
 
-    /// Judges the head of an answer to the request with this head.
-    fn judge(&self, request: &Head, status: StatusCode, headers: &HeaderMap) -> Verdict;
+    /// Judges the head of an answer to a request that was sent to `upstream`.
+    fn judge(
+        &self,
+        request: &Head,
+        upstream: &str,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Verdict;
 
     /// Whether this call asks if the router is ready.
     fn asks_readiness(&self, method: &Method, path: &str) -> bool;
