One router of a data centre reads the store's feeds and tells the others

Change: a relay in each data centre, chosen by size and name; followers hold one call to it; a follower that hears of a later version reads the store itself. Maps go from the keeper to the relays and aren't followed in the store.

--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -1,6 +1,7 @@
 //! The duty of granting keys: standing for it, carrying it out, giving it up.
 
 use std::cell::RefCell;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,9 +20,9 @@
 
 use crate::clock;
 use crate::node::Node;
-use crate::peer::{self, Report};
-use crate::seam::{Commit, Platform, Row, Transaction};
-use crate::watch::{DUTY, MAP};
+use crate::peer::Report;
+use crate::seam::{Commit, Name, Platform, Row, Table, Transaction};
+use crate::watch::DUTY;
 
 /// Longest time for which a grant holds, if the platform allows it: a holder
 /// that is lost without a sign gives its keys back after that.
@@ -39,7 +40,7 @@
 /// Pause after a call to the store that failed.
 const STORE_PAUSE: Duration = Duration::from_millis(150);
 /// Keys that are kept for one report. More are sampled by leaving out the rest.
-const MAX_REPORTED_KEYS: usize = 512;
+const MAX_REPORTED_KEYS: usize = 4_096;
 /// Time that calls under way get when the duty is given up.
 const HAND_OVER_TIME: Duration = Duration::from_millis(350);
 
@@ -104,6 +105,21 @@
         }
     }
 
+    /// Counts keys that a follower was asked for, as if they were asked for
+    /// here.
+    pub(crate) fn absorb(&self, service: &Arc<str>, keys: &[u16]) {
+        for key in keys {
+            self.record(service, *key);
+        }
+    }
+
+    /// Takes the keys that were asked for since the last time.
+    pub(crate) fn take_keys(&self) -> Vec<(Arc<str>, Vec<u16>)> {
+        let mut services = self.services.borrow_mut();
+        let asked = services.iter_mut().filter(|(_, seat)| !seat.keys.is_empty());
+        asked.map(|(name, seat)| (Arc::clone(name), std::mem::take(&mut seat.keys))).collect()
+    }
+
     /// Counts what another router reports. Returns whether this one is the
     /// keeper and may act.
     pub(crate) fn hear(&self, service: &Arc<str>, keys: &[u16]) -> bool {
@@ -165,7 +181,12 @@
         services.insert(Arc::clone(service), seat);
         let node = Rc::clone(self);
         let service = Arc::clone(service);
-        tokio::task::spawn_local(async move { node.tend_forever(service).await });
+        tokio::task::spawn_local(async move {
+            if let Some(Some((map, version))) = node.read_map(&service).await {
+                node.learn_map(&service, map, version);
+            }
+            node.tend_forever(service).await;
+        });
     }
 
     fn seat<T>(&self, service: &Arc<str>, work: impl FnOnce(&mut Seat) -> T) -> Option<T> {
@@ -180,16 +201,29 @@
         self.seat(service, |seat| seat.wake.notify_one());
     }
 
-    /// Number of routers that stand for a duty before this one: the order
-    /// differs from service to service.
+    /// Number of routers that stand for a duty before this one. Relays stand
+    /// first, in an order of data centres that differs from service to
+    /// service.
     fn rank(&self, service: &str) -> u32 {
-        let mix = |name: &str| {
-            let bytes = name.bytes().chain(service.bytes());
-            bytes.fold(0_u32, |sum, byte| sum.wrapping_mul(31).wrapping_add(u32::from(byte)))
+        if self.relay_to_follow().is_some() {
+            return u32::MAX;
+        }
+        let mix = |data_centre: &str| {
+            let mut hasher = DefaultHasher::new();
+            (data_centre, service).hash(&mut hasher);
+            hasher.finish()
         };
-        let own = mix(&self.settings.router);
+        let own = mix(&self.settings.data_centre);
         let state = self.state.borrow();
-        state.routers.keys().filter(|name| mix(name) < own).count() as u32
+        let mut before: Vec<&Arc<str>> = state
+            .routers
+            .values()
+            .map(|router| &router.data_centre)
+            .filter(|data_centre| mix(data_centre) < own)
+            .collect();
+        before.sort();
+        before.dedup();
+        before.len() as u32
     }
 
     /// Takes what the store says of a duty.
@@ -235,7 +269,9 @@
             } else {
                 if now >= report_due {
                     report_due = now + REPORT_INTERVAL;
-                    tokio::task::spawn_local(Rc::clone(&self).report(Arc::clone(&service)));
+                    if self.relay_to_follow().is_none() {
+                        tokio::task::spawn_local(Rc::clone(&self).report(Arc::clone(&service)));
+                    }
                 }
                 self.stand_if_due(&service, now);
                 (report_due - now).min(self.next_stand(&service, now))
@@ -273,15 +309,15 @@
 
     /// Tries to take the duty.
     async fn stand(self: &Rc<Self>, service: &Arc<str>, duty: Duty, version: u64) {
-        let key: Arc<str> = format!("{DUTY}{service}").into();
+        let key = duty_row(service);
         let before = self.seat(service, |seat| seat.election.duty().cloned()).flatten();
         let asked = clock::now();
         let Ok(value) = postcard::to_allocvec(&duty) else {
             return;
         };
         let transaction = Transaction {
-            expected: vec![(Arc::clone(&key), version)],
-            put: vec![(Arc::clone(&key), value.into())],
+            expected: vec![(key.clone(), version)],
+            put: vec![(key.clone(), value.into())],
             remove: Vec::new(),
         };
         let taken = match self.platform.commit(&transaction).await {
@@ -312,7 +348,7 @@
 
     /// Reads the map of a service; the inner `None` says that there is none.
     async fn read_map(&self, service: &Arc<str>) -> Option<Option<(Map, u64)>> {
-        let row = self.platform.row(&format!("{MAP}{service}")).await.ok()?;
+        let row = self.platform.row(&map_row(service)).await.ok()?;
         let Some(row) = row else {
             return Some(None);
         };
@@ -389,7 +425,7 @@
             if waits != Some(true) {
                 return;
             }
-            let proof = peer::ask_to_yield(&before, service, term).await;
+            let proof = self.peers.ask_to_yield(&before, service, term).await;
             if let Some(is_clean) = proof {
                 let now = clock::now();
                 self.keeper(service, |keeper| keeper.predecessor_stopped(is_clean, now));
@@ -535,9 +571,9 @@
         let (Some(duty), Ok(value)) = (duty, postcard::to_allocvec(&map)) else {
             return;
         };
-        let map_key: Arc<str> = format!("{MAP}{service}").into();
+        let map_key = map_row(service);
         let transaction = Transaction {
-            expected: vec![(format!("{DUTY}{service}").into(), duty), (Arc::clone(&map_key), known)],
+            expected: vec![(duty_row(service), duty), (map_key.clone(), known)],
             put: vec![(map_key, Bytes::from(value))],
             remove: Vec::new(),
         };
@@ -559,6 +595,7 @@
         match end {
             Commit::Done(version) => {
                 self.keeper(service, |keeper| keeper.committed(asked));
+                self.publish_map(service, &map, version);
                 self.learn_map(service, map, version);
             }
             Commit::NotDone(_) => {
@@ -599,7 +636,7 @@
     /// `false` if it isn't or the store doesn't answer.
     async fn confirm(self: &Rc<Self>, service: &Arc<str>) -> bool {
         let asked = clock::now();
-        let Ok(row) = self.platform.row(&format!("{DUTY}{service}")).await else {
+        let Ok(row) = self.platform.row(&duty_row(service)).await else {
             return false;
         };
         self.learn_duty(service, row.as_ref().and_then(read_duty));
@@ -632,7 +669,7 @@
             keys,
             map_version,
         };
-        let (contact, map) = peer::report(&duty, &report).await;
+        let (contact, map) = self.peers.report(&duty, &report).await;
         if let Some((map, version)) = map.filter(|(map, _)| map.check().is_ok()) {
             self.learn_map(&service, map, version);
         }
@@ -647,7 +684,7 @@
     }
 
     async fn find_duty(self: &Rc<Self>, service: &Arc<str>) {
-        if let Ok(row) = self.platform.row(&format!("{DUTY}{service}")).await {
+        if let Ok(row) = self.platform.row(&duty_row(service)).await {
             self.learn_duty(service, row.as_ref().and_then(read_duty));
         }
     }
@@ -681,12 +718,12 @@
             seat.left_clean
         });
         duty.released = is_clean;
-        let key: Arc<str> = format!("{DUTY}{service}").into();
+        let key = duty_row(service);
         let Ok(value) = postcard::to_allocvec(&duty) else {
             return;
         };
         let transaction = Transaction {
-            expected: vec![(Arc::clone(&key), version)],
+            expected: vec![(key.clone(), version)],
             put: vec![(key, value.into())],
             remove: Vec::new(),
         };
@@ -696,6 +733,14 @@
     }
 }
 
+fn duty_row(service: &str) -> Name {
+    Name::new(Table::Routers, format!("{DUTY}{service}"))
+}
+
+fn map_row(service: &str) -> Name {
+    Name::new(Table::Maps, service)
+}
+
 fn read_duty(row: &Row) -> Option<(Duty, u64)> {
     let duty = postcard::from_bytes(row.value.as_ref()?).ok()?;
     Some((duty, row.version))
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -23,6 +23,14 @@
 /// Pause after a failure of the socket.
 const FAULT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Message between routers.
+#[derive(Debug, Serialize, Deserialize)]
+enum Message {
+    Counts(Counts),
+    /// Versions that the sender has of configuration and registry.
+    Versions([u64; 2]),
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct Counts {
     router: Arc<str>,
@@ -40,10 +48,10 @@
             continue;
         }
         was_empty = counts.is_empty();
-        let message = Counts {
+        let message = Message::Counts(Counts {
             router: Arc::clone(&node.settings.router),
             counts,
-        };
+        });
         if let Ok(bytes) = postcard::to_allocvec(&message) {
             for address in neighbours(&node) {
                 // The next message makes up for one that isn't sent.
@@ -53,6 +61,26 @@
     }
 }
 
+/// Tells all routers which versions this one has, so that none relies on a
+/// relay that is behind.
+pub(crate) fn tell_versions<P: Platform>(node: &Node<P>) {
+    let Some(socket) = node.socket.borrow().clone() else {
+        return;
+    };
+    if node.state.borrow().directory.is_none() {
+        return;
+    }
+    let Ok(bytes) = postcard::to_allocvec(&Message::Versions(node.relay.newest())) else {
+        return;
+    };
+    let state = node.state.borrow();
+    let others = state.routers.iter().filter(|(name, _)| **name != node.settings.router);
+    for (_, router) in others {
+        // Each change is told by every relay, so one datagram may get lost.
+        let _ = socket.try_send_to(&bytes, router.address);
+    }
+}
+
 fn counts<P: Platform>(node: &Node<P>) -> Vec<(Arc<str>, Arc<str>, u32)> {
     let state = node.state.borrow();
     let mut counts = Vec::new();
@@ -82,11 +110,11 @@
             continue;
         };
         let known = node.state.borrow().routers.values().any(|router| router.address.ip() == from.ip());
-        let Some(message) = postcard::from_bytes::<Counts>(&buffer[..length]).ok().filter(|_| known)
-        else {
-            continue;
-        };
-        take(&node, &message);
+        match postcard::from_bytes::<Message>(&buffer[..length]).ok().filter(|_| known) {
+            Some(Message::Counts(counts)) => take(&node, &counts),
+            Some(Message::Versions(versions)) => node.hear_versions(versions),
+            None => {}
+        }
     }
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod payload;
 mod peer;
 mod process;
+mod relay;
 mod request;
 pub mod seam;
 pub mod settings;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -14,6 +14,7 @@
 use eelgrassrock_ranges::map::Map;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot};
 
 use crate::book::Book;
@@ -21,6 +22,8 @@
 use crate::duty::Duties;
 use crate::link::Links;
 use crate::log::Log;
+use crate::peer::Peers;
+use crate::relay::Relay;
 use crate::seam::{Platform, Table};
 use crate::settings::Settings;
 
@@ -35,6 +38,8 @@
     pub(crate) address: SocketAddr,
     pub(crate) data_centre: Arc<str>,
     pub(crate) incarnation: u64,
+    /// Size of the VM relative to others.
+    pub(crate) size: u32,
 }
 
 /// What all tasks of a process share.
@@ -45,6 +50,10 @@
     pub(crate) links: Links,
     pub(crate) state: RefCell<State>,
     pub(crate) duties: Duties,
+    pub(crate) relay: Relay,
+    pub(crate) peers: Peers,
+    /// Socket of the datagrams between routers, once it is open.
+    pub(crate) socket: RefCell<Option<Rc<UdpSocket>>>,
     /// When the process was told to stop.
     pub(crate) stopped: Cell<Option<Instant>>,
     pub(crate) stop: Notify,
@@ -88,6 +97,9 @@
                 contact: HashMap::new(),
             }),
             duties,
+            relay: Relay::default(),
+            peers: Peers::default(),
+            socket: RefCell::new(None),
             stopped: Cell::new(None),
             stop: Notify::new(),
             open_requests: Cell::new(0),
@@ -230,6 +242,7 @@
             }
         }
         self.with(service, |_, _| ());
+        self.relay.tell();
         true
     }
 }
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -1,6 +1,8 @@
 //! Calls between routers: reports to a keeper, and the question whether an
 //! earlier keeper has stopped.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
@@ -12,6 +14,7 @@
 use eelgrassrock_ranges::election::{Contact, Duty};
 use eelgrassrock_ranges::map::Map;
 use eelgrassrock_store::endpoint::{Call, Endpoint};
+use eelgrassrock_store::Kind;
 use eelgrassrock_store::settings::Settings;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -25,10 +28,13 @@
 
 use crate::node::Node;
 use crate::payload::{self, Payload, Taken};
+use crate::relay;
 use crate::seam::Platform;
 
 /// Time for a call between routers: many round trips, and time for a slow VM.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for a call that the other router may hold back.
+const HELD_CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause after a failure to accept, for instance when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -63,55 +69,113 @@
     is_clean: Option<bool>,
 }
 
-async fn call<A: DeserializeOwned>(
-    address: SocketAddr,
-    path: &str,
-    body: &impl Serialize,
-) -> Result<A, Contact> {
-    // A refused connection says more than a failed call.
-    match timeout(CALL_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            return Err(Contact::Refused);
+/// A new map of a service.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct News {
+    pub(crate) service: Arc<str>,
+    pub(crate) map: Map,
+    pub(crate) version: u64,
+}
+
+/// Connections to other routers.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    endpoints: RefCell<HashMap<SocketAddr, Rc<Endpoint>>>,
+}
+
+impl Peers {
+    fn endpoint(&self, address: SocketAddr) -> Rc<Endpoint> {
+        let mut endpoints = self.endpoints.borrow_mut();
+        let new = || {
+            let settings = Settings::builder()
+                .connect_timeout(CALL_TIMEOUT)
+                .timeout(HELD_CALL_TIMEOUT)
+                .max_idle_connections(2)
+                .build();
+            Rc::new(Endpoint::new(address, settings))
+        };
+        Rc::clone(endpoints.entry(address).or_insert_with(new))
+    }
+
+    async fn call<A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &impl Serialize,
+        limit: Duration,
+    ) -> Result<A, Contact> {
+        let endpoint = self.endpoint(address);
+        let body = postcard::to_allocvec(body).map_err(|_| Contact::Silent)?;
+        let call = Call::post(path, body);
+        let answer = match timeout(limit, endpoint.call(&call)).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(fault)) if matches!(fault.kind, Kind::Unreachable(_)) => {
+                return Err(is_refused(address).await);
+            }
+            _ => return Err(Contact::Silent),
+        };
+        if answer.status != StatusCode::OK {
+            return Err(Contact::Idle);
         }
-        Ok(Ok(_)) => {}
-        _ => return Err(Contact::Silent),
+        postcard::from_bytes(&answer.body).map_err(|_| Contact::Idle)
     }
-    let settings = Settings::builder()
-        .connect_timeout(CALL_TIMEOUT)
-        .timeout(CALL_TIMEOUT)
-        .max_idle_connections(0)
-        .build();
-    let endpoint = Endpoint::new(address, settings);
-    let body = postcard::to_allocvec(body).map_err(|_| Contact::Silent)?;
-    let answer = endpoint.call(&Call::post(path, body)).await.map_err(|_| Contact::Silent)?;
-    if answer.status != StatusCode::OK {
-        return Err(Contact::Idle);
+
+    /// Reports to a keeper. Returns what the contact showed, and a newer map.
+    pub(crate) async fn report(
+        &self,
+        duty: &Duty,
+        report: &Report,
+    ) -> (Contact, Option<(Map, u64)>) {
+        match self.call::<Reply>(duty.address, "/report", report, CALL_TIMEOUT).await {
+            Ok(reply) if reply.is_keeper => (Contact::Serving, reply.map),
+            Ok(reply) => (Contact::Idle, reply.map),
+            Err(contact) => (contact, None),
+        }
+    }
+
+    /// Asks an earlier keeper to stop. Returns whether all of its grants were
+    /// answered, `None` if it isn't certain that it has stopped.
+    pub(crate) async fn ask_to_yield(
+        &self,
+        before: &Duty,
+        service: &Arc<str>,
+        term: u64,
+    ) -> Option<bool> {
+        let question = Yield {
+            service: Arc::clone(service),
+            term,
+        };
+        let end = self.call::<Yielded>(before.address, "/yield", &question, CALL_TIMEOUT).await;
+        match end {
+            Ok(yielded) if yielded.incarnation != before.incarnation => Some(false),
+            Ok(yielded) => yielded.is_clean,
+            // The process that had the duty has ended.
+            Err(Contact::Refused) => Some(false),
+            Err(_) => None,
+        }
     }
-    postcard::from_bytes(&answer.body).map_err(|_| Contact::Idle)
-}
 
-/// Reports to a keeper. Returns what the contact showed, and a newer map.
-pub(crate) async fn report(duty: &Duty, report: &Report) -> (Contact, Option<(Map, u64)>) {
-    match call::<Reply>(duty.address, "/report", report).await {
-        Ok(reply) if reply.is_keeper => (Contact::Serving, reply.map),
-        Ok(reply) => (Contact::Idle, reply.map),
-        Err(contact) => (contact, None),
+    /// Asks a relay for news, which it may hold back.
+    pub(crate) async fn follow(
+        &self,
+        address: SocketAddr,
+        hold_back: Duration,
+        question: &relay::Question,
+    ) -> Result<relay::Answer, Contact> {
+        self.call(address, "/follow", question, hold_back + CALL_TIMEOUT).await
+    }
+
+    /// Gives a relay a new map.
+    pub(crate) async fn tell_map(&self, address: SocketAddr, news: &News) -> Result<(), Contact> {
+        self.call(address, "/map", news, CALL_TIMEOUT).await
     }
 }
 
-/// Asks an earlier keeper to stop. Returns whether all of its grants were
-/// answered, `None` if it isn't certain that it has stopped.
-pub(crate) async fn ask_to_yield(before: &Duty, service: &Arc<str>, term: u64) -> Option<bool> {
-    let question = Yield {
-        service: Arc::clone(service),
-        term,
-    };
-    match call::<Yielded>(before.address, "/yield", &question).await {
-        Ok(yielded) if yielded.incarnation != before.incarnation => Some(false),
-        Ok(yielded) => yielded.is_clean,
-        // The process that had the duty has ended.
-        Err(Contact::Refused) => Some(false),
-        Err(_) => None,
+/// Whether nothing listens at an address: then the process that did has ended.
+async fn is_refused(address: SocketAddr) -> Contact {
+    match timeout(CALL_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Contact::Refused,
+        _ => Contact::Silent,
     }
 }
 
@@ -155,6 +219,15 @@
     };
     match &*path {
         "/report" => encode(postcard::from_bytes(&body).ok().map(|report| hear(node, &report))),
+        "/follow" => match postcard::from_bytes(&body) {
+            Ok(question) => encode(Some(node.answer_follower(question).await)),
+            Err(_) => respond(StatusCode::BAD_REQUEST, Bytes::new()),
+        },
+        "/map" => encode(postcard::from_bytes(&body).ok().map(|news: News| {
+            if news.map.check().is_ok() {
+                node.learn_map(&news.service, news.map, news.version);
+            }
+        })),
         "/yield" => encode(postcard::from_bytes(&body).ok().map(|question: Yield| Yielded {
             incarnation: node.settings.incarnation,
             is_clean: node.duties.give_up(&question.service, question.term),
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -17,7 +17,8 @@
 use crate::clock;
 use crate::log::Log;
 use crate::node::{Node, Router};
-use crate::seam::{Commit, Platform, Table, Transaction};
+use crate::relay::TABLES;
+use crate::seam::{Commit, Name, Platform, Table, Transaction};
 use crate::settings::Settings;
 use crate::watch::{self, ROUTER};
 use crate::{front, gossip, peer};
@@ -108,15 +109,17 @@
     let socket = UdpSocket::bind(settings.peer).await;
     let address = settings.peer;
     let socket = Rc::new(socket.map_err(|source| Fault::Listen { address, source })?);
+    *node.socket.borrow_mut() = Some(Rc::clone(&socket));
     spawn_local(front::accept(Rc::clone(&node), front));
     spawn_local(front::accept_readiness(Rc::clone(&node), readiness));
     spawn_local(peer::accept(Rc::clone(&node), peers));
     spawn_local(gossip::tell(Rc::clone(&node), Rc::clone(&socket)));
     spawn_local(gossip::hear(Rc::clone(&node), socket));
-    for table in [Table::Configuration, Table::Registry, Table::Routers] {
+    spawn_local(register(Rc::clone(&node)));
+    for table in TABLES {
         spawn_local(watch::follow(Rc::clone(&node), table));
     }
-    spawn_local(register(Rc::clone(&node)));
+    spawn_local(Rc::clone(&node).follow_relay());
     spawn_local(sweep(Rc::clone(&node)));
     loop {
         tokio::select! {
@@ -139,6 +142,7 @@
         address: node.settings.peer,
         data_centre: Arc::clone(&node.settings.data_centre),
         incarnation: node.settings.incarnation,
+        size: node.settings.size,
     };
     let Ok(value) = postcard::to_allocvec(&router) else {
         return;
@@ -152,8 +156,8 @@
     }
 }
 
-fn row_of(settings: &Settings) -> Arc<str> {
-    format!("{ROUTER}{}", settings.router).into()
+fn row_of(settings: &Settings) -> Name {
+    Name::new(Table::Routers, format!("{ROUTER}{}", settings.router))
 }
 
 /// Forgets what is too old to matter.
--- /dev/null
+++ b/crates/edge/src/relay.rs
@@ -0,0 +1,380 @@
+//! News of the store within a data centre: one router reads the store's feeds,
+//! the others ask it.
+//!
+//! Every router that follows the feeds itself is woken, and makes a call, for
+//! each change. So the routers of a data centre agree on a *relay*, the first
+//! by size and name that answers. The others hold one call to it that it
+//! answers on news, or after a short while to show that it still hears from
+//! the store. A follower that gets no such answer, or hears of a version that
+//! its relay doesn't bring, reads the store by itself.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassrock_model::time::Instant;
+use eelgrassrock_ranges::map::Map;
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+use crate::clock;
+use crate::node::{Node, Router};
+use crate::peer;
+use crate::seam::{Platform, Row, Rows, Table};
+use crate::watch;
+
+/// Longest time for which a relay holds back an answer without news. A
+/// follower misses a lost relay for this time and that of a call.
+const HOLD_BACK: Duration = Duration::from_millis(500);
+/// Time for which a relay that didn't answer is passed over.
+const PASS_OVER: Duration = Duration::from_secs(3);
+/// Time that a relay gets to bring a version that another router has.
+const NEWS_SLACK: Duration = Duration::from_millis(120);
+/// Time for which a router reads the store by itself after its relay was late.
+const DIRECT_TIME: Duration = Duration::from_secs(2);
+/// Changes of one table that are kept for followers.
+const MAX_JOURNAL: usize = 1_024;
+/// Pause before a follower that has no relay looks again.
+const ROLE_POLL: Duration = Duration::from_millis(500);
+
+/// All tables, in the order in which messages name them.
+pub(crate) const TABLES: [Table; 3] = [Table::Configuration, Table::Registry, Table::Routers];
+
+/// Recent changes of the tables, and where they come from.
+#[derive(Default)]
+pub(crate) struct Relay {
+    journals: RefCell<[Journal; 3]>,
+    passed_over: RefCell<HashMap<Arc<str>, Instant>>,
+    direct_until: Cell<Option<Instant>>,
+    /// Wakes followers that wait for news.
+    news: Notify,
+    /// Wakes those who read, when where to read from may have changed.
+    pub(crate) role: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Journal {
+    rows: VecDeque<Row>,
+    /// Changes after this version are in `rows`.
+    since: u64,
+    /// Version up to which everything is known, 0 if the table wasn't read.
+    version: u64,
+    /// Highest version of a row.
+    newest_row: u64,
+}
+
+/// Question of a follower.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub(crate) struct Question {
+    after: [u64; 3],
+    maps: Vec<(Arc<str>, u64)>,
+    /// Keys that were asked for at the follower, by service.
+    keys: Vec<(Arc<str>, Vec<u16>)>,
+}
+
+/// Answer of a relay.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Answer {
+    /// Whether the relay can be relied upon: it hears from the store.
+    is_live: bool,
+    tables: Vec<Part>,
+    maps: Vec<(Arc<str>, Map, u64)>,
+}
+
+/// Changes of one table.
+#[derive(Debug, Serialize, Deserialize)]
+struct Part {
+    table: u8,
+    rows: Vec<WireRow>,
+    version: u64,
+    /// The changes reach back too far.
+    forgotten: bool,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireRow {
+    key: Arc<str>,
+    value: Option<Vec<u8>>,
+    version: u64,
+}
+
+impl From<&Row> for WireRow {
+    fn from(row: &Row) -> Self {
+        Self {
+            key: Arc::clone(&row.key),
+            value: row.value.as_ref().map(|value| value.to_vec()),
+            version: row.version,
+        }
+    }
+}
+
+impl From<WireRow> for Row {
+    fn from(row: WireRow) -> Self {
+        Self {
+            key: row.key,
+            value: row.value.map(Into::into),
+            version: row.version,
+        }
+    }
+}
+
+fn index(table: Table) -> usize {
+    TABLES.iter().position(|other| *other == table).unwrap_or(0)
+}
+
+impl Relay {
+    /// Keeps changes of a table. `whole` says that they are all of its rows.
+    pub(crate) fn keep(&self, table: Table, rows: &Rows, whole: bool) {
+        let mut journals = self.journals.borrow_mut();
+        let journal = &mut journals[index(table)];
+        if whole {
+            journal.rows.clear();
+            journal.since = rows.version;
+        } else {
+            journal.rows.extend(rows.rows.iter().cloned());
+        }
+        let newest = rows.rows.iter().map(|row| row.version).max().unwrap_or(0);
+        journal.newest_row = journal.newest_row.max(newest);
+        journal.version = journal.version.max(rows.version);
+        while journal.rows.len() > MAX_JOURNAL {
+            if let Some(row) = journal.rows.pop_front() {
+                journal.since = journal.since.max(row.version);
+            }
+        }
+        if whole || !rows.rows.is_empty() {
+            self.news.notify_waiters();
+        }
+    }
+
+    /// Forgets a table, which then is read anew.
+    pub(crate) fn forget(&self, table: Table) {
+        self.journals.borrow_mut()[index(table)] = Journal::default();
+    }
+
+    /// Version from which the changes of a table go on, `None` if it must be
+    /// read whole.
+    pub(crate) fn after(&self, table: Table) -> Option<u64> {
+        let version = self.journals.borrow()[index(table)].version;
+        (version > 0).then_some(version)
+    }
+
+    /// Highest versions of rows of the tables that others write.
+    pub(crate) fn newest(&self) -> [u64; 2] {
+        let journals = self.journals.borrow();
+        [Table::Configuration, Table::Registry].map(|table| journals[index(table)].newest_row)
+    }
+
+    /// Tells followers that there is a new map.
+    pub(crate) fn tell(&self) {
+        self.news.notify_waiters();
+    }
+
+    fn changes(&self, after: [u64; 3]) -> Vec<Part> {
+        let journals = self.journals.borrow();
+        let mut parts = Vec::new();
+        for (table, journal) in journals.iter().enumerate() {
+            if journal.version == 0 || after[table] == 0 {
+                continue;
+            }
+            let forgotten = after[table] < journal.since;
+            let later = |row: &&Row| row.version > after[table];
+            let rows: Vec<WireRow> = journal.rows.iter().filter(later).map(WireRow::from).collect();
+            if forgotten || !rows.is_empty() {
+                parts.push(Part {
+                    table: table as u8,
+                    rows: if forgotten { Vec::new() } else { rows },
+                    version: journal.version,
+                    forgotten,
+                });
+            }
+        }
+        parts
+    }
+}
+
+impl<P: Platform> Node<P> {
+    /// Returns the router whose news this one follows, `None` if it reads the
+    /// store by itself.
+    pub(crate) fn relay_to_follow(&self) -> Option<Router> {
+        let now = clock::now();
+        let direct = self.relay.direct_until.get().is_some_and(|until| now < until);
+        let unread = TABLES.iter().any(|table| self.relay.after(*table).is_none());
+        if direct || unread {
+            return None;
+        }
+        let own = &self.settings;
+        let state = self.state.borrow();
+        let passed_over = self.relay.passed_over.borrow();
+        let is_passed = |name: &Arc<str>| passed_over.get(name).is_some_and(|until| now < *until);
+        let near = state.routers.iter().filter(|(name, router)| {
+            router.data_centre == own.data_centre && (**name == own.router || !is_passed(name))
+        });
+        // The largest VM first; equal ones in an order of their own.
+        let order = |(name, router): &(&Arc<str>, &Router)| {
+            let mut hasher = DefaultHasher::new();
+            name.hash(&mut hasher);
+            (std::cmp::Reverse(router.size), hasher.finish())
+        };
+        let (name, router) = near.min_by_key(order)?;
+        (*name != own.router).then(|| router.clone())
+    }
+
+    /// Name of a router with this address.
+    fn router_at(&self, router: &Router) -> Option<Arc<str>> {
+        let state = self.state.borrow();
+        let mut routers = state.routers.iter();
+        routers.find(|(_, other)| other.address == router.address).map(|(name, _)| Arc::clone(name))
+    }
+
+    /// Whether this router hears from the store.
+    fn hears_from_store(&self) -> bool {
+        let state = self.state.borrow();
+        !self.is_stopping()
+            && TABLES.iter().all(|table| state.contact.get(table).copied().unwrap_or(false))
+    }
+
+    /// Notes the versions that another router has.
+    pub(crate) fn hear_versions(self: &Rc<Self>, versions: [u64; 2]) {
+        let is_behind = move |node: &Self| {
+            let own = node.relay.newest();
+            own.iter().zip(versions).any(|(own, theirs)| *own > 0 && *own < theirs)
+        };
+        if self.relay_to_follow().is_none() || !is_behind(self) {
+            return;
+        }
+        let node = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            sleep(NEWS_SLACK).await;
+            if is_behind(&node) {
+                node.relay.direct_until.set(Some(clock::now() + DIRECT_TIME));
+                node.relay.role.notify_waiters();
+            }
+        });
+    }
+
+    /// Answers a follower when there is news, or after a while.
+    pub(crate) async fn answer_follower(self: &Rc<Self>, question: Question) -> Answer {
+        for (service, keys) in question.keys {
+            self.duties.absorb(&service, &keys);
+        }
+        let news = || {
+            let tables = self.relay.changes(question.after);
+            let maps = self.newer_maps(&question.maps);
+            (!tables.is_empty() || !maps.is_empty()).then_some((tables, maps))
+        };
+        let found = match news() {
+            Some(found) => Some(found),
+            None => {
+                let notified = self.relay.news.notified();
+                // Without news, the answer shows that this router lives.
+                let _ = timeout(HOLD_BACK, notified).await;
+                news()
+            }
+        };
+        let (tables, maps) = found.unwrap_or_default();
+        // A relay whose own relay is another one would be late by two calls.
+        let is_live = self.hears_from_store() && self.relay_to_follow().is_none();
+        Answer {
+            is_live,
+            tables,
+            maps,
+        }
+    }
+
+    fn newer_maps(&self, known: &[(Arc<str>, u64)]) -> Vec<(Arc<str>, Map, u64)> {
+        let state = self.state.borrow();
+        let is_newer = |name: &Arc<str>, version: u64| {
+            let known = known.iter().find(|(other, _)| other == name);
+            known.is_none_or(|(_, known)| *known < version)
+        };
+        let maps = state.maps.iter().filter(|(name, (_, version))| is_newer(name, *version));
+        maps.map(|(name, (map, version))| (Arc::clone(name), map.clone(), *version)).collect()
+    }
+
+    /// Follows a relay as long as there is one.
+    pub(crate) async fn follow_relay(self: Rc<Self>) {
+        loop {
+            let Some(relay) = self.relay_to_follow() else {
+                let _ = timeout(ROLE_POLL, self.relay.role.notified()).await;
+                continue;
+            };
+            let after = TABLES.map(|table| self.relay.after(table).unwrap_or(0));
+            let maps = {
+                let state = self.state.borrow();
+                let maps = state.maps.iter();
+                maps.map(|(name, (_, version))| (Arc::clone(name), *version)).collect()
+            };
+            let question = Question {
+                after,
+                maps,
+                keys: self.duties.take_keys(),
+            };
+            match self.peers.follow(relay.address, HOLD_BACK, &question).await {
+                Ok(answer) if answer.is_live => self.take_answer(answer),
+                Ok(_) | Err(_) => {
+                    if let Some(name) = self.router_at(&relay) {
+                        let until = clock::now() + PASS_OVER;
+                        self.relay.passed_over.borrow_mut().insert(name, until);
+                    }
+                    self.relay.role.notify_waiters();
+                }
+            }
+        }
+    }
+
+    fn take_answer(self: &Rc<Self>, answer: Answer) {
+        for part in answer.tables {
+            let Some(table) = TABLES.get(usize::from(part.table)).copied() else {
+                continue;
+            };
+            if part.forgotten {
+                self.relay.forget(table);
+                self.relay.role.notify_waiters();
+                continue;
+            }
+            let rows = Rows {
+                rows: part.rows.into_iter().map(Row::from).collect(),
+                version: part.version,
+            };
+            watch::take_changes(self, table, &rows);
+        }
+        for (service, map, version) in answer.maps {
+            if map.check().is_ok() {
+                self.learn_map(&service, map, version);
+            }
+        }
+    }
+
+    /// Gives a new map to the relays of the other data centres and to the own
+    /// one; theirs tell their followers.
+    pub(crate) fn publish_map(self: &Rc<Self>, service: &Arc<str>, map: &Map, version: u64) {
+        let mut relays: HashMap<Arc<str>, (u32, u64, std::net::SocketAddr)> = HashMap::new();
+        {
+            let state = self.state.borrow();
+            let others = state.routers.iter().filter(|(name, _)| **name != self.settings.router);
+            for (name, router) in others {
+                let mut hasher = DefaultHasher::new();
+                name.hash(&mut hasher);
+                let rank = (u32::MAX - router.size, hasher.finish(), router.address);
+                let first = relays.entry(Arc::clone(&router.data_centre)).or_insert(rank);
+                *first = (*first).min(rank);
+            }
+        }
+        for (_, _, address) in relays.into_values() {
+            let node = Rc::clone(self);
+            let message = peer::News {
+                service: Arc::clone(service),
+                map: map.clone(),
+                version,
+            };
+            tokio::task::spawn_local(async move {
+                // What gets lost comes with the answer to the next report.
+                let _ = node.peers.tell_map(address, &message).await;
+            });
+        }
+    }
+}
--- a/crates/edge/src/seam.rs
+++ b/crates/edge/src/seam.rs
@@ -22,9 +22,32 @@
     /// What the upstreams say of themselves.
     #[display("registry")]
     Registry,
-    /// What the routers keep.
+    /// Routers and duties; written and followed by the routers.
     #[display("routers")]
     Routers,
+    /// Maps of key ranges; written by keepers and followed by nobody, since
+    /// routers tell each other.
+    #[display("maps")]
+    Maps,
+}
+
+/// Where a row is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Name {
+    /// Its table.
+    pub table: Table,
+    /// Its name within the table.
+    pub key: Arc<str>,
+}
+
+impl Name {
+    /// Creates the name of a row.
+    pub fn new(table: Table, key: impl Into<Arc<str>>) -> Self {
+        Self {
+            table,
+            key: key.into(),
+        }
+    }
 }
 
 /// Row of a table.
@@ -60,11 +83,11 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Transaction {
     /// Versions that rows must have, 0 for rows that must not exist.
-    pub expected: Vec<(Arc<str>, u64)>,
+    pub expected: Vec<(Name, u64)>,
     /// Rows to write.
-    pub put: Vec<(Arc<str>, Bytes)>,
+    pub put: Vec<(Name, Bytes)>,
     /// Rows to remove.
-    pub remove: Vec<Arc<str>>,
+    pub remove: Vec<Name>,
 }
 
 /// End of a transaction.
@@ -121,13 +144,13 @@
     /// Reads all rows of a table.
     fn rows(&self, table: Table) -> impl Future<Output = Result<Rows, Fault>>;
 
-    /// Reads one row of [`Table::Routers`].
-    fn row(&self, key: &str) -> impl Future<Output = Result<Option<Row>, Fault>>;
+    /// Reads one row.
+    fn row(&self, name: &Name) -> impl Future<Output = Result<Option<Row>, Fault>>;
 
     /// Waits for changes of a table after a version.
     fn changes(&self, table: Table, after: u64) -> impl Future<Output = Result<Changes, Fault>>;
 
-    /// Writes rows of [`Table::Routers`].
+    /// Writes rows of [`Table::Routers`] and [`Table::Maps`].
     fn commit(&self, transaction: &Transaction) -> impl Future<Output = Commit>;
 
     /// Reads a row of [`Table::Configuration`]; `None` if it is none that the
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -16,6 +16,8 @@
     pub incarnation: u64,
     /// Data centre that the VM stands in.
     pub data_centre: Arc<str>,
+    /// Size of the VM relative to others, in thousandths of a core.
+    pub size: u32,
     /// Address for callers.
     pub front: SocketAddr,
     /// Address at which the platform asks whether the router is ready.
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -6,13 +6,13 @@
 
 use eelgrassrock_dispatch::directory::Directory;
 use eelgrassrock_ranges::election::Duty;
-use eelgrassrock_ranges::map::Map;
 use eelgrassrock_store::Fault;
 use serde::Serialize;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::book::Change;
 use crate::clock;
+use crate::gossip;
 use crate::node::{Node, Router};
 use crate::seam::{Changes, Platform, Row, Rows, Table};
 
@@ -21,13 +21,15 @@
 const MIN_PAUSE: Duration = Duration::from_millis(60);
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 /// Pause between two answers, so that rows written one after the other come
-/// in one.
-const GATHER: Duration = Duration::from_millis(15);
+/// in one. It is a small part of the bounds on drains and configurations.
+const GATHER: Duration = Duration::from_millis(100);
+const FIRST_GATHER: Duration = Duration::from_millis(700);
+/// Pause before a follower that has no relay looks again.
+const ROLE_POLL: Duration = Duration::from_secs(5);
 
 /// Prefixes of the rows that routers keep.
 pub(crate) const ROUTER: &str = "router/";
 pub(crate) const DUTY: &str = "duty/";
-pub(crate) const MAP: &str = "map/";
 
 #[derive(Serialize)]
 struct Store<'a> {
@@ -58,19 +60,32 @@
     sequence: u64,
 }
 
-/// Follows one table until the process ends.
+/// Follows one table until the process ends, at the store unless a relay
+/// brings its news.
 pub(crate) async fn follow<P: Platform>(node: Rc<Node<P>>, table: Table) {
-    let mut after = None;
     let mut pause = MIN_PAUSE;
+    let mut is_first = true;
     loop {
-        match step(&node, table, after).await {
-            Ok(next) => {
+        if node.relay_to_follow().is_some() {
+            let _ = timeout(ROLE_POLL, node.relay.role.notified()).await;
+            continue;
+        }
+        let end = tokio::select! {
+            end = step(&node, table) => Some(end),
+            () = follows_relay(&node) => None,
+        };
+        match end {
+            None => {}
+            Some(Ok(())) => {
                 note_contact(&node, table, None);
-                after = next;
                 pause = MIN_PAUSE;
-                sleep(GATHER).await;
+                // Routers and upstreams that start together register within
+                // about this time.
+                sleep(if is_first { FIRST_GATHER } else { GATHER }).await;
+                is_first = false;
+                node.relay.role.notify_waiters();
             }
-            Err(fault) => {
+            Some(Err(fault)) => {
                 note_contact(&node, table, Some(&fault));
                 sleep(pause).await;
                 pause = (pause * 2).min(MAX_PAUSE);
@@ -79,27 +94,42 @@
     }
 }
 
-/// Makes one call and takes what it brings. Returns the version to go on from,
-/// `None` if the table must be read anew.
-async fn step<P: Platform>(
-    node: &Rc<Node<P>>,
-    table: Table,
-    after: Option<u64>,
-) -> Result<Option<u64>, Fault> {
-    let Some(after) = after else {
+/// Waits until a relay brings the news.
+async fn follows_relay<P: Platform>(node: &Node<P>) {
+    loop {
+        node.relay.role.notified().await;
+        if node.relay_to_follow().is_some() {
+            return;
+        }
+    }
+}
+
+/// Makes one call and takes what it brings.
+async fn step<P: Platform>(node: &Rc<Node<P>>, table: Table) -> Result<(), Fault> {
+    let Some(after) = node.relay.after(table) else {
         let rows = node.platform.rows(table).await?;
         note_contact(node, table, None);
         take_all(node, table, &rows);
-        return Ok(Some(rows.version));
+        node.relay.keep(table, &rows, true);
+        return Ok(());
     };
     match node.platform.changes(table, after).await? {
-        Changes::Forgotten => Ok(None),
+        Changes::Forgotten => node.relay.forget(table),
         Changes::Rows(rows) => {
             note_contact(node, table, None);
-            take(node, table, &rows.rows);
-            Ok(Some(rows.version.max(after)))
+            take_changes(node, table, &rows);
+            if table != Table::Routers && !rows.rows.is_empty() {
+                gossip::tell_versions(node);
+            }
         }
     }
+    Ok(())
+}
+
+/// Takes changes of a table, wherever they come from.
+pub(crate) fn take_changes<P: Platform>(node: &Rc<Node<P>>, table: Table, rows: &Rows) {
+    take(node, table, &rows.rows);
+    node.relay.keep(table, rows, false);
 }
 
 fn note_contact<P: Platform>(node: &Rc<Node<P>>, table: Table, fault: Option<&Fault>) {
@@ -139,7 +169,7 @@
             };
             state.routers.retain(|name, _| present(name));
         }
-        Table::Configuration => {}
+        Table::Configuration | Table::Maps => {}
     }
     take(node, table, &rows.rows);
 }
@@ -153,6 +183,7 @@
             Table::Configuration => take_configuration(node, row),
             Table::Registry => take_upstream(node, row),
             Table::Routers => take_own(node, row),
+            Table::Maps => {}
         }
     }
     if table == Table::Registry {
@@ -257,15 +288,6 @@
             Some(Err(error)) => note_bad(node, Table::Routers, row, &error.to_string()),
             None => {}
         }
-    } else if let Some(service) = row.key.strip_prefix(MAP) {
-        match row.value.as_ref().map(|value| postcard::from_bytes::<Map>(value)) {
-            Some(Ok(map)) if map.check().is_ok() => {
-                node.learn_map(&service.into(), map, row.version);
-            }
-            Some(Ok(_)) => note_bad(node, Table::Routers, row, "the ranges don't cover every key"),
-            Some(Err(error)) => note_bad(node, Table::Routers, row, &error.to_string()),
-            None => {}
-        }
     }
 }
 
