A feed that died without a sign is noticed within half of the bounds

Change: the feed of the configuration is answered every 900 ms at least; when it isn't, all feeds begin anew; a reader that hears of a later version as well. Ruled out: TCP keep-alive, which the store's side still answers.

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -54,6 +54,8 @@
     news: Notify,
     /// Wakes those who read, when where to read from may have changed.
     pub(crate) role: Notify,
+    /// Wakes those who read the store, when their calls may be dead.
+    pub(crate) feeds_lost: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -243,15 +245,20 @@
             let own = node.relay.newest();
             own.iter().zip(versions).any(|(own, theirs)| *own > 0 && *own < theirs)
         };
-        if self.relay_to_follow().is_none() || !is_behind(self) {
+        if !is_behind(self) {
             return;
         }
         let node = Rc::clone(self);
         tokio::task::spawn_local(async move {
             sleep(NEWS_SLACK).await;
-            if is_behind(&node) {
+            if !is_behind(&node) {
+                return;
+            }
+            if node.relay_to_follow().is_some() {
                 node.relay.direct_until.set(Some(clock::now() + DIRECT_TIME));
                 node.relay.role.notify_waiters();
+            } else {
+                node.relay.feeds_lost.notify_waiters();
             }
         });
     }
--- a/crates/edge/src/seam.rs
+++ b/crates/edge/src/seam.rs
@@ -147,8 +147,14 @@
     /// Reads one row.
     fn row(&self, name: &Name) -> impl Future<Output = Result<Option<Row>, Fault>>;
 
-    /// Waits for changes of a table after a version.
-    fn changes(&self, table: Table, after: u64) -> impl Future<Output = Result<Changes, Fault>>;
+    /// Waits for changes of a table after a version, at most for `wait`. Fails
+    /// if there is no answer soon after that.
+    fn changes(
+        &self,
+        table: Table,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Changes, Fault>>;
 
     /// Writes rows of [`Table::Routers`] and [`Table::Maps`].
     fn commit(&self, transaction: &Transaction) -> impl Future<Output = Commit>;
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -20,6 +20,11 @@
 /// drains and configurations run on, and longer while the store stays away.
 const MIN_PAUSE: Duration = Duration::from_millis(60);
 const MAX_PAUSE: Duration = Duration::from_millis(500);
+/// Longest time without an answer from the store. A feed may die without a
+/// sign, so one of them proves within half of the bounds that the store is
+/// heard; when it fails, all begin anew.
+const PROVING_WAIT: Duration = Duration::from_millis(900);
+const QUIET_WAIT: Duration = Duration::from_secs(20);
 /// Pause between two answers, so that rows written one after the other come
 /// in one. It is a small part of the bounds on drains and configurations.
 const GATHER: Duration = Duration::from_millis(100);
@@ -73,6 +78,7 @@
         let end = tokio::select! {
             end = step(&node, table) => Some(end),
             () = follows_relay(&node) => None,
+            () = node.relay.feeds_lost.notified() => None,
         };
         match end {
             None => {}
@@ -87,6 +93,10 @@
             }
             Some(Err(fault)) => {
                 note_contact(&node, table, Some(&fault));
+                if table == Table::Configuration {
+                    // The other feeds may be as dead without showing it.
+                    node.relay.feeds_lost.notify_waiters();
+                }
                 sleep(pause).await;
                 pause = (pause * 2).min(MAX_PAUSE);
             }
@@ -113,7 +123,8 @@
         node.relay.keep(table, &rows, true);
         return Ok(());
     };
-    match node.platform.changes(table, after).await? {
+    let wait = if table == Table::Configuration { PROVING_WAIT } else { QUIET_WAIT };
+    match node.platform.changes(table, after, wait).await? {
         Changes::Forgotten => node.relay.forget(table),
         Changes::Rows(rows) => {
             note_contact(node, table, None);
