--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 
 use crate::pace::Pace;
-use crate::service::Report;
+use crate::service::{Note, Report};
 use crate::upstream::Upstream;
 
 /// Age at which a count from another router says nothing any more. Counts are
@@ -152,7 +152,10 @@
         self.starts.push(now);
     }
 
-    pub(crate) fn end(&mut self, started: Instant, report: Report, now: Instant) {
+    /// Notes the end of a send. Returns what it changed in the trust.
+    pub(crate) fn end(&mut self, started: Instant, report: Report, now: Instant) -> Option<Note> {
+        let was_distrusted = self.failures_in_row >= FAILURES_TO_PAUSE;
+        let paused_until = self.paused_until;
         if let Some(index) = self.starts.iter().position(|start| *start == started) {
             self.starts.remove(index);
         }
@@ -200,6 +203,13 @@
             }
             Report::Cancelled => {}
         }
+        let is_distrusted = self.failures_in_row >= FAILURES_TO_PAUSE;
+        let changed = was_distrusted != is_distrusted || self.paused_until > paused_until;
+        changed.then(|| Note {
+            upstream: Arc::clone(&self.upstream.id),
+            failures: if is_distrusted { self.failures_in_row } else { 0 },
+            pause: self.paused_until - now,
+        })
     }
 
     fn note(&mut self, failed: bool, now: Instant) {
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -96,6 +96,21 @@
 }
 
 impl Report {
+    /// Name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered { failed: false } => "answered",
+            Self::Answered { failed: true } => "failed",
+            Self::Refused => "refused",
+            Self::Misdirected => "not-holder",
+            Self::Replaced => "replaced",
+            Self::Unreachable => "unreachable",
+            Self::Broken => "broken",
+            Self::Silent => "silent",
+            Self::Cancelled => "cancelled",
+        }
+    }
+
     /// Whether it proves that the request has not run and never will.
     pub fn proves_not_run(self) -> bool {
         let not_run = [Self::Refused, Self::Misdirected, Self::Replaced, Self::Unreachable];
@@ -178,6 +193,18 @@
     routers: usize,
     answers: Vec<Instant>,
     blocks: Vec<Block>,
+    notes: Vec<Note>,
+}
+
+/// Change of the trust in an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Note {
+    /// Which one.
+    pub upstream: Arc<str>,
+    /// Failures in a row, 0 if it is trusted again.
+    pub failures: u32,
+    /// Time for which it gets no requests.
+    pub pause: Duration,
 }
 
 /// Range of keys whose holder said that it doesn't hold them.
@@ -208,6 +235,7 @@
             routers: 1,
             answers: Vec::new(),
             blocks: Vec::new(),
+            notes: Vec::new(),
         }
     }
 
@@ -336,10 +364,15 @@
             }
         }
         if let Some(member) = self.members.get_mut(upstream) {
-            member.end(started, report, now);
+            self.notes.extend(member.end(started, report, now));
         }
     }
 
+    /// Takes the changes of trust since the last call.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
     /// Drops a request from the queue whose caller has left.
     pub fn leave(&mut self, ticket: u64) {
         self.queue.retain(|request| request.ticket != ticket);
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -120,6 +120,12 @@
         asked.map(|(name, seat)| (Arc::clone(name), std::mem::take(&mut seat.keys))).collect()
     }
 
+    /// Whether this router grants the keys of a service.
+    pub(crate) fn is_keeper(&self, service: &str) -> bool {
+        let services = self.services.borrow();
+        services.get(service).is_some_and(|seat| seat.keeper.is_some())
+    }
+
     /// Counts what another router reports. Returns whether this one is the
     /// keeper and may act.
     pub(crate) fn hear(&self, service: &Arc<str>, keys: &[u16]) -> bool {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod gossip;
 mod link;
 mod log;
+mod metrics;
 mod node;
 mod payload;
 mod peer;
--- a/crates/edge/src/log.rs
+++ b/crates/edge/src/log.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 
 use eelgrassrock_telemetry::log::{Level, Logger};
+use prometheus_client::metrics::counter::Counter;
 use serde::Serialize;
 
 use crate::clock;
@@ -15,6 +16,7 @@
     second: Cell<u64>,
     lines: Cell<u32>,
     left_out: Cell<u64>,
+    left_out_total: Counter,
     answered: Cell<u64>,
 }
 
@@ -24,13 +26,15 @@
 }
 
 impl Log {
-    pub(crate) fn new(logger: Logger, settings: settings::Log) -> Self {
+    /// Creates a log. `left_out` counts the lines beyond the bound.
+    pub(crate) fn new(logger: Logger, settings: settings::Log, left_out: Counter) -> Self {
         Self {
             logger,
             settings,
             second: Cell::new(0),
             lines: Cell::new(0),
             left_out: Cell::new(0),
+            left_out_total: left_out,
             answered: Cell::new(0),
         }
     }
@@ -58,6 +62,7 @@
         }
         if self.lines.get() >= self.settings.max_lines_per_s {
             self.left_out.set(self.left_out.get() + 1);
+            self.left_out_total.inc();
             return;
         }
         self.lines.set(self.lines.get() + 1);
--- /dev/null
+++ b/crates/edge/src/metrics.rs
@@ -0,0 +1,225 @@
+//! Counters and histograms, served as text.
+//!
+//! `cadence`, which the other daemon uses, pushes single values; what is asked
+//! for here is a page with histograms, so `prometheus-client` keeps them.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassrock_model::time::Instant;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Response};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use crate::node::Node;
+use crate::payload::Payload;
+use crate::relay::TABLES;
+use crate::seam::Platform;
+
+/// Upper bounds of the buckets of all histograms, in seconds: from the time in
+/// a data centre to the longest time limits.
+const BUCKETS_S: [f64; 12] =
+    [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0];
+/// Pause after a failure to accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Outcome {
+    route: Arc<str>,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Service {
+    service: Arc<str>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Send {
+    service: Arc<str>,
+    report: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Table {
+    table: String,
+}
+
+type Histograms = Family<Service, Histogram, fn() -> Histogram>;
+
+fn histogram() -> Histogram {
+    Histogram::new(BUCKETS_S)
+}
+
+/// All metrics of a process.
+pub(crate) struct Metrics {
+    registry: Registry,
+    requests: Family<Outcome, Counter>,
+    total: Histograms,
+    queued: Histograms,
+    upstream: Histograms,
+    sends: Family<Send, Counter>,
+    left_out: Counter,
+    open: Gauge,
+    configuration: Gauge,
+    upstreams: Family<Service, Gauge>,
+    waiting: Family<Service, Gauge>,
+    ranges: Family<Service, Gauge>,
+    contact: Family<Table, Gauge>,
+    keeper: Family<Service, Gauge>,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let metrics = Self {
+            registry: Registry::with_prefix("eelgrassrock"),
+            requests: Family::default(),
+            total: Family::new_with_constructor(histogram),
+            queued: Family::new_with_constructor(histogram),
+            upstream: Family::new_with_constructor(histogram),
+            sends: Family::default(),
+            left_out: Counter::default(),
+            open: Gauge::default(),
+            configuration: Gauge::default(),
+            upstreams: Family::default(),
+            waiting: Family::default(),
+            ranges: Family::default(),
+            contact: Family::default(),
+            keeper: Family::default(),
+        };
+        metrics.registered()
+    }
+
+    fn registered(mut self) -> Self {
+        let all = &mut self.registry;
+        all.register("requests", "Requests by route and outcome", self.requests.clone());
+        let seconds = Unit::Seconds;
+        let help = "Time from arrival to answer";
+        all.register_with_unit("request", help, seconds.clone(), self.total.clone());
+        let help = "Time in the queue, for requests that were sent";
+        all.register_with_unit("queue", help, seconds.clone(), self.queued.clone());
+        let help = "Time at an upstream";
+        all.register_with_unit("upstream", help, seconds, self.upstream.clone());
+        all.register("sends", "Sends to upstreams by how they ended", self.sends.clone());
+        let help = "Log lines about requests beyond the bound";
+        all.register("log_lines_left_out", help, self.left_out.clone());
+        all.register("open_requests", "Requests without an answer", self.open.clone());
+        let help = "Version of the configuration in force, 0 for none";
+        all.register("configuration_version", help, self.configuration.clone());
+        all.register("upstreams", "Upstreams that are known", self.upstreams.clone());
+        all.register("waiting", "Requests in the queue", self.waiting.clone());
+        all.register("key_ranges", "Ranges of keys in the map", self.ranges.clone());
+        let help = "Whether the store answers about a table";
+        all.register("store_contact", help, self.contact.clone());
+        all.register("keeper", "Whether this router grants the keys", self.keeper.clone());
+        self
+    }
+
+    pub(crate) fn request(
+        &self,
+        route: &Arc<str>,
+        service: &Arc<str>,
+        outcome: &'static str,
+        span: Duration,
+    ) {
+        let route = Arc::clone(route);
+        self.requests.get_or_create(&Outcome { route, outcome }).inc();
+        observe(&self.total, service, span);
+    }
+
+    pub(crate) fn sent(&self, service: &Arc<str>, arrived: Instant, started: Instant) {
+        observe(&self.queued, service, started - arrived);
+    }
+
+    pub(crate) fn send_ended(&self, service: &Arc<str>, report: &'static str, span: Duration) {
+        let labels = Send {
+            service: Arc::clone(service),
+            report,
+        };
+        self.sends.get_or_create(&labels).inc();
+        observe(&self.upstream, service, span);
+    }
+
+    /// Counter of the lines that the log leaves out.
+    pub(crate) fn left_out(&self) -> Counter {
+        self.left_out.clone()
+    }
+
+    fn page<P: Platform>(&self, node: &Node<P>) -> String {
+        self.measure(node);
+        let mut text = String::new();
+        // Writing to a string can't fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+
+    /// Sets what is read off the state.
+    fn measure<P: Platform>(&self, node: &Node<P>) {
+        let state = node.state.borrow();
+        self.open.set(node.open_requests.get() as i64);
+        let version = state.directory.as_ref().map_or(0, |directory| directory.version);
+        self.configuration.set(version as i64);
+        for (name, service) in &state.services {
+            let labels = Service {
+                service: Arc::clone(name),
+            };
+            self.upstreams.get_or_create(&labels).set(state.book.of(name).len() as i64);
+            self.waiting.get_or_create(&labels).set(service.waiting() as i64);
+            let ranges = state.maps.get(name).map_or(0, |(map, _)| map.ranges.len());
+            self.ranges.get_or_create(&labels).set(ranges as i64);
+            self.keeper.get_or_create(&labels).set(i64::from(node.duties.is_keeper(name)));
+        }
+        for table in TABLES {
+            let contact = state.contact.get(&table).copied().unwrap_or(false);
+            let labels = Table {
+                table: table.to_string(),
+            };
+            self.contact.get_or_create(&labels).set(i64::from(contact));
+        }
+    }
+}
+
+fn observe(histograms: &Histograms, service: &Arc<str>, span: Duration) {
+    let labels = Service {
+        service: Arc::clone(service),
+    };
+    histograms.get_or_create(&labels).observe(span.as_secs_f64());
+}
+
+/// Serves the page until the process ends.
+pub(crate) async fn accept<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let page = node.metrics.page(&node);
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|_| {
+                let mut response = Response::new(Payload::whole(page.clone()));
+                let text = HeaderValue::from_static(
+                    "application/openmetrics-text; version=1.0.0; charset=utf-8",
+                );
+                response.headers_mut().insert(CONTENT_TYPE, text);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let mut builder = http1::Builder::new();
+            builder.keep_alive(false);
+            // A reader that breaks off has nothing to be told.
+            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -13,6 +13,7 @@
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_ranges::map::Map;
 use indexmap::IndexMap;
+use eelgrassrock_telemetry::log::Logger;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot};
@@ -22,6 +23,7 @@
 use crate::duty::Duties;
 use crate::link::Links;
 use crate::log::Log;
+use crate::metrics::Metrics;
 use crate::peer::Peers;
 use crate::relay::Relay;
 use crate::seam::{Platform, Table};
@@ -42,11 +44,21 @@
     pub(crate) size: u32,
 }
 
+#[derive(Serialize)]
+struct TrustLine<'a> {
+    service: &'a str,
+    upstream: &'a str,
+    /// Failures in a row.
+    failures: u32,
+    pause_ms: u64,
+}
+
 /// What all tasks of a process share.
 pub(crate) struct Node<P> {
     pub(crate) platform: P,
     pub(crate) settings: Settings,
     pub(crate) log: Log,
+    pub(crate) metrics: Metrics,
     pub(crate) links: Links,
     pub(crate) state: RefCell<State>,
     pub(crate) duties: Duties,
@@ -77,13 +89,16 @@
 }
 
 impl<P: Platform> Node<P> {
-    pub(crate) fn new(platform: P, settings: Settings, log: Log) -> Self {
+    pub(crate) fn new(platform: P, settings: Settings, logger: Logger) -> Self {
+        let metrics = Metrics::new();
+        let log = Log::new(logger, settings.log, metrics.left_out());
         let duties = Duties::default();
         let book = Book::new(settings.return_time);
         Self {
             platform,
             settings,
             log,
+            metrics,
             links: Links::default(),
             state: RefCell::new(State {
                 directory: None,
@@ -158,6 +173,16 @@
         let state = &mut *guard;
         let entry = state.services.get_mut(service)?;
         let result = decide(entry, now);
+        for note in entry.take_notes() {
+            let line = TrustLine {
+                service,
+                upstream: &note.upstream,
+                failures: note.failures,
+                pause_ms: note.pause.as_millis() as u64,
+            };
+            let event = if note.failures > 0 { "upstream paused" } else { "upstream trusted again" };
+            self.log.note(event, &line);
+        }
         for (ticket, step) in entry.poll(now) {
             // A caller that left meanwhile has taken itself off the queue.
             if let Some(waiter) = state.waiters.remove(&ticket) {
@@ -228,6 +253,11 @@
         }
     }
 
+    /// Version of the map of a service, 0 if there is none.
+    pub(crate) fn map_version(&self, service: &str) -> u64 {
+        self.state.borrow().maps.get(service).map_or(0, |(_, version)| *version)
+    }
+
     /// Takes a map unless a later one is known. Returns whether it is new.
     pub(crate) fn learn_map(self: &Rc<Self>, service: &Arc<str>, map: Map, version: u64) -> bool {
         {
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -15,13 +15,12 @@
 use tokio::time::sleep;
 
 use crate::clock;
-use crate::log::Log;
 use crate::node::{Node, Router};
 use crate::relay::TABLES;
 use crate::seam::{Commit, Name, Platform, Table, Transaction};
 use crate::settings::Settings;
 use crate::watch::{self, ROUTER};
-use crate::{front, gossip, peer};
+use crate::{front, gossip, metrics, peer};
 
 /// Time between two clean-ups.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -79,13 +78,12 @@
 /// Returns [`Fault`] if the process can't start.
 pub fn run<P: Platform>(platform: P, settings: Settings) -> Result<(), Fault> {
     let logger = Logger::to(io::stdout(), settings.log.level).map_err(|source| Fault::Log { source })?;
-    let log = Log::new(logger, settings.log);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_io()
         .enable_time()
         .build()
         .map_err(|source| Fault::Runtime { source })?;
-    let node = Rc::new(Node::new(platform, settings, log));
+    let node = Rc::new(Node::new(platform, settings, logger));
     LocalSet::new().block_on(&runtime, main(node))
 }
 
@@ -107,12 +105,14 @@
     let readiness = listen(settings.readiness).await?;
     let peers = listen(settings.peer).await?;
     let socket = UdpSocket::bind(settings.peer).await;
+    let metrics = listen(settings.metrics).await?;
     let address = settings.peer;
     let socket = Rc::new(socket.map_err(|source| Fault::Listen { address, source })?);
     *node.socket.borrow_mut() = Some(Rc::clone(&socket));
     spawn_local(front::accept(Rc::clone(&node), front));
     spawn_local(front::accept_readiness(Rc::clone(&node), readiness));
     spawn_local(peer::accept(Rc::clone(&node), peers));
+    spawn_local(metrics::accept(Rc::clone(&node), metrics));
     spawn_local(gossip::tell(Rc::clone(&node), Rc::clone(&socket)));
     spawn_local(gossip::hear(Rc::clone(&node), socket));
     spawn_local(register(Rc::clone(&node)));
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -42,6 +42,7 @@
     service: Arc<str>,
     message: Message,
     work: Work,
+    sends: Vec<SendLine>,
 }
 
 /// Final answer and why it is what it is.
@@ -60,12 +61,26 @@
     outcome: &'a str,
     status: u16,
     upstream: Option<&'a str>,
+    /// Sends that may have run.
     runs: u32,
+    sends: &'a [SendLine],
     elapsed_ms: u64,
     allowed_ms: u64,
     configuration: u64,
 }
 
+/// One send of a request, for its line in the log.
+#[derive(Serialize)]
+struct SendLine {
+    upstream: Arc<str>,
+    /// When it was sent, from the arrival of the request.
+    at_ms: u64,
+    elapsed_ms: u64,
+    end: &'static str,
+    /// Version of the map that named the holder of its key.
+    map: u64,
+}
+
 /// Serves one request.
 pub(crate) async fn serve<P: Platform>(
     node: Rc<Node<P>>,
@@ -173,13 +188,15 @@
         route,
         message,
         work,
+        sends: Vec::new(),
     }
 }
 
 async fn run<P: Platform>(node: &Rc<Node<P>>, mut job: Job, version: u64) -> Response<Payload> {
     let done = attempt(node, &mut job).await;
-    let now = clock::now();
-    let is_plain = done.outcome == "answered" && job.work.runs <= 1;
+    let elapsed = clock::now() - job.work.arrived;
+    node.metrics.request(&job.route.name, &job.service, done.outcome, elapsed);
+    let is_plain = done.outcome == "answered" && job.sends.len() <= 1;
     if !is_plain || node.log.samples() {
         node.log.request(
             "request",
@@ -192,7 +209,8 @@
                 status: done.response.status().as_u16(),
                 upstream: done.upstream.as_deref(),
                 runs: job.work.runs,
-                elapsed_ms: (now - job.work.arrived).as_millis() as u64,
+                sends: &job.sends,
+                elapsed_ms: elapsed.as_millis() as u64,
                 allowed_ms: (job.work.give_up - job.work.arrived).as_millis() as u64,
                 configuration: version,
             },
@@ -255,8 +273,24 @@
         started,
         report: Report::Cancelled,
     };
+    node.metrics.sent(&job.service, job.work.arrived, started);
     let left = job.work.give_up - started;
     let end = exchange(node, upstream, &mut job.message, &job.head, left).await;
+    let report = match &end {
+        Exchange::Answer(response) => Report::Answered {
+            failed: is_failure(response.status()),
+        },
+        Exchange::None(report) => *report,
+    };
+    let elapsed = clock::now() - started;
+    node.metrics.send_ended(&job.service, report.as_str(), elapsed);
+    job.sends.push(SendLine {
+        upstream: Arc::clone(&upstream.id),
+        at_ms: (started - job.work.arrived).as_millis() as u64,
+        elapsed_ms: elapsed.as_millis() as u64,
+        end: report.as_str(),
+        map: job.work.key.map_or(0, |_| node.map_version(&job.service)),
+    });
     let is_safe = job.route.repeat == Repeat::Idempotent;
     let id = Some(Arc::clone(&upstream.id));
     match end {
