--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -56,6 +56,13 @@
         /// Whether to print JSON.
         json: bool,
     },
+    /// `explain`
+    Explain {
+        /// Identifier of the request.
+        id: String,
+        /// Log files; standard input if there are none.
+        files: Vec<PathBuf>,
+    },
     /// `completions`
     Completions {
         /// Shell that they are for.
@@ -134,6 +141,13 @@
                 trace: path(matches, "TRACE"),
                 json: matches.get_flag("json"),
             }),
+            Some(("explain", matches)) => Ok(Self::Explain {
+                id: required(matches, "ID").to_owned(),
+                files: matches
+                    .get_many::<String>("LOG")
+                    .map(|files| files.map(PathBuf::from).collect())
+                    .unwrap_or_default(),
+            }),
             Some(("completions", matches)) => completions(matches),
             _ => Ok(Self::Man),
         }
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -34,6 +34,7 @@
             bundle(),
             status(),
             replay(),
+            explain(),
             completions(),
             man(),
         ])
@@ -182,6 +183,22 @@
         .arg(json())
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Tells how a request came to its answer, from the routers' log lines")
+        .arg(Arg::new("ID").required(true).help("Identifier of the request"))
+        .arg(
+            Arg::new("LOG")
+                .num_args(0..)
+                .help("Log files, one or more routers each [default: standard input]"),
+        )
+        .after_long_help(
+            "Lines may begin with the name of their router, as collectors write it; otherwise the \
+             name of the file stands for it.\n\nExample:\n  \
+             eelgrassrock explain 9c41d07be2a35f68 router-1.log router-2.log",
+        )
+}
+
 fn replay() -> Command {
     Command::new("replay")
         .about("Replay a recorded trace and print its measures")
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod answer;
 pub mod args;
 mod bundle;
+mod explain;
 pub mod flags;
 mod replay;
 mod settings;
@@ -58,6 +59,7 @@
         Arguments::BundleStatus(status) => bundle::status::status(&status).await,
         Arguments::Status(status) => status::status(&status).await,
         Arguments::Replay { trace, json } => replay::replay(&trace, json),
+        Arguments::Explain { id, files } => explain::explain(&id, &files),
         Arguments::Completions { shell } => shell::completions(shell),
         Arguments::Man => shell::man(),
     }
