--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,4 +25,4 @@
 pub mod settings;
 mod watch;
 
-pub use process::{Fault, run};
+pub use process::{Fault, run, serve};
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -65,13 +65,19 @@
     version: &'a str,
 }
 
+#[derive(Serialize)]
+struct Reload {
+    /// No setting can change while the process runs.
+    applied: bool,
+}
+
 #[derive(Serialize)]
 struct Stop {
     open_requests: u64,
     elapsed_ms: u64,
 }
 
-/// Runs a router until it is told to stop.
+/// Runs a router until the process gets SIGTERM.
 ///
 /// # Errors
 ///
@@ -83,12 +89,35 @@
         .enable_time()
         .build()
         .map_err(|source| Fault::Runtime { source })?;
-    let node = Rc::new(Node::new(platform, settings, logger));
-    LocalSet::new().block_on(&runtime, main(node))
+    LocalSet::new().block_on(&runtime, async {
+        let signal = |kind| signal(kind).map_err(|source| Fault::Runtime { source });
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut reload = signal(SignalKind::hangup())?;
+        let log = logger.clone();
+        let stop = async move {
+            loop {
+                tokio::select! {
+                    _ = terminate.recv() => return,
+                    _ = reload.recv() => log.decide("reload", &Reload { applied: false }),
+                }
+            }
+        };
+        serve(platform, settings, logger, stop).await
+    })
 }
 
-async fn main<P: Platform>(node: Rc<Node<P>>) -> Result<(), Fault> {
-    let settings = node.settings.clone();
+/// Runs a router until `stop` is ready, within a [`LocalSet`].
+///
+/// # Errors
+///
+/// Returns [`Fault`] if the router can't start.
+pub async fn serve<P: Platform>(
+    platform: P,
+    settings: Settings,
+    logger: Logger,
+    stop: impl Future<Output = ()>,
+) -> Result<(), Fault> {
+    let node = Rc::new(Node::new(platform, settings.clone(), logger));
     node.log.note(
         "start",
         &Start {
@@ -98,15 +127,12 @@
             version: env!("CARGO_PKG_VERSION"),
         },
     );
-    let mut terminate =
-        signal(SignalKind::terminate()).map_err(|source| Fault::Runtime { source })?;
-    let mut reload = signal(SignalKind::hangup()).map_err(|source| Fault::Runtime { source })?;
     let front = listen(settings.front).await?;
     let readiness = listen(settings.readiness).await?;
     let peers = listen(settings.peer).await?;
-    let socket = UdpSocket::bind(settings.peer).await;
     let metrics = listen(settings.metrics).await?;
     let address = settings.peer;
+    let socket = UdpSocket::bind(address).await;
     let socket = Rc::new(socket.map_err(|source| Fault::Listen { address, source })?);
     *node.socket.borrow_mut() = Some(Rc::clone(&socket));
     spawn_local(front::accept(Rc::clone(&node), front));
@@ -121,13 +147,8 @@
     }
     spawn_local(Rc::clone(&node).follow_relay());
     spawn_local(sweep(Rc::clone(&node)));
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = reload.recv() => node.log.note("reload", &"no setting changes while running"),
-        }
-    }
-    stop(&node).await;
+    stop.await;
+    leave(&node).await;
     Ok(())
 }
 
@@ -174,7 +195,7 @@
 
 /// Leaves in an orderly way: no new callers, what is open gets its answer, and
 /// duties go to another router first.
-async fn stop<P: Platform>(node: &Rc<Node<P>>) {
+async fn leave<P: Platform>(node: &Rc<Node<P>>) {
     let began = clock::now();
     node.stopped.set(Some(began));
     node.stop.notify_waiters();
--- /dev/null
+++ b/crates/edge/tests/control.rs
@@ -0,0 +1,217 @@
+//! Configuration, registry, relays, keepers and stops.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use eelgrassrock_dispatch::directory::Repeat;
+use eelgrassrock_edge::seam::Table;
+use support::platform::{Store, route};
+use support::upstream::{Act, Server};
+use support::{GRACE, Router, eventually, get, send};
+
+const HOST: &str = "sheets.example";
+
+async fn status(router: &Router, path: &str, id: &str) -> u16 {
+    let answer = send(router.settings.front, get(path, HOST, id, 1_500)).await;
+    answer.map_or(0, |answer| answer.status().as_u16())
+}
+
+#[tokio::test]
+async fn a_configuration_never_goes_back_and_a_forged_one_changes_nothing() {
+    let store = Store::default();
+    let server = Server::start("up-0").await;
+    store.register("sheets", &server);
+    store.configure(5, vec![route("/new/", Repeat::Idempotent, "sheets")], &[]);
+    let router = Router::start("router-1", &store);
+    router.ready().await;
+    store.configure(3, vec![route("/old/", Repeat::Idempotent, "sheets")], &[]);
+    store.forge(Table::Configuration, "current");
+    store.forge(Table::Registry, "up-9");
+    eventually("reading the forged rows", || {
+        let lines = router.lines.text();
+        lines.matches("row unreadable").count() == 2
+    })
+    .await;
+    assert_eq!(status(&router, "/new/1", "r1").await, 200);
+    assert_eq!(status(&router, "/old/1", "r2").await, 404);
+}
+
+#[tokio::test]
+async fn an_upstream_that_left_the_registry_gets_nothing() {
+    let store = Store::default();
+    let servers = [Server::start("up-0").await, Server::start("up-1").await];
+    servers.iter().for_each(|server| store.register("sheets", server));
+    store.configure(1, vec![route("/read/", Repeat::Idempotent, "sheets")], &[]);
+    let router = Router::start("router-1", &store);
+    router.ready().await;
+    store.unregister("up-0");
+    eventually("the lapse", || router.lines.text().contains("upstream lapsed")).await;
+    for n in 0..10 {
+        let id = format!("r{n}");
+        assert_eq!(status(&router, "/read/1", &id).await, 200);
+        assert_eq!(servers[0].runs(&id), 0);
+    }
+}
+
+/// Both follow the store at first; then one of them reads and tells the other.
+async fn pair(store: &Store) -> (Router, Router) {
+    let server = Server::start("up-0").await;
+    store.register("sheets", &server);
+    store.configure(1, vec![route("/v1/", Repeat::Idempotent, "sheets")], &[]);
+    let first = Router::start_with("router-1", store, |settings| settings.size = 500);
+    let second = Router::start_with("router-2", store, |settings| settings.size = 100);
+    first.ready().await;
+    second.ready().await;
+    // Time in which the routers learn of each other.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    (first, second)
+}
+
+#[tokio::test]
+async fn a_follower_gets_news_without_calls_to_the_store() {
+    let store = Store::default();
+    let (_first, second) = pair(&store).await;
+    let before = store.feed_calls("router-2");
+    store.configure(2, vec![route("/v2/", Repeat::Idempotent, "sheets")], &[]);
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert_eq!(status(&second, "/v2/1", "r1").await, 200);
+    assert_eq!(store.feed_calls("router-2"), before);
+}
+
+#[tokio::test]
+async fn a_follower_whose_relay_is_killed_has_a_new_configuration_within_two_seconds() {
+    let store = Store::default();
+    let (mut first, second) = pair(&store).await;
+    first.kill();
+    store.configure(2, vec![route("/v2/", Repeat::Idempotent, "sheets")], &[]);
+    let began = Instant::now();
+    while status(&second, "/v2/1", "r1").await != 200 {
+        assert!(began.elapsed() < Duration::from_secs(2), "{}", second.lines.text());
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_relay_that_the_store_turns_away_is_passed_over() {
+    let store = Store::default();
+    let (_first, second) = pair(&store).await;
+    store.cut("router-1");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    store.configure(2, vec![route("/v2/", Repeat::Idempotent, "sheets")], &[]);
+    let began = Instant::now();
+    while status(&second, "/v2/1", "r1").await != 200 {
+        assert!(began.elapsed() < Duration::from_millis(3_500), "{}", second.lines.text());
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn keyed(store: &Store, routers: usize) -> (Vec<Server>, Vec<Router>) {
+    let servers = vec![
+        Server::start("up-0").await.keyed(),
+        Server::start("up-1").await.keyed(),
+    ];
+    servers.iter().for_each(|server| store.register("sheets", server));
+    store.configure(1, vec![route("/read/", Repeat::Idempotent, "sheets")], &["sheets"]);
+    let routers: Vec<Router> =
+        (0..routers).map(|n| Router::start(&format!("router-{n}"), store)).collect();
+    for router in &routers {
+        router.ready().await;
+    }
+    (servers, routers)
+}
+
+async fn read_key(router: &Router, key: u16, id: &str) -> u16 {
+    let mut request = get("/read/1", HOST, id, 1_500);
+    request.headers_mut().insert("x-key", key.into());
+    let answer = send(router.settings.front, request).await;
+    answer.map_or(0, |answer| answer.status().as_u16())
+}
+
+#[tokio::test]
+async fn keys_are_granted_and_requests_go_to_their_holders() {
+    let store = Store::default();
+    let (servers, routers) = keyed(&store, 1).await;
+    eventually("the grants", || servers.iter().any(|server| server.holds(7))).await;
+    for key in [0, 7, 40_000, u16::MAX] {
+        assert_eq!(read_key(&routers[0], key, &format!("k{key}")).await, 200);
+    }
+}
+
+#[tokio::test]
+async fn no_key_lapses_when_the_keeper_is_killed() {
+    let store = Store::default();
+    let (servers, mut routers) = keyed(&store, 3).await;
+    eventually("the grants", || servers.iter().any(|server| server.holds(7))).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let is_keeper = |router: &Router| {
+        router.lines.text().lines().any(|line| line.contains("\"keeper\"") && line.contains("taken"))
+    };
+    let keeper = routers.iter().position(is_keeper).unwrap();
+    routers.remove(keeper).kill();
+    let end = Instant::now() + Duration::from_secs(5);
+    let mut n = 0;
+    while Instant::now() < end {
+        n += 1;
+        let held = servers.iter().any(|server| server.holds(7));
+        assert!(held, "key 7 lapsed");
+        assert_eq!(read_key(&routers[n % 2], 7, &format!("k{n}")).await, 200);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(routers.iter().any(is_keeper));
+}
+
+#[tokio::test]
+async fn a_stopping_router_answers_what_is_open_and_sends_callers_away() {
+    let store = Store::default();
+    let server = Server::start("up-0").await;
+    store.register("sheets", &server);
+    store.configure(1, vec![route("/read/", Repeat::Idempotent, "sheets")], &[]);
+    let mut router = Router::start("router-1", &store);
+    router.ready().await;
+    server.next(&[Act::Answer(600)]);
+    let front = router.settings.front;
+    let open = tokio::spawn(send(front, get("/read/1", HOST, "r1", 2_000)));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    router.stop();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let readiness = send(router.settings.readiness, get("/ready", "x", "r", 500)).await.unwrap();
+    assert_eq!(readiness.status(), 503);
+    let answer = open.await.unwrap().unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.headers()["connection"], "close");
+    // What might outlast the process is refused; another router takes it.
+    tokio::time::sleep(GRACE.mul_f64(0.3)).await;
+    let late = send(front, get("/read/1", HOST, "r2", 9_000)).await.unwrap();
+    assert_eq!(late.status(), 503);
+    assert!(late.headers().contains_key("retry-after"));
+    assert_eq!(server.runs("r2"), 0);
+    tokio::time::sleep(GRACE).await;
+    assert!(!router.is_running());
+}
+
+#[tokio::test]
+async fn the_metrics_page_names_what_the_documentation_lists() {
+    let store = Store::default();
+    let server = Server::start("up-0").await;
+    store.register("sheets", &server);
+    store.configure(1, vec![route("/read/", Repeat::Idempotent, "sheets")], &[]);
+    let router = Router::start("router-1", &store);
+    router.ready().await;
+    assert_eq!(status(&router, "/read/1", "r1").await, 200);
+    let page = send(router.settings.metrics, get("/metrics", "x", "m", 500)).await.unwrap();
+    let page = String::from_utf8(page.into_body().to_vec()).unwrap();
+    let served: Vec<&str> = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE "))
+        .filter_map(|line| line.split(' ').next())
+        .collect();
+    let listed = include_str!("../../../docs/METRICS.md");
+    for name in &served {
+        assert!(listed.contains(&format!("`{name}`")), "docs/METRICS.md lacks {name}");
+    }
+    let named = listed.split('`').filter(|word| word.starts_with("eelgrassrock_"));
+    for name in named {
+        assert!(served.contains(&name), "docs/METRICS.md names {name}, which isn't served");
+    }
+}
--- /dev/null
+++ b/crates/edge/tests/support/mod.rs
@@ -0,0 +1,224 @@
+//! Routers on a platform of this test: a store in memory, and upstreams that
+//! misbehave as they are told. Everything listens on loopback.
+#![allow(dead_code)] // Each test file uses a part of it.
+
+pub(crate) mod platform;
+pub(crate) mod upstream;
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use eelgrassrock_dispatch::budget;
+use eelgrassrock_edge::settings::{Level, Log, Settings};
+use eelgrassrock_telemetry::log::Logger;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Bytes;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+
+use platform::{Fake, Store};
+
+pub(crate) const GRACE: Duration = Duration::from_secs(3);
+
+/// A router in a thread of its own. Dropping it kills the router.
+pub(crate) struct Router {
+    pub(crate) settings: Settings,
+    pub(crate) lines: Lines,
+    stop: Option<oneshot::Sender<()>>,
+    kill: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// Log lines of a router.
+#[derive(Clone, Default)]
+pub(crate) struct Lines(Arc<std::sync::Mutex<Vec<u8>>>);
+
+impl std::io::Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Lines {
+    pub(crate) fn text(&self) -> String {
+        String::from_utf8_lossy(&self.0.lock().unwrap()).into_owned()
+    }
+}
+
+pub(crate) fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn settings(name: &str) -> Settings {
+    static INCARNATION: AtomicU64 = AtomicU64::new(1);
+    Settings {
+        router: name.into(),
+        incarnation: INCARNATION.fetch_add(1, Ordering::Relaxed),
+        data_centre: "dc-a".into(),
+        size: 200,
+        front: free_address(),
+        readiness: free_address(),
+        peer: free_address(),
+        metrics: free_address(),
+        repeats: budget::Limits {
+            ratio: 0.2,
+            extra: 50.0,
+            window: Duration::from_secs(10),
+        },
+        max_hold: Duration::from_secs(10),
+        grace: GRACE,
+        return_time: Duration::from_secs(2),
+        log: Log {
+            level: Level::Info,
+            sample: 1,
+            max_lines_per_s: 1_000,
+        },
+    }
+}
+
+impl Router {
+    pub(crate) fn start(name: &str, store: &Store) -> Self {
+        Self::start_with(name, store, |_| ())
+    }
+
+    pub(crate) fn start_with(name: &str, store: &Store, change: impl Fn(&mut Settings)) -> Self {
+        let mut settings = settings(name);
+        change(&mut settings);
+        let (stop, stopped) = oneshot::channel::<()>();
+        let (kill, killed) = oneshot::channel::<()>();
+        let lines = Lines::default();
+        let thread = std::thread::spawn({
+            let (fake, settings, lines) =
+                (Fake::new(store, name), settings.clone(), lines.clone());
+            move || {
+                let runtime =
+                    tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+                let logger = Logger::to(lines, settings.log.level).unwrap();
+                LocalSet::new().block_on(&runtime, async move {
+                    let stop = async move {
+                        let _ = stopped.await;
+                    };
+                    let serve = eelgrassrock_edge::serve(fake, settings, logger, stop);
+                    tokio::select! {
+                        end = serve => end.unwrap(),
+                        _ = killed => {}
+                    }
+                });
+            }
+        });
+        Self {
+            settings,
+            lines,
+            stop: Some(stop),
+            kill: Some(kill),
+            thread: Some(thread),
+        }
+    }
+
+    /// Waits until the router says that it is ready.
+    pub(crate) async fn ready(&self) {
+        let question = || get("/ready", "router", "ready", 1_000);
+        for _ in 0..200 {
+            if let Ok(answer) = send(self.settings.readiness, question()).await {
+                if answer.status() == 200 {
+                    return;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("{} never was ready:\n{}", self.settings.router, self.lines.text());
+    }
+
+    /// Tells the router to stop, as a signal does.
+    pub(crate) fn stop(&mut self) {
+        let _ = self.stop.take().unwrap().send(());
+    }
+
+    pub(crate) fn is_running(&self) -> bool {
+        self.thread.as_ref().is_some_and(|thread| !thread.is_finished())
+    }
+
+    /// Ends the router at once: its sockets close, nothing is handed over.
+    pub(crate) fn kill(&mut self) {
+        if let Some(kill) = self.kill.take() {
+            let _ = kill.send(());
+        }
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A request with an identifier and the time that the caller has.
+pub(crate) fn get(path: &str, host: &str, id: &str, patience_ms: u64) -> Request<Full<Bytes>> {
+    Request::builder()
+        .uri(path)
+        .header("host", host)
+        .header("x-id", id)
+        .header("x-patience", patience_ms)
+        .body(Full::default())
+        .unwrap()
+}
+
+pub(crate) fn post(path: &str, id: &str, patience_ms: u64, body: &str) -> Request<Full<Bytes>> {
+    Request::builder()
+        .method("POST")
+        .uri(path)
+        .header("host", "sheets.example")
+        .header("x-id", id)
+        .header("x-patience", patience_ms)
+        .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
+        .unwrap()
+}
+
+/// Sends a request on a connection of its own.
+pub(crate) async fn send(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Bytes>, hyper::Error> {
+    let stream = connect(address).await;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(connection);
+    let (parts, body) = sender.send_request(request).await?.into_parts();
+    Ok(Response::from_parts(parts, body.collect().await?.to_bytes()))
+}
+
+async fn connect(address: SocketAddr) -> TcpStream {
+    let give_up = Instant::now() + Duration::from_secs(2);
+    loop {
+        match TcpStream::connect(address).await {
+            Ok(stream) => return stream,
+            Err(error) if Instant::now() > give_up => panic!("{address}: {error}"),
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
+/// Waits until something holds, for some seconds at most.
+pub(crate) async fn eventually(what: &str, holds: impl Fn() -> bool) {
+    for _ in 0..400 {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("{what} never happened");
+}
--- /dev/null
+++ b/crates/edge/tests/support/platform.rs
@@ -0,0 +1,304 @@
+//! A platform with a store in memory and header names of its own.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use eelgrassrock_dispatch::directory::{
+    Directory, Keyed, Limits, Part, Repeat, Route, Service,
+};
+use eelgrassrock_dispatch::upstream::Upstream;
+use eelgrassrock_edge::seam::{
+    Changes, Commit, Head, Name, Platform, Row, Rows, Table, Transaction, Unreadable, Verdict,
+};
+use eelgrassrock_ranges::keeper::{Order, Outcome};
+use eelgrassrock_store::{Fault, Kind};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
+
+use super::upstream::Server;
+
+/// The store of a test. Clones share it.
+#[derive(Clone, Default)]
+pub(crate) struct Store(Arc<Mutex<State>>);
+
+#[derive(Default)]
+struct State {
+    version: u64,
+    rows: BTreeMap<(u8, Arc<str>), Row>,
+    configurations: BTreeMap<u64, Directory>,
+    upstreams: Vec<Upstream>,
+    servers: Vec<Server>,
+    /// Routers that the store doesn't answer.
+    cut: Vec<String>,
+    /// Feed calls by router.
+    feed_calls: BTreeMap<String, usize>,
+}
+
+fn number(table: Table) -> u8 {
+    match table {
+        Table::Configuration => 0,
+        Table::Registry => 1,
+        Table::Routers => 2,
+        Table::Maps => 3,
+    }
+}
+
+impl Store {
+    fn write(&self, table: Table, key: &str, value: Option<Bytes>) -> u64 {
+        let mut state = self.0.lock().unwrap();
+        state.version += 1;
+        let version = state.version;
+        let row = Row {
+            key: key.into(),
+            value,
+            version,
+        };
+        state.rows.insert((number(table), key.into()), row);
+        version
+    }
+
+    /// Puts a configuration in force that has these routes and services.
+    pub(crate) fn configure(&self, version: u64, routes: Vec<Route>, keyed: &[&str]) {
+        let services = routes.iter().flat_map(|route| &route.parts).map(|part| {
+            let service = Service {
+                max_connections: 50,
+                keyed: keyed.contains(&&*part.service).then_some(Keyed {
+                    warm_up: Duration::ZERO,
+                }),
+            };
+            (Arc::clone(&part.service), service)
+        });
+        let directory = Directory::new(version, routes.clone(), services.collect(), Limits::default());
+        self.0.lock().unwrap().configurations.insert(version, directory);
+        self.write(Table::Configuration, "current", Some(version.to_string().into()));
+    }
+
+    /// Registers an upstream.
+    pub(crate) fn register(&self, service: &str, server: &Server) {
+        let mut state = self.0.lock().unwrap();
+        let index = state.upstreams.len();
+        state.upstreams.push(Upstream {
+            id: server.id.as_str().into(),
+            incarnation: 1,
+            sequence: 1,
+            service: service.into(),
+            address: server.address,
+            data_centre: "dc-a".into(),
+            slots: 2,
+            leaving: false,
+            warm_up: Duration::ZERO,
+        });
+        state.servers.push(server.clone());
+        drop(state);
+        self.write(Table::Registry, &server.id, Some(index.to_string().into()));
+    }
+
+    pub(crate) fn unregister(&self, id: &str) {
+        self.write(Table::Registry, id, None);
+    }
+
+    /// Writes a row that can't be read.
+    pub(crate) fn forge(&self, table: Table, key: &str) {
+        self.write(table, key, Some("forged".into()));
+    }
+
+    /// Stops answering a router.
+    pub(crate) fn cut(&self, router: &str) {
+        self.0.lock().unwrap().cut.push(router.to_owned());
+    }
+
+    pub(crate) fn feed_calls(&self, router: &str) -> usize {
+        self.0.lock().unwrap().feed_calls.get(router).copied().unwrap_or(0)
+    }
+}
+
+pub(crate) fn route(prefix: &str, repeat: Repeat, service: &str) -> Route {
+    Route {
+        name: prefix.into(),
+        host: "sheets.example".into(),
+        prefix: prefix.into(),
+        repeat,
+        timeout: Some(Duration::from_secs(2)),
+        target: Some(Duration::from_millis(500)),
+        priority: 1,
+        max_attempts: 2,
+        parts: vec![Part {
+            service: service.into(),
+            weight: 1,
+        }],
+    }
+}
+
+/// The platform as one router sees it.
+pub(crate) struct Fake {
+    store: Store,
+    router: String,
+}
+
+impl Fake {
+    pub(crate) fn new(store: &Store, router: &str) -> Self {
+        Self {
+            store: store.clone(),
+            router: router.to_owned(),
+        }
+    }
+
+    fn reach(&self) -> Result<(), Fault> {
+        let state = self.store.0.lock().unwrap();
+        if state.cut.contains(&self.router) {
+            return Err(Fault {
+                call: "test".into(),
+                kind: Kind::Unreachable("cut".into()),
+            });
+        }
+        Ok(())
+    }
+
+    fn after(&self, table: Table, after: u64) -> Rows {
+        let state = self.store.0.lock().unwrap();
+        let of_table = state.rows.iter().filter(|((other, _), _)| *other == number(table));
+        let later = of_table.map(|(_, row)| row).filter(|row| row.version > after);
+        let mut rows: Vec<Row> = later.cloned().collect();
+        rows.sort_by_key(|row| row.version);
+        Rows {
+            rows,
+            version: state.version,
+        }
+    }
+}
+
+fn unreadable(reason: &str) -> Unreadable {
+    Unreadable {
+        field: "row".into(),
+        reason: reason.into(),
+    }
+}
+
+impl Platform for Fake {
+    async fn rows(&self, table: Table) -> Result<Rows, Fault> {
+        self.reach()?;
+        let mut rows = self.after(table, 0);
+        rows.rows.retain(|row| row.value.is_some());
+        Ok(rows)
+    }
+
+    async fn row(&self, name: &Name) -> Result<Option<Row>, Fault> {
+        self.reach()?;
+        let state = self.store.0.lock().unwrap();
+        let row = state.rows.get(&(number(name.table), Arc::clone(&name.key)));
+        Ok(row.filter(|row| row.value.is_some()).cloned())
+    }
+
+    async fn changes(&self, table: Table, after: u64, wait: Duration) -> Result<Changes, Fault> {
+        let give_up = tokio::time::Instant::now() + wait;
+        *self.store.0.lock().unwrap().feed_calls.entry(self.router.clone()).or_default() += 1;
+        loop {
+            self.reach()?;
+            let rows = self.after(table, after);
+            if !rows.rows.is_empty() || tokio::time::Instant::now() >= give_up {
+                return Ok(Changes::Rows(rows));
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    async fn commit(&self, transaction: &Transaction) -> Commit {
+        if let Err(fault) = self.reach() {
+            return Commit::NotDone(fault);
+        }
+        let version = {
+            let state = self.store.0.lock().unwrap();
+            let current = |name: &Name| {
+                let row = state.rows.get(&(number(name.table), Arc::clone(&name.key)));
+                row.filter(|row| row.value.is_some()).map_or(0, |row| row.version)
+            };
+            if transaction.expected.iter().any(|(name, version)| current(name) != *version) {
+                return Commit::Conflict;
+            }
+            state.version
+        };
+        let mut last = version;
+        for (name, value) in &transaction.put {
+            last = self.store.write(name.table, &name.key, Some(value.clone()));
+        }
+        for name in &transaction.remove {
+            last = self.store.write(name.table, &name.key, None);
+        }
+        Commit::Done(last)
+    }
+
+    fn directory(&self, row: &Row) -> Result<Option<Directory>, Unreadable> {
+        let value = row.value.as_ref().ok_or_else(|| unreadable("removed"))?;
+        let version: u64 = std::str::from_utf8(value)
+            .ok()
+            .and_then(|text| text.parse().ok())
+            .ok_or_else(|| unreadable("not a version"))?;
+        Ok(self.store.0.lock().unwrap().configurations.get(&version).cloned())
+    }
+
+    fn upstream(&self, row: &Row) -> Result<Upstream, Unreadable> {
+        let value = row.value.as_ref().ok_or_else(|| unreadable("removed"))?;
+        let index: usize = std::str::from_utf8(value)
+            .ok()
+            .and_then(|text| text.parse().ok())
+            .ok_or_else(|| unreadable("not an index"))?;
+        Ok(self.store.0.lock().unwrap().upstreams[index].clone())
+    }
+
+    async fn grant(
+        &self,
+        address: SocketAddr,
+        order: &Order,
+        hold: Duration,
+        _handover: Option<&str>,
+    ) -> Outcome {
+        let servers = self.store.0.lock().unwrap().servers.clone();
+        let server = servers.into_iter().find(|server| server.address == address);
+        server.map_or(Outcome::NotSent, |server| server.grant(order, hold))
+    }
+
+    async fn release(&self, address: SocketAddr, order: &Order) -> Outcome {
+        let servers = self.store.0.lock().unwrap().servers.clone();
+        let server = servers.into_iter().find(|server| server.address == address);
+        server.map_or(Outcome::NotSent, |server| server.release(order))
+    }
+
+    fn head(&self, headers: &HeaderMap) -> Head {
+        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        Head {
+            id: text("x-id").map(Into::into),
+            patience: text("x-patience").and_then(|text| text.parse().ok()).map(Duration::from_millis),
+            key: text("x-key").and_then(|text| text.parse().ok()),
+        }
+    }
+
+    fn address_to(&self, headers: &mut HeaderMap, upstream: &Upstream, left: Duration) {
+        headers.insert("x-patience", HeaderValue::from(left.as_millis() as u64));
+        headers.insert("x-for", HeaderValue::from_str(&upstream.id).unwrap());
+    }
+
+    fn judge(
+        &self,
+        request: &Head,
+        _upstream: &str,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Verdict {
+        let id = headers.get("x-id").and_then(|value| value.to_str().ok());
+        if id != request.id.as_deref() {
+            Verdict::Foreign
+        } else if status == StatusCode::MISDIRECTED_REQUEST {
+            Verdict::Misdirected
+        } else if headers.contains_key("x-not-run") {
+            Verdict::Refused
+        } else {
+            Verdict::Own
+        }
+    }
+
+    fn asks_readiness(&self, method: &Method, path: &str) -> bool {
+        *method == Method::GET && path == "/ready"
+    }
+}
