--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -68,7 +68,9 @@
     for line in own {
         match Request::deserialize(&line.fields) {
             Ok(request) => tell(&mut story, id, line, &request, &lines),
-            Err(fault) => return Answer::refused(format!("the line of {id} can't be read: {fault}")),
+            Err(fault) => {
+                return Answer::refused(format!("the line of {id} can't be read: {fault}"));
+            }
         }
     }
     Answer::done(story.trim_end().to_owned())
@@ -84,7 +86,9 @@
     for path in files {
         let fault = |fault: io::Error| format!("{}: {fault}", path.display());
         let file = File::open(path).map_err(fault)?;
-        let name = path.file_stem().map(|name| name.to_string_lossy().into_owned());
+        let name = path
+            .file_stem()
+            .map(|name| name.to_string_lossy().into_owned());
         collect(&mut lines, &name.unwrap_or_default(), BufReader::new(file)).map_err(fault)?;
     }
     lines.sort_by_key(|line| line.time);
@@ -117,7 +121,9 @@
 
 fn tell(story: &mut String, id: &str, line: &Line, request: &Request, all: &[Line]) {
     let arrived = line.time.saturating_sub(request.elapsed_ms);
-    let key = request.key.map_or_else(String::new, |key| format!(", key {key}"));
+    let key = request
+        .key
+        .map_or_else(String::new, |key| format!(", key {key}"));
     // Writing to a string can't fail.
     let _ = writeln!(
         story,
@@ -133,7 +139,11 @@
         request.configuration,
     );
     for send in &request.sends {
-        let map = if send.map > 0 { format!(", map {}", send.map) } else { String::new() };
+        let map = if send.map > 0 {
+            format!(", map {}", send.map)
+        } else {
+            String::new()
+        };
         let _ = writeln!(
             story,
             "  {:>5} ms  sent to {}: {} after {} ms{map}",
@@ -152,9 +162,18 @@
     if !related.is_empty() {
         let _ = writeln!(story, "before the answer:");
     }
-    for other in related.iter().skip(related.len().saturating_sub(MAX_EVENTS)) {
+    for other in related
+        .iter()
+        .skip(related.len().saturating_sub(MAX_EVENTS))
+    {
         let at_ms = other.time as i64 - arrived as i64;
-        let _ = writeln!(story, "  {at_ms:>6} ms  {} {}{}", other.source, other.event, details(other));
+        let _ = writeln!(
+            story,
+            "  {at_ms:>6} ms  {} {}{}",
+            other.source,
+            other.event,
+            details(other)
+        );
     }
 }
 
@@ -189,7 +208,11 @@
         !["time", "level", "event", "service"].contains(&name.as_str()) && !value.is_null()
     });
     shown.fold(String::new(), |mut text, (name, value)| {
-        let _ = write!(text, " {name}={}", value.as_str().map_or_else(|| value.to_string(), Into::into));
+        let _ = write!(
+            text,
+            " {name}={}",
+            value.as_str().map_or_else(|| value.to_string(), Into::into)
+        );
         text
     })
 }
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -186,7 +186,11 @@
 fn explain() -> Command {
     Command::new("explain")
         .about("Tells how a request came to its answer, from the routers' log lines")
-        .arg(Arg::new("ID").required(true).help("Identifier of the request"))
+        .arg(
+            Arg::new("ID")
+                .required(true)
+                .help("Identifier of the request"),
+        )
         .arg(
             Arg::new("LOG")
                 .num_args(0..)
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -71,7 +71,11 @@
     fn step(&mut self, now: Instant) -> &mut Step {
         let length = (self.limits.window / STEPS).as_micros().max(1) as u64;
         let number = now.as_micros() / length;
-        while self.steps.front().is_some_and(|step| step.number + u64::from(STEPS) < number) {
+        while self
+            .steps
+            .front()
+            .is_some_and(|step| step.number + u64::from(STEPS) < number)
+        {
             self.steps.pop_front();
         }
         if self.steps.back().is_none_or(|step| step.number < number) {
--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -25,6 +25,10 @@
 /// Half of the time after which an old failure share is forgotten, so that an
 /// upstream that gets no requests is tried again.
 const FAILURE_HALF_LIFE_S: f64 = 2.0;
+/// Time without an answer, in multiples of the time for one request, after
+/// which an upstream gets no more requests than it has.
+const SILENT_PACES: f64 = 4.0;
+const MIN_SILENCE: Duration = Duration::from_millis(150);
 /// Time for which a leaving holder of keys is still used. It serves on for
 /// seconds; its keys move within a fraction of one.
 const LEAVING_USE: Duration = Duration::from_millis(1_000);
@@ -81,7 +85,8 @@
     /// Whether a leaving holder gets no requests any more. Until its keys are
     /// with another, it is the only one that can serve them.
     pub(crate) fn is_closed(&self, now: Instant) -> bool {
-        self.leaving_since.is_some_and(|since| now - since >= LEAVING_USE)
+        self.leaving_since
+            .is_some_and(|since| now - since >= LEAVING_USE)
     }
 
     pub(crate) fn pace_ms(&self) -> f64 {
@@ -117,7 +122,11 @@
     pub(crate) fn expected_ms(&self, now: Instant) -> f64 {
         let queueing = self.queueing(self.load(now));
         let mut pace_ms = self.pace.mean_ms();
-        if let Some(oldest) = self.starts.first().filter(|oldest| **oldest > self.last_answer) {
+        if let Some(oldest) = self
+            .starts
+            .first()
+            .filter(|oldest| **oldest > self.last_answer)
+        {
             let silent_ms = (now - *oldest).as_secs_f64() * 1e3 / (1.0 + queueing);
             pace_ms = pace_ms.max(silent_ms);
         }
@@ -139,11 +148,28 @@
         if self.failures_in_row >= FAILURES_TO_PAUSE && self.in_flight() > 0 {
             return false;
         }
+        if self.in_flight() >= 2 && self.is_silent(now) {
+            return false;
+        }
         let slots = self.upstream.slots.max(1);
         let most = slots + slots.div_ceil(2);
         f64::from(self.in_flight()) < self.window && self.load(now) < most
     }
 
+    /// Whether it has answered nothing for several times as long as it should.
+    fn is_silent(&self, now: Instant) -> bool {
+        let Some(oldest) = self
+            .starts
+            .first()
+            .filter(|oldest| **oldest > self.last_answer)
+        else {
+            return false;
+        };
+        let queueing = self.queueing(self.load(now));
+        let limit_ms = SILENT_PACES * self.pace.mean_ms() * (1.0 + queueing);
+        now - *oldest >= Duration::from_micros((limit_ms * 1e3) as u64).max(MIN_SILENCE)
+    }
+
     pub(crate) fn is_paused(&self, now: Instant) -> bool {
         now < self.paused_until
     }
@@ -207,7 +233,11 @@
         let changed = was_distrusted != is_distrusted || self.paused_until > paused_until;
         changed.then(|| Note {
             upstream: Arc::clone(&self.upstream.id),
-            failures: if is_distrusted { self.failures_in_row } else { 0 },
+            failures: if is_distrusted {
+                self.failures_in_row
+            } else {
+                0
+            },
             pause: self.paused_until - now,
         })
     }
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -31,6 +31,10 @@
 /// Shortest and longest time that a refused caller is told to wait.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
+/// Share of a caller's time after which a request that waits for a holder is
+/// refused: late enough for a range to change hands, early enough for the
+/// caller to come back.
+const MAX_HOLDER_WAIT_SHARE: f64 = 0.4;
 /// What a refused caller is told while a key has no holder: grants are made
 /// within about this time.
 const NO_HOLDER_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -116,7 +120,12 @@
 
     /// Whether it proves that the request has not run and never will.
     pub fn proves_not_run(self) -> bool {
-        let not_run = [Self::Refused, Self::Misdirected, Self::Replaced, Self::Unreachable];
+        let not_run = [
+            Self::Refused,
+            Self::Misdirected,
+            Self::Replaced,
+            Self::Unreachable,
+        ];
         not_run.contains(&self)
     }
 }
@@ -311,7 +320,10 @@
 
     /// Returns the requests under way at each upstream that has some.
     pub fn in_flight(&self) -> impl Iterator<Item = (&Arc<str>, u32)> {
-        let counts = self.members.iter().map(|(id, member)| (id, member.in_flight()));
+        let counts = self
+            .members
+            .iter()
+            .map(|(id, member)| (id, member.in_flight()));
         counts.filter(|(_, count)| *count > 0)
     }
 
@@ -389,7 +401,8 @@
             match report {
                 Report::Misdirected | Report::Replaced => self.block(key, now),
                 Report::Answered { .. } => {
-                    self.blocks.retain(|block| !(block.from..=block.to).contains(&key));
+                    self.blocks
+                        .retain(|block| !(block.from..=block.to).contains(&key));
                 }
                 _ => {}
             }
@@ -421,7 +434,11 @@
         for request in queue {
             let holder = self.holder(request.key).cloned();
             let known_full = full.contains(&holder) && !self.is_blocked(request.key, now);
-            let choice = if known_full { Choice::Full } else { self.choose(&request, now) };
+            let choice = if known_full {
+                Choice::Full
+            } else {
+                self.choose(&request, now)
+            };
             match choice {
                 Choice::Take(_) if request.is_repeat && !self.budget.allows(now, self.routers) => {
                     let refusal = self.refuse(Reason::Budget, &request, now);
@@ -433,6 +450,10 @@
                     }
                     done.push((request.ticket, self.begin(upstream, request.key, now)));
                 }
+                Choice::NoHolder if Self::has_waited_for_holder(&request, now) => {
+                    let refusal = self.refuse(Reason::NoHolder, &request, now);
+                    done.push((request.ticket, refusal));
+                }
                 _ if self.is_hopeless(&request, now) => {
                     let reason = match choice {
                         Choice::NoHolder => Reason::NoHolder,
@@ -481,7 +502,10 @@
             return false;
         };
         let covers = |block: &&Block| (block.from..=block.to).contains(&key);
-        self.blocks.iter().find(covers).is_some_and(|block| now < block.until)
+        self.blocks
+            .iter()
+            .find(covers)
+            .is_some_and(|block| now < block.until)
     }
 
     fn begin(&mut self, upstream: Arc<Upstream>, key: Option<u16>, now: Instant) -> Step {
@@ -506,7 +530,11 @@
         match self.choose(&request, now) {
             Choice::Take(upstream) => self.begin(upstream, request.key, now),
             Choice::NoUpstream => self.refuse(Reason::NoUpstream, &request, now),
-            Choice::NoHolder if self.can_wait(&request, now) => self.enqueue(request),
+            Choice::NoHolder
+                if self.can_wait(&request, now) && !Self::has_waited_for_holder(&request, now) =>
+            {
+                self.enqueue(request)
+            }
             Choice::NoHolder => self.refuse(Reason::NoHolder, &request, now),
             Choice::Full if self.can_wait(&request, now) => self.enqueue(request),
             Choice::Full => self.refuse(Reason::Busy, &request, now),
@@ -537,7 +565,8 @@
                 continue;
             }
             let cost = member.cost_ms(now);
-            let better = |other: &Option<(f64, &Member)>| other.is_none_or(|(least, _)| cost < least);
+            let better =
+                |other: &Option<(f64, &Member)>| other.is_none_or(|(least, _)| cost < least);
             if member.upstream.data_centre == self.data_centre && better(&best_near) {
                 best_near = Some((cost, member));
             }
@@ -584,13 +613,22 @@
 
     /// Whether an answer in time is likely behind those that wait already.
     fn can_wait(&self, request: &Request, now: Instant) -> bool {
-        let slots: u32 = self.members.values().map(|member| member.upstream.slots).sum();
+        let slots: u32 = self
+            .members
+            .values()
+            .map(|member| member.upstream.slots)
+            .sum();
         if self.queue.len() >= QUEUE_PER_SLOT * slots.max(1) as usize {
             return false;
         }
         now + self.wait(request, now) + self.service_time(request) < request.give_up
     }
 
+    fn has_waited_for_holder(request: &Request, now: Instant) -> bool {
+        let allowed = request.give_up - request.arrived;
+        now - request.arrived >= allowed.mul_f64(MAX_HOLDER_WAIT_SHARE)
+    }
+
     /// Whether a request that waits can't be answered in time any more.
     fn is_hopeless(&self, request: &Request, now: Instant) -> bool {
         now + self.service_time(request) >= request.give_up
@@ -611,7 +649,8 @@
         let ahead = self.queue.iter().filter(same_line).count() + 1;
         let rate = match holder.and_then(|id| self.members.get(id)) {
             Some(member) => {
-                let share = f64::from(member.in_flight().max(1)) / f64::from(member.load(now).max(1));
+                let share =
+                    f64::from(member.in_flight().max(1)) / f64::from(member.load(now).max(1));
                 share * f64::from(member.upstream.slots.max(1)) * 1e3 / member.pace_ms().max(1.0)
             }
             None => self.answer_rate(now),
@@ -621,7 +660,12 @@
 
     /// Answers per second of late, at least what one slot gives.
     fn answer_rate(&self, now: Instant) -> f64 {
-        let recent = self.answers.iter().rev().take_while(|at| now - **at < RATE_SPAN).count();
+        let recent = self
+            .answers
+            .iter()
+            .rev()
+            .take_while(|at| now - **at < RATE_SPAN)
+            .count();
         let counted = recent as f64 / RATE_SPAN.as_secs_f64();
         counted.max(1e3 / self.typical_pace_ms().max(1.0))
     }
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -30,8 +30,13 @@
 #[test]
 fn another_data_centre_helps_when_the_own_one_is_full() {
     let mut service = service(&[upstream("far", FAR, 2), upstream("near", NEAR, 2)]);
-    let steps: Vec<Step> = (0..6).map(|n| service.admit(request(n, None, 0), at(0))).collect();
-    let far = steps.iter().filter(|step| sent_to(step) == Some("far")).count();
+    let steps: Vec<Step> = (0..6)
+        .map(|n| service.admit(request(n, None, 0), at(0)))
+        .collect();
+    let far = steps
+        .iter()
+        .filter(|step| sent_to(step) == Some("far"))
+        .count();
     assert!(far >= 2, "{steps:?}");
 }
 
@@ -82,13 +87,23 @@
     for n in 0..10 {
         serve(&mut service, n, n * 1_000, 900);
     }
-    let steps: Vec<Step> =
-        (0..8).map(|n| service.admit(request(100 + n, None, 10_000), at(10_000))).collect();
-    let refused = steps.iter().filter(|step| matches!(step, Step::Refuse(_))).count();
-    assert!(refused >= 5, "one slot and 900 ms each, two seconds left: {steps:?}");
+    let steps: Vec<Step> = (0..8)
+        .map(|n| service.admit(request(100 + n, None, 10_000), at(10_000)))
+        .collect();
+    let refused = steps
+        .iter()
+        .filter(|step| matches!(step, Step::Refuse(_)))
+        .count();
+    assert!(
+        refused >= 5,
+        "one slot and 900 ms each, two seconds left: {steps:?}"
+    );
     for step in steps {
         if let Step::Refuse(refusal) = step {
-            assert!(refusal.retry_after >= Duration::from_millis(500), "{refusal:?}");
+            assert!(
+                refusal.retry_after >= Duration::from_millis(500),
+                "{refusal:?}"
+            );
         }
     }
 }
@@ -110,6 +125,10 @@
     assert_eq!(service.admit(high, at(2)), Step::Wait);
     let report = Report::Answered { failed: false };
     service.end("one", None, started[0], report, at(50));
-    let tickets: Vec<u64> = service.poll(at(50)).into_iter().map(|(ticket, _)| ticket).collect();
+    let tickets: Vec<u64> = service
+        .poll(at(50))
+        .into_iter()
+        .map(|(ticket, _)| ticket)
+        .collect();
     assert_eq!(tickets, [11]);
 }
--- a/crates/dispatch/tests/keys.rs
+++ b/crates/dispatch/tests/keys.rs
@@ -8,7 +8,10 @@
 #[test]
 fn a_request_goes_to_the_holder_of_its_key() {
     let mut service = service(&[upstream("one", NEAR, 2), upstream("two", NEAR, 2)]);
-    service.set_spans(Some(vec![span(0, 99, Some("one")), span(100, u16::MAX, Some("two"))]));
+    service.set_spans(Some(vec![
+        span(0, 99, Some("one")),
+        span(100, u16::MAX, Some("two")),
+    ]));
     let low = service.admit(request(1, Some(99), 0), at(0));
     let high = service.admit(request(2, Some(100), 0), at(0));
     assert_eq!((sent_to(&low), sent_to(&high)), (Some("one"), Some("two")));
@@ -41,9 +44,16 @@
     assert!(sends <= 3, "two slots and a short queue, but {sends} sends");
     for ms in 1..=400 {
         service.end("one", Some(7), at(0), Report::Misdirected, at(ms));
-        sends += service.poll(at(ms)).iter().filter(|(_, step)| sent_to(step).is_some()).count();
+        sends += service
+            .poll(at(ms))
+            .iter()
+            .filter(|(_, step)| sent_to(step).is_some())
+            .count();
     }
-    assert!(sends <= 8, "{sends} sends of 20 requests to a holder that refuses them all");
+    assert!(
+        sends <= 8,
+        "{sends} sends of 20 requests to a holder that refuses them all"
+    );
 }
 
 #[test]
@@ -81,7 +91,10 @@
             }
         }
     }
-    assert!(repeats <= 10, "{repeats} repeats without any first send, 10 are allowed");
+    assert!(
+        repeats <= 10,
+        "{repeats} repeats without any first send, 10 are allowed"
+    );
 }
 
 #[test]
@@ -102,3 +115,72 @@
     };
     assert_eq!(refusal.reason, Reason::NoUpstream);
 }
+
+/// Load: a holder fell silent. Requests for its keys must not pile up behind
+/// those that it will never answer.
+#[test]
+fn a_holder_that_fell_silent_gets_no_more_requests() {
+    let mut service = keyed();
+    for n in 0..10 {
+        let now = at(n * 100);
+        let step = service.admit(request(n, Some(7), n * 100), now);
+        assert_eq!(sent_to(&step), Some("one"));
+        service.end(
+            "one",
+            Some(7),
+            now,
+            Report::Answered { failed: false },
+            at(n * 100 + 40),
+        );
+    }
+    let sent = (0..2).filter(|n| {
+        let step = service.admit(request(100 + n, Some(7), 2_000), at(2_000));
+        sent_to(&step).is_some()
+    });
+    assert_eq!(sent.count(), 2);
+    let step = service.admit(request(200, Some(7), 2_400), at(2_400));
+    assert_eq!(
+        sent_to(&step),
+        None,
+        "400 ms without an answer that takes 40 ms"
+    );
+}
+
+/// Load: a range on its way takes longer than usual. Its callers are told
+/// early enough to come back in their time.
+#[test]
+fn a_request_without_holder_is_refused_while_its_caller_can_still_come_back() {
+    let mut service = service(&[upstream("one", NEAR, 2)]);
+    service.set_spans(Some(vec![span(0, u16::MAX, None)]));
+    assert_eq!(service.admit(request(1, Some(7), 0), at(0)), Step::Wait);
+    assert!(service.poll(at(700)).is_empty());
+    let done = service.poll(at(900));
+    assert!(matches!(done[0].1, Step::Refuse(refusal) if refusal.reason == Reason::NoHolder));
+}
+
+/// Load: more requests for a holder than it can serve, over all routers. Each
+/// router sends the share that the keeper tells, and refuses the rest at once.
+#[test]
+fn an_overloaded_holder_is_sent_only_what_it_can_serve() {
+    let mut service = keyed();
+    service.set_shares(vec![("one".into(), 0.25)]);
+    let mut sent = 0;
+    for n in 0..100 {
+        let now = at(n * 50);
+        match service.admit(request(n, Some(7), n * 50), now) {
+            Step::Send { started, .. } => {
+                sent += 1;
+                service.end(
+                    "one",
+                    Some(7),
+                    started,
+                    Report::Answered { failed: false },
+                    at(n * 50 + 20),
+                );
+            }
+            Step::Refuse(refusal) => assert_eq!(refusal.reason, Reason::Overload),
+            Step::Wait => panic!("the holder has room"),
+        }
+    }
+    assert_eq!(sent, 25);
+}
--- a/crates/edge/src/book.rs
+++ b/crates/edge/src/book.rs
@@ -122,7 +122,9 @@
         let before = self.entries.len();
         let mut members: IndexMap<Arc<str>, (usize, usize)> = IndexMap::new();
         for entry in self.entries.values() {
-            let (all, lapsed) = members.entry(Arc::clone(&entry.upstream.service)).or_default();
+            let (all, lapsed) = members
+                .entry(Arc::clone(&entry.upstream.service))
+                .or_default();
             *all += 1;
             *lapsed += usize::from(entry.removed.is_some() && !entry.upstream.leaving);
         }
@@ -137,7 +139,11 @@
             let (all, lapsed) = members[&entry.upstream.service];
             let together = lapsed > 1 && lapsed as f64 > LAPSE_SHARE * all as f64;
             let after_outage = regained.is_some_and(|at| removed - at < return_time);
-            let since = if after_outage { regained.unwrap_or(removed) } else { removed };
+            let since = if after_outage {
+                regained.unwrap_or(removed)
+            } else {
+                removed
+            };
             (together || after_outage) && now - since < return_time
         });
         self.entries.len() < before
@@ -151,7 +157,10 @@
     /// Returns the upstreams of a service.
     pub(crate) fn of(&self, service: &str) -> Vec<Arc<Upstream>> {
         let upstreams = self.entries.values().map(|entry| &entry.upstream);
-        upstreams.filter(|upstream| &*upstream.service == service).cloned().collect()
+        upstreams
+            .filter(|upstream| &*upstream.service == service)
+            .cloned()
+            .collect()
     }
 
     pub(crate) fn get(&self, id: &str) -> Option<&Arc<Upstream>> {
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -32,7 +32,7 @@
 /// Time between two looks of a keeper at what is due.
 const KEEPER_TICK: Duration = Duration::from_millis(40);
 /// Time between two reports to the keeper.
-const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+const REPORT_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two questions to the store whether the duty is still ours.
 const CONFIRM_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause between two tries to learn whether an earlier keeper has stopped.
@@ -141,8 +141,12 @@
     /// Takes the answers that were counted since the last time.
     pub(crate) fn take_paces(&self) -> Vec<(Arc<str>, Vec<Pace>)> {
         let mut services = self.services.borrow_mut();
-        let asked = services.iter_mut().filter(|(_, seat)| !seat.paces.is_empty());
-        asked.map(|(name, seat)| (Arc::clone(name), seat.take_paces())).collect()
+        let asked = services
+            .iter_mut()
+            .filter(|(_, seat)| !seat.paces.is_empty());
+        asked
+            .map(|(name, seat)| (Arc::clone(name), seat.take_paces()))
+            .collect()
     }
 
     /// Counts keys that a follower was asked for, as if they were asked for
@@ -156,21 +160,30 @@
     /// Takes the keys that were asked for since the last time.
     pub(crate) fn take_keys(&self) -> Vec<(Arc<str>, Vec<u16>)> {
         let mut services = self.services.borrow_mut();
-        let asked = services.iter_mut().filter(|(_, seat)| !seat.keys.is_empty());
-        asked.map(|(name, seat)| (Arc::clone(name), std::mem::take(&mut seat.keys))).collect()
+        let asked = services
+            .iter_mut()
+            .filter(|(_, seat)| !seat.keys.is_empty());
+        asked
+            .map(|(name, seat)| (Arc::clone(name), std::mem::take(&mut seat.keys)))
+            .collect()
     }
 
     /// Whether this router grants the keys of a service.
     pub(crate) fn is_keeper(&self, service: &str) -> bool {
         let services = self.services.borrow();
-        services.get(service).is_some_and(|seat| seat.keeper.is_some())
+        services
+            .get(service)
+            .is_some_and(|seat| seat.keeper.is_some())
     }
 
     /// Counts what another router reports. Returns whether this one is the
     /// keeper and may act.
     pub(crate) fn hear(&self, service: &Arc<str>, keys: &[u16]) -> bool {
         let mut services = self.services.borrow_mut();
-        let Some(keeper) = services.get_mut(service).and_then(|seat| seat.keeper.as_mut()) else {
+        let Some(keeper) = services
+            .get_mut(service)
+            .and_then(|seat| seat.keeper.as_mut())
+        else {
             return false;
         };
         keeper.record(keys.iter().copied());
@@ -182,7 +195,10 @@
     pub(crate) fn give_up(&self, service: &Arc<str>, term: u64) -> Option<bool> {
         let mut services = self.services.borrow_mut();
         let seat = services.get_mut(service)?;
-        let own = seat.election.duty().is_some_and(|(duty, _)| duty.term >= term);
+        let own = seat
+            .election
+            .duty()
+            .is_some_and(|(duty, _)| duty.term >= term);
         if seat.keeper.is_some() && seat.election.is_own() && own {
             return None;
         }
@@ -251,7 +267,8 @@
     }
 
     fn keeper<T>(&self, service: &Arc<str>, work: impl FnOnce(&mut Keeper) -> T) -> Option<T> {
-        self.seat(service, |seat| seat.keeper.as_mut().map(work)).flatten()
+        self.seat(service, |seat| seat.keeper.as_mut().map(work))
+            .flatten()
     }
 
     fn wake(&self, service: &Arc<str>) {
@@ -287,7 +304,9 @@
     pub(crate) fn learn_duty(self: &Rc<Self>, service: &Arc<str>, duty: Option<(Duty, u64)>) {
         self.tend(service);
         let rank = self.rank(service);
-        let line = duty.as_ref().map(|(duty, _)| (duty.term, Arc::clone(&duty.router)));
+        let line = duty
+            .as_ref()
+            .map(|(duty, _)| (duty.term, Arc::clone(&duty.router)));
         let lost = self.seat(service, |seat| {
             seat.election.learn(duty, rank, clock::now());
             let lost = seat.keeper.is_some() && !seat.election.is_own();
@@ -339,8 +358,12 @@
     }
 
     fn next_stand(&self, service: &Arc<str>, now: Instant) -> Duration {
-        let at = self.seat(service, |seat| seat.election.stands_at()).flatten();
-        at.map_or(REPORT_INTERVAL, |at| (at - now).max(Duration::from_millis(5)))
+        let at = self
+            .seat(service, |seat| seat.election.stands_at())
+            .flatten();
+        at.map_or(REPORT_INTERVAL, |at| {
+            (at - now).max(Duration::from_millis(5))
+        })
     }
 
     fn stand_if_due(self: &Rc<Self>, service: &Arc<str>, now: Instant) {
@@ -349,7 +372,11 @@
         }
         let address = self.settings.peer;
         let due = self.seat(service, |seat| {
-            let due = if seat.standing { None } else { seat.election.poll(address, now) };
+            let due = if seat.standing {
+                None
+            } else {
+                seat.election.poll(address, now)
+            };
             seat.standing |= due.is_some();
             due
         });
@@ -367,7 +394,9 @@
     /// Tries to take the duty.
     async fn stand(self: &Rc<Self>, service: &Arc<str>, duty: Duty, version: u64) {
         let key = duty_row(service);
-        let before = self.seat(service, |seat| seat.election.duty().cloned()).flatten();
+        let before = self
+            .seat(service, |seat| seat.election.duty().cloned())
+            .flatten();
         let asked = clock::now();
         let Ok(value) = postcard::to_allocvec(&duty) else {
             return;
@@ -384,7 +413,10 @@
                 let Ok(found) = row.map(|row| row.and_then(|row| read_duty(&row))) else {
                     return;
                 };
-                let own = found.as_ref().filter(|(found, _)| *found == duty).map(|(_, at)| *at);
+                let own = found
+                    .as_ref()
+                    .filter(|(found, _)| *found == duty)
+                    .map(|(_, at)| *at);
                 if own.is_none() {
                     self.learn_duty(service, found);
                 }
@@ -411,13 +443,16 @@
         };
         let map = read_map(&row);
         if map.is_none() {
-            self.log.warn("map unreadable", &Plan {
-                service,
-                ranges: 0,
-                moving: 0,
-                version: row.version,
-                outcome: "unreadable",
-            });
+            self.log.warn(
+                "map unreadable",
+                &Plan {
+                    service,
+                    ranges: 0,
+                    moving: 0,
+                    version: row.version,
+                    outcome: "unreadable",
+                },
+            );
         }
         map.map(Some)
     }
@@ -501,7 +536,12 @@
             if formers.is_empty() {
                 let now = clock::now();
                 self.keeper(service, |keeper| keeper.predecessor_stopped(is_clean, now));
-                self.note_term(service, term, &self.settings.router, "earlier keepers have stopped");
+                self.note_term(
+                    service,
+                    term,
+                    &self.settings.router,
+                    "earlier keepers have stopped",
+                );
                 self.wake(service);
                 self.clear_formers(service).await;
                 return;
@@ -513,7 +553,9 @@
     /// Writes that no earlier keeper acts any more, so that no successor asks
     /// for them again.
     async fn clear_formers(self: &Rc<Self>, service: &Arc<str>) {
-        let duty = self.seat(service, |seat| seat.election.duty().cloned()).flatten();
+        let duty = self
+            .seat(service, |seat| seat.election.duty().cloned())
+            .flatten();
         let Some((mut duty, version)) = duty.filter(|(duty, _)| !duty.formers.is_empty()) else {
             return;
         };
@@ -594,7 +636,9 @@
                 let started = clock::now();
                 let outcome = match node.address(&order.life) {
                     Some(address) => {
-                        node.platform.grant(address, &order, hold, handover.as_deref()).await
+                        node.platform
+                            .grant(address, &order, hold, handover.as_deref())
+                            .await
                     }
                     None => Outcome::NotSent,
                 };
@@ -662,8 +706,15 @@
     /// Writes a map if the duty is ours and the map has not changed.
     async fn commit(self: &Rc<Self>, service: &Arc<str>, map: Map) {
         let asked = clock::now();
-        let duty = self.seat(service, |seat| seat.election.duty().map(|(_, at)| *at)).flatten();
-        let known = self.state.borrow().maps.get(service).map_or(0, |(_, version)| *version);
+        let duty = self
+            .seat(service, |seat| seat.election.duty().map(|(_, at)| *at))
+            .flatten();
+        let known = self
+            .state
+            .borrow()
+            .maps
+            .get(service)
+            .map_or(0, |(_, version)| *version);
         let (Some(duty), Ok(value)) = (duty, postcard::to_allocvec(&map)) else {
             return;
         };
@@ -674,20 +725,27 @@
             remove: Vec::new(),
         };
         let end = self.platform.commit(&transaction).await;
-        let moving = map.ranges.iter().filter(|range| range.source.is_some()).count();
+        let moving = map
+            .ranges
+            .iter()
+            .filter(|range| range.source.is_some())
+            .count();
         let (outcome, version) = match &end {
             Commit::Done(version) => ("done", *version),
             Commit::Conflict => ("conflict", 0),
             Commit::NotDone(_) => ("not done", 0),
             Commit::Unknown(_) => ("unknown", 0),
         };
-        self.log.note("map", &Plan {
-            service,
-            ranges: map.ranges.len(),
-            moving,
-            version,
-            outcome,
-        });
+        self.log.note(
+            "map",
+            &Plan {
+                service,
+                ranges: map.ranges.len(),
+                moving,
+                version,
+                outcome,
+            },
+        );
         match end {
             Commit::Done(version) => {
                 self.keeper(service, |keeper| keeper.committed(asked));
@@ -758,7 +816,12 @@
             self.find_duty(&service).await;
             return;
         }
-        let map_version = self.state.borrow().maps.get(&service).map_or(0, |(_, version)| *version);
+        let map_version = self
+            .state
+            .borrow()
+            .maps
+            .get(&service)
+            .map_or(0, |(_, version)| *version);
         let report = Report {
             router: Arc::clone(&self.settings.router),
             service: Arc::clone(&service),
@@ -775,7 +838,10 @@
         }
         let rank = self.rank(&service);
         self.seat(&service, |seat| {
-            let still = seat.election.duty().is_some_and(|(now, _)| now.term == duty.term);
+            let still = seat
+                .election
+                .duty()
+                .is_some_and(|(now, _)| now.term == duty.term);
             if still {
                 seat.election.contact(contact, rank, clock::now());
             }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use eelgrassrock_dispatch::directory::Repeat;
 use eelgrassrock_dispatch::service::Report;
 use eelgrassrock_dispatch::upstream::Upstream;
 use http::{HeaderMap, Request, Response, StatusCode, request};
@@ -28,6 +29,7 @@
 pub(crate) struct Message {
     pub(crate) parts: request::Parts,
     pub(crate) body: Content,
+    pub(crate) repeat: Repeat,
 }
 
 pub(crate) enum Content {
@@ -67,11 +69,13 @@
     left: Duration,
 ) -> Exchange {
     let mut headers = message.parts.headers.clone();
-    let allowed = left.saturating_sub(ANSWER_MARGIN).max(Duration::from_millis(1));
+    let allowed = left
+        .saturating_sub(ANSWER_MARGIN)
+        .max(Duration::from_millis(1));
     node.platform.address_to(&mut headers, upstream, allowed);
     let mut request = message.build(headers);
     loop {
-        let kept = node.links.take(upstream);
+        let kept = node.links.take(upstream, message.repeat);
         let was_kept = kept.is_some();
         let link = match kept {
             Some(link) => Some(link),
@@ -93,6 +97,9 @@
                     return Exchange::None(Report::Unreachable);
                 }
                 None => {
+                    if was_kept {
+                        node.links.note_reset();
+                    }
                     if error.into_error().is_parse() {
                         node.links.distrust(upstream);
                     }
@@ -121,7 +128,9 @@
     left: Duration,
 ) -> Exchange {
     let (parts, body) = response.into_parts();
-    let verdict = node.platform.judge(head, &upstream.id, parts.status, &parts.headers);
+    let verdict = node
+        .platform
+        .judge(head, &upstream.id, parts.status, &parts.headers);
     match verdict {
         Verdict::Foreign => {
             node.links.distrust(upstream);
@@ -133,7 +142,11 @@
                 node.links.keep(upstream, link, &parts.headers);
             }
             let refused = verdict == Verdict::Refused;
-            return Exchange::None(if refused { Report::Refused } else { Report::Misdirected });
+            return Exchange::None(if refused {
+                Report::Refused
+            } else {
+                Report::Misdirected
+            });
         }
         Verdict::Own => {}
     }
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -51,7 +51,12 @@
 async fn connection<P: Platform>(node: Rc<Node<P>>, stream: TcpStream) {
     // Without this, answers only arrive later.
     let _ = stream.set_nodelay(true);
-    let limits = node.state.borrow().directory.as_ref().map(|directory| directory.limits.clone());
+    let limits = node
+        .state
+        .borrow()
+        .directory
+        .as_ref()
+        .map(|directory| directory.limits.clone());
     let limits = limits.unwrap_or_default();
     let activity = Rc::new(Activity {
         open: Cell::new(0),
@@ -86,7 +91,11 @@
 }
 
 fn next_look<P: Platform>(node: &Node<P>, activity: &Activity, idle: Duration) -> Duration {
-    let idle = if node.is_stopping() { node.settings.grace.mul_f64(CLOSE_SHARE) } else { idle };
+    let idle = if node.is_stopping() {
+        node.settings.grace.mul_f64(CLOSE_SHARE)
+    } else {
+        idle
+    };
     let used = clock::now() - activity.last.get();
     let left = idle.saturating_sub(used);
     left.clamp(Duration::from_millis(100), idle)
@@ -94,7 +103,10 @@
 
 fn is_unused<P: Platform>(node: &Node<P>, activity: &Activity, idle: Duration) -> bool {
     let now = clock::now();
-    let closes = node.stopped.get().is_some_and(|at| now - at >= node.settings.grace.mul_f64(CLOSE_SHARE));
+    let closes = node
+        .stopped
+        .get()
+        .is_some_and(|at| now - at >= node.settings.grace.mul_f64(CLOSE_SHARE));
     activity.open.get() == 0 && (closes || now - activity.last.get() >= idle)
 }
 
@@ -122,13 +134,17 @@
                 async move { Ok::<_, Infallible>(response) }
             });
             // A probe that breaks off has nothing to be told.
-            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
         });
     }
 }
 
 fn readiness<P: Platform>(node: &Node<P>, request: &Request<Incoming>) -> Response<Payload> {
-    let asks = node.platform.asks_readiness(request.method(), request.uri().path());
+    let asks = node
+        .platform
+        .asks_readiness(request.method(), request.uri().path());
     let status = match (asks, node.is_ready()) {
         (false, _) => StatusCode::NOT_FOUND,
         (true, true) => StatusCode::OK,
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -74,7 +74,10 @@
         return;
     };
     let state = node.state.borrow();
-    let others = state.routers.iter().filter(|(name, _)| **name != node.settings.router);
+    let others = state
+        .routers
+        .iter()
+        .filter(|(name, _)| **name != node.settings.router);
     for (_, router) in others {
         // Each change is told by every relay, so one datagram may get lost.
         let _ = socket.try_send_to(&bytes, router.address);
@@ -95,9 +98,10 @@
 fn neighbours<P: Platform>(node: &Node<P>) -> Vec<SocketAddr> {
     let state = node.state.borrow();
     let own = &node.settings;
-    let near = state.routers.iter().filter(|(name, router)| {
-        **name != own.router && router.data_centre == own.data_centre
-    });
+    let near = state
+        .routers
+        .iter()
+        .filter(|(name, router)| **name != own.router && router.data_centre == own.data_centre);
     near.map(|(_, router)| router.address).collect()
 }
 
@@ -109,8 +113,16 @@
             sleep(FAULT_PAUSE).await;
             continue;
         };
-        let known = node.state.borrow().routers.values().any(|router| router.address.ip() == from.ip());
-        match postcard::from_bytes::<Message>(&buffer[..length]).ok().filter(|_| known) {
+        let known = node
+            .state
+            .borrow()
+            .routers
+            .values()
+            .any(|router| router.address.ip() == from.ip());
+        match postcard::from_bytes::<Message>(&buffer[..length])
+            .ok()
+            .filter(|_| known)
+        {
             Some(Message::Counts(counts)) => take(&node, &counts),
             Some(Message::Versions(versions)) => node.hear_versions(versions),
             None => {}
--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrassrock_dispatch::directory::Repeat;
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_store::endpoint::detect_silence;
@@ -31,6 +32,12 @@
 /// Time for which the connections of an upstream aren't reused after one
 /// carried bytes that belong to no request.
 const DISTRUST: Duration = Duration::from_secs(5);
+/// Time for which requests that run once use only connections that were in use
+/// just now, after a reused one was reset: upstreams may forget idle ones, and
+/// whether such a request has run isn't known then.
+const CAUTION: Duration = Duration::from_secs(10);
+/// Longest idle time of a connection that was in use just now.
+const CAUTIOUS_IDLE: Duration = Duration::from_millis(300);
 /// Silence after which the system ends a connection.
 const SILENCE: Duration = Duration::from_secs(3);
 
@@ -39,6 +46,7 @@
 pub(crate) struct Link {
     pub(crate) sender: SendRequest<Payload>,
     driver: JoinHandle<()>,
+    idle_since: Instant,
     good_until: Instant,
     /// Set when the connection carried bytes that belong to no request.
     tainted: Rc<Cell<bool>>,
@@ -62,12 +70,16 @@
 #[derive(Debug, Default)]
 pub(crate) struct Links {
     shelves: RefCell<HashMap<Arc<str>, Shelf>>,
+    cautious_until: Cell<Option<Instant>>,
 }
 
 impl Links {
-    /// Takes an unused connection that can be trusted.
-    pub(crate) fn take(&self, upstream: &Upstream) -> Option<Link> {
+    /// Takes an unused connection that can be trusted with a request that may
+    /// be repeated or not.
+    pub(crate) fn take(&self, upstream: &Upstream, repeat: Repeat) -> Option<Link> {
         let now = clock::now();
+        let is_cautious =
+            repeat == Repeat::Once && self.cautious_until.get().is_some_and(|until| now < until);
         let mut shelves = self.shelves.borrow_mut();
         let shelf = shelves.get_mut(&upstream.id)?;
         if shelf.address != Some(upstream.address) {
@@ -83,6 +95,9 @@
             return None;
         }
         while let Some(link) = shelf.idle.pop() {
+            if is_cautious && now - link.idle_since > CAUTIOUS_IDLE {
+                continue;
+            }
             if now < link.good_until && !link.sender.is_closed() && link.sender.is_ready() {
                 return Some(link);
             }
@@ -95,7 +110,8 @@
         if link.sender.is_closed() || link.tainted.get() {
             return;
         }
-        link.good_until = clock::now() + idle_limit(headers);
+        link.idle_since = clock::now();
+        link.good_until = link.idle_since + idle_limit(headers);
         let mut shelves = self.shelves.borrow_mut();
         let shelf = shelves.entry(Arc::clone(&upstream.id)).or_default();
         if shelf.address != Some(upstream.address) {
@@ -105,6 +121,11 @@
         shelf.idle.push(link);
     }
 
+    /// Notes that a reused connection broke under a request.
+    pub(crate) fn note_reset(&self) {
+        self.cautious_until.set(Some(clock::now() + CAUTION));
+    }
+
     /// Reuses no connection of an upstream for a while: it sent bytes that
     /// belong to no request.
     pub(crate) fn distrust(&self, upstream: &Upstream) {
@@ -121,7 +142,9 @@
         let mut shelves = self.shelves.borrow_mut();
         shelves.retain(|id, _| is_known(id));
         for shelf in shelves.values_mut() {
-            shelf.idle.retain(|link| now < link.good_until && !link.sender.is_closed());
+            shelf
+                .idle
+                .retain(|link| now < link.good_until && !link.sender.is_closed());
         }
         shelves.values().map(|shelf| shelf.idle.len()).sum()
     }
@@ -130,7 +153,10 @@
 /// Establishes a connection, `None` if that failed.
 pub(crate) async fn connect(address: SocketAddr, limit: Duration) -> Option<Link> {
     let limit = limit.min(CONNECT_TIMEOUT);
-    let stream = timeout(limit, TcpStream::connect(address)).await.ok()?.ok()?;
+    let stream = timeout(limit, TcpStream::connect(address))
+        .await
+        .ok()?
+        .ok()?;
     // Without these options, answers and faults are only seen later.
     let _ = stream.set_nodelay(true);
     let _ = detect_silence(&stream, SILENCE);
@@ -148,6 +174,7 @@
     Some(Link {
         sender,
         driver,
+        idle_since: clock::now(),
         good_until: clock::now(),
         tainted,
     })
@@ -157,21 +184,23 @@
 /// bytes out of turn.
 fn is_disconnect(error: &hyper::Error) -> bool {
     let source = std::error::Error::source(error);
-    error.is_incomplete_message()
-        || error.is_canceled()
-        || error.is_closed()
-        || source.is_some_and(|source| source.is::<std::io::Error>())
+    let io = source.and_then(|source| source.downcast_ref::<std::io::Error>());
+    error.is_incomplete_message() || error.is_canceled() || error.is_closed() || io.is_some()
 }
 
 fn idle_limit(headers: &HeaderMap) -> Duration {
-    let named = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let named = headers
+        .get("keep-alive")
+        .and_then(|value| value.to_str().ok());
     let seconds = named.and_then(|text| {
         let parameter = text.split(',').map(str::trim);
         let mut timeouts = parameter.filter_map(|part| part.strip_prefix("timeout="));
         timeouts.next()?.trim().parse::<u32>().ok()
     });
     match seconds {
-        Some(seconds) => Duration::from_secs(u64::from(seconds)).mul_f64(IDLE_SHARE).min(IDLE_LIMIT),
+        Some(seconds) => Duration::from_secs(u64::from(seconds))
+            .mul_f64(IDLE_SHARE)
+            .min(IDLE_LIMIT),
         None => IDLE_LIMIT,
     }
 }
--- a/crates/edge/src/log.rs
+++ b/crates/edge/src/log.rs
@@ -57,7 +57,8 @@
             self.lines.set(0);
             let lines = self.left_out.replace(0);
             if lines > 0 {
-                self.logger.log(Level::Warn, "lines left out", &LeftOut { lines });
+                self.logger
+                    .log(Level::Warn, "lines left out", &LeftOut { lines });
             }
         }
         if self.lines.get() >= self.settings.max_lines_per_s {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -31,8 +31,9 @@
 
 /// Upper bounds of the buckets of all histograms, in seconds: from the time in
 /// a data centre to the longest time limits.
-const BUCKETS_S: [f64; 12] =
-    [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0];
+const BUCKETS_S: [f64; 12] = [
+    0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
+];
 /// Pause after a failure to accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -105,7 +106,11 @@
 
     fn registered(mut self) -> Self {
         let all = &mut self.registry;
-        all.register("requests", "Requests by route and outcome", self.requests.clone());
+        all.register(
+            "requests",
+            "Requests by route and outcome",
+            self.requests.clone(),
+        );
         let seconds = Unit::Seconds;
         let help = "Time from arrival to answer";
         all.register_with_unit("request", help, seconds.clone(), self.total.clone());
@@ -113,18 +118,38 @@
         all.register_with_unit("queue", help, seconds.clone(), self.queued.clone());
         let help = "Time at an upstream";
         all.register_with_unit("upstream", help, seconds, self.upstream.clone());
-        all.register("sends", "Sends to upstreams by how they ended", self.sends.clone());
+        all.register(
+            "sends",
+            "Sends to upstreams by how they ended",
+            self.sends.clone(),
+        );
         let help = "Log lines about requests beyond the bound";
         all.register("log_lines_left_out", help, self.left_out.clone());
-        all.register("open_requests", "Requests without an answer", self.open.clone());
+        all.register(
+            "open_requests",
+            "Requests without an answer",
+            self.open.clone(),
+        );
         let help = "Version of the configuration in force, 0 for none";
         all.register("configuration_version", help, self.configuration.clone());
-        all.register("upstreams", "Upstreams that are known", self.upstreams.clone());
+        all.register(
+            "upstreams",
+            "Upstreams that are known",
+            self.upstreams.clone(),
+        );
         all.register("waiting", "Requests in the queue", self.waiting.clone());
-        all.register("key_ranges", "Ranges of keys in the map", self.ranges.clone());
+        all.register(
+            "key_ranges",
+            "Ranges of keys in the map",
+            self.ranges.clone(),
+        );
         let help = "Whether the store answers about a table";
         all.register("store_contact", help, self.contact.clone());
-        all.register("keeper", "Whether this router grants the keys", self.keeper.clone());
+        all.register(
+            "keeper",
+            "Whether this router grants the keys",
+            self.keeper.clone(),
+        );
         self
     }
 
@@ -136,7 +161,9 @@
         span: Duration,
     ) {
         let route = Arc::clone(route);
-        self.requests.get_or_create(&Outcome { route, outcome }).inc();
+        self.requests
+            .get_or_create(&Outcome { route, outcome })
+            .inc();
         observe(&self.total, service, span);
     }
 
@@ -170,17 +197,26 @@
     fn measure<P: Platform>(&self, node: &Node<P>) {
         let state = node.state.borrow();
         self.open.set(node.open_requests.get() as i64);
-        let version = state.directory.as_ref().map_or(0, |directory| directory.version);
+        let version = state
+            .directory
+            .as_ref()
+            .map_or(0, |directory| directory.version);
         self.configuration.set(version as i64);
         for (name, service) in &state.services {
             let labels = Service {
                 service: Arc::clone(name),
             };
-            self.upstreams.get_or_create(&labels).set(state.book.of(name).len() as i64);
-            self.waiting.get_or_create(&labels).set(service.waiting() as i64);
+            self.upstreams
+                .get_or_create(&labels)
+                .set(state.book.of(name).len() as i64);
+            self.waiting
+                .get_or_create(&labels)
+                .set(service.waiting() as i64);
             let ranges = state.maps.get(name).map_or(0, |(map, _)| map.ranges.len());
             self.ranges.get_or_create(&labels).set(ranges as i64);
-            self.keeper.get_or_create(&labels).set(i64::from(node.duties.is_keeper(name)));
+            self.keeper
+                .get_or_create(&labels)
+                .set(i64::from(node.duties.is_keeper(name)));
         }
         for table in TABLES {
             let contact = state.contact.get(&table).copied().unwrap_or(false);
@@ -196,7 +232,9 @@
     let labels = Service {
         service: Arc::clone(service),
     };
-    histograms.get_or_create(&labels).observe(span.as_secs_f64());
+    histograms
+        .get_or_create(&labels)
+        .observe(span.as_secs_f64());
 }
 
 /// Serves the page until the process ends.
@@ -219,7 +257,9 @@
             let mut builder = http1::Builder::new();
             builder.keep_alive(false);
             // A reader that breaks off has nothing to be told.
-            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+            let _ = builder
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
         });
     }
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -12,8 +12,8 @@
 use eelgrassrock_dispatch::service::{Service, Span, Step};
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_ranges::map::Map;
-use indexmap::IndexMap;
 use eelgrassrock_telemetry::log::Logger;
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot};
@@ -153,7 +153,10 @@
     /// Whether the keys of a service are divided among its upstreams.
     pub(crate) fn is_keyed(&self, service: &str) -> bool {
         let state = self.state.borrow();
-        let declared = state.directory.as_ref().and_then(|directory| directory.services.get(service));
+        let declared = state
+            .directory
+            .as_ref()
+            .and_then(|directory| directory.services.get(service));
         declared.is_some_and(|service| service.keyed.is_some())
     }
 
@@ -186,7 +189,11 @@
                 failures: note.failures,
                 pause_ms: note.pause.as_millis() as u64,
             };
-            let event = if note.failures > 0 { "upstream paused" } else { "upstream trusted again" };
+            let event = if note.failures > 0 {
+                "upstream paused"
+            } else {
+                "upstream trusted again"
+            };
             self.log.note(event, &line);
         }
         for (ticket, step) in entry.poll(now) {
@@ -237,13 +244,14 @@
                 return;
             };
             let now = clock::now();
-            state.services.retain(|name, _| directory.services.contains_key(name));
+            state
+                .services
+                .retain(|name, _| directory.services.contains_key(name));
             for (name, declared) in &directory.services {
                 let data_centre = &self.settings.data_centre;
-                let service = state
-                    .services
-                    .entry(Arc::clone(name))
-                    .or_insert_with(|| Service::new(Arc::clone(data_centre), self.settings.repeats));
+                let service = state.services.entry(Arc::clone(name)).or_insert_with(|| {
+                    Service::new(Arc::clone(data_centre), self.settings.repeats)
+                });
                 service.set_upstreams(state.book.of(name), now);
                 service.set_routers(state.routers.len());
                 let map = state.maps.get(name).map(|(map, _)| map);
@@ -272,14 +280,22 @@
 
     /// Version of the map of a service, 0 if there is none.
     pub(crate) fn map_version(&self, service: &str) -> u64 {
-        self.state.borrow().maps.get(service).map_or(0, |(_, version)| *version)
+        self.state
+            .borrow()
+            .maps
+            .get(service)
+            .map_or(0, |(_, version)| *version)
     }
 
     /// Takes a map unless a later one is known. Returns whether it is new.
     pub(crate) fn learn_map(self: &Rc<Self>, service: &Arc<str>, map: Map, version: u64) -> bool {
         {
             let mut state = self.state.borrow_mut();
-            if state.maps.get(service).is_some_and(|(_, known)| *known >= version) {
+            if state
+                .maps
+                .get(service)
+                .is_some_and(|(_, known)| *known >= version)
+            {
                 return false;
             }
             let spans = spans(&map);
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -13,8 +13,8 @@
 use bytes::Bytes;
 use eelgrassrock_ranges::election::{Contact, Duty, Former};
 use eelgrassrock_ranges::map::Map;
-use eelgrassrock_store::endpoint::{Call, Endpoint};
 use eelgrassrock_store::Kind;
+use eelgrassrock_store::endpoint::{Call, Endpoint};
 use eelgrassrock_store::settings::Settings;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -132,7 +132,10 @@
         duty: &Duty,
         report: &Report,
     ) -> (Contact, Option<(Map, u64)>, Shares) {
-        match self.call::<Reply>(duty.address, "/report", report, CALL_TIMEOUT).await {
+        match self
+            .call::<Reply>(duty.address, "/report", report, CALL_TIMEOUT)
+            .await
+        {
             Ok(reply) if reply.is_keeper => (Contact::Serving, reply.map, reply.admitted),
             Ok(reply) => (Contact::Idle, reply.map, Shares::new()),
             Err(contact) => (contact, None, Shares::new()),
@@ -151,7 +154,9 @@
             service: Arc::clone(service),
             term,
         };
-        let end = self.call::<Yielded>(before.address, "/yield", &question, CALL_TIMEOUT).await;
+        let end = self
+            .call::<Yielded>(before.address, "/yield", &question, CALL_TIMEOUT)
+            .await;
         match end {
             Ok(yielded) if yielded.incarnation != before.incarnation => Some(false),
             Ok(yielded) => yielded.is_clean,
@@ -168,7 +173,8 @@
         hold_back: Duration,
         question: &relay::Question,
     ) -> Result<relay::Answer, Contact> {
-        self.call(address, "/follow", question, hold_back + CALL_TIMEOUT).await
+        self.call(address, "/follow", question, hold_back + CALL_TIMEOUT)
+            .await
     }
 
     /// Gives a relay a new map.
@@ -199,7 +205,9 @@
                 async move { Ok::<_, Infallible>(answer(&node, from.ip(), request).await) }
             });
             // A router that breaks off has nothing to be told.
-            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
         });
     }
 }
@@ -214,9 +222,15 @@
     from: IpAddr,
     request: Request<Incoming>,
 ) -> Response<Payload> {
-    let known = node.state.borrow().routers.values().any(|router| router.address.ip() == from);
+    let known = node
+        .state
+        .borrow()
+        .routers
+        .values()
+        .any(|router| router.address.ip() == from);
     if !known && from != node.settings.peer.ip() {
-        node.log.request("stranger refused", &Stranger { address: from });
+        node.log
+            .request("stranger refused", &Stranger { address: from });
         return respond(StatusCode::FORBIDDEN, Bytes::new());
     }
     let path = request.uri().path().to_owned();
@@ -224,7 +238,11 @@
         return respond(StatusCode::BAD_REQUEST, Bytes::new());
     };
     match &*path {
-        "/report" => encode(postcard::from_bytes(&body).ok().map(|report| hear(node, &report))),
+        "/report" => encode(
+            postcard::from_bytes(&body)
+                .ok()
+                .map(|report| hear(node, &report)),
+        ),
         "/follow" => match postcard::from_bytes(&body) {
             Ok(question) => encode(Some(node.answer_follower(question).await)),
             Err(_) => respond(StatusCode::BAD_REQUEST, Bytes::new()),
@@ -234,10 +252,14 @@
                 node.learn_map(&news.service, news.map, news.version);
             }
         })),
-        "/yield" => encode(postcard::from_bytes(&body).ok().map(|question: Yield| Yielded {
-            incarnation: node.settings.incarnation,
-            is_clean: node.duties.give_up(&question.service, question.term),
-        })),
+        "/yield" => encode(
+            postcard::from_bytes(&body)
+                .ok()
+                .map(|question: Yield| Yielded {
+                    incarnation: node.settings.incarnation,
+                    is_clean: node.duties.give_up(&question.service, question.term),
+                }),
+        ),
         _ => respond(StatusCode::NOT_FOUND, Bytes::new()),
     }
 }
@@ -245,9 +267,17 @@
 fn hear<P: Platform>(node: &Node<P>, report: &Report) -> Reply {
     node.duties.absorb_paces(&report.service, &report.paces);
     let is_keeper = node.duties.hear(&report.service, &report.keys);
-    let admitted = node.admitted.borrow().get(&report.service).cloned().unwrap_or_default();
+    let admitted = node
+        .admitted
+        .borrow()
+        .get(&report.service)
+        .cloned()
+        .unwrap_or_default();
     let state = node.state.borrow();
-    let map = state.maps.get(&report.service).filter(|(_, version)| *version > report.map_version);
+    let map = state
+        .maps
+        .get(&report.service)
+        .filter(|(_, version)| *version > report.map_version);
     Reply {
         is_keeper,
         map: map.cloned(),
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -83,7 +83,8 @@
 ///
 /// Returns [`Fault`] if the process can't start.
 pub fn run<P: Platform>(platform: P, settings: Settings) -> Result<(), Fault> {
-    let logger = Logger::to(io::stdout(), settings.log.level).map_err(|source| Fault::Log { source })?;
+    let logger =
+        Logger::to(io::stdout(), settings.log.level).map_err(|source| Fault::Log { source })?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_io()
         .enable_time()
@@ -188,7 +189,10 @@
         let now = clock::now();
         let mut guard = node.state.borrow_mut();
         let state = &mut *guard;
-        state.services.values_mut().for_each(|service| service.sweep(now));
+        state
+            .services
+            .values_mut()
+            .for_each(|service| service.sweep(now));
         node.links.sweep(|id| state.book.get(id).is_some());
     }
 }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -30,7 +30,7 @@
 
 /// Longest time for which a relay holds back an answer without news. A
 /// follower misses a lost relay for this time and that of a call.
-const HOLD_BACK: Duration = Duration::from_millis(500);
+const HOLD_BACK: Duration = Duration::from_millis(400);
 /// Time for which a relay that didn't answer is passed over.
 const PASS_OVER: Duration = Duration::from_secs(3);
 /// Time that a relay gets to bring a version that another router has: it
@@ -200,7 +200,12 @@
             }
             let forgotten = after[table] < journal.since;
             let later = |row: &&Row| row.version > after[table];
-            let rows: Vec<WireRow> = journal.rows.iter().filter(later).map(WireRow::from).collect();
+            let rows: Vec<WireRow> = journal
+                .rows
+                .iter()
+                .filter(later)
+                .map(WireRow::from)
+                .collect();
             if forgotten || !rows.is_empty() {
                 parts.push(Part {
                     table: table as u8,
@@ -219,8 +224,14 @@
     /// store by itself.
     pub(crate) fn relay_to_follow(&self) -> Option<Router> {
         let now = clock::now();
-        let direct = self.relay.direct_until.get().is_some_and(|until| now < until);
-        let unread = TABLES.iter().any(|table| self.relay.after(*table).is_none());
+        let direct = self
+            .relay
+            .direct_until
+            .get()
+            .is_some_and(|until| now < until);
+        let unread = TABLES
+            .iter()
+            .any(|table| self.relay.after(*table).is_none());
         if direct || unread {
             return None;
         }
@@ -245,7 +256,9 @@
     fn router_at(&self, router: &Router) -> Option<Arc<str>> {
         let state = self.state.borrow();
         let mut routers = state.routers.iter();
-        routers.find(|(_, other)| other.address == router.address).map(|(name, _)| Arc::clone(name))
+        routers
+            .find(|(_, other)| other.address == router.address)
+            .map(|(name, _)| Arc::clone(name))
     }
 
     /// Whether this router hears from the store, if only through its relay:
@@ -259,7 +272,9 @@
     pub(crate) fn hear_versions(self: &Rc<Self>, versions: [u64; 2]) {
         let is_behind = move |node: &Self| {
             let own = node.relay.newest();
-            own.iter().zip(versions).any(|(own, theirs)| *own > 0 && *own < theirs)
+            own.iter()
+                .zip(versions)
+                .any(|(own, theirs)| *own > 0 && *own < theirs)
         };
         if !is_behind(self) {
             return;
@@ -271,7 +286,9 @@
                 return;
             }
             if node.relay_to_follow().is_some() {
-                node.relay.direct_until.set(Some(clock::now() + DIRECT_TIME));
+                node.relay
+                    .direct_until
+                    .set(Some(clock::now() + DIRECT_TIME));
                 node.relay.role.notify_waiters();
             } else {
                 node.relay.feeds_lost.notify_waiters();
@@ -306,7 +323,12 @@
             is_live: self.hears_from_store(),
             tables,
             maps,
-            admitted: self.admitted.borrow().iter().map(|(name, shares)| (Arc::clone(name), shares.clone())).collect(),
+            admitted: self
+                .admitted
+                .borrow()
+                .iter()
+                .map(|(name, shares)| (Arc::clone(name), shares.clone()))
+                .collect(),
         }
     }
 
@@ -316,8 +338,12 @@
             let known = known.iter().find(|(other, _)| other == name);
             known.is_none_or(|(_, known)| *known < version)
         };
-        let maps = state.maps.iter().filter(|(name, (_, version))| is_newer(name, *version));
-        maps.map(|(name, (map, version))| (Arc::clone(name), map.clone(), *version)).collect()
+        let maps = state
+            .maps
+            .iter()
+            .filter(|(name, (_, version))| is_newer(name, *version));
+        maps.map(|(name, (map, version))| (Arc::clone(name), map.clone(), *version))
+            .collect()
     }
 
     /// Follows a relay as long as there is one.
@@ -331,7 +357,8 @@
             let maps = {
                 let state = self.state.borrow();
                 let maps = state.maps.iter();
-                maps.map(|(name, (_, version))| (Arc::clone(name), *version)).collect()
+                maps.map(|(name, (_, version))| (Arc::clone(name), *version))
+                    .collect()
             };
             let question = Question {
                 after,
@@ -387,12 +414,17 @@
         let mut relays: HashMap<Arc<str>, (u32, u64, std::net::SocketAddr)> = HashMap::new();
         {
             let state = self.state.borrow();
-            let others = state.routers.iter().filter(|(name, _)| **name != self.settings.router);
+            let others = state
+                .routers
+                .iter()
+                .filter(|(name, _)| **name != self.settings.router);
             for (name, router) in others {
                 let mut hasher = DefaultHasher::new();
                 name.hash(&mut hasher);
                 let rank = (u32::MAX - router.size, hasher.finish(), router.address);
-                let first = relays.entry(Arc::clone(&router.data_centre)).or_insert(rank);
+                let first = relays
+                    .entry(Arc::clone(&router.data_centre))
+                    .or_insert(rank);
                 *first = (*first).min(rank);
             }
         }
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -91,7 +91,9 @@
     let mut response = answer(&node, request).await;
     strip(response.headers_mut());
     if node.is_stopping() {
-        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        response
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
     }
     drop(open);
     response
@@ -109,9 +111,16 @@
 async fn answer<P: Platform>(node: &Rc<Node<P>>, request: Request<Incoming>) -> Response<Payload> {
     let arrived = clock::now();
     let Some(directory) = node.state.borrow().directory.clone() else {
-        return refusal(StatusCode::SERVICE_UNAVAILABLE, "no-configuration", NO_CONFIGURATION_RETRY_AFTER);
+        return refusal(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no-configuration",
+            NO_CONFIGURATION_RETRY_AFTER,
+        );
     };
-    let host = request.headers().get(HOST).and_then(|host| host.to_str().ok());
+    let host = request
+        .headers()
+        .get(HOST)
+        .and_then(|host| host.to_str().ok());
     let host = host.or_else(|| request.uri().host()).unwrap_or_default();
     let found = directory.route(host, request.uri().path()).or_else(|| {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
@@ -133,9 +142,18 @@
     strip(&mut parts.headers);
     parts.headers.remove(EXPECT);
     parts.uri = origin_form(&parts.uri);
-    let job = job(node, route, head, Message { parts, body: content }, arrived);
+    let message = Message {
+        parts,
+        body: content,
+        repeat: route.repeat,
+    };
+    let job = job(node, route, head, message, arrived);
     if node.ends_at().is_some_and(|end| job.work.give_up > end) {
-        return refusal(StatusCode::SERVICE_UNAVAILABLE, "stopping", STOPPING_RETRY_AFTER);
+        return refusal(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "stopping",
+            STOPPING_RETRY_AFTER,
+        );
     }
     let version = directory.version;
     if job.route.repeat == Repeat::Idempotent {
@@ -160,7 +178,9 @@
     message: Message,
     arrived: Instant,
 ) -> Job {
-    let patience = head.patience.map(|patience| patience.saturating_sub(RETURN_MARGIN));
+    let patience = head
+        .patience
+        .map(|patience| patience.saturating_sub(RETURN_MARGIN));
     let allowed = match (patience, route.timeout) {
         (Some(patience), Some(timeout)) => patience.min(timeout),
         (Some(limit), None) | (None, Some(limit)) => limit,
@@ -195,7 +215,8 @@
 async fn run<P: Platform>(node: &Rc<Node<P>>, mut job: Job, version: u64) -> Response<Payload> {
     let done = attempt(node, &mut job).await;
     let elapsed = clock::now() - job.work.arrived;
-    node.metrics.request(&job.route.name, &job.service, done.outcome, elapsed);
+    node.metrics
+        .request(&job.route.name, &job.service, done.outcome, elapsed);
     let is_plain = done.outcome == "answered" && job.sends.len() <= 1;
     if !is_plain || node.log.samples() {
         node.log.request(
@@ -283,7 +304,8 @@
         Exchange::None(report) => *report,
     };
     let elapsed = clock::now() - started;
-    node.metrics.send_ended(&job.service, report.as_str(), elapsed);
+    node.metrics
+        .send_ended(&job.service, report.as_str(), elapsed);
     if job.work.key.is_some() && report == (Report::Answered { failed: false }) {
         node.duties.record_pace(&job.service, &upstream.id, elapsed);
     }
@@ -302,7 +324,11 @@
             sending.report = Report::Answered { failed: is_bad };
             job.work.runs += 1;
             job.work.is_repeat = true;
-            let outcome = if is_bad { "upstream-failed" } else { "answered" };
+            let outcome = if is_bad {
+                "upstream-failed"
+            } else {
+                "answered"
+            };
             let done = Final {
                 response,
                 outcome,
@@ -376,7 +402,8 @@
 impl<P: Platform> Drop for Queued<'_, P> {
     fn drop(&mut self) {
         self.node.forget(self.ticket);
-        self.node.with(self.service, |service, _| service.leave(self.ticket));
+        self.node
+            .with(self.service, |service, _| service.leave(self.ticket));
     }
 }
 
@@ -403,7 +430,11 @@
 fn refused(job: &Job, refused: Refusal) -> Final {
     let outcome = refused.reason.as_str();
     let response = if job.work.runs == 0 {
-        refusal(StatusCode::SERVICE_UNAVAILABLE, outcome, refused.retry_after)
+        refusal(
+            StatusCode::SERVICE_UNAVAILABLE,
+            outcome,
+            refused.retry_after,
+        )
     } else {
         plain(StatusCode::BAD_GATEWAY, outcome)
     };
@@ -419,7 +450,10 @@
         Report::Silent => (plain(StatusCode::GATEWAY_TIMEOUT, "timeout"), "timeout"),
         _ if job.work.runs == 0 => {
             let pause = NO_CONFIGURATION_RETRY_AFTER;
-            (refusal(StatusCode::SERVICE_UNAVAILABLE, "not-run", pause), "not-run")
+            (
+                refusal(StatusCode::SERVICE_UNAVAILABLE, "not-run", pause),
+                "not-run",
+            )
         }
         _ => (plain(StatusCode::BAD_GATEWAY, "unknown"), "unknown"),
     };
@@ -446,8 +480,12 @@
 }
 
 fn too_long(headers: &HeaderMap, limit: u64) -> bool {
-    let length = headers.get(CONTENT_LENGTH).and_then(|length| length.to_str().ok());
-    length.and_then(|length| length.parse::<u64>().ok()).is_some_and(|length| length > limit)
+    let length = headers
+        .get(CONTENT_LENGTH)
+        .and_then(|length| length.to_str().ok());
+    length
+        .and_then(|length| length.parse::<u64>().ok())
+        .is_some_and(|length| length > limit)
 }
 
 fn origin_form(uri: &http::Uri) -> http::Uri {
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -123,7 +123,11 @@
         node.relay.keep(table, &rows, true);
         return Ok(());
     };
-    let wait = if table == Table::Configuration { PROVING_WAIT } else { QUIET_WAIT };
+    let wait = if table == Table::Configuration {
+        PROVING_WAIT
+    } else {
+        QUIET_WAIT
+    };
     match node.platform.changes(table, after, wait).await? {
         Changes::Forgotten => node.relay.forget(table),
         Changes::Rows(rows) => {
@@ -159,12 +163,24 @@
             if table == Table::Registry && had == Some(false) {
                 state.book.regain(clock::now());
             }
-            node.log.note("store reached", &Store { table: name, reason: None });
+            node.log.note(
+                "store reached",
+                &Store {
+                    table: name,
+                    reason: None,
+                },
+            );
         }
         Some(fault) => {
             let reason = fault.to_string();
             let reason = Some(&*reason);
-            node.log.warn("store lost", &Store { table: name, reason });
+            node.log.warn(
+                "store lost",
+                &Store {
+                    table: name,
+                    reason,
+                },
+            );
         }
     }
 }
@@ -179,7 +195,9 @@
         Table::Routers => {
             let mut state = node.state.borrow_mut();
             let present = |name: &str| {
-                rows.rows.iter().any(|row| row.key.strip_prefix(ROUTER) == Some(name))
+                rows.rows
+                    .iter()
+                    .any(|row| row.key.strip_prefix(ROUTER) == Some(name))
             };
             state.routers.retain(|name, _| present(name));
         }
@@ -297,7 +315,11 @@
     if let Some(name) = row.key.strip_prefix(ROUTER) {
         take_router(node, name, row);
     } else if let Some(service) = row.key.strip_prefix(DUTY) {
-        match row.value.as_ref().map(|value| postcard::from_bytes::<Duty>(value)) {
+        match row
+            .value
+            .as_ref()
+            .map(|value| postcard::from_bytes::<Duty>(value))
+        {
             Some(Ok(duty)) => node.learn_duty(&service.into(), Some((duty, row.version))),
             Some(Err(error)) => note_bad(node, Table::Routers, row, &error.to_string()),
             None => {}
@@ -307,7 +329,11 @@
 
 fn take_router<P: Platform>(node: &Rc<Node<P>>, name: &str, row: &Row) {
     let mut state = node.state.borrow_mut();
-    match row.value.as_ref().map(|value| postcard::from_bytes::<Router>(value)) {
+    match row
+        .value
+        .as_ref()
+        .map(|value| postcard::from_bytes::<Router>(value))
+    {
         Some(Ok(router)) => {
             state.routers.insert(name.into(), router);
         }
--- a/crates/edge/tests/control.rs
+++ b/crates/edge/tests/control.rs
@@ -41,12 +41,17 @@
 async fn an_upstream_that_left_the_registry_gets_nothing() {
     let store = Store::default();
     let servers = [Server::start("up-0").await, Server::start("up-1").await];
-    servers.iter().for_each(|server| store.register("sheets", server));
+    servers
+        .iter()
+        .for_each(|server| store.register("sheets", server));
     store.configure(1, vec![route("/read/", Repeat::Idempotent, "sheets")], &[]);
     let router = Router::start("router-1", &store);
     router.ready().await;
     store.unregister("up-0");
-    eventually("the lapse", || router.lines.text().contains("upstream lapsed")).await;
+    eventually("the lapse", || {
+        router.lines.text().contains("upstream lapsed")
+    })
+    .await;
     for n in 0..10 {
         let id = format!("r{n}");
         assert_eq!(status(&router, "/read/1", &id).await, 200);
@@ -87,7 +92,11 @@
     store.configure(2, vec![route("/v2/", Repeat::Idempotent, "sheets")], &[]);
     let began = Instant::now();
     while status(&second, "/v2/1", "r1").await != 200 {
-        assert!(began.elapsed() < Duration::from_secs(2), "{}", second.lines.text());
+        assert!(
+            began.elapsed() < Duration::from_secs(2),
+            "{}",
+            second.lines.text()
+        );
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
@@ -101,7 +110,11 @@
     store.configure(2, vec![route("/v2/", Repeat::Idempotent, "sheets")], &[]);
     let began = Instant::now();
     while status(&second, "/v2/1", "r1").await != 200 {
-        assert!(began.elapsed() < Duration::from_millis(3_500), "{}", second.lines.text());
+        assert!(
+            began.elapsed() < Duration::from_millis(3_500),
+            "{}",
+            second.lines.text()
+        );
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
@@ -111,10 +124,17 @@
         Server::start("up-0").await.keyed(),
         Server::start("up-1").await.keyed(),
     ];
-    servers.iter().for_each(|server| store.register("sheets", server));
-    store.configure(1, vec![route("/read/", Repeat::Idempotent, "sheets")], &["sheets"]);
-    let routers: Vec<Router> =
-        (0..routers).map(|n| Router::start(&format!("router-{n}"), store)).collect();
+    servers
+        .iter()
+        .for_each(|server| store.register("sheets", server));
+    store.configure(
+        1,
+        vec![route("/read/", Repeat::Idempotent, "sheets")],
+        &["sheets"],
+    );
+    let routers: Vec<Router> = (0..routers)
+        .map(|n| Router::start(&format!("router-{n}"), store))
+        .collect();
     for router in &routers {
         router.ready().await;
     }
@@ -132,7 +152,10 @@
 async fn keys_are_granted_and_requests_go_to_their_holders() {
     let store = Store::default();
     let (servers, routers) = keyed(&store, 1).await;
-    eventually("the grants", || servers.iter().any(|server| server.holds(7))).await;
+    eventually("the grants", || {
+        servers.iter().any(|server| server.holds(7))
+    })
+    .await;
     for key in [0, 7, 40_000, u16::MAX] {
         assert_eq!(read_key(&routers[0], key, &format!("k{key}")).await, 200);
     }
@@ -142,10 +165,17 @@
 async fn no_key_lapses_when_the_keeper_is_killed() {
     let store = Store::default();
     let (servers, mut routers) = keyed(&store, 3).await;
-    eventually("the grants", || servers.iter().any(|server| server.holds(7))).await;
+    eventually("the grants", || {
+        servers.iter().any(|server| server.holds(7))
+    })
+    .await;
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     let is_keeper = |router: &Router| {
-        router.lines.text().lines().any(|line| line.contains("\"keeper\"") && line.contains("taken"))
+        router
+            .lines
+            .text()
+            .lines()
+            .any(|line| line.contains("\"keeper\"") && line.contains("taken"))
     };
     let keeper = routers.iter().position(is_keeper).unwrap();
     routers.remove(keeper).kill();
@@ -175,14 +205,18 @@
     tokio::time::sleep(Duration::from_millis(100)).await;
     router.stop();
     tokio::time::sleep(Duration::from_millis(50)).await;
-    let readiness = send(router.settings.readiness, get("/ready", "x", "r", 500)).await.unwrap();
+    let readiness = send(router.settings.readiness, get("/ready", "x", "r", 500))
+        .await
+        .unwrap();
     assert_eq!(readiness.status(), 503);
     let answer = open.await.unwrap().unwrap();
     assert_eq!(answer.status(), 200);
     assert_eq!(answer.headers()["connection"], "close");
     // What might outlast the process is refused; another router takes it.
     tokio::time::sleep(GRACE.mul_f64(0.3)).await;
-    let late = send(front, get("/read/1", HOST, "r2", 9_000)).await.unwrap();
+    let late = send(front, get("/read/1", HOST, "r2", 9_000))
+        .await
+        .unwrap();
     assert_eq!(late.status(), 503);
     assert!(late.headers().contains_key("retry-after"));
     assert_eq!(server.runs("r2"), 0);
@@ -199,7 +233,9 @@
     let router = Router::start("router-1", &store);
     router.ready().await;
     assert_eq!(status(&router, "/read/1", "r1").await, 200);
-    let page = send(router.settings.metrics, get("/metrics", "x", "m", 500)).await.unwrap();
+    let page = send(router.settings.metrics, get("/metrics", "x", "m", 500))
+        .await
+        .unwrap();
     let page = String::from_utf8(page.into_body().to_vec()).unwrap();
     let served: Vec<&str> = page
         .lines()
@@ -208,10 +244,18 @@
         .collect();
     let listed = include_str!("../../../docs/METRICS.md");
     for name in &served {
-        assert!(listed.contains(&format!("`{name}`")), "docs/METRICS.md lacks {name}");
+        assert!(
+            listed.contains(&format!("`{name}`")),
+            "docs/METRICS.md lacks {name}"
+        );
     }
-    let named = listed.split('`').filter(|word| word.starts_with("eelgrassrock_"));
+    let named = listed
+        .split('`')
+        .filter(|word| word.starts_with("eelgrassrock_"));
     for name in named {
-        assert!(served.contains(&name), "docs/METRICS.md names {name}, which isn't served");
+        assert!(
+            served.contains(&name),
+            "docs/METRICS.md names {name}, which isn't served"
+        );
     }
 }
--- a/crates/edge/tests/requests.rs
+++ b/crates/edge/tests/requests.rs
@@ -42,7 +42,9 @@
 #[tokio::test]
 async fn a_caller_gets_the_upstreams_own_answer() {
     let (_store, servers, router) = world(1).await;
-    let answer = send(router.settings.front, get("/read/7", HOST, "r1", 1_000)).await.unwrap();
+    let answer = send(router.settings.front, get("/read/7", HOST, "r1", 1_000))
+        .await
+        .unwrap();
     assert_eq!(answer.status(), 200);
     assert_eq!(answer.headers()["x-from"], "up-0");
     assert_eq!(answer.into_body(), "up-0 ran r1");
@@ -52,7 +54,9 @@
 #[tokio::test]
 async fn an_unknown_route_is_not_found() {
     let (_store, _servers, router) = world(1).await;
-    let answer = send(router.settings.front, get("/other/7", HOST, "r1", 1_000)).await.unwrap();
+    let answer = send(router.settings.front, get("/other/7", HOST, "r1", 1_000))
+        .await
+        .unwrap();
     assert_eq!(answer.status(), 404);
 }
 
@@ -62,7 +66,9 @@
     for length in [0, 10, 600_000] {
         let body = "x".repeat(length);
         let id = format!("b{length}");
-        let answer = send(router.settings.front, post("/issue/1", &id, 2_000, &body)).await.unwrap();
+        let answer = send(router.settings.front, post("/issue/1", &id, 2_000, &body))
+            .await
+            .unwrap();
         assert_eq!(answer.status(), 200);
         assert_eq!(servers[0].bodies().last().unwrap().len(), length);
     }
@@ -79,9 +85,13 @@
     servers[1].next(&[act]);
     // One of the two takes it first and misbehaves; the other answers then
     // with its own misbehaviour, or well.
-    let first = send(router.settings.front, get("/read/1", HOST, "r1", 1_500)).await.unwrap();
+    let first = send(router.settings.front, get("/read/1", HOST, "r1", 1_500))
+        .await
+        .unwrap();
     assert_eq!(first.status(), 502, "two upstreams, two attempts, both bad");
-    let second = send(router.settings.front, get("/read/1", HOST, "r2", 1_500)).await.unwrap();
+    let second = send(router.settings.front, get("/read/1", HOST, "r2", 1_500))
+        .await
+        .unwrap();
     assert_eq!(second.status(), 200);
     assert_eq!(runs(&servers, "r1"), 2);
 }
@@ -95,8 +105,14 @@
 async fn what_must_not_repeat_runs_once_whatever_becomes_of_its_answer(#[case] act: Act) {
     let (_store, servers, router) = world(2).await;
     next(&servers, act);
-    let answer = send(router.settings.front, post("/issue/1", "w1", 1_500, "x")).await.unwrap();
-    assert!([500, 502].contains(&answer.status().as_u16()), "{}", answer.status());
+    let answer = send(router.settings.front, post("/issue/1", "w1", 1_500, "x"))
+        .await
+        .unwrap();
+    assert!(
+        [500, 502].contains(&answer.status().as_u16()),
+        "{}",
+        answer.status()
+    );
     assert!(answer.headers().get("retry-after").is_none());
     assert_eq!(runs(&servers, "w1"), 1);
 }
@@ -107,11 +123,15 @@
     // Whichever is asked first refuses; its next request would be refused too.
     servers[0].next(&[Act::Refuse]);
     servers[1].next(&[Act::Refuse]);
-    let answer = send(router.settings.front, post("/issue/1", "w1", 1_500, "x")).await.unwrap();
+    let answer = send(router.settings.front, post("/issue/1", "w1", 1_500, "x"))
+        .await
+        .unwrap();
     assert_eq!(answer.status(), 503, "both refused");
     assert!(answer.headers().contains_key("retry-after"));
     assert_eq!(runs(&servers, "w1"), 0);
-    let answer = send(router.settings.front, post("/issue/1", "w2", 1_500, "x")).await.unwrap();
+    let answer = send(router.settings.front, post("/issue/1", "w2", 1_500, "x"))
+        .await
+        .unwrap();
     assert_eq!(answer.status(), 200);
     assert_eq!(runs(&servers, "w2"), 1);
 }
@@ -121,7 +141,9 @@
     let (_store, servers, router) = world(1).await;
     next(&servers, Act::Answer(5_000));
     let began = Instant::now();
-    let answer = send(router.settings.front, get("/read/1", HOST, "r1", 9_000)).await.unwrap();
+    let answer = send(router.settings.front, get("/read/1", HOST, "r1", 9_000))
+        .await
+        .unwrap();
     assert_eq!(answer.status(), 504);
     let elapsed = began.elapsed();
     assert!((1_900..2_250).contains(&elapsed.as_millis()), "{elapsed:?}");
@@ -133,10 +155,18 @@
     servers[0].next(&[Act::Answer(1_000), Act::Answer(300)]);
     let front = router.settings.front;
     let read = send(front, get("/read/1", HOST, "r1", 1_500));
-    assert!(tokio::time::timeout(Duration::from_millis(150), read).await.is_err());
+    assert!(
+        tokio::time::timeout(Duration::from_millis(150), read)
+            .await
+            .is_err()
+    );
     eventually("cancelling the read", || servers[0].dropped() == 1).await;
     let write = send(front, post("/issue/1", "w1", 1_500, "x"));
-    assert!(tokio::time::timeout(Duration::from_millis(100), write).await.is_err());
+    assert!(
+        tokio::time::timeout(Duration::from_millis(100), write)
+            .await
+            .is_err()
+    );
     tokio::time::sleep(Duration::from_millis(400)).await;
     assert_eq!(servers[0].dropped(), 1, "the write was broken off");
     assert_eq!(servers[0].runs("w1"), 1);
@@ -146,7 +176,9 @@
 async fn without_configuration_requests_are_refused_with_a_time_to_come_back() {
     let store = Store::default();
     let router = Router::start("router-1", &store);
-    let answer = send(router.settings.front, get("/read/1", HOST, "r1", 1_000)).await.unwrap();
+    let answer = send(router.settings.front, get("/read/1", HOST, "r1", 1_000))
+        .await
+        .unwrap();
     assert_eq!(answer.status(), 503);
     assert!(answer.headers().contains_key("retry-after"));
 }
@@ -155,11 +187,15 @@
 async fn a_failed_request_has_a_line_that_says_where_it_was_sent() {
     let (_store, servers, router) = world(1).await;
     next(&servers, Act::Close);
-    let _ = send(router.settings.front, post("/issue/1", "w1", 1_500, "x")).await.unwrap();
+    let _ = send(router.settings.front, post("/issue/1", "w1", 1_500, "x"))
+        .await
+        .unwrap();
     eventually("the line", || {
         let lines = router.lines.text();
         let mut lines = lines.lines();
-        lines.any(|line| line.contains("\"w1\"") && line.contains("up-0") && line.contains("unknown"))
+        lines.any(|line| {
+            line.contains("\"w1\"") && line.contains("up-0") && line.contains("unknown")
+        })
     })
     .await;
 }
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -58,7 +58,10 @@
 }
 
 pub(crate) fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
 }
 
 fn settings(name: &str) -> Settings {
@@ -100,11 +103,12 @@
         let (kill, killed) = oneshot::channel::<()>();
         let lines = Lines::default();
         let thread = std::thread::spawn({
-            let (fake, settings, lines) =
-                (Fake::new(store, name), settings.clone(), lines.clone());
+            let (fake, settings, lines) = (Fake::new(store, name), settings.clone(), lines.clone());
             move || {
-                let runtime =
-                    tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+                let runtime = tokio::runtime::Builder::new_current_thread()
+                    .enable_all()
+                    .build()
+                    .unwrap();
                 let logger = Logger::to(lines, settings.log.level).unwrap();
                 LocalSet::new().block_on(&runtime, async move {
                     let stop = async move {
@@ -131,14 +135,18 @@
     pub(crate) async fn ready(&self) {
         let question = || get("/ready", "router", "ready", 1_000);
         for _ in 0..200 {
-            if let Ok(answer) = send(self.settings.readiness, question()).await {
-                if answer.status() == 200 {
-                    return;
-                }
+            if let Ok(answer) = send(self.settings.readiness, question()).await
+                && answer.status() == 200
+            {
+                return;
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        panic!("{} never was ready:\n{}", self.settings.router, self.lines.text());
+        panic!(
+            "{} never was ready:\n{}",
+            self.settings.router,
+            self.lines.text()
+        );
     }
 
     /// Tells the router to stop, as a signal does.
@@ -147,7 +155,9 @@
     }
 
     pub(crate) fn is_running(&self) -> bool {
-        self.thread.as_ref().is_some_and(|thread| !thread.is_finished())
+        self.thread
+            .as_ref()
+            .is_some_and(|thread| !thread.is_finished())
     }
 
     /// Ends the router at once: its sockets close, nothing is handed over.
@@ -198,7 +208,10 @@
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(connection);
     let (parts, body) = sender.send_request(request).await?.into_parts();
-    Ok(Response::from_parts(parts, body.collect().await?.to_bytes()))
+    Ok(Response::from_parts(
+        parts,
+        body.collect().await?.to_bytes(),
+    ))
 }
 
 async fn connect(address: SocketAddr) -> TcpStream {
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -6,9 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrassrock_dispatch::directory::{
-    Directory, Keyed, Limits, Part, Repeat, Route, Service,
-};
+use eelgrassrock_dispatch::directory::{Directory, Keyed, Limits, Part, Repeat, Route, Service};
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_edge::seam::{
     Changes, Commit, Head, Name, Platform, Row, Rows, Table, Transaction, Unreadable, Verdict,
@@ -70,9 +68,22 @@
             };
             (Arc::clone(&part.service), service)
         });
-        let directory = Directory::new(version, routes.clone(), services.collect(), Limits::default());
-        self.0.lock().unwrap().configurations.insert(version, directory);
-        self.write(Table::Configuration, "current", Some(version.to_string().into()));
+        let directory = Directory::new(
+            version,
+            routes.clone(),
+            services.collect(),
+            Limits::default(),
+        );
+        self.0
+            .lock()
+            .unwrap()
+            .configurations
+            .insert(version, directory);
+        self.write(
+            Table::Configuration,
+            "current",
+            Some(version.to_string().into()),
+        );
     }
 
     /// Registers an upstream.
@@ -110,7 +121,13 @@
     }
 
     pub(crate) fn feed_calls(&self, router: &str) -> usize {
-        self.0.lock().unwrap().feed_calls.get(router).copied().unwrap_or(0)
+        self.0
+            .lock()
+            .unwrap()
+            .feed_calls
+            .get(router)
+            .copied()
+            .unwrap_or(0)
     }
 }
 
@@ -158,8 +175,13 @@
 
     fn after(&self, table: Table, after: u64) -> Rows {
         let state = self.store.0.lock().unwrap();
-        let of_table = state.rows.iter().filter(|((other, _), _)| *other == number(table));
-        let later = of_table.map(|(_, row)| row).filter(|row| row.version > after);
+        let of_table = state
+            .rows
+            .iter()
+            .filter(|((other, _), _)| *other == number(table));
+        let later = of_table
+            .map(|(_, row)| row)
+            .filter(|row| row.version > after);
         let mut rows: Vec<Row> = later.cloned().collect();
         rows.sort_by_key(|row| row.version);
         Rows {
@@ -193,7 +215,14 @@
 
     async fn changes(&self, table: Table, after: u64, wait: Duration) -> Result<Changes, Fault> {
         let give_up = tokio::time::Instant::now() + wait;
-        *self.store.0.lock().unwrap().feed_calls.entry(self.router.clone()).or_default() += 1;
+        *self
+            .store
+            .0
+            .lock()
+            .unwrap()
+            .feed_calls
+            .entry(self.router.clone())
+            .or_default() += 1;
         loop {
             self.reach()?;
             let rows = self.after(table, after);
@@ -212,9 +241,14 @@
             let state = self.store.0.lock().unwrap();
             let current = |name: &Name| {
                 let row = state.rows.get(&(number(name.table), Arc::clone(&name.key)));
-                row.filter(|row| row.value.is_some()).map_or(0, |row| row.version)
+                row.filter(|row| row.value.is_some())
+                    .map_or(0, |row| row.version)
             };
-            if transaction.expected.iter().any(|(name, version)| current(name) != *version) {
+            if transaction
+                .expected
+                .iter()
+                .any(|(name, version)| current(name) != *version)
+            {
                 return Commit::Conflict;
             }
             state.version
@@ -235,7 +269,14 @@
             .ok()
             .and_then(|text| text.parse().ok())
             .ok_or_else(|| unreadable("not a version"))?;
-        Ok(self.store.0.lock().unwrap().configurations.get(&version).cloned())
+        Ok(self
+            .store
+            .0
+            .lock()
+            .unwrap()
+            .configurations
+            .get(&version)
+            .cloned())
     }
 
     fn upstream(&self, row: &Row) -> Result<Upstream, Unreadable> {
@@ -269,7 +310,9 @@
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
         Head {
             id: text("x-id").map(Into::into),
-            patience: text("x-patience").and_then(|text| text.parse().ok()).map(Duration::from_millis),
+            patience: text("x-patience")
+                .and_then(|text| text.parse().ok())
+                .map(Duration::from_millis),
             key: text("x-key").and_then(|text| text.parse().ok()),
         }
     }
--- a/crates/edge/tests/support/upstream.rs
+++ b/crates/edge/tests/support/upstream.rs
@@ -81,7 +81,7 @@
                         let (server, close) = (server.clone(), Arc::clone(&close));
                         async move { Ok::<_, Infallible>(server.serve(request, &close).await) }
                     });
-                    let mut builder = http1::Builder::new();
+                    let builder = http1::Builder::new();
                     let connection = builder.serve_connection(TokioIo::new(stream), service);
                     tokio::select! {
                         _ = connection => {}
@@ -105,7 +105,13 @@
     }
 
     pub(crate) fn runs(&self, id: &str) -> usize {
-        self.state.lock().unwrap().runs.get(id).copied().unwrap_or(0)
+        self.state
+            .lock()
+            .unwrap()
+            .runs
+            .get(id)
+            .copied()
+            .unwrap_or(0)
     }
 
     pub(crate) fn dropped(&self) -> usize {
@@ -126,14 +132,21 @@
 
     pub(crate) fn grant(&self, order: &Order, hold: Duration) -> Outcome {
         let mut state = self.state.lock().unwrap();
-        let overlaps = |(from, to, _, _): &(u16, u16, u64, Instant)| {
-            *from <= order.to && order.from <= *to
-        };
-        if state.holds.iter().any(|other| overlaps(other) && other.2 > order.fence) {
+        let overlaps =
+            |(from, to, _, _): &(u16, u16, u64, Instant)| *from <= order.to && order.from <= *to;
+        if state
+            .holds
+            .iter()
+            .any(|other| overlaps(other) && other.2 > order.fence)
+        {
             return Outcome::Fenced;
         }
-        state.holds.retain(|other| (other.0, other.1) != (order.from, order.to));
-        state.holds.push((order.from, order.to, order.fence, Instant::now() + hold));
+        state
+            .holds
+            .retain(|other| (other.0, other.1) != (order.from, order.to));
+        state
+            .holds
+            .push((order.from, order.to, order.fence, Instant::now() + hold));
         Outcome::Done { handover: None }
     }
 
@@ -160,10 +173,21 @@
 
     async fn serve(&self, request: Request<Incoming>, close: &Notify) -> Response<Full<Bytes>> {
         let text = |name: &str| {
-            request.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
+            request
+                .headers()
+                .get(name)
+                .and_then(|value| value.to_str().ok())
+                .unwrap_or_default()
+                .to_owned()
         };
         let (id, key) = (text("x-id"), text("x-key").parse::<u16>().ok());
-        let act = self.state.lock().unwrap().acts.pop_front().unwrap_or(Act::Answer(0));
+        let act = self
+            .state
+            .lock()
+            .unwrap()
+            .acts
+            .pop_front()
+            .unwrap_or(Act::Answer(0));
         let answer = |status: u16, id: &str| {
             let builder = Response::builder().status(status).header("x-id", id);
             builder.header("x-from", &self.id)
@@ -173,9 +197,18 @@
             return answer(421, &id).body(Full::default()).unwrap();
         }
         if act == Act::Refuse {
-            return answer(503, &id).header("x-not-run", "1").body(Full::default()).unwrap();
+            return answer(503, &id)
+                .header("x-not-run", "1")
+                .body(Full::default())
+                .unwrap();
         }
-        *self.state.lock().unwrap().runs.entry(id.clone()).or_default() += 1;
+        *self
+            .state
+            .lock()
+            .unwrap()
+            .runs
+            .entry(id.clone())
+            .or_default() += 1;
         let mut running = Running(Arc::clone(&self.state), false);
         if let Ok(body) = request.into_body().collect().await {
             self.state.lock().unwrap().bodies.push(body.to_bytes());
@@ -197,7 +230,9 @@
                 close.notify_one();
                 builder.body(Full::from("half")).unwrap()
             }
-            _ => answer(200, &id).body(Full::from(format!("{} ran {id}", self.id))).unwrap(),
+            _ => answer(200, &id)
+                .body(Full::from(format!("{} ran {id}", self.id)))
+                .unwrap(),
         }
     }
 }
--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -19,11 +19,11 @@
 
 use eelgrassrock_model::time::Instant;
 
-pub use crate::lease::Outcome;
 use crate::lease::Lease;
+pub use crate::lease::Outcome;
 use crate::map::{Life, Map, Range};
-use crate::plan::{self, Candidate};
 use crate::pace::Paces;
+use crate::plan::{self, Candidate};
 use crate::weights::{Load, Weights};
 
 /// Share by which the slowest clock of an upstream may lag behind ours.
@@ -38,7 +38,7 @@
 /// Pause after a call to an upstream that couldn't be reached.
 const UNREACHED_PAUSE: Duration = Duration::from_millis(250);
 /// Time between two looks for a better map.
-const PLAN_INTERVAL: Duration = Duration::from_millis(400);
+const PLAN_INTERVAL: Duration = Duration::from_millis(300);
 /// Ranges that may move at a time, as a share of the upstreams.
 const MOVES_PER_UPSTREAM: f64 = 0.34;
 /// Share of the upstreams whose silence is taken for a fault of the keeper's
@@ -275,7 +275,10 @@
         self.transfer(now, &mut actions);
         self.renew(now, &mut actions);
         if self.draft.is_none() {
-            let next = self.fence_off().or_else(|| self.settle()).or_else(|| self.refence());
+            let next = self
+                .fence_off()
+                .or_else(|| self.settle())
+                .or_else(|| self.refence());
             if let Some(map) = next.or_else(|| self.plan(now)) {
                 self.draft = Some(map.clone());
                 actions.push(Action::Commit(map));
@@ -383,16 +386,17 @@
     }
 
     fn expire_predecessor(&mut self, now: Instant) {
-        if let Inherited::Active { until } = self.inherited {
-            if now >= until {
-                self.predecessor_stopped(false, until);
-            }
+        if let Inherited::Active { until } = self.inherited
+            && now >= until
+        {
+            self.predecessor_stopped(false, until);
         }
     }
 
     /// Drops leases that can't be in force and that the map doesn't name.
     fn drop_old_leases(&mut self, now: Instant) {
-        if matches!(self.inherited, Inherited::Stopped { answered_until, .. } if now >= answered_until) {
+        if matches!(self.inherited, Inherited::Stopped { answered_until, .. } if now >= answered_until)
+        {
             self.fenced_off.clear();
         }
         let map = &self.map;
@@ -421,13 +425,23 @@
                 continue;
             }
             let of_source = |lease: &&Lease| lease.life == source.life && lease.overlaps(range);
-            let in_flight = self.leases.iter().filter(of_source).any(|lease| lease.in_flight);
-            let own = self.leases.iter().filter(of_source).map(|lease| lease.until(transfer.released));
+            let in_flight = self
+                .leases
+                .iter()
+                .filter(of_source)
+                .any(|lease| lease.in_flight);
+            let own = self
+                .leases
+                .iter()
+                .filter(of_source)
+                .map(|lease| lease.until(transfer.released));
             let is_fenced_off = is_fenced_off(&self.fenced_off, &source.life, range);
             let inherited = match self.inherited {
                 _ if is_fenced_off => now,
                 Inherited::Active { .. } => continue,
-                Inherited::Stopped { unanswered_until, .. } if transfer.released => unanswered_until,
+                Inherited::Stopped {
+                    unanswered_until, ..
+                } if transfer.released => unanswered_until,
                 Inherited::Stopped { answered_until, .. } => answered_until,
             };
             let until = own.max().unwrap_or(now).max(inherited);
@@ -435,9 +449,12 @@
                 let life = &upstream.life;
                 life.upstream == source.life.upstream && life.incarnation != source.life.incarnation
             });
-            if has_restarted || (!in_flight && now >= until && (transfer.released || !transfer.in_flight)) {
+            if has_restarted
+                || (!in_flight && now >= until && (transfer.released || !transfer.in_flight))
+            {
                 transfer.cleared = true;
-            } else if !transfer.released && !transfer.in_flight && !in_flight && now >= transfer.due {
+            } else if !transfer.released && !transfer.in_flight && !in_flight && now >= transfer.due
+            {
                 transfer.in_flight = true;
                 actions.push(Action::Release(Order {
                     life: source.life.clone(),
@@ -461,7 +478,10 @@
             if range.source.is_some() && !transfer.is_some_and(|transfer| transfer.cleared) {
                 continue;
             }
-            let is_listed = self.upstreams.iter().any(|upstream| upstream.life == *holder);
+            let is_listed = self
+                .upstreams
+                .iter()
+                .any(|upstream| upstream.life == *holder);
             if !is_listed && !self.upstreams.is_empty() {
                 // A renewal would only keep the keys away from others.
                 continue;
@@ -469,7 +489,8 @@
             let known = |lease: &Lease| lease.is_of(range) && lease.life == *holder;
             let index = self.leases.iter().position(known).unwrap_or_else(|| {
                 let handover = transfer.and_then(|transfer| transfer.handover.clone());
-                self.leases.push(Lease::new(holder.clone(), range, handover, now));
+                self.leases
+                    .push(Lease::new(holder.clone(), range, handover, now));
                 self.leases.len() - 1
             });
             let lease = &mut self.leases[index];
@@ -547,7 +568,11 @@
         }
         let load = self.weights.load(now, usable.len());
         self.shares = shares(&self.map, &load, &usable);
-        let staying = |life: &Life| usable.iter().any(|other| other.life == *life && !other.leaving);
+        let staying = |life: &Life| {
+            usable
+                .iter()
+                .any(|other| other.life == *life && !other.leaving)
+        };
         let is_fixed = |range: &Range| {
             if range.source.is_some() {
                 return true;
@@ -555,8 +580,8 @@
             let Some(holder) = &range.holder else {
                 return false;
             };
-            let is_own = !self.has_active_predecessor()
-                || is_fenced_off(&self.fenced_off, holder, range);
+            let is_own =
+                !self.has_active_predecessor() || is_fenced_off(&self.fenced_off, holder, range);
             staying(holder) && (!is_own || self.has_open_call(range, now))
         };
         let moves = (MOVES_PER_UPSTREAM * usable.len() as f64).ceil() as usize;
@@ -564,8 +589,10 @@
     }
 
     fn is_silent(&self, life: &Life, now: Instant) -> bool {
-        let silent = |lease: &Lease| lease.life == *life && lease.is_silent(self.settings.silence, now);
-        let answering = |lease: &Lease| lease.life == *life && lease.is_answered() && !silent(lease);
+        let silent =
+            |lease: &Lease| lease.life == *life && lease.is_silent(self.settings.silence, now);
+        let answering =
+            |lease: &Lease| lease.life == *life && lease.is_answered() && !silent(lease);
         self.leases.iter().any(silent) && !self.leases.iter().any(answering)
     }
 
@@ -605,7 +632,10 @@
     let count_per_load = load.counted / load.total().max(0.1);
     let mut shares = Vec::new();
     for candidate in candidates {
-        let own = map.ranges.iter().filter(|range| range.holder.as_ref() == Some(&candidate.life));
+        let own = map
+            .ranges
+            .iter()
+            .filter(|range| range.holder.as_ref() == Some(&candidate.life));
         let asked: f64 = own.map(|range| load.of(range)).sum();
         let noise = 1.0 + OVERLOAD_DEVIATIONS / (asked * count_per_load).max(1.0).sqrt();
         if asked <= candidate.capacity_per_s * noise {
--- a/crates/ranges/src/pace.rs
+++ b/crates/ranges/src/pace.rs
@@ -41,7 +41,11 @@
         };
         let pace = self.paces.entry(Arc::clone(upstream)).or_insert(first);
         let weight = (answers / (pace.answers + answers).min(MEMORY)).min(1.0);
-        let weight = if sample_ms > pace.mean_ms { weight * SLOWER_WEIGHT } else { weight };
+        let weight = if sample_ms > pace.mean_ms {
+            weight * SLOWER_WEIGHT
+        } else {
+            weight
+        };
         pace.mean_ms += (sample_ms - pace.mean_ms) * weight;
         pace.answers = (pace.answers + answers).min(MEMORY);
     }
@@ -62,7 +66,11 @@
         if answers < 1.0 {
             return INITIAL_MS;
         }
-        let sum: f64 = self.paces.values().map(|pace| pace.mean_ms * pace.answers).sum();
+        let sum: f64 = self
+            .paces
+            .values()
+            .map(|pace| pace.mean_ms * pace.answers)
+            .sum();
         sum / answers
     }
 }
--- a/crates/ranges/src/plan.rs
+++ b/crates/ranges/src/plan.rs
@@ -83,7 +83,11 @@
 impl<'a> Book<'a> {
     fn count(&mut self, map: &Map) {
         for range in &map.ranges {
-            if let Some(carried) = range.holder.as_ref().and_then(|life| self.carried.get_mut(life)) {
+            if let Some(carried) = range
+                .holder
+                .as_ref()
+                .and_then(|life| self.carried.get_mut(life))
+            {
                 *carried += self.load.of(range);
             }
         }
@@ -95,12 +99,18 @@
 
     fn least_used(&self) -> &'a Life {
         let by_usage = |a: &&&Life, b: &&&Life| self.order(a, b);
-        self.capacity.keys().min_by(by_usage).expect("there is a candidate")
+        self.capacity
+            .keys()
+            .min_by(by_usage)
+            .expect("there is a candidate")
     }
 
     fn most_used(&self) -> &'a Life {
         let by_usage = |a: &&&Life, b: &&&Life| self.order(a, b);
-        self.capacity.keys().max_by(by_usage).expect("there is a candidate")
+        self.capacity
+            .keys()
+            .max_by(by_usage)
+            .expect("there is a candidate")
     }
 
     /// Ties are broken by name, so that the same input gives the same plan.
@@ -120,13 +130,18 @@
     let mut index = 0;
     while index < map.ranges.len() {
         let range = &map.ranges[index];
-        let has_holder = range.holder.as_ref().is_some_and(|life| book.capacity.contains_key(life));
+        let has_holder = range
+            .holder
+            .as_ref()
+            .is_some_and(|life| book.capacity.contains_key(life));
         if has_holder || is_fixed(range) {
             index += 1;
             continue;
         }
         let receiver = book.least_used();
-        let room = book.room(receiver).max(0.1 * book.target * book.capacity[receiver]);
+        let room = book
+            .room(receiver)
+            .max(0.1 * book.target * book.capacity[receiver]);
         if book.load.of(range) > WHOLE_TOLERANCE * room {
             let end = book.load.reach(range.from, range.to, room);
             if end < range.to {
@@ -185,7 +200,9 @@
     let whole = load.of(range);
     if whole > WHOLE_TOLERANCE * wanted && range.from < range.to {
         let low_end = load.reach(range.from, range.to, wanted).min(range.to - 1);
-        let high_start = load.reach(range.from, range.to, whole - wanted).max(range.from + 1);
+        let high_start = load
+            .reach(range.from, range.to, whole - wanted)
+            .max(range.from + 1);
         if low_end - range.from <= range.to - high_start {
             map.cut_before(low_end + 1);
             return index_of(map, range.from);
--- a/crates/ranges/src/weights.rs
+++ b/crates/ranges/src/weights.rs
@@ -10,7 +10,7 @@
 /// Bounds of the time in which a count loses half of its weight: short enough
 /// to follow a run of hot keys within seconds, long enough to see a quiet
 /// service.
-const MIN_HALF_LIFE: Duration = Duration::from_secs(2);
+const MIN_HALF_LIFE: Duration = Duration::from_millis(1_200);
 const MAX_HALF_LIFE: Duration = Duration::from_secs(8);
 /// Requests that the counts should rest on, per upstream.
 const WANTED_COUNT: f64 = 25.0;
--- a/crates/ranges/tests/ownership.rs
+++ b/crates/ranges/tests/ownership.rs
@@ -22,7 +22,11 @@
     world.run(30);
     assert!(world.moves > 1, "the load never moved a range");
     // A range that moves is with nobody for one release and one grant.
-    assert!(world.longest_unheld <= Duration::from_millis(400), "{:?}", world.longest_unheld);
+    assert!(
+        world.longest_unheld <= Duration::from_millis(400),
+        "{:?}",
+        world.longest_unheld
+    );
 }
 
 #[rstest]
--- a/crates/ranges/tests/plan.rs
+++ b/crates/ranges/tests/plan.rs
@@ -22,7 +22,9 @@
 }
 
 fn candidates(count: usize) -> Vec<Candidate> {
-    (0..count).map(|n| candidate(&format!("u{n:02}"), 40.0)).collect()
+    (0..count)
+        .map(|n| candidate(&format!("u{n:02}"), 40.0))
+        .collect()
 }
 
 fn at(ms: u64) -> Instant {
@@ -55,7 +57,10 @@
 fn usage(map: &Map, weights: &mut Weights, candidates: &[Candidate]) -> Vec<f64> {
     let load = weights.load(at(1), candidates.len());
     let of = |candidate: &Candidate| {
-        let own = map.ranges.iter().filter(|range| range.holder.as_ref() == Some(&candidate.life));
+        let own = map
+            .ranges
+            .iter()
+            .filter(|range| range.holder.as_ref() == Some(&candidate.life));
         own.map(|range| load.of(range)).sum::<f64>() / candidate.capacity_per_s
     };
     candidates.iter().map(of).collect()
@@ -68,9 +73,17 @@
     let load = weights.load(at(1), 11);
     let map = improve(&Map::unowned(), &load, &candidates, |_| false, 8).unwrap();
     map.check().unwrap();
-    assert!(map.ranges.iter().all(|range| range.holder.is_some() && range.source.is_none()));
+    assert!(
+        map.ranges
+            .iter()
+            .all(|range| range.holder.is_some() && range.source.is_none())
+    );
     for candidate in &candidates {
-        assert!(map.ranges.iter().any(|range| range.holder.as_ref() == Some(&candidate.life)));
+        assert!(
+            map.ranges
+                .iter()
+                .any(|range| range.holder.as_ref() == Some(&candidate.life))
+        );
     }
 }
 
@@ -123,7 +136,11 @@
     all[0].leaving = true;
     all.push(candidate("new", 40.0));
     let (map, _) = settle(map, &mut weights, &all);
-    let holds = |name: &str| map.ranges.iter().any(|range| range.holder == Some(life(name)));
+    let holds = |name: &str| {
+        map.ranges
+            .iter()
+            .any(|range| range.holder == Some(life(name)))
+    };
     assert!(!holds("u00"));
     assert!(holds("new"));
 }
--- a/crates/ranges/tests/world/mod.rs
+++ b/crates/ranges/tests/world/mod.rs
@@ -57,9 +57,26 @@
 }
 
 enum Event {
-    Arrive { term: u64, router: usize, order: Order, hold: Option<Duration>, answered: bool },
-    Answer { router: usize, term: u64, order: Order, is_grant: bool, outcome: Outcome },
-    Committed { router: usize, term: u64, asked: Instant, done: bool },
+    Arrive {
+        term: u64,
+        router: usize,
+        order: Order,
+        hold: Option<Duration>,
+        answered: bool,
+    },
+    Answer {
+        router: usize,
+        term: u64,
+        order: Order,
+        is_grant: bool,
+        outcome: Outcome,
+    },
+    Committed {
+        router: usize,
+        term: u64,
+        asked: Instant,
+        done: bool,
+    },
 }
 
 pub(crate) struct World {
@@ -142,7 +159,11 @@
                 self.upset();
             }
             self.elect();
-            while let Some(entry) = self.events.first_entry().filter(|entry| entry.key().0 <= self.now) {
+            while let Some(entry) = self
+                .events
+                .first_entry()
+                .filter(|entry| entry.key().0 <= self.now)
+            {
                 let event = entry.remove();
                 self.handle(event);
             }
@@ -290,7 +311,15 @@
                 }
                 let unknown = !reaches;
                 let done = done && !unknown;
-                self.later(delay, Event::Committed { router, term, asked, done });
+                self.later(
+                    delay,
+                    Event::Committed {
+                        router,
+                        term,
+                        asked,
+                        done,
+                    },
+                );
             }
         }
     }
@@ -311,24 +340,63 @@
             }
             let outcome = Outcome::Unknown;
             let is_grant = hold.is_some();
-            self.later(300, Event::Answer { router, term, order, is_grant, outcome });
+            self.later(
+                300,
+                Event::Answer {
+                    router,
+                    term,
+                    order,
+                    is_grant,
+                    outcome,
+                },
+            );
         } else {
             let delay = self.random.random_range(1..30);
-            self.later(delay, Event::Arrive { term, router, order, hold, answered: true });
+            self.later(
+                delay,
+                Event::Arrive {
+                    term,
+                    router,
+                    order,
+                    hold,
+                    answered: true,
+                },
+            );
         }
     }
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Arrive { term, router, order, hold, answered } => {
+            Event::Arrive {
+                term,
+                router,
+                order,
+                hold,
+                answered,
+            } => {
                 let outcome = self.arrive(&order, hold);
                 if answered {
                     let is_grant = hold.is_some();
                     let delay = self.random.random_range(1..30);
-                    self.later(delay, Event::Answer { router, term, order, is_grant, outcome });
+                    self.later(
+                        delay,
+                        Event::Answer {
+                            router,
+                            term,
+                            order,
+                            is_grant,
+                            outcome,
+                        },
+                    );
                 }
             }
-            Event::Answer { router, term, order, is_grant, outcome } => {
+            Event::Answer {
+                router,
+                term,
+                order,
+                is_grant,
+                outcome,
+            } => {
                 let now = self.now;
                 let router = &mut self.routers[router];
                 let Some(keeper) = router.keeper.as_mut().filter(|_| router.term == term) else {
@@ -340,7 +408,12 @@
                     keeper.released(&order, &outcome, now);
                 }
             }
-            Event::Committed { router, term, asked, done } => {
+            Event::Committed {
+                router,
+                term,
+                asked,
+                done,
+            } => {
                 let duty = self.store.0;
                 let stored = self.store.2.clone();
                 let reaches = self.now >= self.store_away_until && !self.routers[router].is_cut;
@@ -366,7 +439,10 @@
     /// An upstream carries an order out.
     fn arrive(&mut self, order: &Order, hold: Option<Duration>) -> Outcome {
         let now = self.now;
-        let found = self.upstreams.iter_mut().find(|upstream| upstream.life == order.life);
+        let found = self
+            .upstreams
+            .iter_mut()
+            .find(|upstream| upstream.life == order.life);
         let Some(upstream) = found.filter(|upstream| upstream.is_up) else {
             return Outcome::NotSent;
         };
--- a/crates/store/tests/exactness.rs
+++ b/crates/store/tests/exactness.rs
@@ -5,9 +5,9 @@
 
 use eelgrassrock_model::Version;
 use eelgrassrock_model::table::{Check, Operation, Outcome, Transaction, Write};
-use eelgrassrock_store::table::{Client, Resolution};
 use eelgrassrock_standin::Addresses;
 use eelgrassrock_standin::table::{Faults, Server};
+use eelgrassrock_store::table::{Client, Resolution};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use support::settings;
--- a/crates/store/tests/objects.rs
+++ b/crates/store/tests/objects.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrassrock_store::Kind;
-use eelgrassrock_store::objects::{self, Client};
 use eelgrassrock_standin::Addresses;
 use eelgrassrock_standin::fault::Outage;
 use eelgrassrock_standin::objects::{Faults, Server};
+use eelgrassrock_store::Kind;
+use eelgrassrock_store::objects::{self, Client};
 use rstest::rstest;
 use support::settings;
 
--- a/crates/store/tests/table.rs
+++ b/crates/store/tests/table.rs
@@ -6,11 +6,11 @@
 
 use eelgrassrock_model::Version;
 use eelgrassrock_model::table::{Check, Operation, Outcome, Row, Transaction, Write};
-use eelgrassrock_store::table::{Client, Resolution};
-use eelgrassrock_store::{Fault, Kind};
 use eelgrassrock_standin::Addresses;
 use eelgrassrock_standin::fault::Outage;
 use eelgrassrock_standin::table::{Faults, Server};
+use eelgrassrock_store::table::{Client, Resolution};
+use eelgrassrock_store::{Fault, Kind};
 use rstest::rstest;
 use serde_json::json;
 use support::{answering, closed_address, settings};
--- a/crates/store/tests/vms.rs
+++ b/crates/store/tests/vms.rs
@@ -2,11 +2,11 @@
 
 mod support;
 
-use eelgrassrock_store::Kind;
-use eelgrassrock_store::vms::{Client, Role, State};
 use eelgrassrock_standin::Addresses;
 use eelgrassrock_standin::fault::Outage;
 use eelgrassrock_standin::vms::{Faults, Server, Vm};
+use eelgrassrock_store::Kind;
+use eelgrassrock_store::vms::{Client, Role, State};
 use rstest::rstest;
 use support::settings;
 
