A read without answer is asked of another upstream; the hottest key goes to the fastest

Reads whose answer was lost waited until their time was over. Change: the hottest key of an overloaded upstream moves to a clearly faster one; keepers hear of keys by datagrams every 100 ms; a read that takes 2.5 times as long as expected is asked of an idle upstream as well, within the budget.

--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -156,6 +156,11 @@
         f64::from(self.in_flight()) < self.window && self.load(now) < most
     }
 
+    /// Whether a request would be worked on at once.
+    pub(crate) fn has_free_slot(&self, now: Instant) -> bool {
+        self.has_room(now) && self.load(now) < self.upstream.slots
+    }
+
     /// Whether it has answered nothing for several times as long as it should.
     fn is_silent(&self, now: Instant) -> bool {
         let Some(oldest) = self
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -46,6 +46,10 @@
 /// What a caller is told whose key is asked for too often: hot ranges are
 /// divided within about this time.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(600);
+/// Time after which another upstream is asked as well, in multiples of the time
+/// that an answer was expected to take: few requests take as long.
+const HEDGE_PACES: f64 = 2.5;
+const MIN_HEDGE_DELAY: Duration = Duration::from_millis(60);
 /// Span over which answers are counted to tell how fast the queue moves.
 const RATE_SPAN: Duration = Duration::from_secs(1);
 
@@ -384,6 +388,41 @@
         step
     }
 
+    /// Returns how long a request that was just sent to an upstream may take
+    /// before another is asked as well, `None` if no other could be.
+    ///
+    /// Load answered: answers that get lost and upstreams that fall silent; the
+    /// caller is served while it still waits.
+    pub fn hedge_delay(&self, upstream: &str, now: Instant) -> Option<Duration> {
+        if self.spans.is_some() || self.members.len() < 2 {
+            return None;
+        }
+        let expected_ms = HEDGE_PACES * self.members.get(upstream)?.expected_ms(now);
+        Some(Duration::from_micros((expected_ms * 1e3) as u64).max(MIN_HEDGE_DELAY))
+    }
+
+    /// Returns who may be asked as well for a request that has no answer yet:
+    /// only an upstream with a free slot, within the budget, and only while no
+    /// other request waits.
+    pub fn hedge(&mut self, request: &Request, now: Instant) -> Option<Step> {
+        let may_run = request.runs + 1 < request.max_attempts;
+        if !may_run || !self.queue.is_empty() || !self.budget.allows(now, self.routers) {
+            return None;
+        }
+        let left_ms = (request.give_up - now).as_secs_f64() * 1e3;
+        let usable = self.members.values().filter(|member| {
+            !member.upstream.leaving
+                && !request.tried.contains(&member.upstream.id)
+                && member.has_free_slot(now)
+                && member.cost_ms(now) < left_ms
+        });
+        let is_far = |member: &&Member| member.upstream.data_centre != self.data_centre;
+        let order = |member: &&Member| (is_far(member), member.cost_ms(now) as u64);
+        let chosen = Arc::clone(&usable.min_by_key(order)?.upstream);
+        self.budget.take(now);
+        Some(self.begin(chosen, None, now))
+    }
+
     /// Notes the end of a send of a request with this key that began at
     /// `started`.
     pub fn end(
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -132,3 +132,19 @@
         .collect();
     assert_eq!(tickets, [11]);
 }
+
+#[test]
+fn another_upstream_is_asked_as_well_only_if_it_is_idle_and_the_budget_allows() {
+    let mut service = service(&[upstream("one", NEAR, 1), upstream("two", NEAR, 1)]);
+    let first = request(1, None, 0);
+    let step = service.admit(first.clone(), at(0));
+    let mut again = first;
+    again.tried.push(sent_to(&step).unwrap().into());
+    let other = service.admit(request(2, None, 0), at(0));
+    assert!(service.hedge(&again, at(300)).is_none(), "the other has no free slot");
+    let report = Report::Answered { failed: false };
+    service.end(sent_to(&other).unwrap(), None, at(0), report, at(300));
+    assert!(sent_to(&service.hedge(&again, at(300)).unwrap()).is_some());
+    again.runs = 1;
+    assert!(service.hedge(&again, at(300)).is_none(), "its route allows two runs");
+}
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -149,23 +150,18 @@
             .collect()
     }
 
-    /// Counts keys that a follower was asked for, as if they were asked for
-    /// here.
-    pub(crate) fn absorb(&self, service: &Arc<str>, keys: &[u16]) {
-        for key in keys {
-            self.record(service, *key);
-        }
-    }
-
-    /// Takes the keys that were asked for since the last time.
-    pub(crate) fn take_keys(&self) -> Vec<(Arc<str>, Vec<u16>)> {
+    /// Takes the keys that were asked for since the last time, with the keeper
+    /// of each service.
+    pub(crate) fn take_keys(&self) -> Vec<(Arc<str>, SocketAddr, Vec<u16>)> {
         let mut services = self.services.borrow_mut();
         let asked = services
             .iter_mut()
             .filter(|(_, seat)| !seat.keys.is_empty());
-        asked
-            .map(|(name, seat)| (Arc::clone(name), std::mem::take(&mut seat.keys)))
-            .collect()
+        let told = asked.filter_map(|(name, seat)| {
+            let address = seat.election.duty()?.0.address;
+            Some((Arc::clone(name), address, std::mem::take(&mut seat.keys)))
+        });
+        told.collect()
     }
 
     /// Whether this router grants the keys of a service.
@@ -176,18 +172,22 @@
             .is_some_and(|seat| seat.keeper.is_some())
     }
 
-    /// Counts what another router reports. Returns whether this one is the
-    /// keeper and may act.
-    pub(crate) fn hear(&self, service: &Arc<str>, keys: &[u16]) -> bool {
+    /// Counts keys that another router was asked for.
+    pub(crate) fn hear(&self, service: &Arc<str>, keys: &[u16]) {
         let mut services = self.services.borrow_mut();
-        let Some(keeper) = services
+        if let Some(keeper) = services
             .get_mut(service)
             .and_then(|seat| seat.keeper.as_mut())
-        else {
-            return false;
-        };
-        keeper.record(keys.iter().copied());
-        keeper.has_authority(clock::now())
+        {
+            keeper.record(keys.iter().copied());
+        }
+    }
+
+    /// Whether this router is the keeper and may act.
+    pub(crate) fn acts(&self, service: &Arc<str>) -> bool {
+        let services = self.services.borrow();
+        let keeper = services.get(service).and_then(|seat| seat.keeper.as_ref());
+        keeper.is_some_and(|keeper| keeper.has_authority(clock::now()))
     }
 
     /// Gives the duty up to a later term. Returns whether all grants were
@@ -669,7 +669,7 @@
         });
     }
 
-    fn address(&self, life: &Life) -> Option<std::net::SocketAddr> {
+    fn address(&self, life: &Life) -> Option<SocketAddr> {
         let state = self.state.borrow();
         let upstream = state.book.get(&life.upstream)?;
         (upstream.incarnation == life.incarnation).then_some(upstream.address)
@@ -805,9 +805,9 @@
     async fn report(self: Rc<Self>, service: Arc<str>) {
         let taken = self.seat(&service, |seat| {
             let duty = seat.election.duty().map(|(duty, _)| duty.clone());
-            (duty, std::mem::take(&mut seat.keys), seat.take_paces())
+            (duty, seat.take_paces())
         });
-        let Some((Some(duty), keys, paces)) = taken else {
+        let Some((Some(duty), paces)) = taken else {
             // Nobody has had the duty: a look at the store tells.
             self.find_duty(&service).await;
             return;
@@ -825,7 +825,6 @@
         let report = Report {
             router: Arc::clone(&self.settings.router),
             service: Arc::clone(&service),
-            keys,
             paces,
             map_version,
         };
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -46,6 +46,18 @@
         }
     }
 
+    /// Returns another of it, if it can be sent more than once.
+    pub(crate) fn copy(&self) -> Option<Self> {
+        let Content::Whole(bytes) = &self.body else {
+            return None;
+        };
+        Some(Self {
+            parts: self.parts.clone(),
+            body: Content::Whole(bytes.clone()),
+            repeat: self.repeat,
+        })
+    }
+
     fn build(&mut self, headers: HeaderMap) -> Request<Payload> {
         let body = match &mut self.body {
             Content::Whole(bytes) if bytes.is_empty() => Payload::Whole(None),
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -13,11 +13,18 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
+use crate::clock;
 use crate::node::Node;
 use crate::seam::Platform;
 
 /// Time between two messages: a fraction of the time for one request.
 const INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two messages about keys, for every so many routers: a keeper
+/// hears from all of them.
+const KEYS_INTERVAL: Duration = Duration::from_millis(100);
+const ROUTERS_PER_INTERVAL: u32 = 24;
+/// Keys in one message, so that it fits into a packet.
+const MAX_KEYS: usize = 400;
 /// Largest message that is read, in bytes.
 const MAX_BYTES: usize = 8 << 10;
 /// Pause after a failure of the socket.
@@ -27,6 +34,8 @@
 #[derive(Debug, Serialize, Deserialize)]
 enum Message {
     Counts(Counts),
+    /// Keys that were asked for at the sender, for the keeper of a service.
+    Keys(Arc<str>, Vec<u16>),
     /// Versions that the sender has of configuration and registry.
     Versions([u64; 2]),
 }
@@ -41,8 +50,14 @@
 /// Tells the counts of this router as long as they aren't zero.
 pub(crate) async fn tell<P: Platform>(node: Rc<Node<P>>, socket: Rc<UdpSocket>) {
     let mut was_empty = true;
+    let mut keys_due = clock::now();
     loop {
         sleep(INTERVAL).await;
+        if clock::now() >= keys_due {
+            tell_keys(&node, &socket);
+            let crowd = node.state.borrow().routers.len() as u32 / ROUTERS_PER_INTERVAL;
+            keys_due = clock::now() + KEYS_INTERVAL * (crowd + 1);
+        }
         let counts = counts(&node);
         if counts.is_empty() && was_empty {
             continue;
@@ -61,6 +76,19 @@
     }
 }
 
+/// Tells the keepers which keys were asked for.
+fn tell_keys<P: Platform>(node: &Node<P>, socket: &UdpSocket) {
+    for (service, address, keys) in node.duties.take_keys() {
+        for part in keys.chunks(MAX_KEYS) {
+            let message = Message::Keys(Arc::clone(&service), part.to_vec());
+            if let Ok(bytes) = postcard::to_allocvec(&message) {
+                // Losing some changes the counts by little.
+                let _ = socket.try_send_to(&bytes, address);
+            }
+        }
+    }
+}
+
 /// Tells all routers which versions this one has, so that none relies on a
 /// relay that is behind.
 pub(crate) fn tell_versions<P: Platform>(node: &Node<P>) {
@@ -124,6 +152,9 @@
             .filter(|_| known)
         {
             Some(Message::Counts(counts)) => take(&node, &counts),
+            Some(Message::Keys(service, keys)) => {
+                node.duties.hear(&service, &keys);
+            }
             Some(Message::Versions(versions)) => node.hear_versions(versions),
             None => {}
         }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -278,6 +278,13 @@
         self.with(service, |service, _| service.set_shares(shares));
     }
 
+    /// How long a request may take at an upstream before another is asked.
+    pub(crate) fn hedge_delay(&self, service: &str, upstream: &str) -> Option<Duration> {
+        let state = self.state.borrow();
+        let service = state.services.get(service)?;
+        service.hedge_delay(upstream, clock::now())
+    }
+
     /// Version of the map of a service, 0 if there is none.
     pub(crate) fn map_version(&self, service: &str) -> u64 {
         self.state
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -44,8 +44,6 @@
 pub(crate) struct Report {
     pub(crate) router: Arc<str>,
     pub(crate) service: Arc<str>,
-    /// Keys that were asked for since the last report.
-    pub(crate) keys: Vec<u16>,
     /// Answers since the last report.
     pub(crate) paces: Vec<Pace>,
     /// Version of the map that the router has.
@@ -266,7 +264,7 @@
 
 fn hear<P: Platform>(node: &Node<P>, report: &Report) -> Reply {
     node.duties.absorb_paces(&report.service, &report.paces);
-    let is_keeper = node.duties.hear(&report.service, &report.keys);
+    let is_keeper = node.duties.acts(&report.service);
     let admitted = node
         .admitted
         .borrow()
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -81,8 +81,6 @@
 pub(crate) struct Question {
     after: [u64; 3],
     maps: Vec<(Arc<str>, u64)>,
-    /// Keys that were asked for at the follower, by service.
-    keys: Vec<(Arc<str>, Vec<u16>)>,
     /// Answers that the follower got, by service.
     paces: Vec<(Arc<str>, Vec<Pace>)>,
 }
@@ -298,9 +296,6 @@
 
     /// Answers a follower when there is news, or after a while.
     pub(crate) async fn answer_follower(self: &Rc<Self>, question: Question) -> Answer {
-        for (service, keys) in question.keys {
-            self.duties.absorb(&service, &keys);
-        }
         for (service, paces) in question.paces {
             self.duties.absorb_paces(&service, &paces);
         }
@@ -363,7 +358,6 @@
             let question = Question {
                 after,
                 maps,
-                keys: self.duties.take_keys(),
                 paces: self.duties.take_paces(),
             };
             match self.peers.follow(relay.address, HOLD_BACK, &question).await {
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -1,5 +1,6 @@
 //! One request from its arrival to its answer.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,7 +16,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Serialize;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::clock;
 use crate::exchange::{Content, Exchange, Message, exchange, is_failure};
@@ -286,36 +287,25 @@
     upstream: &Arc<Upstream>,
     started: Instant,
 ) -> Next {
-    let mut sending = Sending {
-        node: Rc::clone(node),
-        service: Arc::clone(&job.service),
-        upstream: Arc::clone(upstream),
-        key: job.work.key,
-        started,
-        report: Report::Cancelled,
-    };
     node.metrics.sent(&job.service, job.work.arrived, started);
-    let left = job.work.give_up - started;
-    let end = exchange(node, upstream, &mut job.message, &job.head, left).await;
-    let report = match &end {
-        Exchange::Answer(response) => Report::Answered {
-            failed: is_failure(response.status()),
-        },
-        Exchange::None(report) => *report,
-    };
-    let elapsed = clock::now() - started;
-    node.metrics
-        .send_ended(&job.service, report.as_str(), elapsed);
+    let first = Sending::new(node, &job.service, job.work.key, upstream, started);
+    let Race {
+        end,
+        mut sending,
+        other,
+    } = race(node, job, first).await;
+    if let Some(other) = other {
+        job.note_send(node, &other, other.report);
+        job.work.tried.push(Arc::clone(&other.upstream.id));
+        job.work.runs += u32::from(!other.report.proves_not_run());
+    }
+    let upstream = &Arc::clone(&sending.upstream);
+    let report = report_of(&end);
+    job.note_send(node, &sending, report);
+    let elapsed = clock::now() - sending.started;
     if job.work.key.is_some() && report == (Report::Answered { failed: false }) {
         node.duties.record_pace(&job.service, &upstream.id, elapsed);
     }
-    job.sends.push(SendLine {
-        upstream: Arc::clone(&upstream.id),
-        at_ms: (started - job.work.arrived).as_millis() as u64,
-        elapsed_ms: elapsed.as_millis() as u64,
-        end: report.as_str(),
-        map: job.work.key.map_or(0, |_| node.map_version(&job.service)),
-    });
     let is_safe = job.route.repeat == Repeat::Idempotent;
     let id = Some(Arc::clone(&upstream.id));
     match end {
@@ -357,6 +347,101 @@
     }
 }
 
+/// End of a send, or of two.
+struct Race<P: Platform> {
+    end: Exchange,
+    /// The send that ended so.
+    sending: Sending<P>,
+    /// The other send, which doesn't count.
+    other: Option<Sending<P>>,
+}
+
+/// Sends a request, and asks another upstream as well if the first takes much
+/// longer than expected.
+async fn race<P: Platform>(node: &Rc<Node<P>>, job: &mut Job, mut first: Sending<P>) -> Race<P> {
+    let delay = match job.route.repeat {
+        Repeat::Idempotent => node.hedge_delay(&job.service, &first.upstream.id),
+        Repeat::Once => None,
+    };
+    let spare = job.message.copy();
+    let left = job.work.give_up - first.started;
+    let asked = Arc::clone(&first.upstream);
+    let mut one = pin!(exchange(node, &asked, &mut job.message, &job.head, left));
+    let alone = |end, sending| Race {
+        end,
+        sending,
+        other: None,
+    };
+    let (Some(delay), Some(mut spare)) = (delay, spare) else {
+        return alone(one.await, first);
+    };
+    tokio::select! {
+        end = &mut one => return alone(end, first),
+        () = sleep(delay) => {}
+    }
+    let mut again = job.work.clone();
+    again.tried.push(Arc::clone(&asked.id));
+    let step = node.with(&job.service, |service, now| service.hedge(&again, now));
+    let Some(Some(Step::Send { upstream, started })) = step else {
+        return alone(one.await, first);
+    };
+    job.work.is_repeat = true;
+    let mut second = Sending::new(node, &job.service, None, &upstream, started);
+    let left = job.work.give_up - started;
+    let mut two = pin!(exchange(node, &upstream, &mut spare, &job.head, left));
+    let (end, is_first) = tokio::select! {
+        end = &mut one => (end, true),
+        end = &mut two => (end, false),
+    };
+    let report = report_of(&end);
+    let is_answer = report == (Report::Answered { failed: false });
+    let (end, sending, other) = match (is_first, is_answer) {
+        (true, true) => (end, first, second),
+        (false, true) => {
+            // Whoever is overtaken counts as silent so far.
+            first.report = Report::Silent;
+            (end, second, first)
+        }
+        (true, false) => {
+            first.report = report;
+            (two.await, second, first)
+        }
+        (false, false) => {
+            second.report = report;
+            (one.await, first, second)
+        }
+    };
+    Race {
+        end,
+        sending,
+        other: Some(other),
+    }
+}
+
+fn report_of(end: &Exchange) -> Report {
+    match end {
+        Exchange::Answer(response) => Report::Answered {
+            failed: is_failure(response.status()),
+        },
+        Exchange::None(report) => *report,
+    }
+}
+
+impl Job {
+    fn note_send<P: Platform>(&mut self, node: &Node<P>, sending: &Sending<P>, report: Report) {
+        let elapsed = clock::now() - sending.started;
+        node.metrics
+            .send_ended(&self.service, report.as_str(), elapsed);
+        self.sends.push(SendLine {
+            upstream: Arc::clone(&sending.upstream.id),
+            at_ms: (sending.started - self.work.arrived).as_millis() as u64,
+            elapsed_ms: elapsed.as_millis() as u64,
+            end: report.as_str(),
+            map: self.work.key.map_or(0, |_| node.map_version(&self.service)),
+        });
+    }
+}
+
 /// Notes where a request is not to be sent again, or not at once.
 fn exclude(job: &mut Job, upstream: &Upstream, report: Report) {
     let now = clock::now();
@@ -382,6 +467,25 @@
     report: Report,
 }
 
+impl<P: Platform> Sending<P> {
+    fn new(
+        node: &Rc<Node<P>>,
+        service: &Arc<str>,
+        key: Option<u16>,
+        upstream: &Arc<Upstream>,
+        started: Instant,
+    ) -> Self {
+        Self {
+            node: Rc::clone(node),
+            service: Arc::clone(service),
+            upstream: Arc::clone(upstream),
+            key,
+            started,
+            report: Report::Cancelled,
+        }
+    }
+}
+
 impl<P: Platform> Drop for Sending<P> {
     fn drop(&mut self) {
         let (upstream, started, report) = (&self.upstream.id, self.started, self.report);
--- a/crates/edge/tests/requests.rs
+++ b/crates/edge/tests/requests.rs
@@ -149,6 +149,36 @@
     assert!((1_900..2_250).contains(&elapsed.as_millis()), "{elapsed:?}");
 }
 
+/// Load: an upstream runs requests, and their answers are lost.
+#[tokio::test]
+async fn a_read_without_answer_is_asked_of_another_while_its_caller_waits() {
+    let (_store, servers, router) = world(2).await;
+    for n in 0..6 {
+        let id = format!("warm{n}");
+        let answer = send(router.settings.front, get("/read/1", HOST, &id, 1_500)).await;
+        assert_eq!(answer.unwrap().status(), 200);
+    }
+    servers[0].next(&[Act::Answer(9_000)]);
+    let mut slow = 0;
+    for n in 0..4 {
+        let id = format!("r{n}");
+        let began = Instant::now();
+        let answer = send(router.settings.front, get("/read/1", HOST, &id, 1_900)).await.unwrap();
+        assert_eq!(answer.status(), 200);
+        slow = slow.max(began.elapsed().as_millis());
+    }
+    assert!(slow < 1_000, "{slow} ms");
+}
+
+#[tokio::test]
+async fn a_write_without_answer_is_asked_of_nobody_else() {
+    let (_store, servers, router) = world(2).await;
+    next(&servers, Act::Answer(9_000));
+    let answer = send(router.settings.front, post("/issue/1", "w1", 1_200, "x")).await.unwrap();
+    assert_eq!(answer.status(), 504);
+    assert_eq!(runs(&servers, "w1"), 1);
+}
+
 #[tokio::test]
 async fn work_for_a_caller_who_left_is_cancelled_but_a_write_goes_on() {
     let (_store, servers, router) = world(1).await;
--- a/crates/ranges/src/plan.rs
+++ b/crates/ranges/src/plan.rs
@@ -21,6 +21,10 @@
 /// donor and receiver equal.
 const MAX_OVERSHOOT: f64 = 1.5;
 const MIN_PIECE: f64 = 0.2;
+/// Share of an upstream's capacity that one key must take to be moved for its
+/// own sake, and how much faster the receiver must be.
+const HOT_SHARE: f64 = 0.5;
+const MIN_LIFT: f64 = 1.2;
 /// Ranges per upstream above which neighbours are merged.
 const MAX_RANGES_PER_UPSTREAM: usize = 6;
 
@@ -71,6 +75,9 @@
     let mut next = map.clone();
     let housed = house(&mut next, &mut book, &is_fixed);
     let mut moved = 0;
+    if lift(&mut next, &mut book, &is_fixed) {
+        moved += 1;
+    }
     while moved < max_moves && shift(&mut next, &mut book, &is_fixed) {
         moved += 1;
     }
@@ -194,6 +201,52 @@
     false
 }
 
+/// Moves the hottest key of an overloaded upstream to the fastest one, if that
+/// is clearly faster. One key can't be divided, so this is all that can be done
+/// for its callers; other ranges of the receiver move away as it fills.
+fn lift(map: &mut Map, book: &mut Book<'_>, is_fixed: &impl Fn(&Range) -> bool) -> bool {
+    let donor = book.most_used();
+    let capacity = book.capacity[donor];
+    let own = map
+        .ranges
+        .iter()
+        .filter(|range| range.holder.as_ref() == Some(donor) && !is_fixed(range));
+    let hottest = own
+        .map(|range| book.load.hottest(range))
+        .max_by(|a, b| a.1.total_cmp(&b.1));
+    let Some((key, heat)) = hottest.filter(|(_, heat)| *heat > HOT_SHARE * capacity) else {
+        return false;
+    };
+    let fastest = book.capacity.iter().max_by(|a, b| {
+        a.1.total_cmp(b.1)
+            .then_with(|| b.0.upstream.cmp(&a.0.upstream))
+    });
+    let Some((receiver, _)) = fastest.filter(|(_, fastest)| **fastest >= MIN_LIFT * capacity)
+    else {
+        return false;
+    };
+    let receiver = *receiver;
+    let busy = map
+        .ranges
+        .iter()
+        .filter(|range| range.holder.as_ref() == Some(receiver));
+    if busy
+        .map(|range| book.load.hottest(range).1)
+        .any(|other| other > HOT_SHARE * capacity)
+    {
+        return false;
+    }
+    map.cut_before(key);
+    if key < u16::MAX {
+        map.cut_before(key + 1);
+    }
+    let piece = index_of(map, key);
+    *book.carried.entry(donor).or_default() -= heat;
+    *book.carried.entry(receiver).or_default() += heat;
+    map.reassign(piece, Some(receiver.clone()));
+    true
+}
+
 /// Cuts a piece of the wanted load off one end of a range, the end where that
 /// takes fewer keys, and returns its index.
 fn cut(map: &mut Map, range: &Range, load: &Load, wanted: f64) -> usize {
--- a/crates/ranges/src/weights.rs
+++ b/crates/ranges/src/weights.rs
@@ -106,6 +106,15 @@
         self.sums[usize::from(to) + 1] - self.sums[usize::from(from)]
     }
 
+    /// Returns the key of a range that is asked for most, and its requests per
+    /// second.
+    pub fn hottest(&self, range: &Range) -> (u16, f64) {
+        let rate = |key: u16| self.sums[usize::from(key) + 1] - self.sums[usize::from(key)];
+        let keys = (range.from..=range.to).map(|key| (key, rate(key)));
+        let hottest = keys.max_by(|a, b| a.1.total_cmp(&b.1));
+        hottest.unwrap_or((range.from, 0.0))
+    }
+
     /// Returns the requests per second for all keys.
     pub fn total(&self) -> f64 {
         self.sums[KEYS]
--- a/crates/ranges/tests/plan.rs
+++ b/crates/ranges/tests/plan.rs
@@ -164,3 +164,30 @@
     let load = weights.load(at(1), 4);
     assert_eq!(improve(&map, &load, &candidates, |_| false, 8), None);
 }
+
+/// Load: one key is asked for more than its holder can serve, while all are
+/// busy, so that moving it to the least used one helps nobody.
+#[test]
+fn a_key_hotter_than_its_holder_goes_to_the_fastest_upstream_and_stays() {
+    let mut candidates = candidates(4);
+    candidates.push(candidate("z-fast", 90.0));
+    let mut map = Map::unowned();
+    let starts = [0, 20_000, 20_001, 30_000, 45_000];
+    let holders = ["u01", "u00", "u02", "u03", "z-fast"];
+    for start in starts {
+        map.cut_before(start);
+    }
+    for (index, holder) in holders.iter().enumerate() {
+        map.reassign(index, Some(life(holder)));
+    }
+    // 60 a second for the one key, and about as much of its capacity as the
+    // others have for each of them.
+    let mut weights = Weights::new(at(0));
+    weights.record(std::iter::repeat_n(20_000, 104));
+    weights.record((0..45).map(|n| (n * 440) as u16));
+    weights.record((0..45).map(|n| (20_001 + n * 220) as u16));
+    weights.record((0..45).map(|n| (30_000 + n * 330) as u16));
+    weights.record((0..100).map(|n| (45_000 + n * 200) as u16));
+    let (map, _) = settle(map, &mut weights, &candidates);
+    assert_eq!(map.range(20_000).holder, Some(life("z-fast")));
+}
