A hot key stays where it went; an upstream without room is left alone for a moment

Cause: under load the pace of a holder was learnt from answers that had waited, so the hottest key moved five times in four seconds; resets within 3 ms showed routers sending on to a full queue every 60 ms. Change: slower answers of busy upstreams hardly count; a single key stays 1.5 s; pauses of 20 to 80 ms after a refusal.

--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -34,6 +34,11 @@
 const LEAVING_USE: Duration = Duration::from_millis(1_000);
 /// Factor by which the window shrinks after a refusal.
 const WINDOW_CUT: f64 = 0.6;
+/// Shortest and longest time for which an upstream that has no room gets no
+/// requests: a slot becomes free within the first, a full queue within the
+/// second.
+const MIN_FULL_PAUSE: Duration = Duration::from_millis(20);
+const MAX_FULL_PAUSE: Duration = Duration::from_millis(80);
 /// Smallest window: one request is always allowed, or recovery goes unseen.
 const MIN_WINDOW: f64 = 1.0;
 
@@ -53,6 +58,10 @@
     peers: IndexMap<Arc<str>, (u32, Instant)>,
     window: f64,
     leaving_since: Option<Instant>,
+    /// It said that it was full, or reset a connection at once, and gets no
+    /// requests until then.
+    full_until: Instant,
+    full_pause: Duration,
 }
 
 impl Member {
@@ -71,6 +80,8 @@
             peers: IndexMap::new(),
             window,
             leaving_since: None,
+            full_until: now,
+            full_pause: MIN_FULL_PAUSE,
         }
     }
 
@@ -142,7 +153,7 @@
 
     /// Whether one more request may be sent to it.
     pub(crate) fn has_room(&self, now: Instant) -> bool {
-        if self.is_paused(now) {
+        if self.is_paused(now) || now < self.full_until {
             return false;
         }
         if self.failures_in_row >= FAILURES_TO_PAUSE && self.in_flight() > 0 {
@@ -198,6 +209,7 @@
                 self.pause = MIN_PAUSE;
                 self.note(failed, now);
                 if !failed {
+                    self.full_pause = MIN_FULL_PAUSE;
                     self.pace.record(now - started, queueing);
                     let most = f64::from(2 * self.upstream.slots.max(1));
                     self.window = (self.window + 1.0 / self.window).min(most);
@@ -206,7 +218,7 @@
             Report::Refused => {
                 self.last_answer = now;
                 self.note(true, now);
-                self.window = (self.window * WINDOW_CUT).max(MIN_WINDOW);
+                self.back_off(now);
             }
             Report::Misdirected => self.last_answer = now,
             Report::Replaced => {
@@ -220,7 +232,7 @@
             }
             Report::Broken => {
                 self.note(true, now);
-                self.window = (self.window * WINDOW_CUT).max(MIN_WINDOW);
+                self.back_off(now);
                 if self.last_answer < started {
                     self.count_failure(now);
                 }
@@ -247,6 +259,14 @@
         })
     }
 
+    /// Sends less for a while: the upstream has no room for what all routers
+    /// send together.
+    fn back_off(&mut self, now: Instant) {
+        self.window = (self.window * WINDOW_CUT).max(MIN_WINDOW);
+        self.full_until = now + self.full_pause;
+        self.full_pause = (self.full_pause * 2).min(MAX_FULL_PAUSE);
+    }
+
     fn note(&mut self, failed: bool, now: Instant) {
         let age = (now - self.failure_at).as_secs_f64();
         self.failure_share *= 0.5_f64.powf(age / FAILURE_HALF_LIFE_S);
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -141,10 +141,16 @@
     let mut again = first;
     again.tried.push(sent_to(&step).unwrap().into());
     let other = service.admit(request(2, None, 0), at(0));
-    assert!(service.hedge(&again, at(300)).is_none(), "the other has no free slot");
+    assert!(
+        service.hedge(&again, at(300)).is_none(),
+        "the other has no free slot"
+    );
     let report = Report::Answered { failed: false };
     service.end(sent_to(&other).unwrap(), None, at(0), report, at(300));
     assert!(sent_to(&service.hedge(&again, at(300)).unwrap()).is_some());
     again.runs = 1;
-    assert!(service.hedge(&again, at(300)).is_none(), "its route allows two runs");
+    assert!(
+        service.hedge(&again, at(300)).is_none(),
+        "its route allows two runs"
+    );
 }
--- a/crates/edge/tests/requests.rs
+++ b/crates/edge/tests/requests.rs
@@ -163,7 +163,9 @@
     for n in 0..4 {
         let id = format!("r{n}");
         let began = Instant::now();
-        let answer = send(router.settings.front, get("/read/1", HOST, &id, 1_900)).await.unwrap();
+        let answer = send(router.settings.front, get("/read/1", HOST, &id, 1_900))
+            .await
+            .unwrap();
         assert_eq!(answer.status(), 200);
         slow = slow.max(began.elapsed().as_millis());
     }
@@ -174,7 +176,9 @@
 async fn a_write_without_answer_is_asked_of_nobody_else() {
     let (_store, servers, router) = world(2).await;
     next(&servers, Act::Answer(9_000));
-    let answer = send(router.settings.front, post("/issue/1", "w1", 1_200, "x")).await.unwrap();
+    let answer = send(router.settings.front, post("/issue/1", "w1", 1_200, "x"))
+        .await
+        .unwrap();
     assert_eq!(answer.status(), 504);
     assert_eq!(runs(&servers, "w1"), 1);
 }
--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -14,6 +14,7 @@
 //!    on their way, wait until the predecessor has provably stopped or its
 //!    authority has run out.
 
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -48,6 +49,11 @@
 /// Standard deviations of the counts by which a holder must be asked for more
 /// than it can serve to be called overloaded.
 const OVERLOAD_DEVIATIONS: f64 = 1.0;
+/// Share of its capacity above which an upstream counts as busy.
+const BUSY_SHARE: f64 = 0.6;
+/// Time for which a range that has just changed hands stays, unless it must
+/// go: until the load has been counted with it in its place.
+const MIN_STAY: Duration = Duration::from_millis(1_500);
 /// Smallest share of requests that an overloaded holder is sent, and the steps
 /// in which shares are told.
 const MIN_SHARE: f64 = 0.2;
@@ -145,6 +151,10 @@
     upstreams: Vec<Upstream>,
     paces: Paces,
     shares: Vec<(Arc<str>, f32)>,
+    /// Upstreams of which much of the capacity is used.
+    busy: HashSet<Arc<str>>,
+    /// When the grants of new fencing tokens were first answered.
+    granted_at: HashMap<u64, Instant>,
     inherited: Inherited,
     /// Whether the fencing tokens of an earlier keeper are still in the map.
     is_inherited: bool,
@@ -195,6 +205,8 @@
             upstreams: Vec::new(),
             paces: Paces::default(),
             shares: Vec::new(),
+            busy: HashSet::new(),
+            granted_at: HashMap::new(),
             inherited,
             authority_until: asked + settings.authority,
             weights: Weights::new(now),
@@ -243,7 +255,8 @@
 
     /// Counts answers of an upstream that took `total` together.
     pub fn record_answers(&mut self, upstream: &Arc<str>, answers: u32, total: Duration) {
-        self.paces.record(upstream, answers, total);
+        let is_busy = self.busy.contains(upstream);
+        self.paces.record(upstream, answers, total, is_busy);
     }
 
     /// Returns, for each holder that is asked for more than it can serve, the
@@ -300,6 +313,9 @@
         };
         lease.end(outcome, longest, now);
         let is_done = matches!(outcome, Outcome::Done { .. });
+        if is_done {
+            self.granted_at.entry(order.fence).or_insert(now);
+        }
         if is_done && order.fence >= self.first_fence {
             let taken = (order.life.clone(), order.from, order.to);
             if !self.fenced_off.contains(&taken) {
@@ -568,6 +584,10 @@
         }
         let load = self.weights.load(now, usable.len());
         self.shares = shares(&self.map, &load, &usable);
+        self.busy = busy(&self.map, &load, &usable);
+        let map = &self.map;
+        self.granted_at
+            .retain(|fence, _| map.ranges.iter().any(|range| range.fence == *fence));
         let staying = |life: &Life| {
             usable
                 .iter()
@@ -582,7 +602,12 @@
             };
             let is_own =
                 !self.has_active_predecessor() || is_fenced_off(&self.fenced_off, holder, range);
-            staying(holder) && (!is_own || self.has_open_call(range, now))
+            let has_just_come = range.from == range.to
+                && self
+                    .granted_at
+                    .get(&range.fence)
+                    .is_some_and(|at| now - *at < MIN_STAY);
+            staying(holder) && (!is_own || has_just_come || self.has_open_call(range, now))
         };
         let moves = (MOVES_PER_UPSTREAM * usable.len() as f64).ceil() as usize;
         plan::improve(&self.map, &load, &usable, is_fixed, moves)
@@ -626,17 +651,32 @@
     fenced_off.iter().any(covers)
 }
 
+/// Requests per second for the keys that an upstream holds.
+fn asked(map: &Map, load: &Load, life: &Life) -> f64 {
+    let own = map
+        .ranges
+        .iter()
+        .filter(|range| range.holder.as_ref() == Some(life));
+    own.map(|range| load.of(range)).sum()
+}
+
+/// Returns the upstreams of which much of the capacity is used.
+fn busy(map: &Map, load: &Load, candidates: &[Candidate]) -> HashSet<Arc<str>> {
+    let is_busy = |candidate: &&Candidate| {
+        asked(map, load, &candidate.life) > BUSY_SHARE * candidate.capacity_per_s
+    };
+    let busy = candidates.iter().filter(is_busy);
+    busy.map(|candidate| Arc::clone(&candidate.life.upstream))
+        .collect()
+}
+
 /// Returns which holders are asked for more than they can serve, and what
 /// share they can serve.
 fn shares(map: &Map, load: &Load, candidates: &[Candidate]) -> Vec<(Arc<str>, f32)> {
     let count_per_load = load.counted / load.total().max(0.1);
     let mut shares = Vec::new();
     for candidate in candidates {
-        let own = map
-            .ranges
-            .iter()
-            .filter(|range| range.holder.as_ref() == Some(&candidate.life));
-        let asked: f64 = own.map(|range| load.of(range)).sum();
+        let asked = asked(map, load, &candidate.life);
         let noise = 1.0 + OVERLOAD_DEVIATIONS / (asked * count_per_load).max(1.0).sqrt();
         if asked <= candidate.capacity_per_s * noise {
             continue;
--- a/crates/ranges/src/pace.rs
+++ b/crates/ranges/src/pace.rs
@@ -15,6 +15,9 @@
 /// Weight of answers that are slower than the estimate: they may have waited
 /// behind others at the upstream, which faster ones have not.
 const SLOWER_WEIGHT: f64 = 0.25;
+/// The same for upstreams that are known to be busy: most of their answers have
+/// waited.
+const BUSY_SLOWER_WEIGHT: f64 = 0.03;
 
 /// Time for one request at each upstream.
 #[derive(Clone, Debug, Default)]
@@ -29,7 +32,13 @@
 }
 
 impl Paces {
-    pub(crate) fn record(&mut self, upstream: &Arc<str>, answers: u32, total: Duration) {
+    pub(crate) fn record(
+        &mut self,
+        upstream: &Arc<str>,
+        answers: u32,
+        total: Duration,
+        is_busy: bool,
+    ) {
         if answers == 0 {
             return;
         }
@@ -41,10 +50,10 @@
         };
         let pace = self.paces.entry(Arc::clone(upstream)).or_insert(first);
         let weight = (answers / (pace.answers + answers).min(MEMORY)).min(1.0);
-        let weight = if sample_ms > pace.mean_ms {
-            weight * SLOWER_WEIGHT
-        } else {
-            weight
+        let weight = match (sample_ms > pace.mean_ms, is_busy) {
+            (false, _) => weight,
+            (true, false) => weight * SLOWER_WEIGHT,
+            (true, true) => weight * BUSY_SLOWER_WEIGHT,
         };
         pace.mean_ms += (sample_ms - pace.mean_ms) * weight;
         pace.answers = (pace.answers + answers).min(MEMORY);
--- a/crates/ranges/src/plan.rs
+++ b/crates/ranges/src/plan.rs
@@ -24,7 +24,7 @@
 /// Share of an upstream's capacity that one key must take to be moved for its
 /// own sake, and how much faster the receiver must be.
 const HOT_SHARE: f64 = 0.5;
-const MIN_LIFT: f64 = 1.2;
+const MIN_LIFT: f64 = 1.3;
 /// Ranges per upstream above which neighbours are merged.
 const MAX_RANGES_PER_UPSTREAM: usize = 6;
 
