--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -7,49 +7,24 @@
 //! slots and a short queue bear; what finds no room waits here, the more
 //! urgent first, and what can't be answered in its time is refused on arrival.
 
-use std::collections::HashSet;
+mod block;
+mod choice;
+mod queue;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrassrock_model::time::Instant;
 use indexmap::IndexMap;
 
+use self::block::{Block, MAX_BLOCK};
 use crate::budget::{self, Budget};
 use crate::directory::Repeat;
 use crate::member::Member;
 use crate::upstream::Upstream;
 
-/// Guess of the time for one request before any was answered.
-const INITIAL_PACE_MS: f64 = 100.0;
-/// Share of the target latency within which the router's own data centre must
-/// be expected to answer, or a nearer end elsewhere is preferred.
-const STAY_SHARE: f64 = 0.7;
 /// Target of a route that names none, as a share of the time a caller has.
 const DEFAULT_TARGET_SHARE: f64 = 0.4;
-/// Longest queue of a router, in requests per slot that it knows of.
-const QUEUE_PER_SLOT: usize = 8;
-/// Shortest and longest time that a refused caller is told to wait.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
-/// Share of a caller's time after which a request that waits for a holder is
-/// refused: late enough for a range to change hands, early enough for the
-/// caller to come back.
-const MAX_HOLDER_WAIT_SHARE: f64 = 0.4;
-/// What a refused caller is told while a key has no holder: grants are made
-/// within about this time.
-const NO_HOLDER_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Shortest and longest time for which a range gets no requests after its
-/// holder said that it doesn't hold it: news of the map takes the first, an
-/// unanswered request the second.
-const MIN_BLOCK: Duration = Duration::from_millis(60);
-const MAX_BLOCK: Duration = Duration::from_millis(500);
-/// What a caller is told whose key is asked for too often: hot ranges are
-/// divided within about this time.
-const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(600);
-/// Time after which another upstream is asked as well, in multiples of the time
-/// that an answer was expected to take: few requests take as long.
-const HEDGE_PACES: f64 = 2.5;
-const MIN_HEDGE_DELAY: Duration = Duration::from_millis(60);
 /// Span over which answers are counted to tell how fast the queue moves.
 const RATE_SPAN: Duration = Duration::from_secs(1);
 
@@ -228,22 +203,6 @@
     pub pause: Duration,
 }
 
-/// Range of keys whose holder said that it doesn't hold them.
-#[derive(Clone, Copy, Debug)]
-struct Block {
-    from: u16,
-    to: u16,
-    until: Instant,
-    pause: Duration,
-}
-
-enum Choice {
-    Take(Arc<Upstream>),
-    Full,
-    NoHolder,
-    NoUpstream,
-}
-
 impl Service {
     /// Creates the view of a router in `data_centre`, without upstreams.
     pub fn new(data_centre: Arc<str>, limits: budget::Limits) -> Self {
@@ -388,41 +347,6 @@
         step
     }
 
-    /// Returns how long a request that was just sent to an upstream may take
-    /// before another is asked as well, `None` if no other could be.
-    ///
-    /// Load answered: answers that get lost and upstreams that fall silent; the
-    /// caller is served while it still waits.
-    pub fn hedge_delay(&self, upstream: &str, now: Instant) -> Option<Duration> {
-        if self.spans.is_some() || self.members.len() < 2 {
-            return None;
-        }
-        let expected_ms = HEDGE_PACES * self.members.get(upstream)?.expected_ms(now);
-        Some(Duration::from_micros((expected_ms * 1e3) as u64).max(MIN_HEDGE_DELAY))
-    }
-
-    /// Returns who may be asked as well for a request that has no answer yet:
-    /// only an upstream with a free slot, within the budget, and only while no
-    /// other request waits.
-    pub fn hedge(&mut self, request: &Request, now: Instant) -> Option<Step> {
-        let may_run = request.runs + 1 < request.max_attempts;
-        if !may_run || !self.queue.is_empty() || !self.budget.allows(now, self.routers) {
-            return None;
-        }
-        let left_ms = (request.give_up - now).as_secs_f64() * 1e3;
-        let usable = self.members.values().filter(|member| {
-            !member.upstream.leaving
-                && !request.tried.contains(&member.upstream.id)
-                && member.has_free_slot(now)
-                && member.cost_ms(now) < left_ms
-        });
-        let is_far = |member: &&Member| member.upstream.data_centre != self.data_centre;
-        let order = |member: &&Member| (is_far(member), member.cost_ms(now) as u64);
-        let chosen = Arc::clone(&usable.min_by_key(order)?.upstream);
-        self.budget.take(now);
-        Some(self.begin(chosen, None, now))
-    }
-
     /// Notes the end of a send of a request with this key that began at
     /// `started`.
     pub fn end(
@@ -456,97 +380,6 @@
         std::mem::take(&mut self.notes)
     }
 
-    /// Drops a request from the queue whose caller has left.
-    pub fn leave(&mut self, ticket: u64) {
-        self.queue.retain(|request| request.ticket != ticket);
-    }
-
-    /// Returns the requests that wait no longer, and what to do with them.
-    pub fn poll(&mut self, now: Instant) -> Vec<(u64, Step)> {
-        let mut done = Vec::new();
-        if self.queue.is_empty() {
-            return done;
-        }
-        let mut queue = std::mem::take(&mut self.queue);
-        queue.sort_by_key(|request| (request.priority, now > request.target, request.arrived));
-        let mut full: HashSet<Option<Arc<str>>> = HashSet::new();
-        for request in queue {
-            let holder = self.holder(request.key).cloned();
-            let known_full = full.contains(&holder) && !self.is_blocked(request.key, now);
-            let choice = if known_full {
-                Choice::Full
-            } else {
-                self.choose(&request, now)
-            };
-            match choice {
-                Choice::Take(_) if request.is_repeat && !self.budget.allows(now, self.routers) => {
-                    let refusal = self.refuse(Reason::Budget, &request, now);
-                    done.push((request.ticket, refusal));
-                }
-                Choice::Take(upstream) => {
-                    if request.is_repeat {
-                        self.budget.take(now);
-                    }
-                    done.push((request.ticket, self.begin(upstream, request.key, now)));
-                }
-                Choice::NoHolder if Self::has_waited_for_holder(&request, now) => {
-                    let refusal = self.refuse(Reason::NoHolder, &request, now);
-                    done.push((request.ticket, refusal));
-                }
-                _ if self.is_hopeless(&request, now) => {
-                    let reason = match choice {
-                        Choice::NoHolder => Reason::NoHolder,
-                        Choice::NoUpstream => Reason::NoUpstream,
-                        _ => Reason::Busy,
-                    };
-                    let refusal = self.refuse(reason, &request, now);
-                    done.push((request.ticket, refusal));
-                }
-                choice => {
-                    if matches!(choice, Choice::Full) && now >= request.retry_at {
-                        full.insert(holder);
-                    }
-                    self.queue.push(request);
-                }
-            }
-        }
-        done
-    }
-
-    /// Sends no requests for the range of a key for a while: the holder will
-    /// refuse them all, until it or the map changes.
-    fn block(&mut self, key: u16, now: Instant) {
-        let Some(span) = self.span(key).cloned() else {
-            return;
-        };
-        let known = self.blocks.iter_mut().find(|block| block.from == span.from);
-        match known {
-            Some(block) => {
-                block.until = now + block.pause;
-                block.pause = (block.pause * 2).min(MAX_BLOCK);
-            }
-            None => self.blocks.push(Block {
-                from: span.from,
-                to: span.to,
-                until: now + MIN_BLOCK,
-                pause: MIN_BLOCK * 2,
-            }),
-        }
-    }
-
-    /// Whether requests for a key must wait. When the time of a block is over,
-    /// one request may find out whether the holder has the keys now.
-    fn is_blocked(&self, key: Option<u16>, now: Instant) -> bool {
-        let Some(key) = key else {
-            return false;
-        };
-        let covers = |block: &&Block| (block.from..=block.to).contains(&key);
-        self.blocks
-            .iter()
-            .find(covers)
-            .is_some_and(|block| now < block.until)
-    }
-
     fn begin(&mut self, upstream: Arc<Upstream>, key: Option<u16>, now: Instant) -> Step {
         if let Some(key) = key {
             let covers = |block: &&mut Block| (block.from..=block.to).contains(&key);
@@ -565,173 +398,6 @@
         }
     }
 
-    fn place(&mut self, request: Request, now: Instant) -> Step {
-        match self.choose(&request, now) {
-            Choice::Take(upstream) => self.begin(upstream, request.key, now),
-            Choice::NoUpstream => self.refuse(Reason::NoUpstream, &request, now),
-            Choice::NoHolder
-                if self.can_wait(&request, now) && !Self::has_waited_for_holder(&request, now) =>
-            {
-                self.enqueue(request)
-            }
-            Choice::NoHolder => self.refuse(Reason::NoHolder, &request, now),
-            Choice::Full if self.can_wait(&request, now) => self.enqueue(request),
-            Choice::Full => self.refuse(Reason::Busy, &request, now),
-        }
-    }
-
-    fn enqueue(&mut self, request: Request) -> Step {
-        self.queue.push(request);
-        Step::Wait
-    }
-
-    fn choose(&self, request: &Request, now: Instant) -> Choice {
-        if now < request.retry_at {
-            return Choice::Full;
-        }
-        if self.spans.is_some() {
-            return self.choose_holder(request, now);
-        }
-        let mut usable = false;
-        let mut best: Option<(f64, &Member)> = None;
-        let mut best_near: Option<(f64, &Member)> = None;
-        for member in self.members.values() {
-            if member.upstream.leaving || request.tried.contains(&member.upstream.id) {
-                continue;
-            }
-            usable = true;
-            if !member.has_room(now) {
-                continue;
-            }
-            let cost = member.cost_ms(now);
-            let better =
-                |other: &Option<(f64, &Member)>| other.is_none_or(|(least, _)| cost < least);
-            if member.upstream.data_centre == self.data_centre && better(&best_near) {
-                best_near = Some((cost, member));
-            }
-            if better(&best) {
-                best = Some((cost, member));
-            }
-        }
-        let left_ms = (request.target - now).as_secs_f64() * 1e3;
-        let near = best_near.filter(|(cost, _)| *cost <= STAY_SHARE * left_ms);
-        match near.or(best) {
-            Some((_, member)) => Choice::Take(Arc::clone(&member.upstream)),
-            None if usable => Choice::Full,
-            None => Choice::NoUpstream,
-        }
-    }
-
-    fn choose_holder(&self, request: &Request, now: Instant) -> Choice {
-        if request.key.is_none() {
-            return Choice::NoUpstream;
-        }
-        let Some(holder) = self.holder(request.key) else {
-            return Choice::NoHolder;
-        };
-        if self.is_blocked(request.key, now) {
-            return Choice::NoHolder;
-        }
-        match self.members.get(holder) {
-            Some(member) if member.is_closed(now) => Choice::NoHolder,
-            Some(member) if member.has_room(now) => Choice::Take(Arc::clone(&member.upstream)),
-            Some(_) => Choice::Full,
-            None => Choice::NoHolder,
-        }
-    }
-
-    fn holder(&self, key: Option<u16>) -> Option<&Arc<str>> {
-        self.span(key?)?.holder.as_ref()
-    }
-
-    fn span(&self, key: u16) -> Option<&Span> {
-        let spans = self.spans.as_ref()?;
-        let index = spans.partition_point(|span| span.to < key);
-        spans.get(index).filter(|span| span.from <= key)
-    }
-
-    /// Whether an answer in time is likely behind those that wait already.
-    fn can_wait(&self, request: &Request, now: Instant) -> bool {
-        let slots: u32 = self
-            .members
-            .values()
-            .map(|member| member.upstream.slots)
-            .sum();
-        if self.queue.len() >= QUEUE_PER_SLOT * slots.max(1) as usize {
-            return false;
-        }
-        now + self.wait(request, now) + self.service_time(request) < request.give_up
-    }
-
-    fn has_waited_for_holder(request: &Request, now: Instant) -> bool {
-        let allowed = request.give_up - request.arrived;
-        now - request.arrived >= allowed.mul_f64(MAX_HOLDER_WAIT_SHARE)
-    }
-
-    /// Whether a request that waits can't be answered in time any more.
-    fn is_hopeless(&self, request: &Request, now: Instant) -> bool {
-        now + self.service_time(request) >= request.give_up
-    }
-
-    fn service_time(&self, request: &Request) -> Duration {
-        let holder = self.holder(request.key).and_then(|id| self.members.get(id));
-        let pace_ms = holder.map_or_else(|| self.typical_pace_ms(), Member::pace_ms);
-        Duration::from_micros((pace_ms * 1e3) as u64)
-    }
-
-    /// Expected time until a request behind the present queue is sent.
-    fn wait(&self, request: &Request, now: Instant) -> Duration {
-        let holder = self.holder(request.key);
-        let same_line = |other: &&Request| {
-            other.priority <= request.priority && self.holder(other.key) == holder
-        };
-        let ahead = self.queue.iter().filter(same_line).count() + 1;
-        let rate = match holder.and_then(|id| self.members.get(id)) {
-            Some(member) => {
-                let share =
-                    f64::from(member.in_flight().max(1)) / f64::from(member.load(now).max(1));
-                share * f64::from(member.upstream.slots.max(1)) * 1e3 / member.pace_ms().max(1.0)
-            }
-            None => self.answer_rate(now),
-        };
-        Duration::from_secs_f64((ahead as f64 / rate.max(0.1)).min(60.0))
-    }
-
-    /// Answers per second of late, at least what one slot gives.
-    fn answer_rate(&self, now: Instant) -> f64 {
-        let recent = self
-            .answers
-            .iter()
-            .rev()
-            .take_while(|at| now - **at < RATE_SPAN)
-            .count();
-        let counted = recent as f64 / RATE_SPAN.as_secs_f64();
-        counted.max(1e3 / self.typical_pace_ms().max(1.0))
-    }
-
-    fn typical_pace_ms(&self) -> f64 {
-        let known = self.members.values().filter(|member| member.is_known());
-        let paces: Vec<f64> = known.map(Member::pace_ms).collect();
-        if paces.is_empty() {
-            return INITIAL_PACE_MS;
-        }
-        paces.iter().sum::<f64>() / paces.len() as f64
-    }
-
-    fn refuse(&mut self, reason: Reason, request: &Request, now: Instant) -> Step {
-        let wait = match reason {
-            Reason::NoHolder | Reason::NoUpstream => NO_HOLDER_RETRY_AFTER,
-            Reason::Overload => OVERLOAD_RETRY_AFTER,
-            Reason::Busy | Reason::Attempts | Reason::Budget => self.wait(request, now),
-        };
-        // Callers that are refused together come back one after the other.
-        let spread = wait.mul_f64(f64::from((request.ticket % 8) as u32) / 16.0);
-        Step::Refuse(Refusal {
-            reason,
-            retry_after: (wait + spread).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
-        })
-    }
-
     /// Forgets what is too old to matter. To be called about once a second.
     pub fn sweep(&mut self, now: Instant) {
         self.answers.retain(|at| now - *at < RATE_SPAN);
--- /dev/null
+++ b/crates/dispatch/src/service/block.rs
@@ -0,0 +1,58 @@
+//! Ranges of keys that get no requests for a while.
+
+use std::time::Duration;
+
+use eelgrassrock_model::time::Instant;
+
+use super::Service;
+
+/// Shortest and longest time for which a range gets no requests after its
+/// holder said that it doesn't hold it: news of the map takes the first, an
+/// unanswered request the second.
+const MIN_BLOCK: Duration = Duration::from_millis(60);
+pub(super) const MAX_BLOCK: Duration = Duration::from_millis(500);
+
+/// Range of keys whose holder said that it doesn't hold them.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Block {
+    pub(super) from: u16,
+    pub(super) to: u16,
+    pub(super) until: Instant,
+    pub(super) pause: Duration,
+}
+
+impl Service {
+    /// Sends no requests for the range of a key for a while: the holder will
+    /// refuse them all, until it or the map changes.
+    pub(super) fn block(&mut self, key: u16, now: Instant) {
+        let Some(span) = self.span(key).cloned() else {
+            return;
+        };
+        let known = self.blocks.iter_mut().find(|block| block.from == span.from);
+        match known {
+            Some(block) => {
+                block.until = now + block.pause;
+                block.pause = (block.pause * 2).min(MAX_BLOCK);
+            }
+            None => self.blocks.push(Block {
+                from: span.from,
+                to: span.to,
+                until: now + MIN_BLOCK,
+                pause: MIN_BLOCK * 2,
+            }),
+        }
+    }
+
+    /// Whether requests for a key must wait. When the time of a block is over,
+    /// one request may find out whether the holder has the keys now.
+    pub(super) fn is_blocked(&self, key: Option<u16>, now: Instant) -> bool {
+        let Some(key) = key else {
+            return false;
+        };
+        let covers = |block: &&Block| (block.from..=block.to).contains(&key);
+        self.blocks
+            .iter()
+            .find(covers)
+            .is_some_and(|block| now < block.until)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/service/choice.rs
@@ -0,0 +1,128 @@
+//! Which upstream takes a request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassrock_model::time::Instant;
+
+use super::{Request, Service, Span, Step};
+use crate::member::Member;
+use crate::upstream::Upstream;
+
+/// Share of the target latency within which the router's own data centre must
+/// be expected to answer, or a nearer end elsewhere is preferred.
+const STAY_SHARE: f64 = 0.7;
+/// Time after which another upstream is asked as well, in multiples of the time
+/// that an answer was expected to take: few requests take as long.
+const HEDGE_PACES: f64 = 2.5;
+const MIN_HEDGE_DELAY: Duration = Duration::from_millis(60);
+
+/// What can be done with a request now.
+pub(super) enum Choice {
+    Take(Arc<Upstream>),
+    Full,
+    NoHolder,
+    NoUpstream,
+}
+
+impl Service {
+    /// Returns how long a request that was just sent to an upstream may take
+    /// before another is asked as well, `None` if no other could be.
+    ///
+    /// Load answered: answers that get lost and upstreams that fall silent; the
+    /// caller is served while it still waits.
+    pub fn hedge_delay(&self, upstream: &str, now: Instant) -> Option<Duration> {
+        if self.spans.is_some() || self.members.len() < 2 {
+            return None;
+        }
+        let expected_ms = HEDGE_PACES * self.members.get(upstream)?.expected_ms(now);
+        Some(Duration::from_micros((expected_ms * 1e3) as u64).max(MIN_HEDGE_DELAY))
+    }
+
+    /// Returns who may be asked as well for a request that has no answer yet:
+    /// only an upstream with a free slot, within the budget, and only while no
+    /// other request waits.
+    pub fn hedge(&mut self, request: &Request, now: Instant) -> Option<Step> {
+        let may_run = request.runs + 1 < request.max_attempts;
+        if !may_run || !self.queue.is_empty() || !self.budget.allows(now, self.routers) {
+            return None;
+        }
+        let left_ms = (request.give_up - now).as_secs_f64() * 1e3;
+        let usable = self.members.values().filter(|member| {
+            !member.upstream.leaving
+                && !request.tried.contains(&member.upstream.id)
+                && member.has_free_slot(now)
+                && member.cost_ms(now) < left_ms
+        });
+        let is_far = |member: &&Member| member.upstream.data_centre != self.data_centre;
+        let order = |member: &&Member| (is_far(member), member.cost_ms(now) as u64);
+        let chosen = Arc::clone(&usable.min_by_key(order)?.upstream);
+        self.budget.take(now);
+        Some(self.begin(chosen, None, now))
+    }
+
+    pub(super) fn choose(&self, request: &Request, now: Instant) -> Choice {
+        if now < request.retry_at {
+            return Choice::Full;
+        }
+        if self.spans.is_some() {
+            return self.choose_holder(request, now);
+        }
+        let mut usable = false;
+        let mut best: Option<(f64, &Member)> = None;
+        let mut best_near: Option<(f64, &Member)> = None;
+        for member in self.members.values() {
+            if member.upstream.leaving || request.tried.contains(&member.upstream.id) {
+                continue;
+            }
+            usable = true;
+            if !member.has_room(now) {
+                continue;
+            }
+            let cost = member.cost_ms(now);
+            let better =
+                |other: &Option<(f64, &Member)>| other.is_none_or(|(least, _)| cost < least);
+            if member.upstream.data_centre == self.data_centre && better(&best_near) {
+                best_near = Some((cost, member));
+            }
+            if better(&best) {
+                best = Some((cost, member));
+            }
+        }
+        let left_ms = (request.target - now).as_secs_f64() * 1e3;
+        let near = best_near.filter(|(cost, _)| *cost <= STAY_SHARE * left_ms);
+        match near.or(best) {
+            Some((_, member)) => Choice::Take(Arc::clone(&member.upstream)),
+            None if usable => Choice::Full,
+            None => Choice::NoUpstream,
+        }
+    }
+
+    pub(super) fn choose_holder(&self, request: &Request, now: Instant) -> Choice {
+        if request.key.is_none() {
+            return Choice::NoUpstream;
+        }
+        let Some(holder) = self.holder(request.key) else {
+            return Choice::NoHolder;
+        };
+        if self.is_blocked(request.key, now) {
+            return Choice::NoHolder;
+        }
+        match self.members.get(holder) {
+            Some(member) if member.is_closed(now) => Choice::NoHolder,
+            Some(member) if member.has_room(now) => Choice::Take(Arc::clone(&member.upstream)),
+            Some(_) => Choice::Full,
+            None => Choice::NoHolder,
+        }
+    }
+
+    pub(super) fn holder(&self, key: Option<u16>) -> Option<&Arc<str>> {
+        self.span(key?)?.holder.as_ref()
+    }
+
+    pub(super) fn span(&self, key: u16) -> Option<&Span> {
+        let spans = self.spans.as_ref()?;
+        let index = spans.partition_point(|span| span.to < key);
+        spans.get(index).filter(|span| span.from <= key)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/service/queue.rs
@@ -0,0 +1,190 @@
+//! Which requests wait, and which are refused.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassrock_model::time::Instant;
+
+use super::choice::Choice;
+use super::{RATE_SPAN, Reason, Refusal, Request, Service, Step};
+use crate::member::Member;
+
+/// Guess of the time for one request before any was answered.
+const INITIAL_PACE_MS: f64 = 100.0;
+/// Longest queue of a router, in requests per slot that it knows of.
+const QUEUE_PER_SLOT: usize = 8;
+/// Share of a caller's time after which a request that waits for a holder is
+/// refused: late enough for a range to change hands, early enough for the
+/// caller to come back.
+const MAX_HOLDER_WAIT_SHARE: f64 = 0.4;
+/// Shortest and longest time that a refused caller is told to wait.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
+/// What a refused caller is told while a key has no holder: grants are made
+/// within about this time.
+const NO_HOLDER_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// What a caller is told whose key is asked for too often: hot ranges are
+/// divided within about this time.
+const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(600);
+
+impl Service {
+    /// Drops a request from the queue whose caller has left.
+    pub fn leave(&mut self, ticket: u64) {
+        self.queue.retain(|request| request.ticket != ticket);
+    }
+
+    /// Returns the requests that wait no longer, and what to do with them.
+    pub fn poll(&mut self, now: Instant) -> Vec<(u64, Step)> {
+        let mut done = Vec::new();
+        if self.queue.is_empty() {
+            return done;
+        }
+        let mut queue = std::mem::take(&mut self.queue);
+        queue.sort_by_key(|request| (request.priority, now > request.target, request.arrived));
+        let mut full: HashSet<Option<Arc<str>>> = HashSet::new();
+        for request in queue {
+            let holder = self.holder(request.key).cloned();
+            let known_full = full.contains(&holder) && !self.is_blocked(request.key, now);
+            let choice = if known_full {
+                Choice::Full
+            } else {
+                self.choose(&request, now)
+            };
+            match choice {
+                Choice::Take(_) if request.is_repeat && !self.budget.allows(now, self.routers) => {
+                    let refusal = self.refuse(Reason::Budget, &request, now);
+                    done.push((request.ticket, refusal));
+                }
+                Choice::Take(upstream) => {
+                    if request.is_repeat {
+                        self.budget.take(now);
+                    }
+                    done.push((request.ticket, self.begin(upstream, request.key, now)));
+                }
+                Choice::NoHolder if Self::has_waited_for_holder(&request, now) => {
+                    let refusal = self.refuse(Reason::NoHolder, &request, now);
+                    done.push((request.ticket, refusal));
+                }
+                _ if self.is_hopeless(&request, now) => {
+                    let reason = match choice {
+                        Choice::NoHolder => Reason::NoHolder,
+                        Choice::NoUpstream => Reason::NoUpstream,
+                        _ => Reason::Busy,
+                    };
+                    let refusal = self.refuse(reason, &request, now);
+                    done.push((request.ticket, refusal));
+                }
+                choice => {
+                    if matches!(choice, Choice::Full) && now >= request.retry_at {
+                        full.insert(holder);
+                    }
+                    self.queue.push(request);
+                }
+            }
+        }
+        done
+    }
+
+    pub(super) fn place(&mut self, request: Request, now: Instant) -> Step {
+        match self.choose(&request, now) {
+            Choice::Take(upstream) => self.begin(upstream, request.key, now),
+            Choice::NoUpstream => self.refuse(Reason::NoUpstream, &request, now),
+            Choice::NoHolder
+                if self.can_wait(&request, now) && !Self::has_waited_for_holder(&request, now) =>
+            {
+                self.enqueue(request)
+            }
+            Choice::NoHolder => self.refuse(Reason::NoHolder, &request, now),
+            Choice::Full if self.can_wait(&request, now) => self.enqueue(request),
+            Choice::Full => self.refuse(Reason::Busy, &request, now),
+        }
+    }
+
+    pub(super) fn enqueue(&mut self, request: Request) -> Step {
+        self.queue.push(request);
+        Step::Wait
+    }
+
+    /// Whether an answer in time is likely behind those that wait already.
+    pub(super) fn can_wait(&self, request: &Request, now: Instant) -> bool {
+        let slots: u32 = self
+            .members
+            .values()
+            .map(|member| member.upstream.slots)
+            .sum();
+        if self.queue.len() >= QUEUE_PER_SLOT * slots.max(1) as usize {
+            return false;
+        }
+        now + self.wait(request, now) + self.service_time(request) < request.give_up
+    }
+
+    pub(super) fn has_waited_for_holder(request: &Request, now: Instant) -> bool {
+        let allowed = request.give_up - request.arrived;
+        now - request.arrived >= allowed.mul_f64(MAX_HOLDER_WAIT_SHARE)
+    }
+
+    /// Whether a request that waits can't be answered in time any more.
+    pub(super) fn is_hopeless(&self, request: &Request, now: Instant) -> bool {
+        now + self.service_time(request) >= request.give_up
+    }
+
+    pub(super) fn service_time(&self, request: &Request) -> Duration {
+        let holder = self.holder(request.key).and_then(|id| self.members.get(id));
+        let pace_ms = holder.map_or_else(|| self.typical_pace_ms(), Member::pace_ms);
+        Duration::from_micros((pace_ms * 1e3) as u64)
+    }
+
+    /// Expected time until a request behind the present queue is sent.
+    pub(super) fn wait(&self, request: &Request, now: Instant) -> Duration {
+        let holder = self.holder(request.key);
+        let same_line = |other: &&Request| {
+            other.priority <= request.priority && self.holder(other.key) == holder
+        };
+        let ahead = self.queue.iter().filter(same_line).count() + 1;
+        let rate = match holder.and_then(|id| self.members.get(id)) {
+            Some(member) => {
+                let share =
+                    f64::from(member.in_flight().max(1)) / f64::from(member.load(now).max(1));
+                share * f64::from(member.upstream.slots.max(1)) * 1e3 / member.pace_ms().max(1.0)
+            }
+            None => self.answer_rate(now),
+        };
+        Duration::from_secs_f64((ahead as f64 / rate.max(0.1)).min(60.0))
+    }
+
+    /// Answers per second of late, at least what one slot gives.
+    pub(super) fn answer_rate(&self, now: Instant) -> f64 {
+        let recent = self
+            .answers
+            .iter()
+            .rev()
+            .take_while(|at| now - **at < RATE_SPAN)
+            .count();
+        let counted = recent as f64 / RATE_SPAN.as_secs_f64();
+        counted.max(1e3 / self.typical_pace_ms().max(1.0))
+    }
+
+    pub(super) fn typical_pace_ms(&self) -> f64 {
+        let known = self.members.values().filter(|member| member.is_known());
+        let paces: Vec<f64> = known.map(Member::pace_ms).collect();
+        if paces.is_empty() {
+            return INITIAL_PACE_MS;
+        }
+        paces.iter().sum::<f64>() / paces.len() as f64
+    }
+
+    pub(super) fn refuse(&mut self, reason: Reason, request: &Request, now: Instant) -> Step {
+        let wait = match reason {
+            Reason::NoHolder | Reason::NoUpstream => NO_HOLDER_RETRY_AFTER,
+            Reason::Overload => OVERLOAD_RETRY_AFTER,
+            Reason::Busy | Reason::Attempts | Reason::Budget => self.wait(request, now),
+        };
+        // Callers that are refused together come back one after the other.
+        let spread = wait.mul_f64(f64::from((request.ticket % 8) as u32) / 16.0);
+        Step::Refuse(Refusal {
+            reason,
+            retry_after: (wait + spread).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+        })
+    }
+}
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -1,49 +1,41 @@
 //! The duty of granting keys: standing for it, carrying it out, giving it up.
 
+mod drive;
+mod leave;
+mod stand;
+
 use std::cell::RefCell;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::time::Instant;
-use eelgrassrock_ranges::election::{Contact, Duty, Election, Former};
-use eelgrassrock_ranges::keeper::{self, Action, Keeper, Order, Outcome, Settings};
-use eelgrassrock_ranges::map::{Life, Map};
+use eelgrassrock_ranges::election::{Contact, Duty, Election};
+use eelgrassrock_ranges::keeper::Keeper;
+use eelgrassrock_ranges::map::Map;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::clock;
 use crate::node::Node;
 use crate::peer::Report;
-use crate::seam::{Commit, Name, Platform, Row, Table, Transaction};
+use crate::seam::{Name, Platform, Row, Table};
 use crate::watch::DUTY;
 
-/// Longest time for which a grant holds, if the platform allows it: a holder
-/// that is lost without a sign gives its keys back after that.
-const HOLD: Duration = Duration::from_secs(3);
-/// Time after which a holder that answers nothing loses its keys.
-const SILENCE: Duration = Duration::from_millis(1_200);
 /// Time between two looks of a keeper at what is due.
 const KEEPER_TICK: Duration = Duration::from_millis(40);
 /// Time between two reports to the keeper.
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two questions to the store whether the duty is still ours.
 const CONFIRM_INTERVAL: Duration = Duration::from_secs(1);
-/// Pause between two tries to learn whether an earlier keeper has stopped.
-const PROOF_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a call to the store that failed.
 const STORE_PAUSE: Duration = Duration::from_millis(150);
 /// Keys that are kept for one report. More are sampled by leaving out the rest.
 const MAX_REPORTED_KEYS: usize = 4_096;
-/// Time that calls under way get when the duty is given up.
-const HAND_OVER_TIME: Duration = Duration::from_millis(350);
 
 /// Duties of all services whose keys are divided.
 #[derive(Default)]
@@ -84,17 +76,6 @@
     reason: &'a str,
 }
 
-#[derive(Serialize)]
-struct Call<'a> {
-    service: &'a str,
-    upstream: &'a str,
-    from: u16,
-    to: u16,
-    fence: u64,
-    outcome: &'a str,
-    elapsed_ms: u64,
-}
-
 #[derive(Serialize)]
 struct Plan<'a> {
     service: &'a str,
@@ -275,31 +256,6 @@
         self.seat(service, |seat| seat.wake.notify_one());
     }
 
-    /// Number of routers that stand for a duty before this one. Relays stand
-    /// first, in an order of data centres that differs from service to
-    /// service.
-    fn rank(&self, service: &str) -> u32 {
-        if self.relay_to_follow().is_some() {
-            return u32::MAX;
-        }
-        let mix = |data_centre: &str| {
-            let mut hasher = DefaultHasher::new();
-            (data_centre, service).hash(&mut hasher);
-            hasher.finish()
-        };
-        let own = mix(&self.settings.data_centre);
-        let state = self.state.borrow();
-        let mut before: Vec<&Arc<str>> = state
-            .routers
-            .values()
-            .map(|router| &router.data_centre)
-            .filter(|data_centre| mix(data_centre) < own)
-            .collect();
-        before.sort();
-        before.dedup();
-        before.len() as u32
-    }
-
     /// Takes what the store says of a duty.
     pub(crate) fn learn_duty(self: &Rc<Self>, service: &Arc<str>, duty: Option<(Duty, u64)>) {
         self.tend(service);
@@ -357,84 +313,6 @@
         }
     }
 
-    fn next_stand(&self, service: &Arc<str>, now: Instant) -> Duration {
-        let at = self
-            .seat(service, |seat| seat.election.stands_at())
-            .flatten();
-        at.map_or(REPORT_INTERVAL, |at| {
-            (at - now).max(Duration::from_millis(5))
-        })
-    }
-
-    fn stand_if_due(self: &Rc<Self>, service: &Arc<str>, now: Instant) {
-        if self.is_stopping() {
-            return;
-        }
-        let address = self.settings.peer;
-        let due = self.seat(service, |seat| {
-            let due = if seat.standing {
-                None
-            } else {
-                seat.election.poll(address, now)
-            };
-            seat.standing |= due.is_some();
-            due
-        });
-        if let Some(Some((duty, version))) = due {
-            let node = Rc::clone(self);
-            let service = Arc::clone(service);
-            tokio::task::spawn_local(async move {
-                node.stand(&service, duty, version).await;
-                node.seat(&service, |seat| seat.standing = false);
-                node.wake(&service);
-            });
-        }
-    }
-
-    /// Tries to take the duty.
-    async fn stand(self: &Rc<Self>, service: &Arc<str>, duty: Duty, version: u64) {
-        let key = duty_row(service);
-        let before = self
-            .seat(service, |seat| seat.election.duty().cloned())
-            .flatten();
-        let asked = clock::now();
-        let Ok(value) = postcard::to_allocvec(&duty) else {
-            return;
-        };
-        let transaction = Transaction {
-            expected: vec![(key.clone(), version)],
-            put: vec![(key.clone(), value.into())],
-            remove: Vec::new(),
-        };
-        let taken = match self.platform.commit(&transaction).await {
-            Commit::Done(version) => Some(version),
-            Commit::Conflict | Commit::Unknown(_) => {
-                let row = self.platform.row(&key).await;
-                let Ok(found) = row.map(|row| row.and_then(|row| read_duty(&row))) else {
-                    return;
-                };
-                let own = found
-                    .as_ref()
-                    .filter(|(found, _)| *found == duty)
-                    .map(|(_, at)| *at);
-                if own.is_none() {
-                    self.learn_duty(service, found);
-                }
-                own
-            }
-            Commit::NotDone(_) => None,
-        };
-        let Some(version) = taken else {
-            return;
-        };
-        let Some(map) = self.read_map(service).await else {
-            // Without the map the duty can't be carried out; another try
-            // follows as soon as the store answers.
-            return;
-        };
-        self.begin(service, duty, version, before, map, asked);
-    }
-
     /// Reads the map of a service; the inner `None` says that there is none.
     async fn read_map(&self, service: &Arc<str>) -> Option<Option<(Map, u64)>> {
         let row = self.platform.row(&map_row(service)).await.ok()?;
@@ -457,350 +335,6 @@
         map.map(Some)
     }
 
-    /// Begins to carry out the duty, which is ours since `asked` at the latest.
-    fn begin(
-        self: &Rc<Self>,
-        service: &Arc<str>,
-        duty: Duty,
-        version: u64,
-        before: Option<(Duty, u64)>,
-        map: Option<(Map, u64)>,
-        asked: Instant,
-    ) {
-        let now = clock::now();
-        let settings = Settings {
-            hold: HOLD.min(self.settings.max_hold),
-            authority: self.settings.max_hold,
-            silence: SILENCE,
-        };
-        let mut keeper = match &map {
-            None => Keeper::first(settings, asked, now),
-            Some((map, _)) => Keeper::successor(settings, map.clone(), asked, now),
-        };
-        // A former life of this process has ended.
-        let mut formers = duty.formers.clone();
-        formers.retain(|former| former.address != self.settings.peer);
-        if formers.is_empty() {
-            let released = before.and_then(|(before, _)| before.released);
-            let is_clean = released == Some(true) && duty.formers.is_empty();
-            keeper.predecessor_stopped(is_clean, now);
-        }
-        let term = duty.term;
-        self.seat(service, |seat| {
-            seat.election.learn(Some((duty, version)), 0, now);
-            seat.keys.clear();
-            seat.keeper = Some(keeper);
-            seat.confirm_due = now + CONFIRM_INTERVAL;
-            seat.confirming = false;
-            seat.wake.notify_one();
-        });
-        if let Some((map, version)) = map {
-            self.learn_map(service, map, version);
-        }
-        self.note_term(service, term, &self.settings.router, "taken");
-        if !formers.is_empty() {
-            let node = Rc::clone(self);
-            let service = Arc::clone(service);
-            tokio::task::spawn_local(async move {
-                node.prove_stopped(&service, formers, term).await;
-            });
-        }
-    }
-
-    /// Asks earlier keepers until all have certainly stopped.
-    async fn prove_stopped(
-        self: Rc<Self>,
-        service: &Arc<str>,
-        mut formers: Vec<Former>,
-        term: u64,
-    ) {
-        let mut is_clean = true;
-        loop {
-            match self.keeper(service, |keeper| keeper.has_active_predecessor()) {
-                None => return,
-                Some(true) => {}
-                Some(false) => {
-                    // Their authority has run out.
-                    self.clear_formers(service).await;
-                    return;
-                }
-            }
-            let mut active = Vec::new();
-            for former in formers {
-                match self.peers.ask_to_yield(&former, service, term).await {
-                    Some(clean) => is_clean &= clean,
-                    None => active.push(former),
-                }
-            }
-            formers = active;
-            if formers.is_empty() {
-                let now = clock::now();
-                self.keeper(service, |keeper| keeper.predecessor_stopped(is_clean, now));
-                self.note_term(
-                    service,
-                    term,
-                    &self.settings.router,
-                    "earlier keepers have stopped",
-                );
-                self.wake(service);
-                self.clear_formers(service).await;
-                return;
-            }
-            sleep(PROOF_PAUSE).await;
-        }
-    }
-
-    /// Writes that no earlier keeper acts any more, so that no successor asks
-    /// for them again.
-    async fn clear_formers(self: &Rc<Self>, service: &Arc<str>) {
-        let duty = self
-            .seat(service, |seat| seat.election.duty().cloned())
-            .flatten();
-        let Some((mut duty, version)) = duty.filter(|(duty, _)| !duty.formers.is_empty()) else {
-            return;
-        };
-        duty.formers.clear();
-        let Ok(value) = postcard::to_allocvec(&duty) else {
-            return;
-        };
-        let transaction = Transaction {
-            expected: vec![(duty_row(service), version)],
-            put: vec![(duty_row(service), value.into())],
-            remove: Vec::new(),
-        };
-        if let Commit::Done(version) = self.platform.commit(&transaction).await {
-            self.learn_duty(service, Some((duty, version)));
-        }
-    }
-
-    /// Does what is due as the keeper.
-    fn drive(self: &Rc<Self>, service: &Arc<str>, now: Instant) {
-        let upstreams = self.upstreams(service);
-        let paces = self.seat(service, Seat::take_paces).unwrap_or_default();
-        let done = self.keeper(service, |keeper| {
-            for pace in paces {
-                let span = Duration::from_millis(u64::from(pace.total_ms));
-                keeper.record_answers(&pace.upstream, pace.answers, span);
-            }
-            keeper.set_upstreams(upstreams);
-            (keeper.poll(now), keeper.admitted_shares().to_vec())
-        });
-        let Some((actions, shares)) = done else {
-            return;
-        };
-        self.learn_shares(service, shares);
-        for action in actions {
-            self.act(service, action);
-        }
-        let confirm = self.seat(service, |seat| {
-            let due = now >= seat.confirm_due && !seat.confirming;
-            seat.confirming |= due;
-            due
-        });
-        if confirm == Some(true) {
-            let node = Rc::clone(self);
-            let service = Arc::clone(service);
-            tokio::task::spawn_local(async move {
-                node.confirm(&service).await;
-                let due = clock::now() + CONFIRM_INTERVAL;
-                node.seat(&service, |seat| {
-                    seat.confirming = false;
-                    seat.confirm_due = due;
-                });
-            });
-        }
-    }
-
-    fn upstreams(&self, service: &Arc<str>) -> Vec<keeper::Upstream> {
-        let state = self.state.borrow();
-        let upstream = |upstream: Arc<Upstream>| keeper::Upstream {
-            life: Life {
-                upstream: Arc::clone(&upstream.id),
-                incarnation: upstream.incarnation,
-            },
-            slots: upstream.slots,
-            leaving: upstream.leaving,
-        };
-        state.book.of(service).into_iter().map(upstream).collect()
-    }
-
-    fn act(self: &Rc<Self>, service: &Arc<str>, action: Action) {
-        let node = Rc::clone(self);
-        let name = Arc::clone(service);
-        let task = match action {
-            Action::Grant {
-                order,
-                hold,
-                handover,
-            } => tokio::task::spawn_local(async move {
-                let started = clock::now();
-                let outcome = match node.address(&order.life) {
-                    Some(address) => {
-                        node.platform
-                            .grant(address, &order, hold, handover.as_deref())
-                            .await
-                    }
-                    None => Outcome::NotSent,
-                };
-                let now = clock::now();
-                node.note_call("grant", &name, &order, &outcome, now - started);
-                node.keeper(&name, |keeper| keeper.granted(&order, &outcome, now));
-                node.wake(&name);
-            }),
-            Action::Release(order) => tokio::task::spawn_local(async move {
-                let started = clock::now();
-                let outcome = match node.address(&order.life) {
-                    Some(address) => node.platform.release(address, &order).await,
-                    None => Outcome::NotSent,
-                };
-                let now = clock::now();
-                node.note_call("release", &name, &order, &outcome, now - started);
-                node.keeper(&name, |keeper| keeper.released(&order, &outcome, now));
-                node.wake(&name);
-            }),
-            Action::Commit(map) => tokio::task::spawn_local(async move {
-                node.commit(&name, map).await;
-                node.wake(&name);
-            }),
-        };
-        self.seat(service, |seat| {
-            seat.calls.retain(|call| !call.is_finished());
-            seat.calls.push(task.abort_handle());
-        });
-    }
-
-    fn address(&self, life: &Life) -> Option<SocketAddr> {
-        let state = self.state.borrow();
-        let upstream = state.book.get(&life.upstream)?;
-        (upstream.incarnation == life.incarnation).then_some(upstream.address)
-    }
-
-    /// First grants, releases and failures get a line, renewals don't.
-    fn note_call(
-        &self,
-        event: &str,
-        service: &str,
-        order: &Order,
-        outcome: &Outcome,
-        elapsed: Duration,
-    ) {
-        let text = match outcome {
-            Outcome::Done { .. } if event == "grant" => return,
-            Outcome::Done { .. } => "done",
-            Outcome::Fenced => "fenced",
-            Outcome::NotSent => "not sent",
-            Outcome::Unknown => "unknown",
-        };
-        let line = Call {
-            service,
-            upstream: &order.life.upstream,
-            from: order.from,
-            to: order.to,
-            fence: order.fence,
-            outcome: text,
-            elapsed_ms: elapsed.as_millis() as u64,
-        };
-        self.log.note(event, &line);
-    }
-
-    /// Writes a map if the duty is ours and the map has not changed.
-    async fn commit(self: &Rc<Self>, service: &Arc<str>, map: Map) {
-        let asked = clock::now();
-        let duty = self
-            .seat(service, |seat| seat.election.duty().map(|(_, at)| *at))
-            .flatten();
-        let known = self
-            .state
-            .borrow()
-            .maps
-            .get(service)
-            .map_or(0, |(_, version)| *version);
-        let (Some(duty), Ok(value)) = (duty, postcard::to_allocvec(&map)) else {
-            return;
-        };
-        let map_key = map_row(service);
-        let transaction = Transaction {
-            expected: vec![(duty_row(service), duty), (map_key.clone(), known)],
-            put: vec![(map_key, Bytes::from(value))],
-            remove: Vec::new(),
-        };
-        let end = self.platform.commit(&transaction).await;
-        let moving = map
-            .ranges
-            .iter()
-            .filter(|range| range.source.is_some())
-            .count();
-        let (outcome, version) = match &end {
-            Commit::Done(version) => ("done", *version),
-            Commit::Conflict => ("conflict", 0),
-            Commit::NotDone(_) => ("not done", 0),
-            Commit::Unknown(_) => ("unknown", 0),
-        };
-        self.log.note(
-            "map",
-            &Plan {
-                service,
-                ranges: map.ranges.len(),
-                moving,
-                version,
-                outcome,
-            },
-        );
-        match end {
-            Commit::Done(version) => {
-                self.keeper(service, |keeper| keeper.committed(asked));
-                self.publish_map(service, &map, version);
-                self.learn_map(service, map, version);
-            }
-            Commit::NotDone(_) => {
-                sleep(STORE_PAUSE).await;
-                self.keeper(service, Keeper::not_committed);
-            }
-            Commit::Conflict | Commit::Unknown(_) => self.read_back(service).await,
-        }
-    }
-
-    /// Reads what the store holds after a commit whose end isn't known.
-    async fn read_back(self: &Rc<Self>, service: &Arc<str>) {
-        loop {
-            let asked = clock::now();
-            if !self.confirm(service).await {
-                if self.keeper(service, |_| ()).is_none() {
-                    return;
-                }
-                sleep(STORE_PAUSE).await;
-                continue;
-            }
-            match self.read_map(service).await {
-                Some(Some((map, version))) => {
-                    self.keeper(service, |keeper| keeper.adopt(map.clone(), asked));
-                    self.learn_map(service, map, version);
-                    return;
-                }
-                Some(None) => {
-                    self.keeper(service, Keeper::not_committed);
-                    return;
-                }
-                None => sleep(STORE_PAUSE).await,
-            }
-        }
-    }
-
-    /// Asks the store whether the duty is still ours. Returns `true` if so,
-    /// `false` if it isn't or the store doesn't answer.
-    async fn confirm(self: &Rc<Self>, service: &Arc<str>) -> bool {
-        let asked = clock::now();
-        let Ok(row) = self.platform.row(&duty_row(service)).await else {
-            return false;
-        };
-        self.learn_duty(service, row.as_ref().and_then(read_duty));
-        let is_own = self.seat(service, |seat| seat.election.is_own()) == Some(true);
-        if is_own {
-            self.keeper(service, |keeper| keeper.confirm(asked));
-        }
-        is_own
-    }
-
     /// Tells the keeper which keys were asked for, and hears from it.
     async fn report(self: Rc<Self>, service: Arc<str>) {
         let taken = self.seat(&service, |seat| {
@@ -853,59 +387,6 @@
             self.learn_duty(service, row.as_ref().and_then(read_duty));
         }
     }
-
-    /// Gives up all duties before the process ends.
-    pub(crate) async fn hand_over(self: &Rc<Self>) {
-        let services: Vec<Arc<str>> = self.duties.services.borrow().keys().cloned().collect();
-        for service in services {
-            // Without the store nobody else can take the duty over, so it is
-            // carried out until the store answers or the process ends.
-            while self.keeper(&service, |_| ()).is_some() {
-                if self.confirm(&service).await {
-                    self.release_duty(&service).await;
-                    break;
-                }
-                sleep(STORE_PAUSE).await;
-            }
-        }
-    }
-
-    async fn release_duty(self: &Rc<Self>, service: &Arc<str>) {
-        let duty = self.seat(service, |seat| {
-            let duty = seat.election.duty().cloned();
-            let calls: Vec<AbortHandle> = seat.calls.clone();
-            (duty, calls)
-        });
-        let Some((Some((mut duty, version)), calls)) = duty else {
-            return;
-        };
-        let give_up = clock::now() + HAND_OVER_TIME;
-        while calls.iter().any(|call| !call.is_finished()) && clock::now() < give_up {
-            sleep(KEEPER_TICK / 4).await;
-        }
-        let is_sure = self.keeper(service, |keeper| !keeper.has_active_predecessor());
-        let is_sure = is_sure == Some(true);
-        let is_clean = self.seat(service, |seat| {
-            seat.drop_keeper();
-            seat.left_clean
-        });
-        duty.released = is_clean;
-        if is_sure {
-            duty.formers.clear();
-        }
-        let key = duty_row(service);
-        let Ok(value) = postcard::to_allocvec(&duty) else {
-            return;
-        };
-        let transaction = Transaction {
-            expected: vec![(key.clone(), version)],
-            put: vec![(key, value.into())],
-            remove: Vec::new(),
-        };
-        // If this fails, others find out by themselves that nobody answers.
-        let _ = self.platform.commit(&transaction).await;
-        self.note_term(service, duty.term, &self.settings.router, "given up");
-    }
 }
 
 fn duty_row(service: &str) -> Name {
--- /dev/null
+++ b/crates/edge/src/duty/stand.rs
@@ -0,0 +1,246 @@
+//! Taking the duty, and being sure of earlier keepers.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassrock_model::time::Instant;
+use eelgrassrock_ranges::election::{Duty, Former};
+use eelgrassrock_ranges::keeper::{Keeper, Settings};
+use eelgrassrock_ranges::map::Map;
+use tokio::time::sleep;
+
+use super::{CONFIRM_INTERVAL, REPORT_INTERVAL, duty_row, read_duty};
+use crate::clock;
+use crate::node::Node;
+use crate::seam::{Commit, Platform, Transaction};
+
+/// Longest time for which a grant holds, if the platform allows it: a holder
+/// that is lost without a sign gives its keys back after that.
+const HOLD: Duration = Duration::from_secs(3);
+/// Time after which a holder that answers nothing loses its keys.
+const SILENCE: Duration = Duration::from_millis(1_200);
+/// Pause between two tries to learn whether an earlier keeper has stopped.
+const PROOF_PAUSE: Duration = Duration::from_millis(250);
+
+impl<P: Platform> Node<P> {
+    pub(super) fn next_stand(&self, service: &Arc<str>, now: Instant) -> Duration {
+        let at = self
+            .seat(service, |seat| seat.election.stands_at())
+            .flatten();
+        at.map_or(REPORT_INTERVAL, |at| {
+            (at - now).max(Duration::from_millis(5))
+        })
+    }
+
+    pub(super) fn stand_if_due(self: &Rc<Self>, service: &Arc<str>, now: Instant) {
+        if self.is_stopping() {
+            return;
+        }
+        let address = self.settings.peer;
+        let due = self.seat(service, |seat| {
+            let due = if seat.standing {
+                None
+            } else {
+                seat.election.poll(address, now)
+            };
+            seat.standing |= due.is_some();
+            due
+        });
+        if let Some(Some((duty, version))) = due {
+            let node = Rc::clone(self);
+            let service = Arc::clone(service);
+            tokio::task::spawn_local(async move {
+                node.stand(&service, duty, version).await;
+                node.seat(&service, |seat| seat.standing = false);
+                node.wake(&service);
+            });
+        }
+    }
+
+    /// Tries to take the duty.
+    pub(super) async fn stand(self: &Rc<Self>, service: &Arc<str>, duty: Duty, version: u64) {
+        let key = duty_row(service);
+        let before = self
+            .seat(service, |seat| seat.election.duty().cloned())
+            .flatten();
+        let asked = clock::now();
+        let Ok(value) = postcard::to_allocvec(&duty) else {
+            return;
+        };
+        let transaction = Transaction {
+            expected: vec![(key.clone(), version)],
+            put: vec![(key.clone(), value.into())],
+            remove: Vec::new(),
+        };
+        let taken = match self.platform.commit(&transaction).await {
+            Commit::Done(version) => Some(version),
+            Commit::Conflict | Commit::Unknown(_) => {
+                let row = self.platform.row(&key).await;
+                let Ok(found) = row.map(|row| row.and_then(|row| read_duty(&row))) else {
+                    return;
+                };
+                let own = found
+                    .as_ref()
+                    .filter(|(found, _)| *found == duty)
+                    .map(|(_, at)| *at);
+                if own.is_none() {
+                    self.learn_duty(service, found);
+                }
+                own
+            }
+            Commit::NotDone(_) => None,
+        };
+        let Some(version) = taken else {
+            return;
+        };
+        let Some(map) = self.read_map(service).await else {
+            // Without the map the duty can't be carried out; another try
+            // follows as soon as the store answers.
+            return;
+        };
+        self.begin(service, duty, version, before, map, asked);
+    }
+
+    /// Begins to carry out the duty, which is ours since `asked` at the latest.
+    pub(super) fn begin(
+        self: &Rc<Self>,
+        service: &Arc<str>,
+        duty: Duty,
+        version: u64,
+        before: Option<(Duty, u64)>,
+        map: Option<(Map, u64)>,
+        asked: Instant,
+    ) {
+        let now = clock::now();
+        let settings = Settings {
+            hold: HOLD.min(self.settings.max_hold),
+            authority: self.settings.max_hold,
+            silence: SILENCE,
+        };
+        let mut keeper = match &map {
+            None => Keeper::first(settings, asked, now),
+            Some((map, _)) => Keeper::successor(settings, map.clone(), asked, now),
+        };
+        // A former life of this process has ended.
+        let mut formers = duty.formers.clone();
+        formers.retain(|former| former.address != self.settings.peer);
+        if formers.is_empty() {
+            let released = before.and_then(|(before, _)| before.released);
+            let is_clean = released == Some(true) && duty.formers.is_empty();
+            keeper.predecessor_stopped(is_clean, now);
+        }
+        let term = duty.term;
+        self.seat(service, |seat| {
+            seat.election.learn(Some((duty, version)), 0, now);
+            seat.keys.clear();
+            seat.keeper = Some(keeper);
+            seat.confirm_due = now + CONFIRM_INTERVAL;
+            seat.confirming = false;
+            seat.wake.notify_one();
+        });
+        if let Some((map, version)) = map {
+            self.learn_map(service, map, version);
+        }
+        self.note_term(service, term, &self.settings.router, "taken");
+        if !formers.is_empty() {
+            let node = Rc::clone(self);
+            let service = Arc::clone(service);
+            tokio::task::spawn_local(async move {
+                node.prove_stopped(&service, formers, term).await;
+            });
+        }
+    }
+
+    /// Asks earlier keepers until all have certainly stopped.
+    pub(super) async fn prove_stopped(
+        self: Rc<Self>,
+        service: &Arc<str>,
+        mut formers: Vec<Former>,
+        term: u64,
+    ) {
+        let mut is_clean = true;
+        loop {
+            match self.keeper(service, |keeper| keeper.has_active_predecessor()) {
+                None => return,
+                Some(true) => {}
+                Some(false) => {
+                    // Their authority has run out.
+                    self.clear_formers(service).await;
+                    return;
+                }
+            }
+            let mut active = Vec::new();
+            for former in formers {
+                match self.peers.ask_to_yield(&former, service, term).await {
+                    Some(clean) => is_clean &= clean,
+                    None => active.push(former),
+                }
+            }
+            formers = active;
+            if formers.is_empty() {
+                let now = clock::now();
+                self.keeper(service, |keeper| keeper.predecessor_stopped(is_clean, now));
+                self.note_term(
+                    service,
+                    term,
+                    &self.settings.router,
+                    "earlier keepers have stopped",
+                );
+                self.wake(service);
+                self.clear_formers(service).await;
+                return;
+            }
+            sleep(PROOF_PAUSE).await;
+        }
+    }
+
+    /// Writes that no earlier keeper acts any more, so that no successor asks
+    /// for them again.
+    pub(super) async fn clear_formers(self: &Rc<Self>, service: &Arc<str>) {
+        let duty = self
+            .seat(service, |seat| seat.election.duty().cloned())
+            .flatten();
+        let Some((mut duty, version)) = duty.filter(|(duty, _)| !duty.formers.is_empty()) else {
+            return;
+        };
+        duty.formers.clear();
+        let Ok(value) = postcard::to_allocvec(&duty) else {
+            return;
+        };
+        let transaction = Transaction {
+            expected: vec![(duty_row(service), version)],
+            put: vec![(duty_row(service), value.into())],
+            remove: Vec::new(),
+        };
+        if let Commit::Done(version) = self.platform.commit(&transaction).await {
+            self.learn_duty(service, Some((duty, version)));
+        }
+    }
+
+    /// Number of routers that stand for a duty before this one. Relays stand
+    /// first, in an order of data centres that differs from service to
+    /// service.
+    pub(super) fn rank(&self, service: &str) -> u32 {
+        if self.relay_to_follow().is_some() {
+            return u32::MAX;
+        }
+        let mix = |data_centre: &str| {
+            let mut hasher = DefaultHasher::new();
+            (data_centre, service).hash(&mut hasher);
+            hasher.finish()
+        };
+        let own = mix(&self.settings.data_centre);
+        let state = self.state.borrow();
+        let mut before: Vec<&Arc<str>> = state
+            .routers
+            .values()
+            .map(|router| &router.data_centre)
+            .filter(|data_centre| mix(data_centre) < own)
+            .collect();
+        before.sort();
+        before.dedup();
+        before.len() as u32
+    }
+}
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -1,6 +1,8 @@
 //! One request from its arrival to its answer.
 
-use std::pin::pin;
+mod race;
+mod reply;
+
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,17 +11,16 @@
 use eelgrassrock_dispatch::service::{self, Reason, Refusal, Report, Request as Work, Step};
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::time::Instant;
-use http::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, RETRY_AFTER,
-    TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
-};
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
+use http::header::{CONNECTION, EXPECT, HOST};
+use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Serialize;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
+use self::race::{Race, Sending, race, report_of};
+use self::reply::{origin_form, plain, refusal, strip, too_long};
 use crate::clock;
-use crate::exchange::{Content, Exchange, Message, exchange, is_failure};
+use crate::exchange::{Content, Exchange, Message, is_failure};
 use crate::node::Node;
 use crate::payload::{self, Payload, Taken};
 use crate::seam::{Head, Platform};
@@ -347,86 +348,6 @@
     }
 }
 
-/// End of a send, or of two.
-struct Race<P: Platform> {
-    end: Exchange,
-    /// The send that ended so.
-    sending: Sending<P>,
-    /// The other send, which doesn't count.
-    other: Option<Sending<P>>,
-}
-
-/// Sends a request, and asks another upstream as well if the first takes much
-/// longer than expected.
-async fn race<P: Platform>(node: &Rc<Node<P>>, job: &mut Job, mut first: Sending<P>) -> Race<P> {
-    let delay = match job.route.repeat {
-        Repeat::Idempotent => node.hedge_delay(&job.service, &first.upstream.id),
-        Repeat::Once => None,
-    };
-    let spare = job.message.copy();
-    let left = job.work.give_up - first.started;
-    let asked = Arc::clone(&first.upstream);
-    let mut one = pin!(exchange(node, &asked, &mut job.message, &job.head, left));
-    let alone = |end, sending| Race {
-        end,
-        sending,
-        other: None,
-    };
-    let (Some(delay), Some(mut spare)) = (delay, spare) else {
-        return alone(one.await, first);
-    };
-    tokio::select! {
-        end = &mut one => return alone(end, first),
-        () = sleep(delay) => {}
-    }
-    let mut again = job.work.clone();
-    again.tried.push(Arc::clone(&asked.id));
-    let step = node.with(&job.service, |service, now| service.hedge(&again, now));
-    let Some(Some(Step::Send { upstream, started })) = step else {
-        return alone(one.await, first);
-    };
-    job.work.is_repeat = true;
-    let mut second = Sending::new(node, &job.service, None, &upstream, started);
-    let left = job.work.give_up - started;
-    let mut two = pin!(exchange(node, &upstream, &mut spare, &job.head, left));
-    let (end, is_first) = tokio::select! {
-        end = &mut one => (end, true),
-        end = &mut two => (end, false),
-    };
-    let report = report_of(&end);
-    let is_answer = report == (Report::Answered { failed: false });
-    let (end, sending, other) = match (is_first, is_answer) {
-        (true, true) => (end, first, second),
-        (false, true) => {
-            // Whoever is overtaken counts as silent so far.
-            first.report = Report::Silent;
-            (end, second, first)
-        }
-        (true, false) => {
-            first.report = report;
-            (two.await, second, first)
-        }
-        (false, false) => {
-            second.report = report;
-            (one.await, first, second)
-        }
-    };
-    Race {
-        end,
-        sending,
-        other: Some(other),
-    }
-}
-
-fn report_of(end: &Exchange) -> Report {
-    match end {
-        Exchange::Answer(response) => Report::Answered {
-            failed: is_failure(response.status()),
-        },
-        Exchange::None(report) => *report,
-    }
-}
-
 impl Job {
     fn note_send<P: Platform>(&mut self, node: &Node<P>, sending: &Sending<P>, report: Report) {
         let elapsed = clock::now() - sending.started;
@@ -457,45 +378,6 @@
     }
 }
 
-/// Ends a send in the picture of the upstream, also if its future is dropped.
-struct Sending<P: Platform> {
-    node: Rc<Node<P>>,
-    service: Arc<str>,
-    upstream: Arc<Upstream>,
-    key: Option<u16>,
-    started: Instant,
-    report: Report,
-}
-
-impl<P: Platform> Sending<P> {
-    fn new(
-        node: &Rc<Node<P>>,
-        service: &Arc<str>,
-        key: Option<u16>,
-        upstream: &Arc<Upstream>,
-        started: Instant,
-    ) -> Self {
-        Self {
-            node: Rc::clone(node),
-            service: Arc::clone(service),
-            upstream: Arc::clone(upstream),
-            key,
-            started,
-            report: Report::Cancelled,
-        }
-    }
-}
-
-impl<P: Platform> Drop for Sending<P> {
-    fn drop(&mut self) {
-        let (upstream, started, report) = (&self.upstream.id, self.started, self.report);
-        let key = self.key;
-        self.node.with(&self.service, |service, now| {
-            service.end(upstream, key, started, report, now);
-        });
-    }
-}
-
 /// Takes a request off the queue if its future is dropped.
 struct Queued<'a, P: Platform> {
     node: &'a Rc<Node<P>>,
@@ -567,62 +449,3 @@
         upstream,
     }
 }
-
-fn refusal(status: StatusCode, reason: &'static str, retry_after: Duration) -> Response<Payload> {
-    let mut response = plain(status, reason);
-    let seconds = format!("{:.3}", retry_after.as_secs_f64());
-    if let Ok(value) = HeaderValue::from_str(&seconds) {
-        response.headers_mut().insert(RETRY_AFTER, value);
-    }
-    response
-}
-
-fn plain(status: StatusCode, reason: &'static str) -> Response<Payload> {
-    let mut response = Response::new(Payload::whole(reason));
-    *response.status_mut() = status;
-    response
-}
-
-fn too_long(headers: &HeaderMap, limit: u64) -> bool {
-    let length = headers
-        .get(CONTENT_LENGTH)
-        .and_then(|length| length.to_str().ok());
-    length
-        .and_then(|length| length.parse::<u64>().ok())
-        .is_some_and(|length| length > limit)
-}
-
-fn origin_form(uri: &http::Uri) -> http::Uri {
-    let path = uri.path_and_query().map_or("/", |path| path.as_str());
-    path.parse().unwrap_or_else(|_| uri.clone())
-}
-
-/// Removes what concerns only one connection.
-fn strip(headers: &mut HeaderMap) {
-    const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-    const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|text| text.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    let single = [
-        CONNECTION,
-        KEEP_ALIVE,
-        PROXY_CONNECTION,
-        PROXY_AUTHENTICATE,
-        PROXY_AUTHORIZATION,
-        TE,
-        TRAILER,
-        TRANSFER_ENCODING,
-        UPGRADE,
-    ];
-    for name in single {
-        headers.remove(name);
-    }
-}
--- /dev/null
+++ b/crates/edge/src/request/race.rs
@@ -0,0 +1,139 @@
+//! One send, or two at the same time.
+
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use eelgrassrock_dispatch::directory::Repeat;
+use eelgrassrock_dispatch::service::{Report, Step};
+use eelgrassrock_dispatch::upstream::Upstream;
+use eelgrassrock_model::time::Instant;
+use tokio::time::sleep;
+
+use super::Job;
+use crate::exchange::{Exchange, exchange, is_failure};
+use crate::node::Node;
+use crate::seam::Platform;
+
+/// End of a send, or of two.
+pub(super) struct Race<P: Platform> {
+    pub(super) end: Exchange,
+    /// The send that ended so.
+    pub(super) sending: Sending<P>,
+    /// The other send, which doesn't count.
+    pub(super) other: Option<Sending<P>>,
+}
+
+/// Sends a request, and asks another upstream as well if the first takes much
+/// longer than expected.
+pub(super) async fn race<P: Platform>(
+    node: &Rc<Node<P>>,
+    job: &mut Job,
+    mut first: Sending<P>,
+) -> Race<P> {
+    let delay = match job.route.repeat {
+        Repeat::Idempotent => node.hedge_delay(&job.service, &first.upstream.id),
+        Repeat::Once => None,
+    };
+    let spare = job.message.copy();
+    let left = job.work.give_up - first.started;
+    let asked = Arc::clone(&first.upstream);
+    let mut one = pin!(exchange(node, &asked, &mut job.message, &job.head, left));
+    let alone = |end, sending| Race {
+        end,
+        sending,
+        other: None,
+    };
+    let (Some(delay), Some(mut spare)) = (delay, spare) else {
+        return alone(one.await, first);
+    };
+    tokio::select! {
+        end = &mut one => return alone(end, first),
+        () = sleep(delay) => {}
+    }
+    let mut again = job.work.clone();
+    again.tried.push(Arc::clone(&asked.id));
+    let step = node.with(&job.service, |service, now| service.hedge(&again, now));
+    let Some(Some(Step::Send { upstream, started })) = step else {
+        return alone(one.await, first);
+    };
+    job.work.is_repeat = true;
+    let mut second = Sending::new(node, &job.service, None, &upstream, started);
+    let left = job.work.give_up - started;
+    let mut two = pin!(exchange(node, &upstream, &mut spare, &job.head, left));
+    let (end, is_first) = tokio::select! {
+        end = &mut one => (end, true),
+        end = &mut two => (end, false),
+    };
+    let report = report_of(&end);
+    let is_answer = report == (Report::Answered { failed: false });
+    let (end, sending, other) = match (is_first, is_answer) {
+        (true, true) => (end, first, second),
+        (false, true) => {
+            // Whoever is overtaken counts as silent so far.
+            first.report = Report::Silent;
+            (end, second, first)
+        }
+        (true, false) => {
+            first.report = report;
+            (two.await, second, first)
+        }
+        (false, false) => {
+            second.report = report;
+            (one.await, first, second)
+        }
+    };
+    Race {
+        end,
+        sending,
+        other: Some(other),
+    }
+}
+
+pub(super) fn report_of(end: &Exchange) -> Report {
+    match end {
+        Exchange::Answer(response) => Report::Answered {
+            failed: is_failure(response.status()),
+        },
+        Exchange::None(report) => *report,
+    }
+}
+
+/// Ends a send in the picture of the upstream, also if its future is dropped.
+pub(super) struct Sending<P: Platform> {
+    node: Rc<Node<P>>,
+    service: Arc<str>,
+    pub(super) upstream: Arc<Upstream>,
+    key: Option<u16>,
+    pub(super) started: Instant,
+    pub(super) report: Report,
+}
+
+impl<P: Platform> Sending<P> {
+    pub(super) fn new(
+        node: &Rc<Node<P>>,
+        service: &Arc<str>,
+        key: Option<u16>,
+        upstream: &Arc<Upstream>,
+        started: Instant,
+    ) -> Self {
+        Self {
+            node: Rc::clone(node),
+            service: Arc::clone(service),
+            upstream: Arc::clone(upstream),
+            key,
+            started,
+            report: Report::Cancelled,
+        }
+    }
+}
+
+impl<P: Platform> Drop for Sending<P> {
+    fn drop(&mut self) {
+        let (upstream, started, report) = (&self.upstream.id, self.started, self.report);
+        let key = self.key;
+        self.node.with(&self.service, |service, now| {
+            service.end(upstream, key, started, report, now);
+        });
+    }
+}
--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -14,18 +14,21 @@
 //!    on their way, wait until the predecessor has provably stopped or its
 //!    authority has run out.
 
+mod planning;
+mod transfer;
+
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrassrock_model::time::Instant;
 
+use self::transfer::Transfer;
 use crate::lease::Lease;
 pub use crate::lease::Outcome;
-use crate::map::{Life, Map, Range};
+use crate::map::{Life, Map};
 use crate::pace::Paces;
-use crate::plan::{self, Candidate};
-use crate::weights::{Load, Weights};
+use crate::weights::Weights;
 
 /// Share by which the slowest clock of an upstream may lag behind ours.
 const CLOCK_DRIFT: f64 = 0.02;
@@ -38,26 +41,6 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// Pause after a call to an upstream that couldn't be reached.
 const UNREACHED_PAUSE: Duration = Duration::from_millis(250);
-/// Time between two looks for a better map.
-const PLAN_INTERVAL: Duration = Duration::from_millis(300);
-/// Ranges that may move at a time, as a share of the upstreams.
-const MOVES_PER_UPSTREAM: f64 = 0.34;
-/// Share of the upstreams whose silence is taken for a fault of the keeper's
-/// own network.
-const ISOLATED_SHARE: f64 = 0.6;
-
-/// Standard deviations of the counts by which a holder must be asked for more
-/// than it can serve to be called overloaded.
-const OVERLOAD_DEVIATIONS: f64 = 1.0;
-/// Share of its capacity above which an upstream counts as busy.
-const BUSY_SHARE: f64 = 0.6;
-/// Time for which a range that has just changed hands stays, unless it must
-/// go: until the load has been counted with it in its place.
-const MIN_STAY: Duration = Duration::from_millis(1_500);
-/// Smallest share of requests that an overloaded holder is sent, and the steps
-/// in which shares are told.
-const MIN_SHARE: f64 = 0.2;
-const SHARE_STEP: f64 = 0.05;
 
 /// Times that bound the grants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -126,20 +109,6 @@
     },
 }
 
-/// Range that changes hands.
-#[derive(Clone, Debug)]
-struct Transfer {
-    from: u16,
-    to: u16,
-    fence: u64,
-    released: bool,
-    handover: Option<Arc<str>>,
-    in_flight: bool,
-    due: Instant,
-    /// Whether the source can't have the keys any more.
-    cleared: bool,
-}
-
 /// The router that grants the keys of one service.
 #[derive(Debug)]
 pub struct Keeper {
@@ -377,25 +346,6 @@
         self.is_inherited = self.has_inherited_fences();
     }
 
-    /// Whether a range that stays with its holder has a fencing token of an
-    /// earlier keeper.
-    fn has_inherited_fences(&self) -> bool {
-        let inherited = |range: &Range| {
-            range.holder.is_some() && range.source.is_none() && range.fence < self.first_fence
-        };
-        self.map.ranges.iter().any(inherited)
-    }
-
-    fn forget_transfers(&mut self) {
-        let map = &self.map;
-        self.transfers.retain(|transfer| {
-            let range = map.range(transfer.from);
-            range.source.is_some()
-                && (range.from, range.to, range.fence)
-                    == (transfer.from, transfer.to, transfer.fence)
-        });
-    }
-
     /// Longest time for which a grant that arrives now is in force.
     fn longest_hold(&self) -> Duration {
         self.settings.hold.mul_f64(1.0 + CLOCK_DRIFT) + SLACK
@@ -408,297 +358,4 @@
             self.predecessor_stopped(false, until);
         }
     }
-
-    /// Drops leases that can't be in force and that the map doesn't name.
-    fn drop_old_leases(&mut self, now: Instant) {
-        if matches!(self.inherited, Inherited::Stopped { answered_until, .. } if now >= answered_until)
-        {
-            self.fenced_off.clear();
-        }
-        let map = &self.map;
-        self.leases.retain(|lease| {
-            let range = map.range(lease.from);
-            let is_named = lease.is_of(range) && range.holder.as_ref() == Some(&lease.life);
-            is_named || lease.in_flight || now < lease.until(false)
-        });
-    }
-
-    /// Works on the ranges that change hands.
-    fn transfer(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        for range in &self.map.ranges {
-            let Some(source) = &range.source else {
-                continue;
-            };
-            let known = self.transfers.iter().position(|transfer| {
-                (transfer.from, transfer.to, transfer.fence) == (range.from, range.to, range.fence)
-            });
-            let index = known.unwrap_or_else(|| {
-                self.transfers.push(Transfer::new(range, now));
-                self.transfers.len() - 1
-            });
-            let transfer = &mut self.transfers[index];
-            if transfer.cleared {
-                continue;
-            }
-            let of_source = |lease: &&Lease| lease.life == source.life && lease.overlaps(range);
-            let in_flight = self
-                .leases
-                .iter()
-                .filter(of_source)
-                .any(|lease| lease.in_flight);
-            let own = self
-                .leases
-                .iter()
-                .filter(of_source)
-                .map(|lease| lease.until(transfer.released));
-            let is_fenced_off = is_fenced_off(&self.fenced_off, &source.life, range);
-            let inherited = match self.inherited {
-                _ if is_fenced_off => now,
-                Inherited::Active { .. } => continue,
-                Inherited::Stopped {
-                    unanswered_until, ..
-                } if transfer.released => unanswered_until,
-                Inherited::Stopped { answered_until, .. } => answered_until,
-            };
-            let until = own.max().unwrap_or(now).max(inherited);
-            let has_restarted = self.upstreams.iter().any(|upstream| {
-                let life = &upstream.life;
-                life.upstream == source.life.upstream && life.incarnation != source.life.incarnation
-            });
-            if has_restarted
-                || (!in_flight && now >= until && (transfer.released || !transfer.in_flight))
-            {
-                transfer.cleared = true;
-            } else if !transfer.released && !transfer.in_flight && !in_flight && now >= transfer.due
-            {
-                transfer.in_flight = true;
-                actions.push(Action::Release(Order {
-                    life: source.life.clone(),
-                    from: range.from,
-                    to: range.to,
-                    fence: source.fence,
-                }));
-            }
-        }
-    }
-
-    /// Grants and renews what the map says.
-    fn renew(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        for range in &self.map.ranges {
-            let Some(holder) = &range.holder else {
-                continue;
-            };
-            let transfer = self.transfers.iter().find(|transfer| {
-                (transfer.from, transfer.to, transfer.fence) == (range.from, range.to, range.fence)
-            });
-            if range.source.is_some() && !transfer.is_some_and(|transfer| transfer.cleared) {
-                continue;
-            }
-            let is_listed = self
-                .upstreams
-                .iter()
-                .any(|upstream| upstream.life == *holder);
-            if !is_listed && !self.upstreams.is_empty() {
-                // A renewal would only keep the keys away from others.
-                continue;
-            }
-            let known = |lease: &Lease| lease.is_of(range) && lease.life == *holder;
-            let index = self.leases.iter().position(known).unwrap_or_else(|| {
-                let handover = transfer.and_then(|transfer| transfer.handover.clone());
-                self.leases
-                    .push(Lease::new(holder.clone(), range, handover, now));
-                self.leases.len() - 1
-            });
-            let lease = &mut self.leases[index];
-            if lease.in_flight || now < lease.due {
-                continue;
-            }
-            lease.in_flight = true;
-            actions.push(Action::Grant {
-                order: Order {
-                    life: holder.clone(),
-                    from: range.from,
-                    to: range.to,
-                    fence: range.fence,
-                },
-                hold: self.settings.hold,
-                handover: lease.handover.clone(),
-            });
-        }
-    }
-
-    /// Returns the map in which every range that stays with its holder has a
-    /// fencing token of this keeper, once after it took over.
-    fn fence_off(&mut self) -> Option<Map> {
-        if !std::mem::take(&mut self.is_inherited) {
-            return None;
-        }
-        let mut map = self.map.clone();
-        for index in 0..map.ranges.len() {
-            if map.ranges[index].holder.is_some() && map.ranges[index].source.is_none() {
-                map.ranges[index].fence = map.take_fence();
-            }
-        }
-        Some(map)
-    }
-
-    /// Returns the map in which every range that has reached its new holder is
-    /// settled, if there are any.
-    fn settle(&self) -> Option<Map> {
-        let mut map = self.map.clone();
-        let mut settled = false;
-        for range in &mut map.ranges {
-            if range.source.is_some() && self.is_granted(range) {
-                range.source = None;
-                settled = true;
-            }
-        }
-        settled.then_some(map)
-    }
-
-    fn is_granted(&self, range: &Range) -> bool {
-        let answered = |lease: &Lease| {
-            lease.is_of(range) && Some(&lease.life) == range.holder.as_ref() && lease.is_answered()
-        };
-        self.leases.iter().any(answered)
-    }
-
-    fn plan(&mut self, now: Instant) -> Option<Map> {
-        if now < self.plan_due || self.is_inherited {
-            return None;
-        }
-        self.plan_due = now + PLAN_INTERVAL;
-        let listed = self.upstreams.len();
-        let usable: Vec<Candidate> = self
-            .upstreams
-            .iter()
-            .filter(|upstream| !self.is_silent(&upstream.life, now))
-            .map(|upstream| Candidate {
-                life: upstream.life.clone(),
-                capacity_per_s: self.paces.capacity_per_s(upstream),
-                leaving: upstream.leaving,
-            })
-            .collect();
-        if (listed - usable.len()) as f64 > ISOLATED_SHARE * listed as f64 {
-            return None;
-        }
-        let load = self.weights.load(now, usable.len());
-        self.shares = shares(&self.map, &load, &usable);
-        self.busy = busy(&self.map, &load, &usable);
-        let map = &self.map;
-        self.granted_at
-            .retain(|fence, _| map.ranges.iter().any(|range| range.fence == *fence));
-        let staying = |life: &Life| {
-            usable
-                .iter()
-                .any(|other| other.life == *life && !other.leaving)
-        };
-        let is_fixed = |range: &Range| {
-            if range.source.is_some() {
-                return true;
-            }
-            let Some(holder) = &range.holder else {
-                return false;
-            };
-            let is_own =
-                !self.has_active_predecessor() || is_fenced_off(&self.fenced_off, holder, range);
-            let has_just_come = range.from == range.to
-                && self
-                    .granted_at
-                    .get(&range.fence)
-                    .is_some_and(|at| now - *at < MIN_STAY);
-            staying(holder) && (!is_own || has_just_come || self.has_open_call(range, now))
-        };
-        let moves = (MOVES_PER_UPSTREAM * usable.len() as f64).ceil() as usize;
-        plan::improve(&self.map, &load, &usable, is_fixed, moves)
-    }
-
-    fn is_silent(&self, life: &Life, now: Instant) -> bool {
-        let silent =
-            |lease: &Lease| lease.life == *life && lease.is_silent(self.settings.silence, now);
-        let answering =
-            |lease: &Lease| lease.life == *life && lease.is_answered() && !silent(lease);
-        self.leases.iter().any(silent) && !self.leases.iter().any(answering)
-    }
-
-    /// Whether a call for these keys may still take effect after a release.
-    fn has_open_call(&self, range: &Range, now: Instant) -> bool {
-        let open = |lease: &Lease| lease.overlaps(range) && lease.until(true) > now;
-        self.leases.iter().any(open)
-    }
-
-    /// Returns the map in which a range whose holder has seen a higher fencing
-    /// token has a new one.
-    fn refence(&mut self) -> Option<Map> {
-        let order = self.fenced.take()?;
-        let range = self.map.range(order.from);
-        let is_same = (range.from, range.to, range.fence) == (order.from, order.to, order.fence);
-        if !is_same || range.source.is_some() {
-            return None;
-        }
-        let mut map = self.map.clone();
-        let index = map.ranges.partition_point(|range| range.to < order.from);
-        map.ranges[index].fence = map.take_fence();
-        Some(map)
-    }
-}
-
-/// Whether a holder took these keys under a fencing token of this keeper.
-fn is_fenced_off(fenced_off: &[(Life, u16, u16)], holder: &Life, range: &Range) -> bool {
-    let covers = |(life, from, to): &(Life, u16, u16)| {
-        life == holder && *from <= range.from && range.to <= *to
-    };
-    fenced_off.iter().any(covers)
-}
-
-/// Requests per second for the keys that an upstream holds.
-fn asked(map: &Map, load: &Load, life: &Life) -> f64 {
-    let own = map
-        .ranges
-        .iter()
-        .filter(|range| range.holder.as_ref() == Some(life));
-    own.map(|range| load.of(range)).sum()
-}
-
-/// Returns the upstreams of which much of the capacity is used.
-fn busy(map: &Map, load: &Load, candidates: &[Candidate]) -> HashSet<Arc<str>> {
-    let is_busy = |candidate: &&Candidate| {
-        asked(map, load, &candidate.life) > BUSY_SHARE * candidate.capacity_per_s
-    };
-    let busy = candidates.iter().filter(is_busy);
-    busy.map(|candidate| Arc::clone(&candidate.life.upstream))
-        .collect()
-}
-
-/// Returns which holders are asked for more than they can serve, and what
-/// share they can serve.
-fn shares(map: &Map, load: &Load, candidates: &[Candidate]) -> Vec<(Arc<str>, f32)> {
-    let count_per_load = load.counted / load.total().max(0.1);
-    let mut shares = Vec::new();
-    for candidate in candidates {
-        let asked = asked(map, load, &candidate.life);
-        let noise = 1.0 + OVERLOAD_DEVIATIONS / (asked * count_per_load).max(1.0).sqrt();
-        if asked <= candidate.capacity_per_s * noise {
-            continue;
-        }
-        let share = (candidate.capacity_per_s / asked).max(MIN_SHARE);
-        let rounded = (share / SHARE_STEP).round() * SHARE_STEP;
-        shares.push((Arc::clone(&candidate.life.upstream), rounded as f32));
-    }
-    shares
-}
-
-impl Transfer {
-    fn new(range: &Range, now: Instant) -> Self {
-        Self {
-            from: range.from,
-            to: range.to,
-            fence: range.fence,
-            released: false,
-            handover: None,
-            in_flight: false,
-            due: now,
-            cleared: false,
-        }
-    }
 }
--- /dev/null
+++ b/crates/ranges/src/keeper/planning.rs
@@ -0,0 +1,183 @@
+//! When the map should change: for balance, and after a takeover.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassrock_model::time::Instant;
+
+use super::Keeper;
+use crate::lease::Lease;
+use crate::map::{Life, Map, Range};
+use crate::plan::{self, Candidate};
+use crate::weights::Load;
+
+/// Ranges that may move at a time, as a share of the upstreams.
+const MOVES_PER_UPSTREAM: f64 = 0.34;
+/// Share of the upstreams whose silence is taken for a fault of the keeper's
+/// own network.
+const ISOLATED_SHARE: f64 = 0.6;
+/// Standard deviations of the counts by which a holder must be asked for more
+/// than it can serve to be called overloaded.
+const OVERLOAD_DEVIATIONS: f64 = 1.0;
+/// Share of its capacity above which an upstream counts as busy.
+const BUSY_SHARE: f64 = 0.6;
+/// Time for which a range that has just changed hands stays, unless it must
+/// go: until the load has been counted with it in its place.
+const MIN_STAY: Duration = Duration::from_millis(1_500);
+/// Smallest share of requests that an overloaded holder is sent, and the steps
+/// in which shares are told.
+const MIN_SHARE: f64 = 0.2;
+const SHARE_STEP: f64 = 0.05;
+/// Time between two looks for a better map.
+const PLAN_INTERVAL: Duration = Duration::from_millis(300);
+
+impl Keeper {
+    pub(super) fn plan(&mut self, now: Instant) -> Option<Map> {
+        if now < self.plan_due || self.is_inherited {
+            return None;
+        }
+        self.plan_due = now + PLAN_INTERVAL;
+        let listed = self.upstreams.len();
+        let usable: Vec<Candidate> = self
+            .upstreams
+            .iter()
+            .filter(|upstream| !self.is_silent(&upstream.life, now))
+            .map(|upstream| Candidate {
+                life: upstream.life.clone(),
+                capacity_per_s: self.paces.capacity_per_s(upstream),
+                leaving: upstream.leaving,
+            })
+            .collect();
+        if (listed - usable.len()) as f64 > ISOLATED_SHARE * listed as f64 {
+            return None;
+        }
+        let load = self.weights.load(now, usable.len());
+        self.shares = shares(&self.map, &load, &usable);
+        self.busy = busy(&self.map, &load, &usable);
+        let map = &self.map;
+        self.granted_at
+            .retain(|fence, _| map.ranges.iter().any(|range| range.fence == *fence));
+        let staying = |life: &Life| {
+            usable
+                .iter()
+                .any(|other| other.life == *life && !other.leaving)
+        };
+        let is_fixed = |range: &Range| {
+            if range.source.is_some() {
+                return true;
+            }
+            let Some(holder) = &range.holder else {
+                return false;
+            };
+            let is_own =
+                !self.has_active_predecessor() || is_fenced_off(&self.fenced_off, holder, range);
+            let has_just_come = range.from == range.to
+                && self
+                    .granted_at
+                    .get(&range.fence)
+                    .is_some_and(|at| now - *at < MIN_STAY);
+            staying(holder) && (!is_own || has_just_come || self.has_open_call(range, now))
+        };
+        let moves = (MOVES_PER_UPSTREAM * usable.len() as f64).ceil() as usize;
+        plan::improve(&self.map, &load, &usable, is_fixed, moves)
+    }
+
+    pub(super) fn is_silent(&self, life: &Life, now: Instant) -> bool {
+        let silent =
+            |lease: &Lease| lease.life == *life && lease.is_silent(self.settings.silence, now);
+        let answering =
+            |lease: &Lease| lease.life == *life && lease.is_answered() && !silent(lease);
+        self.leases.iter().any(silent) && !self.leases.iter().any(answering)
+    }
+
+    /// Whether a call for these keys may still take effect after a release.
+    pub(super) fn has_open_call(&self, range: &Range, now: Instant) -> bool {
+        let open = |lease: &Lease| lease.overlaps(range) && lease.until(true) > now;
+        self.leases.iter().any(open)
+    }
+
+    /// Returns the map in which every range that stays with its holder has a
+    /// fencing token of this keeper, once after it took over.
+    pub(super) fn fence_off(&mut self) -> Option<Map> {
+        if !std::mem::take(&mut self.is_inherited) {
+            return None;
+        }
+        let mut map = self.map.clone();
+        for index in 0..map.ranges.len() {
+            if map.ranges[index].holder.is_some() && map.ranges[index].source.is_none() {
+                map.ranges[index].fence = map.take_fence();
+            }
+        }
+        Some(map)
+    }
+
+    /// Whether a range that stays with its holder has a fencing token of an
+    /// earlier keeper.
+    pub(super) fn has_inherited_fences(&self) -> bool {
+        let inherited = |range: &Range| {
+            range.holder.is_some() && range.source.is_none() && range.fence < self.first_fence
+        };
+        self.map.ranges.iter().any(inherited)
+    }
+
+    /// Returns the map in which a range whose holder has seen a higher fencing
+    /// token has a new one.
+    pub(super) fn refence(&mut self) -> Option<Map> {
+        let order = self.fenced.take()?;
+        let range = self.map.range(order.from);
+        let is_same = (range.from, range.to, range.fence) == (order.from, order.to, order.fence);
+        if !is_same || range.source.is_some() {
+            return None;
+        }
+        let mut map = self.map.clone();
+        let index = map.ranges.partition_point(|range| range.to < order.from);
+        map.ranges[index].fence = map.take_fence();
+        Some(map)
+    }
+}
+
+/// Whether a holder took these keys under a fencing token of this keeper.
+pub(super) fn is_fenced_off(fenced_off: &[(Life, u16, u16)], holder: &Life, range: &Range) -> bool {
+    let covers = |(life, from, to): &(Life, u16, u16)| {
+        life == holder && *from <= range.from && range.to <= *to
+    };
+    fenced_off.iter().any(covers)
+}
+
+/// Requests per second for the keys that an upstream holds.
+fn asked(map: &Map, load: &Load, life: &Life) -> f64 {
+    let own = map
+        .ranges
+        .iter()
+        .filter(|range| range.holder.as_ref() == Some(life));
+    own.map(|range| load.of(range)).sum()
+}
+
+/// Returns the upstreams of which much of the capacity is used.
+fn busy(map: &Map, load: &Load, candidates: &[Candidate]) -> HashSet<Arc<str>> {
+    let is_busy = |candidate: &&Candidate| {
+        asked(map, load, &candidate.life) > BUSY_SHARE * candidate.capacity_per_s
+    };
+    let busy = candidates.iter().filter(is_busy);
+    busy.map(|candidate| Arc::clone(&candidate.life.upstream))
+        .collect()
+}
+
+/// Returns which holders are asked for more than they can serve, and what
+/// share they can serve.
+fn shares(map: &Map, load: &Load, candidates: &[Candidate]) -> Vec<(Arc<str>, f32)> {
+    let count_per_load = load.counted / load.total().max(0.1);
+    let mut shares = Vec::new();
+    for candidate in candidates {
+        let asked = asked(map, load, &candidate.life);
+        let noise = 1.0 + OVERLOAD_DEVIATIONS / (asked * count_per_load).max(1.0).sqrt();
+        if asked <= candidate.capacity_per_s * noise {
+            continue;
+        }
+        let share = (candidate.capacity_per_s / asked).max(MIN_SHARE);
+        let rounded = (share / SHARE_STEP).round() * SHARE_STEP;
+        shares.push((Arc::clone(&candidate.life.upstream), rounded as f32));
+    }
+    shares
+}
