--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -14,8 +14,10 @@
 /// Time before an answer in which other events may be its cause: longer than
 /// any lease or pause.
 const WINDOW_MS: u64 = 10_000;
+/// The same for changes of the map, of which there are many.
+const MAP_WINDOW_MS: u64 = 1_500;
 /// Events that are shown at most; the last ones are nearest to the answer.
-const MAX_EVENTS: usize = 40;
+const MAX_EVENTS: usize = 16;
 
 /// One log line and where it comes from.
 struct Line {
@@ -191,7 +193,11 @@
     match &*other.event {
         "request" => false,
         "grant" | "release" => same_service && covers_key,
-        "map" | "keeper" => same_service && request.key.is_some(),
+        "map" => {
+            let is_near = other.time + MAP_WINDOW_MS + request.elapsed_ms >= line.time;
+            same_service && request.key.is_some() && is_near
+        }
+        "keeper" => same_service && request.key.is_some(),
         "upstream paused" | "upstream trusted again" => same_router && is_sent_to,
         "upstream learnt" | "upstream leaving" | "upstream lapsed" => same_router && is_sent_to,
         "store lost" | "store reached" | "configuration in force" | "stopping" => same_router,
@@ -223,6 +229,7 @@
         "answered" => "The upstream's own answer.",
         "upstream-failed" => "The upstream itself answered that it failed.",
         "busy" => "Not served: the queue was too long for the time that the caller had.",
+        "overload" => "Not served: the holder of its key is asked for more than it can serve.",
         "no-holder" => "Not served: no upstream held the key, or its holder had lost it.",
         "no-upstream" => "Not served: the service had no upstream that could be used.",
         "attempts" => "Not served: sent to as many upstreams as its route allows.",
