--- a/crates/edge/src/duty/stand.rs
+++ b/crates/edge/src/duty/stand.rs
@@ -19,6 +19,10 @@
 /// Longest time for which a grant holds, if the platform allows it: a holder
 /// that is lost without a sign gives its keys back after that.
 const HOLD: Duration = Duration::from_secs(3);
+/// Authority of a keeper as a share of the longest grant. With the hold it
+/// bridges a store outage of nine tenths of that; longer, keys on their way
+/// wait longer when a keeper is lost without a sign.
+const AUTHORITY_SHARE: f64 = 0.6;
 /// Time after which a holder that answers nothing loses its keys.
 const SILENCE: Duration = Duration::from_millis(1_200);
 /// Pause between two tries to learn whether an earlier keeper has stopped.
@@ -116,7 +120,7 @@
         let now = clock::now();
         let settings = Settings {
             hold: HOLD.min(self.settings.max_hold),
-            authority: self.settings.max_hold,
+            authority: self.settings.max_hold.mul_f64(AUTHORITY_SHARE),
             silence: SILENCE,
         };
         let mut keeper = match &map {
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -151,7 +151,8 @@
         Verdict::Replaced => return Exchange::None(Report::Replaced),
         Verdict::Refused | Verdict::Misdirected => {
             if let Ok(Taken::Whole(_)) = timeout(ANSWER_MARGIN, payload::take(body)).await {
-                node.links.keep(upstream, link, &parts.headers);
+                let most = node.idle_limit(&upstream.service);
+                node.links.keep(upstream, link, &parts.headers, most);
             }
             let refused = verdict == Verdict::Refused;
             return Exchange::None(if refused {
@@ -166,7 +167,8 @@
         Err(_) => Exchange::None(Report::Silent),
         Ok(Taken::Broken) => Exchange::None(Report::Broken),
         Ok(Taken::Whole(bytes)) => {
-            node.links.keep(upstream, link, &parts.headers);
+            let most = node.idle_limit(&upstream.service);
+            node.links.keep(upstream, link, &parts.headers, most);
             Exchange::Answer(Response::from_parts(parts, Payload::whole(bytes)))
         }
         Ok(Taken::Partial(first, rest)) => {
--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -105,8 +105,16 @@
         None
     }
 
-    /// Keeps a connection after a whole answer with these headers.
-    pub(crate) fn keep(&self, upstream: &Upstream, mut link: Link, headers: &HeaderMap) {
+    /// Keeps a connection after a whole answer with these headers, unless there
+    /// are `most` unused ones already: an upstream bears a limited number from
+    /// all routers together.
+    pub(crate) fn keep(
+        &self,
+        upstream: &Upstream,
+        mut link: Link,
+        headers: &HeaderMap,
+        most: usize,
+    ) {
         if link.sender.is_closed() || link.tainted.get() {
             return;
         }
@@ -118,6 +126,10 @@
             shelf.idle.clear();
             shelf.address = Some(upstream.address);
         }
+        if shelf.idle.len() >= most {
+            // The one that was unused for longest goes.
+            shelf.idle.remove(0);
+        }
         shelf.idle.push(link);
     }
 
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -29,6 +29,9 @@
 use crate::seam::{Platform, Table};
 use crate::settings::Settings;
 
+/// Share of the connections that an upstream accepts which all routers may keep
+/// unused; the rest is for requests under way.
+const IDLE_CONNECTIONS_SHARE: f64 = 0.7;
 /// Time kept free at the end of the grace.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// Time between two looks at a queue that no event moves.
@@ -278,6 +281,18 @@
         self.with(service, |service, _| service.set_shares(shares));
     }
 
+    /// Unused connections that this router may keep to one upstream.
+    pub(crate) fn idle_limit(&self, service: &str) -> usize {
+        let state = self.state.borrow();
+        let declared = state
+            .directory
+            .as_ref()
+            .and_then(|directory| directory.services.get(service));
+        let all = declared.map_or(0, |service| service.max_connections as usize);
+        let routers = state.routers.len().max(1);
+        ((all as f64 * IDLE_CONNECTIONS_SHARE) as usize / routers).max(1)
+    }
+
     /// How long a request may take at an upstream before another is asked.
     pub(crate) fn hedge_delay(&self, service: &str, upstream: &str) -> Option<Duration> {
         let state = self.state.borrow();
--- a/crates/edge/tests/requests.rs
+++ b/crates/edge/tests/requests.rs
@@ -233,3 +233,23 @@
     })
     .await;
 }
+
+/// Load: many routers before upstreams that accept a limited number of
+/// connections from all of them, and reset the rest.
+#[tokio::test]
+async fn no_more_unused_connections_are_kept_than_the_upstream_bears() {
+    let store = Store::default();
+    let server = Server::start("up-0").await;
+    store.register("narrow", &server);
+    store.configure(1, vec![route("/read/", Repeat::Idempotent, "narrow")], &[]);
+    let router = Router::start("router-1", &store);
+    router.ready().await;
+    server.next(&[Act::Answer(200), Act::Answer(200)]);
+    let front = router.settings.front;
+    let one = tokio::spawn(send(front, get("/read/1", HOST, "r1", 1_500)));
+    let two = tokio::spawn(send(front, get("/read/1", HOST, "r2", 1_500)));
+    eventually("both requests", || server.connections() == 2).await;
+    assert_eq!(one.await.unwrap().unwrap().status(), 200);
+    assert_eq!(two.await.unwrap().unwrap().status(), 200);
+    eventually("closing one", || server.connections() == 1).await;
+}
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -61,7 +61,8 @@
     pub(crate) fn configure(&self, version: u64, routes: Vec<Route>, keyed: &[&str]) {
         let services = routes.iter().flat_map(|route| &route.parts).map(|part| {
             let service = Service {
-                max_connections: 50,
+                // The tests of connections name their service so.
+                max_connections: if &*part.service == "narrow" { 1 } else { 50 },
                 keyed: keyed.contains(&&*part.service).then_some(Keyed {
                     warm_up: Duration::ZERO,
                 }),
--- a/crates/edge/tests/support/upstream.rs
+++ b/crates/edge/tests/support/upstream.rs
@@ -51,6 +51,8 @@
     /// Keys, fencing token and end of each grant.
     holds: Vec<(u16, u16, u64, Instant)>,
     is_keyed: bool,
+    /// Connections that are open.
+    connections: usize,
 }
 
 struct Running(Arc<Mutex<State>>, bool);
@@ -75,6 +77,7 @@
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let server = accepting.clone();
+                server.state.lock().unwrap().connections += 1;
                 tokio::spawn(async move {
                     let close = Arc::new(Notify::new());
                     let service = service_fn(|request| {
@@ -87,6 +90,7 @@
                         _ = connection => {}
                         () = close.notified() => {}
                     }
+                    server.state.lock().unwrap().connections -= 1;
                 });
             }
         });
@@ -114,6 +118,10 @@
             .unwrap_or(0)
     }
 
+    pub(crate) fn connections(&self) -> usize {
+        self.state.lock().unwrap().connections
+    }
+
     pub(crate) fn dropped(&self) -> usize {
         self.state.lock().unwrap().dropped
     }
