--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -5,7 +5,7 @@
 pub(crate) mod platform;
 pub(crate) mod upstream;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::JoinHandle;
@@ -57,11 +57,17 @@
     }
 }
 
+/// Returns an address that nobody has, below the ports that the system gives to
+/// connections: one of those could be taken before the router listens.
 pub(crate) fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    loop {
+        let next = u64::from(std::process::id()) * 97 + NEXT.fetch_add(1, Ordering::Relaxed);
+        let address = SocketAddr::from(([127, 0, 0, 1], 10_000 + (next % 22_000) as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 fn settings(name: &str) -> Settings {
