Test of the bound on lines about requests

Cause: only the queue of the logger had a test of its bound. Change: a flood of refused requests; lines stay within the bound of each second, the rest is counted.

--- a/crates/edge/tests/requests.rs
+++ b/crates/edge/tests/requests.rs
@@ -253,3 +253,35 @@
     assert_eq!(two.await.unwrap().unwrap().status(), 200);
     eventually("closing one", || server.connections() == 1).await;
 }
+
+/// Load: far more failed requests than lines are allowed in a second.
+#[tokio::test]
+async fn lines_about_requests_are_bounded_and_the_rest_is_counted() {
+    let store = Store::default();
+    store.configure(1, vec![route("/read/", Repeat::Idempotent, "sheets")], &[]);
+    let router = Router::start_with("router-1", &store, |settings| {
+        settings.log.max_lines_per_s = 5;
+    });
+    let front = router.settings.front;
+    let began = Instant::now();
+    for n in 0..60 {
+        let id = format!("r{n}");
+        let _ = send(front, get("/read/1", HOST, &id, 1_000)).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    let _ = send(front, get("/read/1", HOST, "last", 1_000))
+        .await
+        .unwrap();
+    eventually("counting", || {
+        router.lines.text().contains("lines left out")
+    })
+    .await;
+    let text = router.lines.text();
+    let lines = text
+        .lines()
+        .filter(|line| line.contains("\"request\""))
+        .count();
+    let seconds = began.elapsed().as_secs() as usize + 2;
+    assert!(lines <= 5 * seconds, "{lines} lines in {seconds} seconds");
+}
