One ranking of relays; a report without the name that nobody read

Cause: who becomes relay was computed in two places with the same steps, and a report carried the router's name unused. Change: one function ranks; the field is gone. No change of behaviour.

--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -357,7 +357,6 @@
             .get(&service)
             .map_or(0, |(_, version)| *version);
         let report = Report {
-            router: Arc::clone(&self.settings.router),
             service: Arc::clone(&service),
             paces,
             map_version,
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -42,7 +42,6 @@
 /// What a router tells the keeper of a service.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Report {
-    pub(crate) router: Arc<str>,
     pub(crate) service: Arc<str>,
     /// Answers since the last report.
     pub(crate) paces: Vec<Pace>,
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -9,8 +9,10 @@
 //! its relay doesn't bring, reads the store by itself.
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::collections::{HashMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -133,6 +135,16 @@
     }
 }
 
+/// Order in which the routers of a data centre become its relay.
+type Rank = (Reverse<u32>, u64);
+
+/// The largest VM first; equal ones in an order of their own.
+fn rank(name: &Arc<str>, router: &Router) -> Rank {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    (Reverse(router.size), hasher.finish())
+}
+
 fn index(table: Table) -> usize {
     TABLES.iter().position(|other| *other == table).unwrap_or(0)
 }
@@ -240,13 +252,7 @@
         let near = state.routers.iter().filter(|(name, router)| {
             router.data_centre == own.data_centre && (**name == own.router || !is_passed(name))
         });
-        // The largest VM first; equal ones in an order of their own.
-        let order = |(name, router): &(&Arc<str>, &Router)| {
-            let mut hasher = DefaultHasher::new();
-            name.hash(&mut hasher);
-            (std::cmp::Reverse(router.size), hasher.finish())
-        };
-        let (name, router) = near.min_by_key(order)?;
+        let (name, router) = near.min_by_key(|(name, router)| rank(name, router))?;
         (*name != own.router).then(|| router.clone())
     }
 
@@ -405,7 +411,7 @@
     /// Gives a new map to the relays of the other data centres and to the own
     /// one; theirs tell their followers.
     pub(crate) fn publish_map(self: &Rc<Self>, service: &Arc<str>, map: &Map, version: u64) {
-        let mut relays: HashMap<Arc<str>, (u32, u64, std::net::SocketAddr)> = HashMap::new();
+        let mut relays: HashMap<Arc<str>, (Rank, SocketAddr)> = HashMap::new();
         {
             let state = self.state.borrow();
             let others = state
@@ -413,16 +419,14 @@
                 .iter()
                 .filter(|(name, _)| **name != self.settings.router);
             for (name, router) in others {
-                let mut hasher = DefaultHasher::new();
-                name.hash(&mut hasher);
-                let rank = (u32::MAX - router.size, hasher.finish(), router.address);
+                let candidate = (rank(name, router), router.address);
                 let first = relays
                     .entry(Arc::clone(&router.data_centre))
-                    .or_insert(rank);
-                *first = (*first).min(rank);
+                    .or_insert(candidate);
+                *first = (*first).min(candidate);
             }
         }
-        for (_, _, address) in relays.into_values() {
+        for (_, address) in relays.into_values() {
             let node = Rc::clone(self);
             let message = peer::News {
                 service: Arc::clone(service),
