--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
@@ -35,19 +37,39 @@
     last: Cell<Instant>,
 }
 
-/// Accepts callers until the process ends.
-pub(crate) async fn accept<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
+#[derive(Serialize)]
+struct AcceptLine {
+    port: &'static str,
+    reason: String,
+}
+
+/// Accepts the next connection, however often that fails before.
+pub(crate) async fn next<P: Platform>(
+    node: &Node<P>,
+    listener: &TcpListener,
+    port: &'static str,
+) -> (TcpStream, SocketAddr) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let node = Rc::clone(&node);
-                tokio::task::spawn_local(connection(node, stream));
+            Ok(accepted) => return accepted,
+            Err(error) => {
+                let reason = error.to_string();
+                node.log
+                    .request("accept failed", &AcceptLine { port, reason });
+                sleep(ACCEPT_PAUSE).await;
             }
-            Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
 }
 
+/// Accepts callers until the process ends.
+pub(crate) async fn accept<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
+    loop {
+        let (stream, _) = next(&node, &listener, "front").await;
+        tokio::task::spawn_local(connection(Rc::clone(&node), stream));
+    }
+}
+
 async fn connection<P: Platform>(node: Rc<Node<P>>, stream: TcpStream) {
     // Without this, answers only arrive later.
     let _ = stream.set_nodelay(true);
@@ -123,10 +145,7 @@
 /// Answers the question whether callers may be sent here.
 pub(crate) async fn accept_readiness<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let (stream, _) = next(&node, &listener, "readiness").await;
         let node = Rc::clone(&node);
         tokio::task::spawn_local(async move {
             let service = service_fn(|request| {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -22,8 +22,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 use tokio::net::TcpListener;
-use tokio::time::sleep;
 
+use crate::front;
 use crate::node::Node;
 use crate::payload::Payload;
 use crate::relay::TABLES;
@@ -34,8 +34,6 @@
 const BUCKETS_S: [f64; 12] = [
     0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
 ];
-/// Pause after a failure to accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Outcome {
@@ -240,10 +238,7 @@
 /// Serves the page until the process ends.
 pub(crate) async fn accept<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let (stream, _) = front::next(&node, &listener, "metrics").await;
         let page = node.metrics.page(&node);
         tokio::task::spawn_local(async move {
             let service = service_fn(|_| {
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -24,9 +24,10 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::duty::Pace;
+use crate::front;
 use crate::node::{Node, Shares};
 use crate::payload::{self, Payload, Taken};
 use crate::relay;
@@ -36,8 +37,6 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for a call that the other router may hold back.
 const HELD_CALL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Pause after a failure to accept, for instance when descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// What a router tells the keeper of a service.
 #[derive(Debug, Serialize, Deserialize)]
@@ -191,10 +190,7 @@
 /// Answers other routers until the process ends.
 pub(crate) async fn accept<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
     loop {
-        let Ok((stream, from)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let (stream, from) = front::next(&node, &listener, "peer").await;
         let node = Rc::clone(&node);
         tokio::task::spawn_local(async move {
             let service = service_fn(|request| {
