Tests that need a refused connection keep its port bound

Change: both tests of this kind (cli, store) bind a socket that doesn't listen: it refuses connections and nobody else can get its port. Ruled out: a fault of the command, which said rightly that the connection broke.

--- a/crates/cli/tests/status.rs
+++ b/crates/cli/tests/status.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use support::{Platform, run};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 
 const SECRET: &str = "0123456789abcdef";
 const STATE: &str = r#"{"router":"r1","homes":[{"upstream":"l1","term":3,"queue":0}],"peers":["r2"],"bundle":{"version":2}}"#;
@@ -95,10 +95,10 @@
 
 #[tokio::test]
 async fn router_that_is_not_there_is_refused() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let admin = listener.local_addr().unwrap();
-    drop(listener);
-    let answer = ask(admin, &[]).await;
+    // Bound but not listening: refuses, and no other test can get the port.
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+    let answer = ask(socket.local_addr().unwrap(), &[]).await;
     assert!(
         answer.exit == Exit::Refused && answer.err.contains("no connection"),
         "{answer:?}"
--- a/crates/store/tests/support/mod.rs
+++ b/crates/store/tests/support/mod.rs
@@ -5,7 +5,7 @@
 
 use eelgrassrock_store::settings::Settings;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 
 const TIMEOUT_MS: u64 = 300;
 const MAX_BODY_BYTES: usize = 64 << 10;
@@ -42,9 +42,20 @@
     address
 }
 
-/// Returns an address that nobody listens on.
+/// A port that refuses connections. It stays bound, so that no listener of another
+/// test can get it.
 #[allow(dead_code, reason = "not every test file needs it")]
-pub(crate) async fn closed_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap()
+pub(crate) struct ClosedPort(TcpSocket);
+
+#[allow(dead_code, reason = "not every test file needs it")]
+impl ClosedPort {
+    pub(crate) fn bind() -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+        Self(socket)
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.0.local_addr().unwrap()
+    }
 }
--- a/crates/store/tests/table.rs
+++ b/crates/store/tests/table.rs
@@ -13,7 +13,7 @@
 use eelgrassrock_store::{Fault, Kind};
 use rstest::rstest;
 use serde_json::json;
-use support::{answering, closed_address, settings};
+use support::{ClosedPort, answering, settings};
 
 async fn start() -> (Server, Client) {
     let server = Server::start(Addresses::free()).await.unwrap();
@@ -180,7 +180,8 @@
 
 #[tokio::test]
 async fn nothing_was_written_if_nobody_listens() {
-    let client = Client::new(closed_address().await, settings());
+    let port = ClosedPort::bind();
+    let client = Client::new(port.address(), settings());
     let outcome = client.write(&put("op-1", "home/a", 0, "one")).await;
     assert!(matches!(outcome, Outcome::NotWritten { .. }), "{outcome:?}");
     let kind = kind(client.read("home/a").await);
