Metrics: age of the inputs, and repeated sends that are left

Cause: an engineer couldn't see how old a router's configuration, upstream list and contact with the store were, nor whether refusals came from an empty budget. Change: eelgrassrock_input_age_seconds by input and eelgrassrock_repeats_left by service, read off the state when the page is asked for.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -54,12 +54,18 @@
 
     /// Returns whether one repeated send is allowed, without taking it.
     pub fn allows(&mut self, now: Instant, routers: usize) -> bool {
+        self.left(now, routers) >= 1.0
+    }
+
+    /// Returns how many repeated sends are allowed, a fraction if a part of one
+    /// is; below 0 if the requests of the window became fewer since.
+    pub fn left(&mut self, now: Instant, routers: usize) -> f64 {
         self.step(now);
         let first: u32 = self.steps.iter().map(|step| step.first).sum();
         let repeated: u32 = self.steps.iter().map(|step| step.repeated).sum();
         let extra = self.limits.extra / routers.max(1) as f64;
         let allowed = USED_SHARE * (self.limits.ratio * f64::from(first) + extra);
-        f64::from(repeated) + 1.0 <= allowed
+        allowed - f64::from(repeated)
     }
 
     /// Takes one repeated send.
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -258,6 +258,11 @@
         self.spans = spans;
     }
 
+    /// Returns how many repeated sends the budget of this router allows.
+    pub fn repeats_left(&mut self, now: Instant) -> f64 {
+        self.budget.left(now, self.routers)
+    }
+
     /// Sets how many routers share the budget.
     pub fn set_routers(&mut self, routers: usize) {
         self.routers = routers.max(1);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -6,6 +6,7 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use eelgrassrock_model::time::Instant;
@@ -23,6 +24,7 @@
 use prometheus_client::registry::{Registry, Unit};
 use tokio::net::TcpListener;
 
+use crate::clock;
 use crate::front;
 use crate::node::Node;
 use crate::payload::Payload;
@@ -52,11 +54,18 @@
     report: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Input {
+    input: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Table {
     table: String,
 }
 
+/// Gauge of a fraction.
+type Fraction = Gauge<f64, AtomicU64>;
 type Histograms = Family<Service, Histogram, fn() -> Histogram>;
 
 fn histogram() -> Histogram {
@@ -79,6 +88,8 @@
     ranges: Family<Service, Gauge>,
     contact: Family<Table, Gauge>,
     keeper: Family<Service, Gauge>,
+    ages: Family<Input, Fraction>,
+    repeats_left: Family<Service, Fraction>,
 }
 
 impl Metrics {
@@ -98,6 +109,8 @@
             ranges: Family::default(),
             contact: Family::default(),
             keeper: Family::default(),
+            ages: Family::default(),
+            repeats_left: Family::default(),
         };
         metrics.registered()
     }
@@ -115,7 +128,9 @@
         let help = "Time in the queue, for requests that were sent";
         all.register_with_unit("queue", help, seconds.clone(), self.queued.clone());
         let help = "Time at an upstream";
-        all.register_with_unit("upstream", help, seconds, self.upstream.clone());
+        all.register_with_unit("upstream", help, seconds.clone(), self.upstream.clone());
+        let help = "Time since the last news of a table, or the last sign of the store";
+        all.register_with_unit("input_age", help, seconds, self.ages.clone());
         all.register(
             "sends",
             "Sends to upstreams by how they ended",
@@ -148,6 +163,11 @@
             "Whether this router grants the keys",
             self.keeper.clone(),
         );
+        all.register(
+            "repeats_left",
+            "Repeated sends that the budget of this router allows",
+            self.repeats_left.clone(),
+        );
         self
     }
 
@@ -193,14 +213,16 @@
 
     /// Sets what is read off the state.
     fn measure<P: Platform>(&self, node: &Node<P>) {
-        let state = node.state.borrow();
+        let now = clock::now();
+        let mut guard = node.state.borrow_mut();
+        let state = &mut *guard;
         self.open.set(node.open_requests.get() as i64);
         let version = state
             .directory
             .as_ref()
             .map_or(0, |directory| directory.version);
         self.configuration.set(version as i64);
-        for (name, service) in &state.services {
+        for (name, service) in &mut state.services {
             let labels = Service {
                 service: Arc::clone(name),
             };
@@ -210,6 +232,9 @@
             self.waiting
                 .get_or_create(&labels)
                 .set(service.waiting() as i64);
+            self.repeats_left
+                .get_or_create(&labels)
+                .set(service.repeats_left(now));
             let ranges = state.maps.get(name).map_or(0, |(map, _)| map.ranges.len());
             self.ranges.get_or_create(&labels).set(ranges as i64);
             self.keeper
@@ -222,6 +247,16 @@
                 table: table.to_string(),
             };
             self.contact.get_or_create(&labels).set(i64::from(contact));
+            self.age(table.to_string(), now, node.relay.changed(table));
+        }
+        self.age("store".to_owned(), now, node.relay.heard());
+    }
+
+    /// Sets the age of an input; one that never came has none.
+    fn age(&self, input: String, now: Instant, since: Option<Instant>) {
+        if let Some(since) = since {
+            let age = (now - since).as_secs_f64();
+            self.ages.get_or_create(&Input { input }).set(age);
         }
     }
 }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -76,6 +76,8 @@
     version: u64,
     /// Highest version of a row.
     newest_row: u64,
+    /// When the table was read or a change of it came.
+    changed: Option<Instant>,
 }
 
 /// Question of a follower.
@@ -169,6 +171,7 @@
             }
         }
         if whole || !rows.rows.is_empty() {
+            journal.changed = Some(clock::now());
             self.news.notify_waiters();
         }
     }
@@ -191,6 +194,16 @@
         [Table::Configuration, Table::Registry].map(|table| journals[index(table)].newest_row)
     }
 
+    /// When the last news of a table came.
+    pub(crate) fn changed(&self, table: Table) -> Option<Instant> {
+        self.journals.borrow()[index(table)].changed
+    }
+
+    /// When the store gave its last sign, directly or through a relay.
+    pub(crate) fn heard(&self) -> Option<Instant> {
+        self.heard.get()
+    }
+
     /// Notes a sign of the store.
     pub(crate) fn hear_store(&self) {
         self.heard.set(Some(clock::now()));
@@ -268,7 +281,7 @@
     /// Whether this router hears from the store, if only through its relay:
     /// followers move up one by one when a relay is lost.
     fn hears_from_store(&self) -> bool {
-        let heard = self.relay.heard.get();
+        let heard = self.relay.heard();
         !self.is_stopping() && heard.is_some_and(|at| clock::now() - at < DEAF_AFTER)
     }
 
--- a/crates/edge/tests/control.rs
+++ b/crates/edge/tests/control.rs
@@ -227,6 +227,50 @@
     assert!(!router.is_running());
 }
 
+/// Reads one sample off the metrics page.
+async fn sample(router: &Router, name: &str) -> Option<f64> {
+    let page = send(router.settings.metrics, get("/metrics", "x", "m", 500))
+        .await
+        .unwrap();
+    let page = String::from_utf8(page.into_body().to_vec()).unwrap();
+    let value = page.lines().find_map(|line| line.strip_prefix(name))?;
+    Some(value.trim().parse().unwrap())
+}
+
+#[tokio::test]
+async fn the_metrics_page_tells_how_old_the_inputs_are() {
+    let store = Store::default();
+    let server = Server::start("up-0").await;
+    store.register("sheets", &server);
+    store.configure(1, vec![route("/read/", Repeat::Idempotent, "sheets")], &[]);
+    let router = Router::start("router-1", &store);
+    router.ready().await;
+    let age = |input| format!("eelgrassrock_input_age_seconds{{input=\"{input}\"}}");
+    store.cut("router-1");
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let store_age = sample(&router, &age("store")).await.unwrap();
+    assert!((0.5..5.0).contains(&store_age), "{store_age}");
+    let config_age = sample(&router, &age("configuration")).await.unwrap();
+    assert!((1.5..5.0).contains(&config_age), "{config_age}");
+    assert!(sample(&router, &age("registry")).await.is_some());
+}
+
+#[tokio::test]
+async fn the_metrics_page_tells_how_many_repeats_are_left() {
+    let store = Store::default();
+    let server = Server::start("up-0").await;
+    store.register("sheets", &server);
+    store.configure(1, vec![route("/read/", Repeat::Idempotent, "sheets")], &[]);
+    let router = Router::start_with("router-1", &store, |settings| {
+        settings.repeats.extra = 10.0;
+        settings.repeats.ratio = 0.0;
+    });
+    router.ready().await;
+    // Seven tenths of the allowance are used.
+    let left = sample(&router, "eelgrassrock_repeats_left{service=\"sheets\"}").await;
+    assert_eq!(left, Some(7.0));
+}
+
 #[tokio::test]
 async fn the_metrics_page_names_what_the_documentation_lists() {
     let store = Store::default();
