Soak: routers as processes under faults from outside

Change: crates/soak starts routers as processes, with a store, upstreams and callers that write down what they see; a loopback proxy delays, cuts, resets and silences connections, signals kill, pause and stop routers in series and overlapping. Not covered: links between routers (their address is the one they listen at), clocks (routers use only the steady one; upstreams' clocks run 2 % slow).

--- /dev/null
+++ b/crates/soak/src/caller.rs
@@ -0,0 +1,191 @@
+//! Callers that send requests one after the other over open connections.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use eelgrassrock_platform_standin::framing::{Arrival, answer, request};
+use http::{Method, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use crate::ledger::{Asked, Ending, Ledger};
+use crate::plan::{HOST, Kind, MAX_ATTEMPTS, TIMEOUT};
+
+/// Pause between two requests of a caller.
+const THINK: Duration = Duration::from_millis(40);
+/// Pause after a connection was refused or broke.
+const RECONNECT: Duration = Duration::from_millis(100);
+/// Time to establish a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time beyond the timeout after which a caller takes a request for unanswered.
+const PATIENCE: Duration = Duration::from_secs(4);
+/// Share of requests that a caller leaves early.
+const LEAVE_SHARE: f64 = 0.02;
+/// Share of the requests with keys that go to the busiest run of keys.
+const HOT_SHARE: f64 = 0.4;
+const HOT_KEYS: std::ops::Range<u16> = 20_000..20_100;
+
+/// A caller of one router.
+pub(crate) struct Caller {
+    pub(crate) router: usize,
+    pub(crate) address: SocketAddr,
+    pub(crate) ledger: Arc<Ledger>,
+    pub(crate) random: ChaCha8Rng,
+    pub(crate) served: Arc<Served>,
+}
+
+/// Requests that were served since this was cleared, by router and kind.
+#[derive(Debug, Default)]
+pub(crate) struct Served {
+    counts: Vec<[AtomicU64; Kind::ALL.len()]>,
+}
+
+impl Served {
+    pub(crate) fn new(routers: usize) -> Self {
+        Self {
+            counts: (0..routers).map(|_| Default::default()).collect(),
+        }
+    }
+
+    pub(crate) fn clear(&self) {
+        let counts = self.counts.iter().flatten();
+        counts.for_each(|count| count.store(0, Ordering::Relaxed));
+    }
+
+    /// Routers and kinds without a request that was served.
+    pub(crate) fn missing(&self) -> Vec<(usize, Kind)> {
+        let mut missing = Vec::new();
+        for (router, counts) in self.counts.iter().enumerate() {
+            for (kind, count) in Kind::ALL.iter().zip(counts) {
+                if count.load(Ordering::Relaxed) == 0 {
+                    missing.push((router, *kind));
+                }
+            }
+        }
+        missing
+    }
+
+    fn count(&self, router: usize, kind: Kind) {
+        self.counts[router][kind as usize].fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+impl Caller {
+    pub(crate) fn random(seed: u64, number: usize) -> ChaCha8Rng {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        random.set_stream(number as u64 + 1);
+        random
+    }
+
+    /// Sends requests until `stop` is set.
+    pub(crate) async fn run(mut self, stop: watch::Receiver<bool>) {
+        while !*stop.borrow() {
+            let Some(mut connection) = self.connect().await else {
+                sleep(RECONNECT).await;
+                continue;
+            };
+            while !*stop.borrow() && !connection.is_closed() {
+                sleep(THINK.mul_f64(self.random.random_range(0.2..1.8))).await;
+                if !self.ask(&mut connection).await {
+                    break;
+                }
+            }
+        }
+    }
+
+    async fn connect(&self) -> Option<SendRequest<Full<Bytes>>> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
+        let stream = stream.await.ok()?.ok()?;
+        // Delayed packets cost only latency, so a failure is harmless.
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::spawn(connection);
+        Some(sender)
+    }
+
+    fn draw(&mut self) -> (Kind, Arc<str>, Arrival) {
+        static NEXT: AtomicU64 = AtomicU64::new(1);
+        let kind = Kind::ALL[self.random.random_range(0..Kind::ALL.len())];
+        let id = format!("r-{}", NEXT.fetch_add(1, Ordering::Relaxed));
+        let key = if self.random.random_bool(HOT_SHARE) {
+            self.random.random_range(HOT_KEYS)
+        } else {
+            self.random.random()
+        };
+        let head = Arrival {
+            id: Some(id.clone()),
+            target: None,
+            left: Some(TIMEOUT),
+            key: kind.is_keyed().then_some(key),
+        };
+        (kind, id.into(), head)
+    }
+
+    /// Sends one request. Returns whether the connection can be used again.
+    async fn ask(&mut self, connection: &mut SendRequest<Full<Bytes>>) -> bool {
+        let (kind, id, head) = self.draw();
+        let path: Arc<str> = format!("{}{id}", kind.prefix()).into();
+        let method = if kind.may_repeat() {
+            Method::GET
+        } else {
+            Method::POST
+        };
+        if connection.ready().await.is_err() {
+            return false;
+        }
+        let asked = Asked {
+            router: self.router,
+            path: Arc::clone(&path),
+            may_repeat: kind.may_repeat(),
+            max_attempts: MAX_ATTEMPTS as usize,
+            timeout: TIMEOUT,
+        };
+        self.ledger.ask(&id, asked);
+        let request = request(method, HOST, &path, &head, Bytes::new());
+        let patience = if self.random.random_bool(LEAVE_SHARE) {
+            TIMEOUT.mul_f64(self.random.random_range(0.0..0.1))
+        } else {
+            TIMEOUT + PATIENCE
+        };
+        let (ending, retry_after) = match timeout(patience, exchange(connection, request)).await {
+            Ok(Some((ending, retry_after))) => (ending, retry_after),
+            Ok(None) => (Ending::Broken, None),
+            Err(_) if patience > TIMEOUT => (Ending::Broken, None),
+            Err(_) => (Ending::Left, None),
+        };
+        let is_answered = matches!(ending, Ending::Answered { .. });
+        if matches!(&ending, Ending::Answered { status, .. } if status.is_success()) {
+            self.served.count(self.router, kind);
+        }
+        self.ledger.answer(&id, ending);
+        sleep(retry_after.unwrap_or_default().min(TIMEOUT)).await;
+        is_answered
+    }
+}
+
+async fn exchange(
+    connection: &mut SendRequest<Full<Bytes>>,
+    request: http::Request<Full<Bytes>>,
+) -> Option<(Ending, Option<Duration>)> {
+    let response: Response<Incoming> = connection.send_request(request).await.ok()?;
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await.ok()?.to_bytes().to_vec();
+    let head = answer(&parts.headers);
+    let ending = Ending::Answered {
+        status: parts.status,
+        is_signed: head.is_signed,
+        id: head.id,
+        body,
+    };
+    Some((ending, head.retry_after))
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,81 @@
+//! The program `eelgrassrock-soak`.
+
+use std::io;
+use std::process::ExitCode;
+
+use eelgrassrock_soak::flags::{Arguments, command};
+use eelgrassrock_soak::run::{Report, play};
+use eelgrassrock_soak::schedule::draw;
+use tokio::task::JoinSet;
+
+/// Exit code for arguments that can't be used.
+const USAGE: u8 = 2;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments = match Arguments::check(&command().get_matches()) {
+        Ok(arguments) => arguments,
+        Err(fault) => {
+            eprintln!("eelgrassrock-soak: {fault}");
+            return ExitCode::from(USAGE);
+        }
+    };
+    match run(arguments).await {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(failed) => {
+            println!("{failed} seeds failed");
+            ExitCode::FAILURE
+        }
+        Err(error) => {
+            eprintln!("eelgrassrock-soak: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Plays all seeds and returns how many failed.
+async fn run(arguments: Arguments) -> io::Result<usize> {
+    let mut failed = 0;
+    let mut runs = JoinSet::new();
+    for seed in arguments.seeds {
+        if runs.len() >= arguments.parallel {
+            failed += usize::from(finished(runs.join_next().await)?);
+        }
+        let mut plan = arguments.plan.clone();
+        plan.logs = plan.logs.join(seed.to_string());
+        std::fs::create_dir_all(&plan.logs)?;
+        let events = draw(seed, plan.length, plan.routers, plan.upstreams);
+        runs.spawn(async move {
+            let report = play(&plan, seed, events).await?;
+            if report.violations.is_empty() {
+                std::fs::remove_dir_all(&plan.logs)?;
+            } else {
+                println!("routers' lines: {}", plan.logs.display());
+            }
+            Ok(report)
+        });
+    }
+    while !runs.is_empty() {
+        failed += usize::from(finished(runs.join_next().await)?);
+    }
+    Ok(failed)
+}
+
+/// Prints a report and returns whether its seed failed.
+fn finished(done: Option<Result<io::Result<Report>, tokio::task::JoinError>>) -> io::Result<bool> {
+    let Some(done) = done else {
+        return Ok(false);
+    };
+    let report = done.map_err(io::Error::other)??;
+    println!("{report}");
+    if report.violations.is_empty() {
+        return Ok(false);
+    }
+    for event in &report.events {
+        println!("  {event}");
+    }
+    for violation in &report.violations {
+        println!("  BROKEN at {violation}");
+    }
+    Ok(true)
+}
--- /dev/null
+++ b/crates/soak/src/upstream.rs
@@ -0,0 +1,324 @@
+//! Upstreams that hold keys by grants, misbehave as they are told, and write
+//! down what they run.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use eelgrassrock_platform_standin::framing::{Arrival, Call, Keys, Reply, decode, encode};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::ledger::Ledger;
+
+/// Requests that an upstream works on at the same time.
+pub(crate) const SLOTS: usize = 4;
+/// Requests that wait for a slot.
+const QUEUE: usize = 4;
+/// Time of one request.
+const WORK: Duration = Duration::from_millis(30);
+/// Additional time while it is slow.
+const SLOW: Duration = Duration::from_millis(400);
+/// Share of requests that it fails, or whose answers it loses, when told to.
+const FAIL_SHARE: f64 = 0.4;
+/// Rate of its clock: grants hold a little longer than the router says.
+const CLOCK_RATE: f64 = 1.02;
+/// Time by which orders are late when told to.
+const LATE_ORDERS: Duration = Duration::from_millis(1_500);
+
+/// Identifier in the answers that it mixes up.
+const OTHER_REQUEST: &str = "r-0";
+
+/// How an upstream behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Manner {
+    pub(crate) is_paused: bool,
+    pub(crate) is_slow: bool,
+    pub(crate) loses_answers: bool,
+    pub(crate) fails: bool,
+    pub(crate) mixes_up: bool,
+    pub(crate) is_late_with_orders: bool,
+    /// It has ended.
+    pub(crate) is_gone: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Hold {
+    token: u64,
+    until: Option<Instant>,
+    running: u32,
+}
+
+/// An upstream.
+#[derive(Debug)]
+pub(crate) struct Server {
+    /// Number of this life within the run.
+    pub(crate) life: usize,
+    pub(crate) id: String,
+    pub(crate) service: Arc<str>,
+    pub(crate) address: SocketAddr,
+    is_keyed: bool,
+    manner: watch::Sender<Manner>,
+    holds: Mutex<Vec<Hold>>,
+    random: Mutex<ChaCha8Rng>,
+    slots: Semaphore,
+    places: Semaphore,
+    ledger: Arc<Ledger>,
+}
+
+/// A request that runs on a key; counts down when it ends.
+struct Running<'a>(&'a Server, u16);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.holds()[usize::from(self.1)].running -= 1;
+    }
+}
+
+/// What becomes of a request.
+enum Fate {
+    Answered(Reply),
+    /// It ran, and the answer to another request is sent.
+    MixedUp(Reply),
+    Lost,
+}
+
+impl Server {
+    pub(crate) async fn start(
+        life: usize,
+        id: String,
+        service: &Arc<str>,
+        is_keyed: bool,
+        seed: u64,
+        ledger: &Arc<Ledger>,
+    ) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let keys = usize::from(u16::MAX) + 1;
+        let server = Arc::new(Self {
+            life,
+            id,
+            service: Arc::clone(service),
+            address: listener.local_addr()?,
+            is_keyed,
+            manner: watch::Sender::new(Manner::default()),
+            holds: Mutex::new(vec![Hold::default(); if is_keyed { keys } else { 0 }]),
+            random: Mutex::new(ChaCha8Rng::seed_from_u64(seed ^ life as u64)),
+            slots: Semaphore::new(SLOTS),
+            places: Semaphore::new(SLOTS + QUEUE),
+            ledger: Arc::clone(ledger),
+        });
+        tokio::spawn(Arc::clone(&server).accept(listener));
+        Ok(server)
+    }
+
+    /// Misbehaves in one manner for a time.
+    pub(crate) async fn behave_for(
+        &self,
+        span: Duration,
+        manner: impl Fn(&mut Manner) -> &mut bool,
+    ) {
+        self.manner.send_modify(|all| *manner(all) = true);
+        sleep(span).await;
+        self.manner.send_modify(|all| *manner(all) = false);
+    }
+
+    /// Ends it: its port closes, and it holds nothing any more.
+    pub(crate) fn end(&self) {
+        self.manner.send_modify(|manner| manner.is_gone = true);
+        self.ledger.end(self.life);
+    }
+
+    fn holds(&self) -> MutexGuard<'_, Vec<Hold>> {
+        self.holds.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn draw(&self) -> f64 {
+        let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
+        random.random()
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        let mut manner = self.manner.subscribe();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => drop(tokio::spawn(Arc::clone(&self).serve(stream))),
+                    Err(error) => panic!("an upstream can't accept connections: {error}"),
+                },
+                _ = manner.wait_for(|manner| manner.is_gone) => return,
+            }
+        }
+    }
+
+    async fn serve(self: Arc<Self>, stream: TcpStream) {
+        // Delayed packets cost only latency, so a failure is harmless.
+        let _ = stream.set_nodelay(true);
+        let mut manner = self.manner.subscribe();
+        let server = Arc::clone(&self);
+        let service = service_fn(move |request| {
+            let server = Arc::clone(&server);
+            async move { server.answer(request).await.ok_or("the answer is lost") }
+        });
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        tokio::select! {
+            // A connection that breaks is the router's to notice.
+            _ = connection => {}
+            _ = manner.wait_for(|manner| manner.is_gone) => {}
+        }
+    }
+
+    /// Waits until it isn't paused.
+    async fn awake(&self) {
+        let mut manner = self.manner.subscribe();
+        // The sender lives as long as this server.
+        let _ = manner.wait_for(|manner| !manner.is_paused).await;
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Option<Response<Full<Bytes>>> {
+        self.awake().await;
+        let arrived = Instant::now();
+        let (parts, body) = request.into_parts();
+        let body = body.collect().await.ok()?.to_bytes();
+        let call = decode(&parts, &body);
+        let id = match &call {
+            Call::Request(arrival) => arrival.id.clone(),
+            _ => None,
+        };
+        let fate = match call {
+            Call::Grant { keys, hold, .. } => self.grant(keys, hold, arrived).await,
+            Call::Release(keys) => self.release(keys).await,
+            Call::Request(arrival) => self.request(parts.uri.path(), &arrival).await,
+            Call::Unreadable => Fate::Answered(Reply::Unreadable),
+        };
+        self.awake().await;
+        match fate {
+            Fate::Answered(reply) => Some(encode(reply, &self.id, id.as_deref())),
+            Fate::MixedUp(reply) => Some(encode(reply, &self.id, Some(OTHER_REQUEST))),
+            Fate::Lost => None,
+        }
+    }
+
+    async fn grant(&self, keys: Keys, hold: Duration, arrived: Instant) -> Fate {
+        let is_late = self.manner.borrow().is_late_with_orders;
+        if is_late {
+            sleep(LATE_ORDERS).await;
+        }
+        let until = arrived + hold.mul_f64(CLOCK_RATE);
+        let range = usize::from(keys.from)..=usize::from(keys.to);
+        {
+            let mut holds = self.holds();
+            let Some(holds) = holds.get_mut(range) else {
+                return Fate::Answered(Reply::Unreadable);
+            };
+            if holds.iter().any(|held| held.token > keys.token) {
+                return Fate::Answered(Reply::Fenced);
+            }
+            for held in holds {
+                held.token = keys.token;
+                held.until = Some(until);
+            }
+        }
+        if !self.manner.borrow().is_gone {
+            self.ledger.grant(self.life, keys, until, is_late);
+        }
+        if is_late {
+            return Fate::Lost;
+        }
+        Fate::Answered(Reply::Granted)
+    }
+
+    async fn release(&self, keys: Keys) -> Fate {
+        let range = usize::from(keys.from)..=usize::from(keys.to);
+        loop {
+            let is_running = {
+                let mut holds = self.holds();
+                let Some(holds) = holds.get_mut(range.clone()) else {
+                    return Fate::Answered(Reply::Unreadable);
+                };
+                let own = holds.iter_mut().filter(|held| held.token <= keys.token);
+                let mut running = 0;
+                for held in own {
+                    held.token = keys.token;
+                    held.until = None;
+                    running += held.running;
+                }
+                running > 0
+            };
+            if !is_running {
+                self.ledger.release(self.life, keys);
+                return Fate::Answered(Reply::Released(format!("{}-{}", self.id, keys.token)));
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Takes a key for a request, if it is held.
+    fn take(&self, key: Option<u16>) -> Option<Running<'_>> {
+        let key = key?;
+        let hold = &mut self.holds()[usize::from(key)];
+        if hold.until.is_none_or(|until| Instant::now() >= until) {
+            return None;
+        }
+        hold.running += 1;
+        Some(Running(self, key))
+    }
+
+    async fn request(&self, path: &str, arrival: &Arrival) -> Fate {
+        let id = arrival.id.as_deref();
+        if arrival
+            .target
+            .as_ref()
+            .is_some_and(|target| *target != self.id)
+        {
+            return Fate::Answered(Reply::Misdirected);
+        }
+        self.ledger.arrive(id, self.life);
+        let Ok(_place) = self.places.try_acquire() else {
+            return Fate::Answered(Reply::Refused);
+        };
+        let left = arrival.left.unwrap_or(Duration::MAX);
+        let Ok(Ok(_slot)) = timeout(left, self.slots.acquire()).await else {
+            return Fate::Answered(Reply::Refused);
+        };
+        let held = self.take(arrival.key);
+        if self.is_keyed && held.is_none() {
+            return Fate::Answered(Reply::Misdirected);
+        }
+        self.ledger.run(
+            id,
+            path,
+            self.life,
+            &self.service,
+            arrival.key.filter(|_| self.is_keyed),
+        );
+        let manner = *self.manner.borrow();
+        let work = if manner.is_slow { WORK + SLOW } else { WORK };
+        sleep(work).await;
+        self.awake().await;
+        let draw = self.draw();
+        if manner.loses_answers && draw < FAIL_SHARE {
+            return Fate::Lost;
+        }
+        if manner.fails && draw < FAIL_SHARE {
+            return Fate::Answered(Reply::Failed);
+        }
+        if manner.mixes_up && draw < FAIL_SHARE {
+            let body = Bytes::from_static(b"for somebody else");
+            return Fate::MixedUp(Reply::Answer(body));
+        }
+        let body = Bytes::from(format!("{} ran {id:?} of {path}", self.id));
+        self.ledger.ran(id, self.life, &body);
+        Fate::Answered(Reply::Answer(body))
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/schedule.rs
@@ -0,0 +1,33 @@
+//! Faults that are drawn from seeds, and the arguments of the program.
+
+use std::collections::HashSet;
+use std::mem::discriminant;
+use std::time::Duration;
+
+use eelgrassrock_soak::flags::command;
+use eelgrassrock_soak::schedule::draw;
+use rstest::rstest;
+
+const LENGTH: Duration = Duration::from_secs(20);
+
+#[test]
+fn fifty_seeds_bring_every_kind_of_fault() {
+    let events = (1..=50).flat_map(|seed| draw(seed, LENGTH, 4, 12));
+    let kinds: HashSet<_> = events.map(|event| discriminant(&event.fault)).collect();
+    assert_eq!(kinds.len(), 10);
+}
+
+#[test]
+fn seeds_differ() {
+    assert_ne!(draw(1, LENGTH, 4, 12), draw(2, LENGTH, 4, 12));
+}
+
+#[rstest]
+#[case::no_number("x", "`x` is not a number")]
+#[case::turned_round("9..3", "3 is below 9")]
+fn bad_seeds_are_refused(#[case] seeds: &str, #[case] reason: &str) {
+    let fault = command()
+        .try_get_matches_from(["eelgrassrock-soak", "--seeds", seeds])
+        .unwrap_err();
+    assert!(fault.to_string().contains(reason), "{fault}");
+}
