A key that overloads its holder no longer stops the balance of the others

A piece was looked for at the most used upstream only. Where that one held a single key that nobody can serve, nothing moved at all: 107 upstreams kept the map of the first second. Its load also raised the mean that all are compared with, and what lay beside the key stayed with it and was refused at its share. Change: the next most used upstream is asked when one can't give; load of a single key beyond its holder's capacity counts for no balance; a key that overloads its holder is cut out and the rest of the holder's keys leave; hot keys of several holders each go to a fast upstream without one. Ruled out: a capacity learnt too low (fewer requests reached the upstreams, which had room), retries counted as demand.

--- a/crates/ranges/src/plan.rs
+++ b/crates/ranges/src/plan.rs
@@ -25,6 +25,10 @@
 /// own sake, and how much faster the receiver must be.
 const HOT_SHARE: f64 = 0.5;
 const MIN_LIFT: f64 = 1.3;
+/// Smallest load that is worth a move away from an upstream that one key
+/// overloads, as a share of its capacity: about what a range of rarely asked
+/// keys carries.
+const MIN_RELIEF: f64 = 0.02;
 /// Ranges per upstream above which neighbours are merged.
 const MAX_RANGES_PER_UPSTREAM: usize = 6;
 
@@ -65,17 +69,18 @@
         .iter()
         .map(|candidate| (&candidate.life, candidate.capacity_per_s.max(0.1)))
         .collect();
+    let servable = load.total() - unservable(map, load, &capacity);
     let mut book = Book {
         load,
         carried: capacity.keys().map(|life| (*life, 0.0)).collect(),
-        target: load.total() / capacity.values().sum::<f64>(),
+        target: servable / capacity.values().sum::<f64>(),
         capacity,
     };
     book.count(map);
     let mut next = map.clone();
     let housed = house(&mut next, &mut book, &is_fixed);
     let mut moved = 0;
-    if lift(&mut next, &mut book, &is_fixed) {
+    while moved < max_moves && lift(&mut next, &mut book, &is_fixed) {
         moved += 1;
     }
     while moved < max_moves && shift(&mut next, &mut book, &is_fixed) {
@@ -87,6 +92,16 @@
     (housed || moved > 0).then_some(next)
 }
 
+/// Load of single keys beyond what their holders can serve. Nobody can serve
+/// it, so it counts for no one's balance.
+fn unservable(map: &Map, load: &Load, capacity: &HashMap<&Life, f64>) -> f64 {
+    let beyond = |range: &Range| {
+        let capacity = capacity.get(range.holder.as_ref()?)?;
+        (range.from == range.to).then(|| (load.of(range) - capacity).max(0.0))
+    };
+    map.ranges.iter().filter_map(beyond).sum()
+}
+
 impl<'a> Book<'a> {
     fn count(&mut self, map: &Map) {
         for range in &map.ranges {
@@ -112,12 +127,11 @@
             .expect("there is a candidate")
     }
 
-    fn most_used(&self) -> &'a Life {
-        let by_usage = |a: &&&Life, b: &&&Life| self.order(a, b);
-        self.capacity
-            .keys()
-            .max_by(by_usage)
-            .expect("there is a candidate")
+    /// Returns all upstreams, the most used first.
+    fn by_usage(&self) -> Vec<&'a Life> {
+        let mut lives: Vec<&Life> = self.capacity.keys().copied().collect();
+        lives.sort_by(|a, b| self.order(b, a));
+        lives
     }
 
     /// Ties are broken by name, so that the same input gives the same plan.
@@ -126,6 +140,13 @@
         self.usage(a).total_cmp(&self.usage(b)).then_with(by_name)
     }
 
+    fn transfer(&mut self, donor: &Life, receiver: &'a Life, carried: f64) {
+        if let Some(other) = self.carried.get_mut(donor) {
+            *other -= carried;
+        }
+        *self.carried.entry(receiver).or_default() += carried;
+    }
+
     fn room(&self, life: &Life) -> f64 {
         self.target * self.capacity[life] - self.carried[life]
     }
@@ -164,22 +185,54 @@
     housed
 }
 
-/// Moves one piece from the most to the least used upstream.
+/// Moves one piece from the most used upstream that can give one to the least
+/// used.
 fn shift(map: &mut Map, book: &mut Book<'_>, is_fixed: &impl Fn(&Range) -> bool) -> bool {
-    let (donor, receiver) = (book.most_used(), book.least_used());
-    let difference = book.usage(donor) - book.usage(receiver);
+    let receiver = book.least_used();
     let per_upstream = (book.load.counted / book.capacity.len() as f64).max(1.0);
     let noise = NOISE_DEVIATIONS / per_upstream.sqrt();
-    if difference <= book.target * (MIN_IMBALANCE + noise) {
-        return false;
+    let least = book.usage(receiver) + book.target * (MIN_IMBALANCE + noise);
+    for donor in book.by_usage() {
+        if book.usage(donor) <= least {
+            return false;
+        }
+        let uncut = map.clone();
+        if give(map, book, is_fixed, donor, receiver) {
+            return true;
+        }
+        *map = uncut;
     }
+    false
+}
+
+/// Moves one piece from `donor` to `receiver`, unless no range fits. The map may
+/// be cut in vain.
+fn give<'a>(
+    map: &mut Map,
+    book: &mut Book<'a>,
+    is_fixed: &impl Fn(&Range) -> bool,
+    donor: &'a Life,
+    receiver: &'a Life,
+) -> bool {
     // What makes both equally used.
     let (from, to) = (book.capacity[donor], book.capacity[receiver]);
-    let wanted = difference * from * to / (from + to);
+    let equal = (book.usage(donor) - book.usage(receiver)) * from * to / (from + to);
+    let too_hot = to.min(MAX_OVERSHOOT * equal);
+    let is_stuck = isolate(map, book, is_fixed, donor, too_hot);
     let movable = |range: &&Range| range.holder.as_ref() == Some(donor) && !is_fixed(range);
     let mut ranges: Vec<Range> = map.ranges.iter().filter(movable).cloned().collect();
     ranges.sort_by(|a, b| book.load.of(b).total_cmp(&book.load.of(a)));
+    let (wanted, least) = if is_stuck {
+        // The key stays; what else the donor holds goes, as far as it fits.
+        let room = book.room(receiver).max(MIN_IMBALANCE * book.target * to);
+        (equal.min(room), MIN_RELIEF * from)
+    } else {
+        (equal, MIN_PIECE * equal)
+    };
     for range in ranges {
+        if range.from == range.to && book.load.of(&range) > too_hot {
+            continue;
+        }
         let uncut = map.clone();
         let piece = cut(map, &range, book.load, wanted);
         let carried = book.load.of(&map.ranges[piece]);
@@ -189,62 +242,104 @@
             *map = uncut;
             continue;
         }
-        if carried < MIN_PIECE * wanted {
-            *map = uncut;
+        if carried < least {
             return false;
         }
-        *book.carried.entry(donor).or_default() -= carried;
-        *book.carried.entry(receiver).or_default() += carried;
+        book.transfer(donor, receiver, carried);
         map.reassign(piece, Some(receiver.clone()));
         return true;
     }
     false
 }
 
-/// Moves the hottest key of an overloaded upstream to the fastest one, if that
-/// is clearly faster. One key can't be divided, so this is all that can be done
-/// for its callers; other ranges of the receiver move away as it fills.
-fn lift(map: &mut Map, book: &mut Book<'_>, is_fixed: &impl Fn(&Range) -> bool) -> bool {
-    let donor = book.most_used();
-    let capacity = book.capacity[donor];
+/// Cuts out the keys of an upstream that carry more than `too_hot`, and returns
+/// whether there are any.
+fn isolate(
+    map: &mut Map,
+    book: &Book<'_>,
+    is_fixed: &impl Fn(&Range) -> bool,
+    donor: &Life,
+    too_hot: f64,
+) -> bool {
     let own = map
         .ranges
         .iter()
-        .filter(|range| range.holder.as_ref() == Some(donor) && !is_fixed(range));
-    let hottest = own
-        .map(|range| book.load.hottest(range))
-        .max_by(|a, b| a.1.total_cmp(&b.1));
-    let Some((key, heat)) = hottest.filter(|(_, heat)| *heat > HOT_SHARE * capacity) else {
-        return false;
-    };
-    let fastest = book.capacity.iter().max_by(|a, b| {
-        a.1.total_cmp(b.1)
-            .then_with(|| b.0.upstream.cmp(&a.0.upstream))
-    });
-    let Some((receiver, _)) = fastest.filter(|(_, fastest)| **fastest >= MIN_LIFT * capacity)
-    else {
-        return false;
-    };
-    let receiver = *receiver;
-    let busy = map
-        .ranges
-        .iter()
-        .filter(|range| range.holder.as_ref() == Some(receiver));
-    if busy
-        .map(|range| book.load.hottest(range).1)
-        .any(|other| other > HOT_SHARE * capacity)
-    {
-        return false;
+        .filter(|range| range.holder.as_ref() == Some(donor));
+    let hot: Vec<(u16, bool)> = own
+        .filter(|range| book.load.of(range) > too_hot)
+        .map(|range| (book.load.hottest(range), is_fixed(range)))
+        .filter(|((_, heat), _)| *heat > too_hot)
+        .map(|((key, _), is_fixed)| (key, is_fixed))
+        .collect();
+    for (key, _) in hot.iter().filter(|(_, is_fixed)| !is_fixed) {
+        cut_out(map, *key);
+    }
+    !hot.is_empty()
+}
+
+/// Moves the hottest key of an overloaded upstream to the fastest one that has
+/// no such key, if that is clearly faster. One key can't be divided, so this is
+/// all that can be done for its callers; other ranges of the receiver move away
+/// as it fills.
+fn lift(map: &mut Map, book: &mut Book<'_>, is_fixed: &impl Fn(&Range) -> bool) -> bool {
+    let heats = heats(map, book.load);
+    for (place, donor) in book.by_usage().into_iter().enumerate() {
+        if place > 0 && book.usage(donor) <= 1.0 {
+            return false;
+        }
+        let capacity = book.capacity[donor];
+        let own = map
+            .ranges
+            .iter()
+            .filter(|range| range.holder.as_ref() == Some(donor) && !is_fixed(range));
+        let hottest = own
+            .map(|range| book.load.hottest(range))
+            .max_by(|a, b| a.1.total_cmp(&b.1));
+        let Some((key, heat)) = hottest.filter(|(_, heat)| *heat > HOT_SHARE * capacity) else {
+            continue;
+        };
+        let has_hot_key = |life: &Life| {
+            heats
+                .get(life)
+                .is_some_and(|other| *other > HOT_SHARE * capacity)
+        };
+        let free = book.capacity.iter().filter(|(life, _)| !has_hot_key(life));
+        let fastest = free.max_by(|a, b| {
+            a.1.total_cmp(b.1)
+                .then_with(|| b.0.upstream.cmp(&a.0.upstream))
+        });
+        let Some((receiver, _)) = fastest.filter(|(_, fastest)| **fastest >= MIN_LIFT * capacity)
+        else {
+            continue;
+        };
+        let receiver = *receiver;
+        let piece = cut_out(map, key);
+        book.transfer(donor, receiver, heat);
+        map.reassign(piece, Some(receiver.clone()));
+        return true;
     }
+    false
+}
+
+/// Returns the load of the hottest key of each holder.
+fn heats(map: &Map, load: &Load) -> HashMap<Life, f64> {
+    let mut heats = HashMap::new();
+    for range in &map.ranges {
+        if let Some(holder) = &range.holder {
+            let heat = heats.entry(holder.clone()).or_insert(0.0_f64);
+            *heat = heat.max(load.hottest(range).1);
+        }
+    }
+    heats
+}
+
+/// Makes one key a range of its own, and returns its index.
+fn cut_out(map: &mut Map, key: u16) -> usize {
     map.cut_before(key);
     if key < u16::MAX {
         map.cut_before(key + 1);
     }
-    let piece = index_of(map, key);
-    *book.carried.entry(donor).or_default() -= heat;
-    *book.carried.entry(receiver).or_default() += heat;
-    map.reassign(piece, Some(receiver.clone()));
-    true
+    index_of(map, key)
 }
 
 /// Cuts a piece of the wanted load off one end of a range, the end where that
--- a/crates/ranges/tests/plan.rs
+++ b/crates/ranges/tests/plan.rs
@@ -191,3 +191,85 @@
     let (map, _) = settle(map, &mut weights, &candidates);
     assert_eq!(map.range(20_000).holder, Some(life("z-fast")));
 }
+
+/// Even load for all keys, and a single key that is asked for far more often
+/// than any upstream can serve.
+fn hot_key(key: u16, hot: usize, even: usize) -> Weights {
+    let mut weights = weights(0, even);
+    weights.record(std::iter::repeat_n(key, hot));
+    weights
+}
+
+/// Shares of the load of all keys but one, by upstream.
+fn usage_without(map: &Map, key: u16, weights: &mut Weights, candidates: &[Candidate]) -> Vec<f64> {
+    let load = weights.load(at(1), candidates.len());
+    let of = |candidate: &Candidate| {
+        let own = map
+            .ranges
+            .iter()
+            .filter(|range| range.holder.as_ref() == Some(&candidate.life));
+        let without = own.map(|range| {
+            let is_in = (range.from..=range.to).contains(&key);
+            load.of(range) - if is_in { load.between(key, key) } else { 0.0 }
+        });
+        without.sum::<f64>() / candidate.capacity_per_s
+    };
+    candidates.iter().map(of).collect()
+}
+
+/// A key that overloads its holder must not keep the others from being
+/// balanced: seen on a day of 107 upstreams, where three hot keys stopped all
+/// moves and the run beside them was refused for 20 s.
+#[test]
+fn a_key_that_nobody_can_serve_does_not_stop_the_balance_of_the_others() {
+    let candidates = candidates(14);
+    let (map, _) = settle(Map::unowned(), &mut weights(0, 3_000), &candidates);
+    let mut both = weights(1_300, 1_700);
+    both.record(std::iter::repeat_n(10_000, 2_000));
+    let (map, _) = settle(map, &mut both, &candidates);
+    let usage = usage_without(&map, 10_000, &mut both, &candidates);
+    let mean = usage.iter().sum::<f64>() / usage.len() as f64;
+    let most = usage.iter().copied().fold(0.0, f64::max);
+    assert!(most <= 1.6 * mean, "{usage:?}");
+}
+
+/// What lies beside a key that overloads its holder can be served elsewhere.
+#[test]
+fn the_neighbours_of_a_key_that_overloads_its_holder_leave_it() {
+    let candidates = candidates(14);
+    let (map, _) = settle(Map::unowned(), &mut weights(0, 3_000), &candidates);
+    let mut hot = hot_key(30_000, 2_000, 2_000);
+    let (map, _) = settle(map, &mut hot, &candidates);
+    let holder = map.range(30_000).holder.clone();
+    let load = hot.load(at(1), candidates.len());
+    let beside: f64 = map
+        .ranges
+        .iter()
+        .filter(|range| range.holder == holder && range.from != 30_000)
+        .map(|range| load.of(range))
+        .sum();
+    assert_eq!(map.range(30_000).to, 30_000, "{map:?}");
+    assert!(
+        beside < 0.1 * 40.0,
+        "{beside} requests/s beside the hot key"
+    );
+}
+
+#[test]
+fn hot_keys_of_several_holders_each_get_a_fast_upstream() {
+    let mut candidates = candidates(14);
+    for fast in [3, 7, 11] {
+        candidates[fast].capacity_per_s = 90.0;
+    }
+    let (map, _) = settle(Map::unowned(), &mut weights(0, 3_000), &candidates);
+    let mut hot = weights(0, 2_000);
+    for key in [10_000, 30_000, 50_000] {
+        hot.record(std::iter::repeat_n(key, 500));
+    }
+    let (map, _) = settle(map, &mut hot, &candidates);
+    let mut holders: Vec<_> = [10_000, 30_000, 50_000]
+        .map(|key| map.range(key).holder.clone().unwrap().upstream)
+        .to_vec();
+    holders.sort();
+    assert_eq!(holders, ["u03".into(), "u07".into(), "u11".into()]);
+}
