Calls between routers come from the router's own address

Cause: routers know each other by their addresses, but a call came from whichever the system chose. In the soak, where each router has a loopback address of its own, every call was refused as a stranger's: no relay was followed, and keepers were taken for idle. On a machine with two addresses the same would happen. Change: the store's client takes a local address; calls to routers use the one that the router registers. Ruled out: telling routers apart by name in the call, which anybody could send. Measured: a test of two routers at addresses of their own: the follower called the store once more for a change before, not at all after; tests of both crates green.

--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -102,6 +102,7 @@
         let log = Log::new(logger, settings.log, metrics.left_out());
         let duties = Duties::default();
         let book = Book::new(settings.return_time);
+        let peers = Peers::new(settings.peer.ip());
         Self {
             platform,
             settings,
@@ -121,7 +122,7 @@
             }),
             duties,
             relay: Relay::default(),
-            peers: Peers::default(),
+            peers,
             admitted: RefCell::default(),
             socket: RefCell::new(None),
             stopped: Cell::new(None),
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -79,12 +79,21 @@
 }
 
 /// Connections to other routers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Peers {
+    /// Own address, by which other routers know this one.
+    local: IpAddr,
     endpoints: RefCell<HashMap<SocketAddr, Rc<Endpoint>>>,
 }
 
 impl Peers {
+    pub(crate) fn new(local: IpAddr) -> Self {
+        Self {
+            local,
+            endpoints: RefCell::default(),
+        }
+    }
+
     fn endpoint(&self, address: SocketAddr) -> Rc<Endpoint> {
         let mut endpoints = self.endpoints.borrow_mut();
         let new = || {
@@ -92,6 +101,7 @@
                 .connect_timeout(CALL_TIMEOUT)
                 .timeout(HELD_CALL_TIMEOUT)
                 .max_idle_connections(2)
+                .local_address(self.local)
                 .build();
             Rc::new(Endpoint::new(address, settings))
         };
--- a/crates/edge/tests/control.rs
+++ b/crates/edge/tests/control.rs
@@ -87,6 +87,34 @@
     assert_eq!(store.feed_calls("router-2"), before);
 }
 
+/// Routers know each other by their addresses, so calls must come from there,
+/// also where the system would choose another one.
+#[tokio::test]
+async fn routers_at_addresses_of_their_own_know_each_other() {
+    let store = Store::default();
+    let server = Server::start("up-0").await;
+    store.register("sheets", &server);
+    store.configure(1, vec![route("/v1/", Repeat::Idempotent, "sheets")], &[]);
+    let mut routers = Vec::new();
+    for (last, size) in [(2, 500), (3, 100)] {
+        let name = format!("router-{last}");
+        let router = Router::start_with(&name, &store, |settings| {
+            settings.peer.set_ip([127, 0, 0, last].into());
+            settings.size = size;
+        });
+        router.ready().await;
+        routers.push(router);
+    }
+    // The first call may come before the relay has read the new router's row;
+    // then the relay is passed over for 3 s.
+    tokio::time::sleep(Duration::from_millis(4_500)).await;
+    let before = store.feed_calls("router-3");
+    store.configure(2, vec![route("/v2/", Repeat::Idempotent, "sheets")], &[]);
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert_eq!(status(&routers[1], "/v2/1", "r1").await, 200);
+    assert_eq!(store.feed_calls("router-3"), before);
+}
+
 #[tokio::test]
 async fn a_follower_whose_relay_is_killed_has_a_new_configuration_within_two_seconds() {
     let store = Store::default();
--- a/crates/store/src/endpoint.rs
+++ b/crates/store/src/endpoint.rs
@@ -1,5 +1,6 @@
 //! One address and the connections to it: whole answers within stated times.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -12,7 +13,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
 use crate::settings::Settings;
@@ -154,7 +155,8 @@
     }
 
     async fn establish(&self) -> Result<Connection, Kind> {
-        let stream = TcpStream::connect(self.address)
+        let stream = self
+            .open()
             .await
             .map_err(|error| Kind::Unreachable(error.to_string().into()))?;
         // Without these options, calls take longer but stay correct.
@@ -168,6 +170,19 @@
         Ok(sender)
     }
 
+    async fn open(&self) -> io::Result<TcpStream> {
+        let Some(local) = self.settings.local_address else {
+            return TcpStream::connect(self.address).await;
+        };
+        let socket = if self.address.is_ipv4() {
+            TcpSocket::new_v4()?
+        } else {
+            TcpSocket::new_v6()?
+        };
+        socket.bind(SocketAddr::new(local, 0))?;
+        socket.connect(self.address).await
+    }
+
     fn take_idle(&self) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.pop()
--- a/crates/store/src/settings.rs
+++ b/crates/store/src/settings.rs
@@ -1,5 +1,6 @@
 //! Limits of the calls to one service of the platform.
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 const CONNECT_TIMEOUT_MS: u64 = 500;
@@ -28,6 +29,7 @@
     pub(crate) max_body_bytes: usize,
     pub(crate) max_idle_connections: usize,
     pub(crate) silence: Duration,
+    pub(crate) local_address: Option<IpAddr>,
 }
 
 /// Builder of [`Settings`].
@@ -59,6 +61,7 @@
             max_body_bytes: MAX_BODY_BYTES,
             max_idle_connections: MAX_IDLE_CONNECTIONS,
             silence: Duration::from_millis(SILENCE_MS),
+            local_address: None,
         }
     }
 }
@@ -95,6 +98,13 @@
         self
     }
 
+    /// Sets the address that connections come from, for services that tell
+    /// callers apart by it. Without, the system chooses one.
+    pub fn local_address(mut self, address: IpAddr) -> Self {
+        self.settings.local_address = Some(address);
+        self
+    }
+
     /// Returns the settings.
     pub fn build(self) -> Settings {
         self.settings
