Counts of other routers cost what they name, not all upstreams

Each message about requests under way, 20 a second from each router of the data centre, wrote an entry for its sender at every upstream: 3,002 of them, and 60 entries to sum up at each. Change: only upstreams that a router names now or named last are touched, only counts above zero are kept, counts of routers that ended are swept. Beyond 32 neighbours the messages come less often, so that datagrams per second stay bounded. Ruled out: heartbeats in the feed (entries change only when more than a count does).

--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -55,6 +55,7 @@
     /// Starts of the requests that this router waits for, oldest first.
     starts: Vec<Instant>,
     last_answer: Instant,
+    /// Requests that other routers have under way here; none for the others.
     peers: IndexMap<Arc<str>, (u32, Instant)>,
     window: f64,
     leaving_since: Option<Instant>,
@@ -119,8 +120,18 @@
         self.in_flight() + peers.map(|(count, _)| count).sum::<u32>()
     }
 
+    /// Forgets counts of routers that have ended without taking them back.
+    pub(crate) fn sweep(&mut self, now: Instant) {
+        self.peers.retain(|_, (_, at)| now - *at < PEER_COUNT_AGE);
+    }
+
+    /// Notes what another router has under way here, 0 for nothing.
     pub(crate) fn hear(&mut self, router: &Arc<str>, count: u32, now: Instant) {
-        self.peers.insert(Arc::clone(router), (count, now));
+        if count == 0 {
+            self.peers.swap_remove(router);
+        } else {
+            self.peers.insert(Arc::clone(router), (count, now));
+        }
     }
 
     /// Share of the service time that a request waits which finds `load` others.
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -190,6 +190,9 @@
     notes: Vec<Note>,
     /// Share of the requests that a holder can serve, and what is saved up.
     shares: IndexMap<Arc<str>, (f32, f32)>,
+    /// Upstreams that each other router named last. Only these are looked at
+    /// when it speaks again: there may be thousands of others.
+    named: IndexMap<Arc<str>, Vec<Arc<str>>>,
 }
 
 /// Change of the trust in an upstream.
@@ -217,6 +220,7 @@
             blocks: Vec::new(),
             notes: Vec::new(),
             shares: IndexMap::new(),
+            named: IndexMap::new(),
         }
     }
 
@@ -276,14 +280,21 @@
         counts: impl Iterator<Item = (&'a str, u32)>,
         now: Instant,
     ) {
-        for member in self.members.values_mut() {
-            member.hear(router, 0, now);
+        for upstream in self.named.swap_remove(router).unwrap_or_default() {
+            if let Some(member) = self.members.get_mut(&upstream) {
+                member.hear(router, 0, now);
+            }
         }
+        let mut named = Vec::new();
         for (upstream, count) in counts {
             if let Some(member) = self.members.get_mut(upstream) {
                 member.hear(router, count, now);
+                named.push(Arc::clone(&member.upstream.id));
             }
         }
+        if !named.is_empty() {
+            self.named.insert(Arc::clone(router), named);
+        }
     }
 
     /// Returns the requests under way at each upstream that has some.
@@ -406,6 +417,9 @@
     /// Forgets what is too old to matter. To be called about once a second.
     pub fn sweep(&mut self, now: Instant) {
         self.answers.retain(|at| now - *at < RATE_SPAN);
+        self.members
+            .values_mut()
+            .for_each(|member| member.sweep(now));
     }
 }
 
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrassrock_dispatch::service::{Reason, Report, Service, Step};
@@ -154,3 +155,32 @@
         "its route allows two runs"
     );
 }
+
+/// Each message names all upstreams at which its sender has requests under way,
+/// so one that it doesn't name any more has none.
+#[test]
+fn an_upstream_that_another_router_no_longer_names_has_room_again() {
+    let mut service = service(&[upstream("one", NEAR, 2), upstream("two", NEAR, 2)]);
+    let router = "router-2".into();
+    service.hear(&router, [("one", 9), ("two", 9)].into_iter(), at(0));
+    assert_eq!(service.admit(request(1, None, 1), at(1)), Step::Wait);
+    service.hear(&router, [("two", 9)].into_iter(), at(50));
+    let done = service.poll(at(51));
+    assert_eq!(sent_to(&done[0].1), Some("one"));
+}
+
+/// A new life of an upstream begins without the requests of the old one.
+#[test]
+fn what_another_router_said_of_an_earlier_life_is_forgotten() {
+    let mut service = service(&[upstream("one", NEAR, 2)]);
+    let router = "router-2".into();
+    service.hear(&router, [("one", 2)].into_iter(), at(0));
+    let mut again = Arc::unwrap_or_clone(upstream("one", NEAR, 2));
+    again.incarnation += 1;
+    service.set_upstreams(vec![Arc::new(again)], at(10));
+    let step = service.admit(request(1, None, 11), at(11));
+    assert_eq!(sent_to(&step), Some("one"));
+    service.hear(&router, std::iter::empty(), at(50));
+    let step = service.admit(request(2, None, 51), at(51));
+    assert_eq!(sent_to(&step), Some("one"));
+}
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -17,8 +17,10 @@
 use crate::node::Node;
 use crate::seam::Platform;
 
-/// Time between two messages: a fraction of the time for one request.
+/// Time between two messages, for every so many routers of the data centre: a
+/// fraction of the time for one request, and a bounded number of datagrams.
 const INTERVAL: Duration = Duration::from_millis(50);
+const NEIGHBOURS_PER_INTERVAL: usize = 32;
 /// Time between two messages about keys, for every so many routers: a keeper
 /// hears from all of them.
 const KEYS_INTERVAL: Duration = Duration::from_millis(100);
@@ -52,7 +54,9 @@
     let mut was_empty = true;
     let mut keys_due = clock::now();
     loop {
-        sleep(INTERVAL).await;
+        let neighbours = neighbours(&node);
+        let crowd = neighbours.len() / NEIGHBOURS_PER_INTERVAL;
+        sleep(INTERVAL * (crowd as u32 + 1)).await;
         if clock::now() >= keys_due {
             tell_keys(&node, &socket);
             let crowd = node.state.borrow().routers.len() as u32 / ROUTERS_PER_INTERVAL;
@@ -68,9 +72,9 @@
             counts,
         });
         if let Ok(bytes) = postcard::to_allocvec(&message) {
-            for address in neighbours(&node) {
+            for address in &neighbours {
                 // The next message makes up for one that isn't sent.
-                let _ = socket.try_send_to(&bytes, address);
+                let _ = socket.try_send_to(&bytes, *address);
             }
         }
     }
