Soak: denser faults, restarts under a name, and bounds of the moment

Change: half of the upstreams hold keys, requests take 80 ms, a fault comes every 0.6 s on average; an upstream may restart under its name or mix up answers; drains and configurations are excused only by faults of the last 3 s; one fault at a time replaces an upstream (two lives under one name ran beside each other, a fault of the soak that looked like two holders).

--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -47,8 +47,11 @@
         )
         .arg(number("seconds", "20", "Seconds of each run in which faults come"))
         .arg(number("routers", "4", "Routers of each run, each a process"))
-        .arg(number("upstreams", "12", "Upstreams of each run"))
-        .arg(number("callers", "6", "Callers of each router"))
+        .arg(
+            number("upstreams", "12", "Upstreams of each run, at least 6: each service has some")
+                .value_parser(value_parser!(u64).range(6..)),
+        )
+        .arg(number("callers", "10", "Callers of each router"))
         .arg(number("parallel", "1", "Runs at the same time"))
         .arg(
             Arg::new("program")
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -323,7 +323,7 @@
             state.violate(at, Promise::Asked, what);
             return;
         };
-        state.check_route(at, now, id, path, upstream, service);
+        state.check_route(at, id, path, upstream, service);
         let request = state.requests.get_mut(id).expect("it was just found");
         request.runs.push(Run {
             upstream,
@@ -376,7 +376,7 @@
             Subject::Upstream(upstream),
             Subject::Store,
         ];
-        if !state.is_disturbed(&subjects, left, now) {
+        if !state.is_disturbed(&subjects, now, now) {
             let late = now - left;
             let what = format!("{id:?} reached upstream {upstream} {late:?} after it left");
             state.violate(at, Promise::Drain, what);
@@ -541,15 +541,7 @@
 
     /// Checks whether the service is one that some configuration names, and
     /// the newest one if that has applied long enough.
-    fn check_route(
-        &mut self,
-        at: Duration,
-        now: Instant,
-        id: &str,
-        path: &str,
-        upstream: usize,
-        service: &str,
-    ) {
+    fn check_route(&mut self, at: Duration, id: &str, path: &str, upstream: usize, service: &str) {
         let request = &self.requests[id];
         let (sent, router) = (request.at, request.asked.router);
         let prefix = self
@@ -569,7 +561,7 @@
         let is_old = !allowed.iter().any(|(_, allowed)| **allowed == *service);
         let since = allowed[0].0;
         let subjects = [Subject::Router(router), Subject::Store];
-        if is_old && !self.is_disturbed(&subjects, since, now) {
+        if is_old && !self.is_disturbed(&subjects, sent, sent) {
             let what = format!(
                 "{id} ran at {service} {:?} after that changed",
                 sent - since
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -61,13 +61,29 @@
 }
 
 /// All services, and whether their keys are divided.
-pub(crate) fn services() -> impl Iterator<Item = (&'static str, bool)> {
+fn services() -> impl Iterator<Item = (&'static str, bool)> {
     Kind::ALL.into_iter().flat_map(|kind| {
         let services = kind.services().iter();
         services.map(move |service| (*service, kind.is_keyed()))
     })
 }
 
+/// Returns the service of an upstream, and whether its keys are divided. Of six
+/// upstreams three hold keys, so that there is always one to take them over.
+pub(crate) fn service_of(upstream: usize) -> (&'static str, bool) {
+    let kinds = [
+        Kind::Preview,
+        Kind::Read,
+        Kind::Preview,
+        Kind::Issue,
+        Kind::Preview,
+        Kind::Read,
+    ];
+    let kind = kinds[upstream % kinds.len()];
+    let services = kind.services();
+    (services[upstream / 3 % services.len()], kind.is_keyed())
+}
+
 /// Returns the configuration of a version, and the service of each prefix.
 pub(crate) fn directory(version: u64) -> (Directory, Vec<(&'static str, &'static str)>) {
     let chosen = Kind::ALL.map(|kind| {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -35,8 +35,9 @@
 const WARM: Duration = Duration::from_secs(3);
 /// Time after which the entry of an upstream that gives no sign is removed.
 const LAPSE: Duration = Duration::from_millis(2_600);
-/// Time for which an upstream serves after it has said that it leaves.
-const DRAIN: Duration = Duration::from_millis(2_400);
+/// Time for which an upstream serves after it has said that it leaves: longer
+/// than routers may send to it.
+const DRAIN: Duration = Duration::from_millis(5_000);
 /// Pause before a replacement of an upstream that died.
 const REPLACE_PAUSE: Duration = Duration::from_millis(800);
 /// Share of the calls whose answer the store loses, or that take effect late.
@@ -181,9 +182,8 @@
             lags: AtomicU32::new(0),
         };
         fleet.configure();
-        let services: Vec<(&str, bool)> = plan::services().collect();
         for slot in 0..plan.upstreams {
-            let (service, is_keyed) = services[slot % services.len()];
+            let (service, is_keyed) = plan::service_of(slot);
             let service = service.into();
             let current = Mutex::new(fleet.begin(&service, is_keyed, None).await?);
             fleet.slots.push(Slot {
@@ -237,7 +237,11 @@
         current.unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn replace(&self, slot: usize, name: Option<String>) {
+    /// Starts the next life of an upstream, unless another fault has done so.
+    async fn replace(&self, slot: usize, ended: &Server, name: Option<String>) {
+        if self.slot(slot).0.life != ended.life {
+            return;
+        }
         let (service, is_keyed) = (&self.slots[slot].service, self.slots[slot].is_keyed);
         match self.begin(service, is_keyed, name).await {
             Ok(current) => *self.slot(slot) = current,
@@ -352,12 +356,14 @@
     async fn strike(&self, slot: usize, blow: Blow, span: Duration) {
         let (server, proxy) = self.slot(slot).clone();
         let subject = Subject::Upstream(server.life);
-        self.ledger.disturb(subject, span);
+        if blow != Blow::Leaves {
+            self.ledger.disturb(subject, span);
+        }
         match blow {
             Blow::Dies => {
                 server.end();
                 sleep(REPLACE_PAUSE).await;
-                self.replace(slot, None).await;
+                self.replace(slot, &server, None).await;
                 sleep(LAPSE - REPLACE_PAUSE).await;
                 self.store.unregister(&server.id);
                 self.ledger.leave(server.life);
@@ -365,12 +371,12 @@
             Blow::Restarts => {
                 server.end();
                 sleep(REPLACE_PAUSE).await;
-                self.replace(slot, Some(server.id.clone())).await;
+                self.replace(slot, &server, Some(server.id.clone())).await;
             }
             Blow::Leaves => {
                 self.store.register(&entry(&server, &proxy, true));
                 self.ledger.leave(server.life);
-                self.replace(slot, None).await;
+                self.replace(slot, &server, None).await;
                 sleep(DRAIN).await;
                 server.end();
                 self.store.unregister(&server.id);
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -11,7 +11,7 @@
 const MAX_FAULT: Duration = Duration::from_millis(5_000);
 const MIN_FAULT: Duration = Duration::from_millis(200);
 /// Mean time between two faults.
-const MEAN_GAP: Duration = Duration::from_millis(900);
+const MEAN_GAP: Duration = Duration::from_millis(600);
 /// Share of faults that come in a series on the same subject.
 const SERIES_SHARE: f64 = 0.2;
 
@@ -180,7 +180,7 @@
 fn fault(random: &mut ChaCha8Rng, routers: usize, upstreams: usize) -> Fault {
     let router = random.random_range(0..routers);
     let upstream = random.random_range(0..upstreams);
-    match random.random_range(0..20) {
+    match random.random_range(0..24) {
         0 | 1 => Fault::Kill(router),
         2 => Fault::KillAll,
         3 | 4 => Fault::Pause(router),
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -27,7 +27,7 @@
 /// Requests that wait for a slot.
 const QUEUE: usize = 4;
 /// Time of one request.
-const WORK: Duration = Duration::from_millis(30);
+const WORK: Duration = Duration::from_millis(80);
 /// Additional time while it is slow.
 const SLOW: Duration = Duration::from_millis(400);
 /// Share of requests that it fails, or whose answers it loses, when told to.
