The daemon's modules in folders that follow a request, without a circle

Cause: 39 files in one folder, six of which imported each other in a circle, many named by metaphors; a newcomer couldn't tell what a file was for. Change: front (acceptor, service, routing, queued), exchange (requests and answers as HTTP carries them), upstream, peer, control (adapters of the decision machines and what carries out their actions), admin, bundles. Scheduler, ownership, membership, recorder, sender, origin in place of desk, keeper, mesh, account, post, door. The end handlers of relayed bodies stand beside the relay, which breaks the circle. Behaviour unchanged. Ruled out: a trait between the daemon's platform and its decisions: the product's own protocol has one implementation, and the users' platform came in as edge::seam.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -19,20 +19,22 @@
 use tokio::time::timeout;
 use {eelgrassrock_ownership as ownership, eelgrassrock_request as request};
 
-use crate::account::{Account, State};
+use crate::admin::recorder::{Recorder, State};
+use crate::admin::status;
+use crate::bundles::Bundles;
 use crate::clock::Clock;
-use crate::desk::Desk;
-use crate::errands::spawn_forever;
-use crate::keeper::Keeper;
-use crate::links::Links;
-use crate::load::Meter;
-use crate::mesh::Mesh;
+use crate::control::effects::{self, spawn_forever};
+use crate::control::membership::Membership;
+use crate::control::news;
+use crate::control::ownership::Ownership;
+use crate::control::scheduler::Scheduler;
+use crate::front::acceptor::{Limits, Server};
+use crate::front::service;
 use crate::node::Node;
-use crate::peer::{Inbox, InboxError, Port};
-use crate::post::Post;
-use crate::server::{Limits, Server};
-use crate::store::Store;
-use crate::{admin, chores, doors, errands, hop};
+use crate::peer::sender::Sender;
+use crate::peer::{Inbox, InboxError, Port, hop};
+use crate::upstream::links::Links;
+use crate::upstream::load::Meter;
 
 /// Most connections of the ports for routers and for operators, each.
 const INNER_CONNECTIONS: usize = 4_096;
@@ -141,11 +143,11 @@
         let (stop_inner, inner_stop) = watch::channel(false);
         let mut servers = tokio::task::JoinSet::new();
         let shared = Arc::clone(&node);
-        servers.spawn(callers.run(shared, doors::answer_caller, callers_stop));
+        servers.spawn(callers.run(shared, service::answer_caller, callers_stop));
         let shared = Arc::clone(&node);
-        servers.spawn(routers.run(shared, doors::answer_router, inner_stop.clone()));
+        servers.spawn(routers.run(shared, service::answer_router, inner_stop.clone()));
         let shared = Arc::clone(&node);
-        servers.spawn(operators.run(shared, admin::answer, inner_stop));
+        servers.spawn(operators.run(shared, status::answer, inner_stop));
         Ok(Self {
             node,
             servers,
@@ -167,27 +169,27 @@
             stopped: Stopped,
             cut_off: usize,
         }
-        let cut_off = self.node.desk.snapshot().requests;
+        let cut_off = self.node.scheduler.snapshot().requests;
         self.node
             .logger
             .decide("stopped", &Line { stopped, cut_off });
         self.node.logger.flush();
-        self.node.account.cut_off(cut_off);
-        self.node.account.flush();
+        self.node.recorder.cut_off(cut_off);
+        self.node.recorder.flush();
         stopped
     }
 
     async fn drain(&mut self) {
         let node = Arc::clone(&self.node);
         node.draining.send_replace(true);
-        node.keeper.step(ownership::Event::Drain);
+        node.ownership.step(ownership::Event::Drain);
         let mut handed_over = node.handed_over.subscribe();
         // The sender lives as long as the node.
         let _ = handed_over.wait_for(|done| *done).await;
         self.stop_callers.send_replace(true);
         self.wait_for_callers().await;
-        node.desk.step(request::Event::Drain, None);
-        node.mesh.step_member(member::Event::Drain);
+        node.scheduler.step(request::Event::Drain, None);
+        node.membership.step_member(member::Event::Drain);
         self.stop_inner.send_replace(true);
         while self.servers.join_next().await.is_some() {}
     }
@@ -235,14 +237,14 @@
         .map_err(StartError::Secret)?;
     let logger = Logger::new(&settings.log).map_err(StartError::Log)?;
     let metrics = Metrics::new(&settings.metrics).map_err(StartError::Metrics)?;
-    let account = Arc::new(Account::new(metrics));
+    let recorder = Arc::new(Recorder::new(metrics));
     let name = settings.router.name.clone();
     let data_centre = settings.router.data_centre.clone();
     let address = settings.listen.peers;
     let seed = rand::rng().next_u64();
-    let (keeper, actions) = Keeper::new(clock, ownership_settings(&settings, seed));
-    let (desk, errand_queue) = Desk::new(clock, request_settings(&settings, seed));
-    let (mesh, chore_queue) = Mesh::new(
+    let (ownership, actions) = Ownership::new(clock, ownership_settings(&settings, seed));
+    let (scheduler, request_commands) = Scheduler::new(clock, request_settings(&settings, seed));
+    let (membership, membership_commands) = Membership::new(
         clock,
         member::Settings::builder(name.clone(), data_centre.clone(), address)
             .incarnation(incarnation())
@@ -255,15 +257,15 @@
     let node = Arc::new(Node {
         clock,
         logger,
-        account: Arc::clone(&account),
+        recorder: Arc::clone(&recorder),
         body_limit: usize::try_from(settings.limits.body_bytes).unwrap_or(usize::MAX),
         hop_token: secret.token(hop::TOKEN_PURPOSE),
-        keeper: Arc::new(keeper),
-        desk: Arc::new(desk),
-        mesh,
+        ownership: Arc::new(ownership),
+        scheduler: Arc::new(scheduler),
+        membership,
         links: Links::default(),
-        post: Post::new(name, address, secret, port, account),
-        store: Store::default(),
+        sender: Sender::new(name, address, secret, port, recorder),
+        bundles: Bundles::default(),
         meter: Arc::new(Meter::default()),
         table: table::Client::new(endpoints.table, platform::Settings::default()),
         objects: objects::Client::new(endpoints.objects, platform::Settings::default()),
@@ -274,14 +276,14 @@
         settings,
     });
     start_tasks(&node, inbox);
-    spawn_forever(errands::run_ownership(Arc::clone(&node), actions));
-    spawn_forever(errands::run_requests(Arc::clone(&node), errand_queue));
-    spawn_forever(chores::run(Arc::clone(&node), chore_queue));
+    spawn_forever(effects::run_ownership(Arc::clone(&node), actions));
+    spawn_forever(effects::run_requests(Arc::clone(&node), request_commands));
+    spawn_forever(news::run(Arc::clone(&node), membership_commands));
     // A router that is alone never sees a change of its members.
-    chores::change_members(&node, &node.mesh.live());
-    node.mesh.step_member(member::Event::Tick);
-    node.mesh.step_adoption(adoption::Event::Tick);
-    node.keeper.step(ownership::Event::Tick);
+    news::change_members(&node, &node.membership.live());
+    node.membership.step_member(member::Event::Tick);
+    node.membership.step_adoption(adoption::Event::Tick);
+    node.ownership.step(ownership::Event::Tick);
     Ok(node)
 }
 
@@ -317,14 +319,14 @@
 }
 
 fn start_tasks(node: &Arc<Node>, inbox: Inbox) {
-    spawn_forever(Arc::clone(&node.keeper).run_timers());
+    spawn_forever(Arc::clone(&node.ownership).run_timers());
     let shared = Arc::clone(node);
-    spawn_forever(async move { shared.desk.run_timers().await });
+    spawn_forever(async move { shared.scheduler.run_timers().await });
     let shared = Arc::clone(node);
-    spawn_forever(async move { shared.mesh.run_member_timers().await });
+    spawn_forever(async move { shared.membership.run_member_timers().await });
     let shared = Arc::clone(node);
-    spawn_forever(async move { shared.mesh.run_adoption_timers().await });
-    spawn_forever(errands::watch_grants(Arc::clone(node)));
+    spawn_forever(async move { shared.membership.run_adoption_timers().await });
+    spawn_forever(effects::watch_grants(Arc::clone(node)));
     spawn_forever(receive_datagrams(Arc::clone(node)));
     spawn_forever(receive_messages(Arc::clone(node), inbox));
     spawn_forever(report_load(Arc::clone(node)));
@@ -335,7 +337,7 @@
 
 async fn receive_datagrams(node: Arc<Node>) {
     loop {
-        if let Ok((bytes, _)) = node.post.receive_datagram().await {
+        if let Ok((bytes, _)) = node.sender.receive_datagram().await {
             take(&node, &bytes);
         }
     }
@@ -352,10 +354,10 @@
     struct Line {
         reason: String,
     }
-    match node.post.open(bytes) {
-        Ok(frame) => chores::receive(node, frame.sender, frame.body),
+    match node.sender.open(bytes) {
+        Ok(frame) => news::receive(node, frame.sender, frame.body),
         Err(fault) => {
-            node.account.count(metrics::Counter::PeerRefused);
+            node.recorder.count(metrics::Counter::PeerRefused);
             node.logger.log(
                 log::Level::Warn,
                 "frame",
@@ -371,7 +373,7 @@
     loop {
         tokio::time::sleep(LOAD_PERIOD).await;
         let load = node.meter.take(LOAD_PERIOD);
-        node.keeper.step(ownership::Event::Load(load));
+        node.ownership.step(ownership::Event::Load(load));
     }
 }
 
@@ -381,7 +383,8 @@
     loop {
         let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let unix = unix.unwrap_or_default();
-        node.desk.step(request::Event::TimeOfDay { unix }, None);
+        node.scheduler
+            .step(request::Event::TimeOfDay { unix }, None);
         tokio::time::sleep(TIME_OF_DAY_PERIOD).await;
     }
 }
@@ -389,14 +392,14 @@
 async fn flush_metrics(node: Arc<Node>) {
     loop {
         tokio::time::sleep(METRICS_PERIOD).await;
-        node.account.report(&State {
-            requests: node.desk.snapshot(),
-            homes: node.keeper.grants().len(),
-            peers: node.mesh.live().len(),
+        node.recorder.report(&State {
+            requests: node.scheduler.snapshot(),
+            homes: node.ownership.grants().len(),
+            peers: node.membership.live().len(),
             bundle: node.bundle().map_or(0, |bundle| bundle.version().0),
             now: node.clock.now(),
         });
-        node.account.flush();
+        node.recorder.flush();
     }
 }
 
@@ -411,7 +414,7 @@
 
 fn vms_period(node: &Node) -> Duration {
     let here = &node.settings.router.data_centre;
-    let live = node.mesh.live();
+    let live = node.membership.live();
     let count = live.iter().filter(|live| live.data_centre == *here).count();
     let count = u32::try_from(count).unwrap_or(u32::MAX);
     VMS_PERIOD * count.div_ceil(VMS_READERS).max(1)
@@ -433,6 +436,6 @@
             vms::Role::Upstream(_) => {}
         }
     }
-    node.mesh.step_member(member::Event::List(routers));
-    node.keeper.step(ownership::Event::Leaving(leaving));
+    node.membership.step_member(member::Event::List(routers));
+    node.ownership.step(ownership::Event::Leaving(leaving));
 }
--- /dev/null
+++ b/crates/daemon/src/exchange/mod.rs
@@ -0,0 +1,10 @@
+//! Requests and answers as HTTP carries them.
+
+pub(crate) mod body;
+pub(crate) mod header;
+pub(crate) mod inbound;
+pub(crate) mod problem;
+pub(crate) mod reason;
+pub(crate) mod recorded;
+pub(crate) mod relay;
+pub(crate) mod request_id;
--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/exchange/relay.rs
@@ -1,12 +1,17 @@
-//! Bodies of answers: whole ones that the router made, and relayed ones that
-//! stream from the next machine.
+//! Bodies that stream from the next machine, and what is told of their end.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use eelgrassrock_request::{Answer, Event, Id, Stored};
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 
+use crate::control::scheduler::Scheduler;
+use crate::upstream::link::Lease;
+use crate::upstream::load::Charge;
+
 /// How a relayed body ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum End {
@@ -88,53 +93,57 @@
     }
 }
 
-/// Body of an answer to a caller or to an entry router.
-pub(crate) enum Body {
-    /// Made by this router.
-    Whole(Option<Bytes>),
-    /// From an upstream of which this router is home.
-    Upstream(Relay<crate::attempt::Exchange>),
-    /// From a home router.
-    Home(Relay<crate::hop::Exchange>),
+/// Exchange with an upstream whose answer streams.
+pub(crate) struct FromUpstream {
+    pub(crate) scheduler: Arc<Scheduler>,
+    pub(crate) request: Id,
+    pub(crate) attempt: u32,
+    pub(crate) status: u16,
+    pub(crate) lease: Lease,
+    /// Measurement of the slot, which ends with the answer.
+    #[expect(dead_code, reason = "its drop ends the measurement")]
+    pub(crate) charge: Charge,
 }
 
-impl Body {
-    /// Creates a body from bytes.
-    pub(crate) fn whole(bytes: Bytes) -> Self {
-        Self::Whole(if bytes.is_empty() { None } else { Some(bytes) })
+impl Watch for FromUpstream {
+    fn ended(self, end: End) {
+        let answer = match end {
+            End::Whole => {
+                self.lease.release();
+                Answer::Done(Stored {
+                    status: self.status,
+                    content: None,
+                })
+            }
+            End::Broken => Answer::Broken,
+            End::Abandoned => {
+                self.scheduler.step(
+                    Event::Left {
+                        request: self.request,
+                    },
+                    None,
+                );
+                Answer::Broken
+            }
+        };
+        let event = Event::Answered {
+            request: self.request,
+            attempt: self.attempt,
+            answer,
+        };
+        self.scheduler.step(event, None);
     }
 }
 
-impl HttpBody for Body {
-    type Data = Bytes;
-    type Error = hyper::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        match &mut *self {
-            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Upstream(relay) => Pin::new(relay).poll_frame(cx),
-            Self::Home(relay) => Pin::new(relay).poll_frame(cx),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Whole(bytes) => bytes.is_none(),
-            Self::Upstream(relay) => relay.is_end_stream(),
-            Self::Home(relay) => relay.is_end_stream(),
-        }
-    }
+/// Exchange with a home router whose answer streams.
+pub(crate) struct FromHome {
+    pub(crate) lease: Lease,
+}
 
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
-            Self::Upstream(relay) => relay.size_hint(),
-            Self::Home(relay) => relay.size_hint(),
+impl Watch for FromHome {
+    fn ended(self, end: End) {
+        if end == End::Whole {
+            self.lease.release();
         }
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,41 +3,23 @@
 //! `eelgrassrock-ownership`, `eelgrassrock-request` and
 //! `eelgrassrock-membership` decide; this crate turns sockets and timers into
 //! their events, and their actions into I/O.
+//!
+//! A request comes in at `front`, is described by `exchange`, and goes to an
+//! `upstream` or, over a `peer`, to the router that is home of its upstream.
+//! `control` holds the adapters of the decision machines, and `node` what all
+//! share.
 
-mod account;
 mod admin;
-mod alarm;
-mod attempt;
-mod body;
-mod chores;
+mod bundles;
 mod clock;
+mod control;
 mod daemon;
-mod desk;
-mod doors;
-mod errands;
+mod exchange;
 mod flags;
-mod header;
-mod hold;
-mod hop;
-mod inbound;
-mod judge;
-mod keeper;
-mod kept;
-mod link;
-mod links;
-mod load;
-mod mesh;
-mod message;
+mod front;
 mod node;
-mod orders;
 mod peer;
-mod post;
-mod problem;
-mod reason;
-mod request_id;
-mod serve;
-mod server;
-mod store;
+mod upstream;
 
 pub use daemon::{Daemon, StartError, Stopped};
 pub use flags::{Flags, command};
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,15 +10,15 @@
 use eelgrassrock_wire::Token;
 use tokio::sync::watch;
 
-use crate::account::Account;
+use crate::admin::recorder::Recorder;
+use crate::bundles::Bundles;
 use crate::clock::Clock;
-use crate::desk::Desk;
-use crate::keeper::Keeper;
-use crate::links::Links;
-use crate::load::Meter;
-use crate::mesh::Mesh;
-use crate::post::Post;
-use crate::store::Store;
+use crate::control::membership::Membership;
+use crate::control::ownership::Ownership;
+use crate::control::scheduler::Scheduler;
+use crate::peer::sender::Sender;
+use crate::upstream::links::Links;
+use crate::upstream::load::Meter;
 
 /// State that all tasks of the daemon share.
 pub(crate) struct Node {
@@ -29,23 +29,23 @@
     /// Log.
     pub(crate) logger: Logger,
     /// Metrics.
-    pub(crate) account: Arc<Account>,
+    pub(crate) recorder: Arc<Recorder>,
     /// Longest body of a request, in bytes.
     pub(crate) body_limit: usize,
     /// Credential for hops.
     pub(crate) hop_token: Token,
     /// Ownership.
-    pub(crate) keeper: Arc<Keeper>,
+    pub(crate) ownership: Arc<Ownership>,
     /// Requests.
-    pub(crate) desk: Arc<Desk>,
+    pub(crate) scheduler: Arc<Scheduler>,
     /// Members, news and bundles.
-    pub(crate) mesh: Mesh,
+    pub(crate) membership: Membership,
     /// Connections.
     pub(crate) links: Links,
     /// Messages to other routers.
-    pub(crate) post: Post,
+    pub(crate) sender: Sender,
     /// Contents of bundles.
-    pub(crate) store: Store,
+    pub(crate) bundles: Bundles,
     /// Busy time per shard.
     pub(crate) meter: Arc<Meter>,
     /// The platform's table.
@@ -76,7 +76,7 @@
         let started = self.clock.now();
         let read = self.table.read(key).await;
         let now = self.clock.now();
-        self.account.read(read.is_ok(), now - started, now);
+        self.recorder.read(read.is_ok(), now - started, now);
         read
     }
 
@@ -85,7 +85,7 @@
         let started = self.clock.now();
         let scanned = self.table.scan(prefix).await;
         let now = self.clock.now();
-        self.account.read(scanned.is_ok(), now - started, now);
+        self.recorder.read(scanned.is_ok(), now - started, now);
         scanned
     }
 
@@ -99,7 +99,7 @@
         let started = self.clock.now();
         let page = self.table.page(prefix, after, limit).await;
         let now = self.clock.now();
-        self.account.read(page.is_ok(), now - started, now);
+        self.recorder.read(page.is_ok(), now - started, now);
         page
     }
 
@@ -108,7 +108,7 @@
         let started = self.clock.now();
         let outcome = self.table.write(transaction).await;
         let now = self.clock.now();
-        self.account.wrote(&outcome, now - started, now);
+        self.recorder.wrote(&outcome, now - started, now);
         outcome
     }
 
