A read leaves a silent holder once another upstream has its key

Change: while a read with a key waits, the router looks every 100 ms whether another upstream holds the key; then the send counts as silent and the read goes to that one, if attempts, budget and time allow. What must not repeat waits as before. Ruled out: sending on earlier: until the grant has run out nobody else has the key.

--- a/crates/dispatch/src/service/choice.rs
+++ b/crates/dispatch/src/service/choice.rs
@@ -120,6 +120,16 @@
         self.span(key?)?.holder.as_ref()
     }
 
+    /// Whether another upstream than this one holds a key now. Whatever this one
+    /// was sent for it has ended by then, or never will be answered.
+    ///
+    /// Load answered: holders that fall silent with requests under way, whose
+    /// callers can still be served by the next holder.
+    pub fn has_moved(&self, key: u16, upstream: &str) -> bool {
+        self.holder(Some(key))
+            .is_some_and(|holder| **holder != *upstream)
+    }
+
     pub(super) fn span(&self, key: u16) -> Option<&Span> {
         let spans = self.spans.as_ref()?;
         let index = spans.partition_point(|span| span.to < key);
--- a/crates/edge/src/request/race.rs
+++ b/crates/edge/src/request/race.rs
@@ -3,6 +3,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use eelgrassrock_dispatch::directory::Repeat;
 use eelgrassrock_dispatch::service::{Report, Step};
@@ -15,6 +16,10 @@
 use crate::node::Node;
 use crate::seam::Platform;
 
+/// Time between two looks whether the key of a request has another holder: a
+/// small part of the time for which a lost holder keeps its keys.
+const MOVED_POLL: Duration = Duration::from_millis(100);
+
 /// End of a send, or of two.
 pub(super) struct Race<P: Platform> {
     pub(super) end: Exchange,
@@ -36,6 +41,7 @@
         Repeat::Once => None,
     };
     let spare = job.message.copy();
+    let is_repeatable = job.message.is_repeatable();
     let left = job.work.give_up - first.started;
     let asked = Arc::clone(&first.upstream);
     let mut one = pin!(exchange(node, &asked, &mut job.message, &job.head, left));
@@ -45,7 +51,20 @@
         other: None,
     };
     let (Some(delay), Some(mut spare)) = (delay, spare) else {
-        return alone(one.await, first);
+        let work = &job.work;
+        let may_go_on = job.route.repeat == Repeat::Idempotent
+            && is_repeatable
+            && work.runs + 1 < work.max_attempts;
+        let end = match work.key.filter(|_| may_go_on) {
+            Some(key) => tokio::select! {
+                end = &mut one => end,
+                () = moved(node, &job.service, key, &asked.id) => {
+                    Exchange::None(Report::Silent)
+                }
+            },
+            None => one.await,
+        };
+        return alone(end, first);
     };
     tokio::select! {
         end = &mut one => return alone(end, first),
@@ -90,6 +109,18 @@
     }
 }
 
+/// Waits until another upstream holds a key.
+async fn moved<P: Platform>(node: &Rc<Node<P>>, service: &Arc<str>, key: u16, upstream: &str) {
+    loop {
+        sleep(MOVED_POLL).await;
+        let state = node.state.borrow();
+        let service = state.services.get(service);
+        if service.is_some_and(|service| service.has_moved(key, upstream)) {
+            return;
+        }
+    }
+}
+
 pub(super) fn report_of(end: &Exchange) -> Report {
     match end {
         Exchange::Answer(response) => Report::Answered {
--- a/crates/edge/tests/control.rs
+++ b/crates/edge/tests/control.rs
@@ -192,6 +192,37 @@
     }
 }
 
+/// Incident inc-f368: requests waited for silent holders until their time was
+/// over, long after their keys had gone to others.
+#[tokio::test]
+async fn a_read_leaves_a_silent_holder_once_another_one_has_its_key() {
+    let store = Store::default();
+    let (servers, routers) = keyed(&store, 1).await;
+    eventually("the grants", || {
+        servers.iter().any(|server| server.holds(7))
+    })
+    .await;
+    let mut patient = route("/read/", Repeat::Idempotent, "sheets");
+    patient.timeout = Some(Duration::from_secs(6));
+    store.configure(2, vec![patient], &["sheets"]);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let holder = servers.iter().position(|server| server.holds(7)).unwrap();
+    servers[holder].next(&[Act::Answer(60_000)]);
+    let silent = servers[holder].id.clone();
+    let lost = store.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        lost.unregister(&silent);
+    });
+    // The keys of a lost holder are away for its grant of 3 s.
+    let mut request = get("/read/1", HOST, "k1", 6_000);
+    request.headers_mut().insert("x-key", 7.into());
+    let answer = send(routers[0].settings.front, request).await.unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(servers[holder].runs("k1"), 1);
+    assert_eq!(servers[1 - holder].runs("k1"), 1);
+}
+
 #[tokio::test]
 async fn no_key_lapses_when_the_keeper_is_killed() {
     let store = Store::default();
