--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -22,7 +22,7 @@
 use crate::plan::{self, Plan};
 use crate::proxy::Proxy;
 use crate::router::{RESTART_PAUSE, Router};
-use crate::schedule::{Blow, Event, Fault, Harm, Link, Trouble};
+use crate::schedule::{Degradation, Event, Failure, Fault, Impairment, Link};
 use crate::upstream::{SLOTS, Server};
 
 /// Time from SIGTERM to SIGKILL.
@@ -129,7 +129,7 @@
         let fleet = Arc::clone(&fleet);
         faults.spawn(async move {
             sleep_until(started + event.at).await;
-            fleet.inflict(event).await;
+            fleet.inject(event).await;
         });
     }
     while let Some(done) = faults.join_next().await {
@@ -272,7 +272,7 @@
         }
     }
 
-    async fn inflict(&self, event: Event) {
+    async fn inject(&self, event: Event) {
         let span = event.span;
         match event.fault {
             Fault::Kill(router) => self.kill(router),
@@ -284,13 +284,13 @@
                 self.ledger.disturb(Subject::Router(router), RESTART_PAUSE);
             }
             Fault::Reload(router) => self.routers[router].signal(Signal::HUP),
-            Fault::Link(link, harm) => self.harm(link, harm, span).await,
-            Fault::Store(trouble) => self.trouble(trouble, span).await,
+            Fault::Link(link, impairment) => self.impair(link, impairment, span).await,
+            Fault::Store(degradation) => self.degrade(degradation, span).await,
             Fault::Forget => {
                 self.ledger.disturb(Subject::Store, Duration::ZERO);
                 self.store.forget_history();
             }
-            Fault::Upstream(slot, blow) => self.strike(slot, blow, span).await,
+            Fault::Upstream(slot, failure) => self.fail(slot, failure, span).await,
             Fault::Configure => self.configure(),
         }
     }
@@ -309,7 +309,7 @@
         self.ledger.disturb(Subject::Router(router), Duration::ZERO);
     }
 
-    async fn harm(&self, link: Link, harm: Harm, span: Duration) {
+    async fn impair(&self, link: Link, impairment: Impairment, span: Duration) {
         let current;
         let (proxy, subject) = match link {
             Link::Front(router) => (&self.front_proxies[router], Subject::Router(router)),
@@ -320,13 +320,13 @@
             }
         };
         self.ledger.disturb(subject, span);
-        match harm {
-            Harm::Delay(delay) => proxy.delay(delay),
-            Harm::CutForward => proxy.cut([true, false]),
-            Harm::CutBackward => proxy.cut([false, true]),
-            Harm::Cut => proxy.cut([true, true]),
-            Harm::Reset => return proxy.reset(),
-            Harm::Silence => return proxy.silence(),
+        match impairment {
+            Impairment::Delay(delay) => proxy.delay(delay),
+            Impairment::CutForward => proxy.cut([true, false]),
+            Impairment::CutBackward => proxy.cut([false, true]),
+            Impairment::Cut => proxy.cut([true, true]),
+            Impairment::Reset => return proxy.reset(),
+            Impairment::Silence => return proxy.silence(),
         }
         sleep(span).await;
         proxy.delay(Duration::ZERO);
@@ -335,14 +335,14 @@
         self.ledger.disturb(subject, Duration::ZERO);
     }
 
-    async fn trouble(&self, trouble: Trouble, span: Duration) {
+    async fn degrade(&self, degradation: Degradation, span: Duration) {
         self.ledger.disturb(Subject::Store, span);
         let mut faults = Faults::default();
-        match trouble {
-            Trouble::Down => faults.is_down = true,
-            Trouble::Slow(delay) => faults.delay = delay,
-            Trouble::LosesAnswers => faults.lost = LOST_SHARE,
-            Trouble::WritesLate => {
+        match degradation {
+            Degradation::Down => faults.is_down = true,
+            Degradation::Slow(delay) => faults.delay = delay,
+            Degradation::LosesAnswers => faults.lost = LOST_SHARE,
+            Degradation::WritesLate => {
                 faults.late = LOST_SHARE;
                 faults.late_by = LATE_BY;
             }
@@ -353,14 +353,14 @@
         self.ledger.disturb(Subject::Store, Duration::ZERO);
     }
 
-    async fn strike(&self, slot: usize, blow: Blow, span: Duration) {
+    async fn fail(&self, slot: usize, failure: Failure, span: Duration) {
         let (server, proxy) = self.slot(slot).clone();
         let subject = Subject::Upstream(server.life);
-        if blow != Blow::Leaves {
+        if failure != Failure::Leaves {
             self.ledger.disturb(subject, span);
         }
-        match blow {
-            Blow::Dies => {
+        match failure {
+            Failure::Dies => {
                 server.end();
                 sleep(REPLACE_PAUSE).await;
                 self.replace(slot, &server, None).await;
@@ -368,12 +368,12 @@
                 self.store.unregister(&server.id);
                 self.ledger.leave(server.life);
             }
-            Blow::Restarts => {
+            Failure::Restarts => {
                 server.end();
                 sleep(REPLACE_PAUSE).await;
                 self.replace(slot, &server, Some(server.id.clone())).await;
             }
-            Blow::Leaves => {
+            Failure::Leaves => {
                 self.store.register(&entry(&server, &proxy, true));
                 self.ledger.leave(server.life);
                 self.replace(slot, &server, None).await;
@@ -381,23 +381,35 @@
                 server.end();
                 self.store.unregister(&server.id);
             }
-            Blow::Pauses => {
+            Failure::Pauses => {
                 server
-                    .behave_for(span, |manner| &mut manner.is_paused)
+                    .behave_for(span, |behaviour| &mut behaviour.is_paused)
                     .await;
                 self.ledger.thaw();
             }
-            Blow::Slows => server.behave_for(span, |manner| &mut manner.is_slow).await,
-            Blow::LosesAnswers => {
+            Failure::Slows => {
                 server
-                    .behave_for(span, |manner| &mut manner.loses_answers)
+                    .behave_for(span, |behaviour| &mut behaviour.is_slow)
+                    .await
+            }
+            Failure::LosesAnswers => {
+                server
+                    .behave_for(span, |behaviour| &mut behaviour.loses_answers)
                     .await;
             }
-            Blow::Fails => server.behave_for(span, |manner| &mut manner.fails).await,
-            Blow::MixesUp => server.behave_for(span, |manner| &mut manner.mixes_up).await,
-            Blow::LateOrders => {
+            Failure::Fails => {
+                server
+                    .behave_for(span, |behaviour| &mut behaviour.fails)
+                    .await
+            }
+            Failure::MixesUp => {
+                server
+                    .behave_for(span, |behaviour| &mut behaviour.mixes_up)
+                    .await
+            }
+            Failure::LateOrders => {
                 server
-                    .behave_for(span, |manner| &mut manner.is_late_with_orders)
+                    .behave_for(span, |behaviour| &mut behaviour.is_late_with_orders)
                     .await;
             }
         }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -31,7 +31,7 @@
 
 /// What happens to a link.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum Harm {
+pub enum Impairment {
     /// Bytes take longer.
     #[display("delayed by {} ms", _0.as_millis())]
     Delay(Duration),
@@ -54,7 +54,7 @@
 
 /// What happens to the store.
 #[derive(Clone, Copy, Debug, Display, PartialEq)]
-pub enum Trouble {
+pub enum Degradation {
     /// It answers that it did nothing.
     #[display("down")]
     Down,
@@ -71,7 +71,7 @@
 
 /// What happens to an upstream.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum Blow {
+pub enum Failure {
     /// It ends without a sign and another one comes.
     #[display("dies")]
     Dies,
@@ -119,18 +119,18 @@
     /// A router is told that its settings file changed.
     #[display("router {_0} told to reload")]
     Reload(usize),
-    /// A link is harmed.
+    /// A link is impaired.
     #[display("{_0}: {_1}")]
-    Link(Link, Harm),
+    Link(Link, Impairment),
     /// The store misbehaves.
     #[display("store: {_0}")]
-    Store(Trouble),
+    Store(Degradation),
     /// The store forgets its history.
     #[display("store: forgets")]
     Forget,
     /// An upstream misbehaves.
     #[display("upstream {_0}: {_1}")]
-    Upstream(usize, Blow),
+    Upstream(usize, Failure),
     /// The operator changes the configuration.
     #[display("configuration changed")]
     Configure,
@@ -188,49 +188,49 @@
         7 => Fault::Reload(router),
         8 => Fault::Forget,
         9 | 10 => Fault::Configure,
-        11 | 12 => Fault::Store(trouble(random)),
-        13 => Fault::Link(Link::Front(router), harm(random)),
-        14 => Fault::Link(Link::Store(router), harm(random)),
-        15 | 16 => Fault::Link(Link::Upstream(upstream), harm(random)),
-        _ => Fault::Upstream(upstream, blow(random)),
+        11 | 12 => Fault::Store(degradation(random)),
+        13 => Fault::Link(Link::Front(router), impairment(random)),
+        14 => Fault::Link(Link::Store(router), impairment(random)),
+        15 | 16 => Fault::Link(Link::Upstream(upstream), impairment(random)),
+        _ => Fault::Upstream(upstream, failure(random)),
     }
 }
 
-fn harm(random: &mut ChaCha8Rng) -> Harm {
+fn impairment(random: &mut ChaCha8Rng) -> Impairment {
     let delay = Duration::from_millis(random.random_range(5..400));
-    let harms = [
-        Harm::Delay(delay),
-        Harm::CutForward,
-        Harm::CutBackward,
-        Harm::Cut,
-        Harm::Reset,
-        Harm::Silence,
+    let impairments = [
+        Impairment::Delay(delay),
+        Impairment::CutForward,
+        Impairment::CutBackward,
+        Impairment::Cut,
+        Impairment::Reset,
+        Impairment::Silence,
     ];
-    *harms.choose(random).expect("there are some")
+    *impairments.choose(random).expect("there are some")
 }
 
-fn trouble(random: &mut ChaCha8Rng) -> Trouble {
+fn degradation(random: &mut ChaCha8Rng) -> Degradation {
     let delay = Duration::from_millis(random.random_range(20..800));
-    let troubles = [
-        Trouble::Down,
-        Trouble::Slow(delay),
-        Trouble::LosesAnswers,
-        Trouble::WritesLate,
+    let degradations = [
+        Degradation::Down,
+        Degradation::Slow(delay),
+        Degradation::LosesAnswers,
+        Degradation::WritesLate,
     ];
-    *troubles.choose(random).expect("there are some")
+    *degradations.choose(random).expect("there are some")
 }
 
-fn blow(random: &mut ChaCha8Rng) -> Blow {
-    let blows = [
-        Blow::Dies,
-        Blow::Restarts,
-        Blow::Leaves,
-        Blow::Pauses,
-        Blow::Slows,
-        Blow::LosesAnswers,
-        Blow::Fails,
-        Blow::MixesUp,
-        Blow::LateOrders,
+fn failure(random: &mut ChaCha8Rng) -> Failure {
+    let failures = [
+        Failure::Dies,
+        Failure::Restarts,
+        Failure::Leaves,
+        Failure::Pauses,
+        Failure::Slows,
+        Failure::LosesAnswers,
+        Failure::Fails,
+        Failure::MixesUp,
+        Failure::LateOrders,
     ];
-    *blows.choose(random).expect("there are some")
+    *failures.choose(random).expect("there are some")
 }
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -42,7 +42,7 @@
 
 /// How an upstream behaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Manner {
+pub(crate) struct Behaviour {
     pub(crate) is_paused: bool,
     pub(crate) is_slow: bool,
     pub(crate) loses_answers: bool,
@@ -69,7 +69,7 @@
     pub(crate) service: Arc<str>,
     pub(crate) address: SocketAddr,
     is_keyed: bool,
-    manner: watch::Sender<Manner>,
+    behaviour: watch::Sender<Behaviour>,
     holds: Mutex<Vec<Hold>>,
     random: Mutex<ChaCha8Rng>,
     slots: Semaphore,
@@ -111,7 +111,7 @@
             service: Arc::clone(service),
             address: listener.local_addr()?,
             is_keyed,
-            manner: watch::Sender::new(Manner::default()),
+            behaviour: watch::Sender::new(Behaviour::default()),
             holds: Mutex::new(vec![Hold::default(); if is_keyed { keys } else { 0 }]),
             random: Mutex::new(ChaCha8Rng::seed_from_u64(seed ^ life as u64)),
             slots: Semaphore::new(SLOTS),
@@ -122,20 +122,21 @@
         Ok(server)
     }
 
-    /// Misbehaves in one manner for a time.
+    /// Misbehaves in one behaviour for a time.
     pub(crate) async fn behave_for(
         &self,
         span: Duration,
-        manner: impl Fn(&mut Manner) -> &mut bool,
+        behaviour: impl Fn(&mut Behaviour) -> &mut bool,
     ) {
-        self.manner.send_modify(|all| *manner(all) = true);
+        self.behaviour.send_modify(|all| *behaviour(all) = true);
         sleep(span).await;
-        self.manner.send_modify(|all| *manner(all) = false);
+        self.behaviour.send_modify(|all| *behaviour(all) = false);
     }
 
     /// Ends it: its port closes, and it holds nothing any more.
     pub(crate) fn end(&self) {
-        self.manner.send_modify(|manner| manner.is_gone = true);
+        self.behaviour
+            .send_modify(|behaviour| behaviour.is_gone = true);
         self.ledger.end(self.life);
     }
 
@@ -149,14 +150,14 @@
     }
 
     async fn accept(self: Arc<Self>, listener: TcpListener) {
-        let mut manner = self.manner.subscribe();
+        let mut behaviour = self.behaviour.subscribe();
         loop {
             tokio::select! {
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => drop(tokio::spawn(Arc::clone(&self).serve(stream))),
                     Err(error) => panic!("an upstream can't accept connections: {error}"),
                 },
-                _ = manner.wait_for(|manner| manner.is_gone) => return,
+                _ = behaviour.wait_for(|behaviour| behaviour.is_gone) => return,
             }
         }
     }
@@ -164,7 +165,7 @@
     async fn serve(self: Arc<Self>, stream: TcpStream) {
         // Delayed packets cost only latency, so a failure is harmless.
         let _ = stream.set_nodelay(true);
-        let mut manner = self.manner.subscribe();
+        let mut behaviour = self.behaviour.subscribe();
         let server = Arc::clone(&self);
         let service = service_fn(move |request| {
             let server = Arc::clone(&server);
@@ -174,15 +175,15 @@
         tokio::select! {
             // A connection that breaks is the router's to notice.
             _ = connection => {}
-            _ = manner.wait_for(|manner| manner.is_gone) => {}
+            _ = behaviour.wait_for(|behaviour| behaviour.is_gone) => {}
         }
     }
 
     /// Waits until it isn't paused.
     async fn awake(&self) {
-        let mut manner = self.manner.subscribe();
+        let mut behaviour = self.behaviour.subscribe();
         // The sender lives as long as this server.
-        let _ = manner.wait_for(|manner| !manner.is_paused).await;
+        let _ = behaviour.wait_for(|behaviour| !behaviour.is_paused).await;
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Option<Response<Full<Bytes>>> {
@@ -210,7 +211,7 @@
     }
 
     async fn grant(&self, keys: Keys, hold: Duration, arrived: Instant) -> Fate {
-        let is_late = self.manner.borrow().is_late_with_orders;
+        let is_late = self.behaviour.borrow().is_late_with_orders;
         if is_late {
             sleep(LATE_ORDERS).await;
         }
@@ -229,7 +230,7 @@
                 held.until = Some(until);
             }
         }
-        if !self.manner.borrow().is_gone {
+        if !self.behaviour.borrow().is_gone {
             self.ledger.grant(self.life, keys, until, is_late);
         }
         if is_late {
@@ -302,18 +303,18 @@
             &self.service,
             arrival.key.filter(|_| self.is_keyed),
         );
-        let manner = *self.manner.borrow();
-        let work = if manner.is_slow { WORK + SLOW } else { WORK };
+        let behaviour = *self.behaviour.borrow();
+        let work = if behaviour.is_slow { WORK + SLOW } else { WORK };
         sleep(work).await;
         self.awake().await;
         let draw = self.draw();
-        if manner.loses_answers && draw < FAIL_SHARE {
+        if behaviour.loses_answers && draw < FAIL_SHARE {
             return Fate::Lost;
         }
-        if manner.fails && draw < FAIL_SHARE {
+        if behaviour.fails && draw < FAIL_SHARE {
             return Fate::Answered(Reply::Failed);
         }
-        if manner.mixes_up && draw < FAIL_SHARE {
+        if behaviour.mixes_up && draw < FAIL_SHARE {
             let body = Bytes::from_static(b"for somebody else");
             return Fate::MixedUp(Reply::Answer(body));
         }
