Soak: its routers end with it when it is told to stop

Cause: a soak that was stopped by SIGTERM left its routers running. Change: SIGTERM and SIGINT end the runs, which kill the routers that they started.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,6 +6,8 @@
 use eelgrassrock_soak::flags::{Arguments, command};
 use eelgrassrock_soak::run::{Report, play};
 use eelgrassrock_soak::schedule::draw;
+use tokio::signal::ctrl_c;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinSet;
 
 /// Exit code for arguments that can't be used.
@@ -20,7 +22,12 @@
             return ExitCode::from(USAGE);
         }
     };
-    match run(arguments).await {
+    let done = tokio::select! {
+        done = run(arguments) => done,
+        // The end of the runs kills the routers that they started.
+        stopped = stopped() => Err(stopped),
+    };
+    match done {
         Ok(0) => ExitCode::SUCCESS,
         Ok(failed) => {
             println!("{failed} seeds failed");
@@ -33,6 +40,19 @@
     }
 }
 
+/// Waits until this process is told to stop.
+async fn stopped() -> io::Error {
+    let mut terminate = match signal(SignalKind::terminate()) {
+        Ok(terminate) => terminate,
+        Err(error) => return error,
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = ctrl_c() => {}
+    }
+    io::Error::other("told to stop before all seeds were played")
+}
+
 /// Plays all seeds and returns how many failed.
 async fn run(arguments: Arguments) -> io::Result<usize> {
     let mut failed = 0;
