--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -46,7 +46,10 @@
                 .help("Plays these seeds, both ends included; one number plays one seed"),
         )
         .arg(number("seconds", "20", "Seconds of each run in which faults come"))
-        .arg(number("routers", "4", "Routers of each run, each a process"))
+        .arg(
+            number("routers", "4", "Routers of each run, each a process, at most 250")
+                .value_parser(value_parser!(u64).range(1..=250)),
+        )
         .arg(
             number("upstreams", "12", "Upstreams of each run, at least 6: each service has some")
                 .value_parser(value_parser!(u64).range(6..)),
@@ -103,7 +106,7 @@
         Ok(Self {
             plan: Plan {
                 program,
-                routers: number("routers").min(250) as usize,
+                routers: number("routers") as usize,
                 upstreams: number("upstreams") as usize,
                 callers: number("callers") as usize,
                 length: Duration::from_secs(number("seconds")),
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -467,18 +467,13 @@
     }
 
     fn wrong_answer(&self, id: &str) -> Option<(Promise, String)> {
-        let Some((_, Ending::Answered { status, .. })) = &self.end else {
-            return None;
-        };
-        let (
-            _,
-            Ending::Answered {
-                is_signed,
-                id: answered,
-                body,
-                ..
-            },
-        ) = self.end.as_ref()?
+        let (_, end) = self.end.as_ref()?;
+        let Ending::Answered {
+            status,
+            is_signed,
+            id: answered,
+            body,
+        } = end
         else {
             return None;
         };
