Tests of control: one set-up and one wait in place of copies

Cause: five tests built the same store, upstream and route, and two waited for a configuration with the same loop. Change: serving and served_within; the assertions and bounds are the same. Measured: all 14 tests of the file green.

--- a/crates/edge/tests/control.rs
+++ b/crates/edge/tests/control.rs
@@ -62,6 +62,25 @@
     }
 }
 
+/// A store with one upstream and one route.
+async fn serving(prefix: &str) -> (Store, Server) {
+    let store = Store::default();
+    let server = Server::start("up-0").await;
+    store.register("sheets", &server);
+    let routes = vec![route(prefix, Repeat::Idempotent, "sheets")];
+    store.configure(1, routes, &[]);
+    (store, server)
+}
+
+/// Asks until a path is served, which must be within a limit from now.
+async fn served_within(router: &Router, path: &str, limit: Duration) {
+    let began = Instant::now();
+    while status(router, path, "r1").await != 200 {
+        assert!(began.elapsed() < limit, "{}", router.lines.text());
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Both follow the store at first; then one of them reads and tells the other.
 async fn pair(store: &Store) -> (Router, Router) {
     let server = Server::start("up-0").await;
@@ -91,10 +110,7 @@
 /// also where the system would choose another one.
 #[tokio::test]
 async fn routers_at_addresses_of_their_own_know_each_other() {
-    let store = Store::default();
-    let server = Server::start("up-0").await;
-    store.register("sheets", &server);
-    store.configure(1, vec![route("/v1/", Repeat::Idempotent, "sheets")], &[]);
+    let (store, _server) = serving("/v1/").await;
     let mut routers = Vec::new();
     for (last, size) in [(2, 500), (3, 100)] {
         let name = format!("router-{last}");
@@ -121,15 +137,7 @@
     let (mut first, second) = pair(&store).await;
     first.kill();
     store.configure(2, vec![route("/v2/", Repeat::Idempotent, "sheets")], &[]);
-    let began = Instant::now();
-    while status(&second, "/v2/1", "r1").await != 200 {
-        assert!(
-            began.elapsed() < Duration::from_secs(2),
-            "{}",
-            second.lines.text()
-        );
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    served_within(&second, "/v2/1", Duration::from_secs(2)).await;
 }
 
 #[tokio::test]
@@ -139,15 +147,7 @@
     store.cut("router-1");
     tokio::time::sleep(Duration::from_millis(100)).await;
     store.configure(2, vec![route("/v2/", Repeat::Idempotent, "sheets")], &[]);
-    let began = Instant::now();
-    while status(&second, "/v2/1", "r1").await != 200 {
-        assert!(
-            began.elapsed() < Duration::from_millis(3_500),
-            "{}",
-            second.lines.text()
-        );
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    served_within(&second, "/v2/1", Duration::from_millis(3_500)).await;
 }
 
 async fn keyed(store: &Store, routers: usize) -> (Vec<Server>, Vec<Router>) {
@@ -288,10 +288,7 @@
 
 #[tokio::test]
 async fn a_stopping_router_answers_what_is_open_and_sends_callers_away() {
-    let store = Store::default();
-    let server = Server::start("up-0").await;
-    store.register("sheets", &server);
-    store.configure(1, vec![route("/read/", Repeat::Idempotent, "sheets")], &[]);
+    let (store, server) = serving("/read/").await;
     let mut router = Router::start("router-1", &store);
     router.ready().await;
     server.next(&[Act::Answer(600)]);
@@ -331,10 +328,7 @@
 
 #[tokio::test]
 async fn the_metrics_page_tells_how_old_the_inputs_are() {
-    let store = Store::default();
-    let server = Server::start("up-0").await;
-    store.register("sheets", &server);
-    store.configure(1, vec![route("/read/", Repeat::Idempotent, "sheets")], &[]);
+    let (store, _server) = serving("/read/").await;
     let router = Router::start("router-1", &store);
     router.ready().await;
     let age = |input| format!("eelgrassrock_input_age_seconds{{input=\"{input}\"}}");
@@ -349,10 +343,7 @@
 
 #[tokio::test]
 async fn the_metrics_page_tells_how_many_repeats_are_left() {
-    let store = Store::default();
-    let server = Server::start("up-0").await;
-    store.register("sheets", &server);
-    store.configure(1, vec![route("/read/", Repeat::Idempotent, "sheets")], &[]);
+    let (store, _server) = serving("/read/").await;
     let router = Router::start_with("router-1", &store, |settings| {
         settings.repeats.extra = 10.0;
         settings.repeats.ratio = 0.0;
@@ -365,10 +356,7 @@
 
 #[tokio::test]
 async fn the_metrics_page_names_what_the_documentation_lists() {
-    let store = Store::default();
-    let server = Server::start("up-0").await;
-    store.register("sheets", &server);
-    store.configure(1, vec![route("/read/", Repeat::Idempotent, "sheets")], &[]);
+    let (store, _server) = serving("/read/").await;
     let router = Router::start("router-1", &store);
     router.ready().await;
     assert_eq!(status(&router, "/read/1", "r1").await, 200);
