Reading the map of a duty apart from taking it; no copy of a holder's name

Cause: stand did two things, taking the duty and reading its map until that succeeds; is_admitted copied the holder's name for each request to look up its share. Change: read_own_map returns the map and when the duty was last known to be ours; the share is looked up by reference. Behaviour unchanged.

--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -326,10 +326,8 @@
 
     /// Whether this request is among those that its holder can serve.
     fn is_admitted(&mut self, key: Option<u16>) -> bool {
-        let Some(holder) = self.holder(key).cloned() else {
-            return true;
-        };
-        let Some(share) = self.shares.get(&holder) else {
+        let share = self.holder(key).and_then(|holder| self.shares.get(holder));
+        let Some(share) = share else {
             return true;
         };
         self.credit += share;
--- a/crates/edge/src/duty/stand.rs
+++ b/crates/edge/src/duty/stand.rs
@@ -96,28 +96,42 @@
             }
             Commit::NotDone(_) => None,
         };
-        let Some(version) = taken else {
-            return;
-        };
-        let mut asked = asked;
+        if let Some(version) = taken
+            && let Some((map, asked)) = self.read_own_map(service, &duty, asked).await
+        {
+            self.begin(service, duty, version, before, map, asked);
+        }
+    }
+
+    /// Reads the map of a duty that was ours at `asked`. Returns it, and when the
+    /// duty was last known to be ours; `None` if another router has it meanwhile
+    /// or this one stops.
+    async fn read_own_map(
+        self: &Rc<Self>,
+        service: &Arc<str>,
+        duty: &Duty,
+        mut asked: Instant,
+    ) -> Option<(Option<(Map, u64)>, Instant)> {
         loop {
             if let Some(map) = self.read_map(service).await {
-                self.begin(service, duty, version, before, map, asked);
-                return;
+                return Some((map, asked));
             }
             // Without the map the duty can't be carried out; by the time the
             // store answers another router may have it.
             sleep(STORE_PAUSE).await;
             if self.is_stopping() {
-                return;
+                return None;
             }
             let again = clock::now();
-            let Ok(row) = self.platform.row(&key).await else {
+            let Ok(row) = self.platform.row(&duty_row(service)).await else {
                 continue;
             };
             match row.and_then(|row| read_duty(&row)) {
-                Some((found, _)) if found == duty => asked = again,
-                found => return self.learn_duty(service, found),
+                Some((found, _)) if found == *duty => asked = again,
+                found => {
+                    self.learn_duty(service, found);
+                    return None;
+                }
             }
         }
     }
