--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod flags;
 pub mod ledger;
 pub mod plan;
+pub mod promise;
 mod proxy;
 mod router;
 pub mod run;
--- a/crates/soak/src/router.rs
+++ b/crates/soak/src/router.rs
@@ -12,7 +12,8 @@
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::time::{Instant, sleep};
 
-use crate::ledger::{Ledger, Promise};
+use crate::ledger::Ledger;
+use crate::promise::Promise;
 
 /// Pause before a router that ended is started again.
 pub(crate) const RESTART_PAUSE: Duration = Duration::from_millis(300);
--- a/crates/soak/tests/ledger.rs
+++ b/crates/soak/tests/ledger.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use eelgrassrock_platform_standin::framing::Keys;
-use eelgrassrock_soak::ledger::{Asked, Ending, Ledger, Promise, Subject};
+use eelgrassrock_soak::ledger::{Asked, Ending, Ledger, Subject};
+use eelgrassrock_soak::promise::Promise;
 use http::StatusCode;
 use rstest::rstest;
 use tokio::time::{Instant, advance};
