--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -97,9 +97,15 @@
     pub fn check(matches: &ArgMatches) -> Result<Self, String> {
         let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1);
         let path = |name: &str| matches.get_one::<PathBuf>(name).cloned();
-        let program = path("program").or_else(beside).filter(|path| path.exists());
-        let program =
-            program.ok_or("no eelgrassrock-edge found; build it or name it by --program")?;
+        let program = path("program").or_else(beside);
+        let program = program
+            .ok_or("this program's own folder is not known; name the router by --program")?;
+        if !program.exists() {
+            let program = program.display();
+            return Err(format!(
+                "the router's program `{program}` doesn't exist; build it or name it by --program"
+            ));
+        }
         let seeds = matches.get_one::<RangeInclusive<u64>>("seeds").cloned();
         let logs = path("logs")
             .unwrap_or_else(|| std::env::temp_dir().join(format!("soak-{}", std::process::id())));
--- a/crates/soak/tests/schedule.rs
+++ b/crates/soak/tests/schedule.rs
@@ -4,7 +4,7 @@
 use std::mem::discriminant;
 use std::time::Duration;
 
-use eelgrassrock_soak::flags::command;
+use eelgrassrock_soak::flags::{Arguments, command};
 use eelgrassrock_soak::schedule::draw;
 use rstest::rstest;
 
@@ -22,6 +22,15 @@
     assert_ne!(draw(1, LENGTH, 4, 12), draw(2, LENGTH, 4, 12));
 }
 
+#[test]
+fn a_program_that_does_not_exist_is_named() {
+    let matches = command()
+        .try_get_matches_from(["eelgrassrock-soak", "--program", "/nowhere/router"])
+        .unwrap();
+    let fault = Arguments::check(&matches).unwrap_err();
+    assert!(fault.contains("`/nowhere/router` doesn't exist"), "{fault}");
+}
+
 #[rstest]
 #[case::no_number("x", "`x` is not a number")]
 #[case::turned_round("9..3", "3 is below 9")]
