--- a/crates/store/src/endpoint.rs
+++ b/crates/store/src/endpoint.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST, RETRY_AFTER};
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -53,6 +53,8 @@
     pub method: Method,
     /// Path and query of the request.
     pub path: String,
+    /// Header fields beside those that every call has.
+    pub headers: HeaderMap,
     /// Whole body of the request.
     pub body: Bytes,
 }
@@ -202,15 +204,23 @@
         Self {
             method: Method::POST,
             path: path.into(),
+            headers: HeaderMap::new(),
             body: body.into(),
         }
     }
 
+    /// Adds a header field.
+    pub fn header(mut self, name: HeaderName, value: HeaderValue) -> Self {
+        self.headers.insert(name, value);
+        self
+    }
+
     /// Creates a call without a body.
     pub fn get(path: impl Into<String>) -> Self {
         Self {
             method: Method::GET,
             path: path.into(),
+            headers: HeaderMap::new(),
             body: Bytes::new(),
         }
     }
@@ -223,9 +233,11 @@
         if self.method == Method::POST {
             builder = builder.header(CONTENT_TYPE, "application/json");
         }
-        builder
+        let mut request = builder
             .body(Full::new(self.body.clone()))
-            .expect("paths are made of checked keys, digests and numbers")
+            .expect("paths are made of checked keys, digests and numbers");
+        request.headers_mut().extend(self.headers.clone());
+        request
     }
 }
 
--- a/crates/store/src/objects.rs
+++ b/crates/store/src/objects.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use eelgrassrock_model::Digest;
-use http::{Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 use sha2::Digest as _;
 
 use crate::endpoint::{Call, Endpoint};
@@ -59,6 +59,7 @@
         let call = Call {
             method: Method::PUT,
             path: path(digest),
+            headers: HeaderMap::new(),
             body: contents,
         };
         let answer = self.endpoint.call(&call).await?;
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use eelgrassrock_model::Version;
 use eelgrassrock_model::table::{Check, MAX_WRITES, Outcome, Row, Transaction};
-use http::{Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 
 use crate::endpoint::{Answer, Call, Endpoint};
 use crate::settings::Settings;
@@ -141,6 +141,7 @@
         let call = Call {
             method: Method::POST,
             path: "/v1/transactions".to_owned(),
+            headers: HeaderMap::new(),
             body: encode(transaction),
         };
         match self.endpoint.call(&call).await {
