Releases carry the next holder's token; keys on their way don't wait for a lost keeper

Cause: a range on its way when its keeper was lost without a sign waited for the authority of that keeper and its last grants, up to 9.4 s, since the keeper could still have renewed the source. Ranges with an unanswered renewal waited, or couldn't move. Change: a release goes out under the token of the next holder, so the source refuses whatever an earlier keeper, or an earlier call, may still bring. An answered release ends the wait. A successor gives ranges on their way its own tokens as well. What only counted unanswered grants is gone: clean releases of the duty, clean yields, two times per lease. Ruled out: fencing the source off by a short grant (tried before: it may hold keys that the next holder has).

--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -64,7 +64,6 @@
     confirming: bool,
     standing: bool,
     /// Whether all grants were answered when the duty was last given up.
-    left_clean: bool,
     wake: Rc<Notify>,
 }
 
@@ -177,20 +176,22 @@
         keeper.is_some_and(|keeper| keeper.has_authority(clock::now()))
     }
 
-    /// Gives the duty up to a later term. Returns whether all grants were
-    /// answered, `None` if this process has not had it.
-    pub(crate) fn give_up(&self, service: &Arc<str>, term: u64) -> Option<bool> {
+    /// Gives the duty up to a later term. Returns whether this process certainly
+    /// doesn't act on it any more.
+    pub(crate) fn give_up(&self, service: &Arc<str>, term: u64) -> bool {
         let mut services = self.services.borrow_mut();
-        let seat = services.get_mut(service)?;
+        let Some(seat) = services.get_mut(service) else {
+            return false;
+        };
         let own = seat
             .election
             .duty()
             .is_some_and(|(duty, _)| duty.term >= term);
         if seat.keeper.is_some() && seat.election.is_own() && own {
-            return None;
+            return false;
         }
         seat.drop_keeper();
-        Some(seat.left_clean)
+        true
     }
 }
 
@@ -205,7 +206,6 @@
             confirm_due: now,
             confirming: false,
             standing: false,
-            left_clean: false,
             wake: Rc::new(Notify::new()),
         }
     }
@@ -221,8 +221,7 @@
     }
 
     fn drop_keeper(&mut self) {
-        if let Some(keeper) = self.keeper.take() {
-            self.left_clean = keeper.is_clean(clock::now());
+        if self.keeper.take().is_some() {
             self.calls.drain(..).for_each(|call| call.abort());
         }
     }
@@ -352,7 +351,7 @@
             self.find_duty(&service).await;
             return;
         };
-        if duty.released.is_some() || duty.router == self.settings.router {
+        if duty.is_released || duty.router == self.settings.router {
             self.find_duty(&service).await;
             return;
         }
--- a/crates/edge/src/duty/leave.rs
+++ b/crates/edge/src/duty/leave.rs
@@ -7,7 +7,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
-use super::{KEEPER_TICK, STORE_PAUSE, duty_row};
+use super::{KEEPER_TICK, STORE_PAUSE, Seat, duty_row};
 use crate::clock;
 use crate::node::Node;
 use crate::seam::{Platform, Transaction};
@@ -47,11 +47,8 @@
         }
         let is_sure = self.keeper(service, |keeper| !keeper.has_active_predecessor());
         let is_sure = is_sure == Some(true);
-        let is_clean = self.seat(service, |seat| {
-            seat.drop_keeper();
-            seat.left_clean
-        });
-        duty.released = is_clean;
+        self.seat(service, Seat::drop_keeper);
+        duty.is_released = true;
         if is_sure {
             duty.formers.clear();
         }
--- a/crates/edge/src/duty/stand.rs
+++ b/crates/edge/src/duty/stand.rs
@@ -66,9 +66,6 @@
     /// Tries to take the duty.
     pub(super) async fn stand(self: &Rc<Self>, service: &Arc<str>, duty: Duty, version: u64) {
         let key = duty_row(service);
-        let before = self
-            .seat(service, |seat| seat.election.duty().cloned())
-            .flatten();
         let asked = clock::now();
         let Ok(value) = postcard::to_allocvec(&duty) else {
             return;
@@ -99,7 +96,7 @@
         if let Some(version) = taken
             && let Some((map, asked)) = self.read_own_map(service, &duty, asked).await
         {
-            self.begin(service, duty, version, before, map, asked);
+            self.begin(service, duty, version, map, asked);
         }
     }
 
@@ -142,7 +139,6 @@
         service: &Arc<str>,
         duty: Duty,
         version: u64,
-        before: Option<(Duty, u64)>,
         map: Option<(Map, u64)>,
         asked: Instant,
     ) {
@@ -167,9 +163,7 @@
         let mut formers = duty.formers.clone();
         formers.retain(|former| former.address != self.settings.peer);
         if formers.is_empty() {
-            let released = before.and_then(|(before, _)| before.released);
-            let is_clean = released == Some(true) && duty.formers.is_empty();
-            keeper.predecessor_stopped(is_clean, now);
+            keeper.predecessor_stopped(now);
         }
         let term = duty.term;
         self.seat(service, |seat| {
@@ -200,7 +194,6 @@
         mut formers: Vec<Former>,
         term: u64,
     ) {
-        let mut is_clean = true;
         loop {
             match self.keeper(service, |keeper| keeper.has_active_predecessor()) {
                 None => return,
@@ -213,15 +206,14 @@
             }
             let mut active = Vec::new();
             for former in formers {
-                match self.peers.ask_to_yield(&former, service, term).await {
-                    Some(clean) => is_clean &= clean,
-                    None => active.push(former),
+                if !self.peers.ask_to_yield(&former, service, term).await {
+                    active.push(former);
                 }
             }
             formers = active;
             if formers.is_empty() {
                 let now = clock::now();
-                self.keeper(service, |keeper| keeper.predecessor_stopped(is_clean, now));
+                self.keeper(service, |keeper| keeper.predecessor_stopped(now));
                 self.note_term(
                     service,
                     term,
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -68,8 +68,8 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct Yielded {
     incarnation: u64,
-    /// Whether all grants were answered; `None` if the duty isn't given up.
-    is_clean: Option<bool>,
+    /// Whether the duty is given up.
+    has_yielded: bool,
 }
 
 /// A new map of a service.
@@ -154,14 +154,13 @@
         }
     }
 
-    /// Asks an earlier keeper to stop. Returns whether all of its grants were
-    /// answered, `None` if it isn't certain that it has stopped.
+    /// Asks an earlier keeper to stop. Returns whether it has certainly stopped.
     pub(crate) async fn ask_to_yield(
         &self,
         before: &Former,
         service: &Arc<str>,
         term: u64,
-    ) -> Option<bool> {
+    ) -> bool {
         let question = Yield {
             service: Arc::clone(service),
             term,
@@ -170,11 +169,9 @@
             .call::<Yielded>(before.address, "/yield", &question, CALL_TIMEOUT)
             .await;
         match end {
-            Ok(yielded) if yielded.incarnation != before.incarnation => Some(false),
-            Ok(yielded) => yielded.is_clean,
+            Ok(yielded) => yielded.has_yielded || yielded.incarnation != before.incarnation,
             // The process that had the duty has ended.
-            Err(Contact::Refused) => Some(false),
-            Err(_) => None,
+            Err(contact) => contact == Contact::Refused,
         }
     }
 
@@ -266,7 +263,7 @@
                 .ok()
                 .map(|question: Yield| Yielded {
                     incarnation: node.settings.incarnation,
-                    is_clean: node.duties.give_up(&question.service, question.term),
+                    has_yielded: node.duties.give_up(&question.service, question.term),
                 }),
         ),
         _ => respond(StatusCode::NOT_FOUND, Bytes::new()),
--- a/crates/edge/tests/support/upstream.rs
+++ b/crates/edge/tests/support/upstream.rs
@@ -173,6 +173,8 @@
                 kept.push((order.to + 1, to, fence, until));
             }
         }
+        // The token stays known, and fences off what arrives late.
+        kept.push((order.from, order.to, order.fence, Instant::now()));
         state.holds = kept;
         Outcome::Done {
             handover: Some("token".into()),
--- a/crates/ranges/src/election.rs
+++ b/crates/ranges/src/election.rs
@@ -37,9 +37,8 @@
     pub incarnation: u64,
     /// Address for other routers.
     pub address: SocketAddr,
-    /// Set when the keeper has stopped by itself: whether all of its grants
-    /// were answered.
-    pub released: Option<bool>,
+    /// Whether the keeper has stopped by itself.
+    pub is_released: bool,
     /// Earlier keepers that weren't known to have stopped when this one took
     /// the duty. A successor must be sure of all of them.
     pub formers: Vec<Former>,
@@ -58,7 +57,7 @@
     /// Returns the keepers that a successor must be sure of.
     pub fn formers(&self) -> Vec<Former> {
         let mut formers = self.formers.clone();
-        if self.released.is_none() {
+        if !self.is_released {
             formers.push(Former {
                 incarnation: self.incarnation,
                 address: self.address,
@@ -113,9 +112,7 @@
     /// Whether the duty is this process's own.
     pub fn is_own(&self) -> bool {
         let own = |duty: &Duty| {
-            duty.router == self.router
-                && duty.incarnation == self.incarnation
-                && duty.released.is_none()
+            duty.router == self.router && duty.incarnation == self.incarnation && !duty.is_released
         };
         self.duty.as_ref().is_some_and(|(duty, _)| own(duty))
     }
@@ -136,7 +133,7 @@
         let vacant = match &self.duty {
             None => true,
             Some((duty, _)) => {
-                duty.released.is_some()
+                duty.is_released
                     || (duty.router == self.router && duty.incarnation != self.incarnation)
             }
         };
@@ -190,7 +187,7 @@
             router: Arc::clone(&self.router),
             incarnation: self.incarnation,
             address,
-            released: None,
+            is_released: false,
             formers,
         };
         Some((duty, version))
--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -3,16 +3,16 @@
 //! 1. A grant follows a map that is in the store. A change of the map is
 //!    written before anything is granted under it.
 //! 2. Keys go to a new holder only when the earlier one can't have them any
-//!    more: it released them and no unanswered grant of them can still take
-//!    effect, or all grants have run out by the slowest clock allowed, or its
-//!    process has ended.
+//!    more: it released them, or all grants have run out by the slowest clock
+//!    allowed, or its process has ended. A release carries the fencing token of
+//!    the new holder, so the earlier one refuses every grant that it was sent
+//!    before, by whichever keeper, and that arrives late.
 //! 3. A keeper grants only while it has *authority*: for a bounded time after
 //!    it sent the last question to which the store answered that the duty is
 //!    its own. A successor renews what the map says at once, under new fencing
 //!    tokens: a holder that took one refuses all that the predecessor may
-//!    still send. Only keys whose holder can't be reached, and keys that were
-//!    on their way, wait until the predecessor has provably stopped or its
-//!    authority has run out.
+//!    still send. Only keys whose holder can't be reached wait until the
+//!    predecessor has provably stopped or its authority has run out.
 
 mod planning;
 mod transfer;
@@ -103,10 +103,7 @@
     /// It may still act, until this instant at the latest.
     Active { until: Instant },
     /// It has stopped; its grants may be in force until then.
-    Stopped {
-        answered_until: Instant,
-        unanswered_until: Instant,
-    },
+    Stopped { until: Instant },
 }
 
 /// The router that grants the keys of one service.
@@ -141,10 +138,7 @@
 impl Keeper {
     /// Creates the keeper of a service that never had one.
     pub fn first(settings: Settings, asked: Instant, now: Instant) -> Self {
-        let stopped = Inherited::Stopped {
-            answered_until: now,
-            unanswered_until: now,
-        };
+        let stopped = Inherited::Stopped { until: now };
         Self::new(settings, Map::unowned(), stopped, asked, now)
     }
 
@@ -200,15 +194,11 @@
         now < self.authority_until
     }
 
-    /// Notes that the predecessor has stopped for good. `is_clean` says that
-    /// every grant it sent was answered.
-    pub fn predecessor_stopped(&mut self, is_clean: bool, now: Instant) {
+    /// Notes that the predecessor has stopped for good.
+    pub fn predecessor_stopped(&mut self, now: Instant) {
         if let Inherited::Active { .. } = self.inherited {
             let until = now + self.longest_hold();
-            self.inherited = Inherited::Stopped {
-                answered_until: until,
-                unanswered_until: if is_clean { now } else { until },
-            };
+            self.inherited = Inherited::Stopped { until };
         }
     }
 
@@ -239,13 +229,6 @@
         self.weights.record(keys);
     }
 
-    /// Whether every grant so far was answered, so that nothing of this keeper
-    /// can take effect after a release.
-    pub fn is_clean(&self, now: Instant) -> bool {
-        let settled = |lease: &Lease| !lease.in_flight && lease.until(true) <= now;
-        self.leases.iter().all(settled)
-    }
-
     /// Returns what is to be done now.
     pub fn poll(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
@@ -355,7 +338,7 @@
         if let Inherited::Active { until } = self.inherited
             && now >= until
         {
-            self.predecessor_stopped(false, until);
+            self.predecessor_stopped(until);
         }
     }
 }
--- a/crates/ranges/src/keeper/planning.rs
+++ b/crates/ranges/src/keeper/planning.rs
@@ -77,7 +77,7 @@
                     .granted_at
                     .get(&range.fence)
                     .is_some_and(|at| now - *at < MIN_STAY);
-            staying(holder) && (!is_own || has_just_come || self.has_open_call(range, now))
+            staying(holder) && (!is_own || has_just_come)
         };
         let moves = (MOVES_PER_UPSTREAM * usable.len() as f64).ceil() as usize;
         plan::improve(&self.map, &load, &usable, is_fixed, moves)
@@ -91,33 +91,24 @@
         self.leases.iter().any(silent) && !self.leases.iter().any(answering)
     }
 
-    /// Whether a call for these keys may still take effect after a release.
-    pub(super) fn has_open_call(&self, range: &Range, now: Instant) -> bool {
-        let open = |lease: &Lease| lease.overlaps(range) && lease.until(true) > now;
-        self.leases.iter().any(open)
-    }
-
-    /// Returns the map in which every range that stays with its holder has a
-    /// fencing token of this keeper, once after it took over.
+    /// Returns the map in which every range has a fencing token of this keeper,
+    /// once after it took over.
     pub(super) fn fence_off(&mut self) -> Option<Map> {
         if !std::mem::take(&mut self.is_inherited) {
             return None;
         }
         let mut map = self.map.clone();
         for index in 0..map.ranges.len() {
-            if map.ranges[index].holder.is_some() && map.ranges[index].source.is_none() {
+            if map.ranges[index].holder.is_some() {
                 map.ranges[index].fence = map.take_fence();
             }
         }
         Some(map)
     }
 
-    /// Whether a range that stays with its holder has a fencing token of an
-    /// earlier keeper.
+    /// Whether a range has a fencing token of an earlier keeper.
     pub(super) fn has_inherited_fences(&self) -> bool {
-        let inherited = |range: &Range| {
-            range.holder.is_some() && range.source.is_none() && range.fence < self.first_fence
-        };
+        let inherited = |range: &Range| range.holder.is_some() && range.fence < self.first_fence;
         self.map.ranges.iter().any(inherited)
     }
 
--- a/crates/ranges/src/keeper/transfer.rs
+++ b/crates/ranges/src/keeper/transfer.rs
@@ -41,15 +41,14 @@
 impl Keeper {
     /// Drops leases that can't be in force and that the map doesn't name.
     pub(super) fn drop_old_leases(&mut self, now: Instant) {
-        if matches!(self.inherited, Inherited::Stopped { answered_until, .. } if now >= answered_until)
-        {
+        if matches!(self.inherited, Inherited::Stopped { until } if now >= until) {
             self.fenced_off.clear();
         }
         let map = &self.map;
         self.leases.retain(|lease| {
             let range = map.range(lease.from);
             let is_named = lease.is_of(range) && range.holder.as_ref() == Some(&lease.life);
-            is_named || lease.in_flight || now < lease.until(false)
+            is_named || lease.in_flight || now < lease.until
         });
     }
 
@@ -70,43 +69,35 @@
             if transfer.cleared {
                 continue;
             }
-            let of_source = |lease: &&Lease| lease.life == source.life && lease.overlaps(range);
-            let in_flight = self
-                .leases
-                .iter()
-                .filter(of_source)
-                .any(|lease| lease.in_flight);
-            let own = self
-                .leases
-                .iter()
-                .filter(of_source)
-                .map(|lease| lease.until(transfer.released));
-            let is_fenced_off = is_fenced_off(&self.fenced_off, &source.life, range);
+            let of_source = |lease: &&Lease| lease.life == *source && lease.overlaps(range);
+            let mut own = self.leases.iter().filter(of_source).map(|lease| {
+                if lease.in_flight {
+                    None
+                } else {
+                    Some(lease.until)
+                }
+            });
+            let own = own.try_fold(now, |latest, until| Some(latest.max(until?)));
             let inherited = match self.inherited {
-                _ if is_fenced_off => now,
-                Inherited::Active { .. } => continue,
-                Inherited::Stopped {
-                    unanswered_until, ..
-                } if transfer.released => unanswered_until,
-                Inherited::Stopped { answered_until, .. } => answered_until,
+                _ if is_fenced_off(&self.fenced_off, source, range) => Some(now),
+                Inherited::Active { .. } => None,
+                Inherited::Stopped { until } => Some(until),
             };
-            let until = own.max().unwrap_or(now).max(inherited);
+            let has_run_out = own.is_some_and(|until| now >= until)
+                && inherited.is_some_and(|until| now >= until);
             let has_restarted = self.upstreams.iter().any(|upstream| {
                 let life = &upstream.life;
-                life.upstream == source.life.upstream && life.incarnation != source.life.incarnation
+                life.upstream == source.upstream && life.incarnation != source.incarnation
             });
-            if has_restarted
-                || (!in_flight && now >= until && (transfer.released || !transfer.in_flight))
-            {
+            if transfer.released || has_restarted || (has_run_out && !transfer.in_flight) {
                 transfer.cleared = true;
-            } else if !transfer.released && !transfer.in_flight && !in_flight && now >= transfer.due
-            {
+            } else if !transfer.in_flight && !self.is_inherited && now >= transfer.due {
                 transfer.in_flight = true;
                 actions.push(Action::Release(Order {
-                    life: source.life.clone(),
+                    life: source.clone(),
                     from: range.from,
                     to: range.to,
-                    fence: source.fence,
+                    fence: range.fence,
                 }));
             }
         }
--- a/crates/ranges/src/lease.rs
+++ b/crates/ranges/src/lease.rs
@@ -18,10 +18,8 @@
     pub(crate) handover: Option<Arc<str>>,
     pub(crate) in_flight: bool,
     pub(crate) due: Instant,
-    /// Until when calls that were answered may be in force.
-    answered_until: Instant,
-    /// Until when calls that weren't answered may be in force.
-    unanswered_until: Instant,
+    /// Until when calls may be in force, answered or not.
+    pub(crate) until: Instant,
     last_answer: Option<Instant>,
     created: Instant,
     failures: u32,
@@ -53,8 +51,7 @@
             handover,
             in_flight: false,
             due: now,
-            answered_until: now,
-            unanswered_until: now,
+            until: now,
             last_answer: None,
             created: now,
             failures: 0,
@@ -79,12 +76,12 @@
         self.in_flight = false;
         match outcome {
             Outcome::Done { .. } => {
-                self.answered_until = now + longest;
+                self.until = now + longest;
                 self.last_answer = Some(now);
                 self.failures = 0;
             }
             Outcome::Unknown => {
-                self.unanswered_until = now + longest;
+                self.until = now + longest;
                 self.failures += 1;
             }
             Outcome::NotSent => self.failures += 1,
@@ -97,15 +94,6 @@
         let since = self.last_answer.unwrap_or(self.created);
         self.failures >= MIN_FAILURES && now - since >= limit
     }
-
-    /// Until when a call may be in force, after the keys were released or not.
-    pub(crate) fn until(&self, released: bool) -> Instant {
-        if released {
-            self.unanswered_until
-        } else {
-            self.unanswered_until.max(self.answered_until)
-        }
-    }
 }
 
 /// Failed calls in a row before a holder counts as silent.
--- a/crates/ranges/src/map.rs
+++ b/crates/ranges/src/map.rs
@@ -38,7 +38,7 @@
     pub holder: Option<Life>,
     /// Earlier holder that may still hold them. While there is one, the new
     /// holder gets no grant and no requests.
-    pub source: Option<Source>,
+    pub source: Option<Life>,
 }
 
 /// One life of an upstream: a restart ends all that it held.
@@ -50,15 +50,6 @@
     pub incarnation: u64,
 }
 
-/// Earlier holder of a range that changes hands.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Source {
-    /// Who held the keys.
-    pub life: Life,
-    /// Fencing token under which it held them.
-    pub fence: u64,
-}
-
 /// Why a map can't be used.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum Fault {
@@ -151,8 +142,7 @@
         let fence = self.take_fence();
         let range = &mut self.ranges[index];
         if range.source.is_none() {
-            let fence = range.fence;
-            range.source = range.holder.take().map(|life| Source { life, fence });
+            range.source = range.holder.take();
         }
         range.holder = holder;
         range.fence = fence;
--- a/crates/ranges/tests/election.rs
+++ b/crates/ranges/tests/election.rs
@@ -16,7 +16,7 @@
         router: "router-1".into(),
         incarnation: 1,
         address: "127.0.0.1:7540".parse().unwrap(),
-        released: None,
+        is_released: false,
         formers: Vec::new(),
     };
     election.learn(Some((duty, 10)), 0, at(0));
--- a/crates/ranges/tests/ownership.rs
+++ b/crates/ranges/tests/ownership.rs
@@ -72,3 +72,30 @@
         assert!(longest <= bound, "seed {seed}: {longest:?}");
     }
 }
+
+/// The successor doesn't wait for a keeper that nobody can reach: an upstream that
+/// released keys under a later token refuses what that keeper may still send.
+#[test]
+fn keys_on_their_way_arrive_though_the_keeper_may_still_act() {
+    let election = Duration::from_secs(2);
+    let bound = election + Duration::from_millis(400);
+    let mut were_moving = 0;
+    for seed in 0..200 {
+        let mut world = World::new(seed, 4, CALM);
+        world.run(5);
+        world.retire(0);
+        for _ in 0..100 {
+            world.step();
+            if world.on_their_way() > 0 {
+                break;
+            }
+        }
+        were_moving += world.on_their_way();
+        world.longest_unheld = Duration::ZERO;
+        world.cut_keeper_off();
+        world.run(12);
+        let longest = world.longest_unheld;
+        assert!(longest <= bound, "seed {seed}: {longest:?}");
+    }
+    assert!(were_moving >= 200, "{were_moving}");
+}
--- a/crates/ranges/tests/world/mod.rs
+++ b/crates/ranges/tests/world/mod.rs
@@ -7,7 +7,7 @@
 
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_ranges::keeper::{self, Action, Keeper, Order, Outcome, Settings};
-use eelgrassrock_ranges::map::{Life, Map};
+use eelgrassrock_ranges::map::{Life, Map, Range};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -159,26 +159,30 @@
     /// Plays a schedule.
     pub(crate) fn run(&mut self, seconds: u64) {
         for step in 0..seconds * 1_000 / STEP_MS {
-            self.now = self.now + Duration::from_millis(STEP_MS);
             if step % (1_000 / STEP_MS) == 0 {
                 self.upset();
             }
-            self.elect();
-            while let Some(entry) = self
-                .events
-                .first_entry()
-                .filter(|entry| entry.key().0 <= self.now)
-            {
-                let event = entry.remove();
-                self.handle(event);
-            }
-            for router in 0..self.routers.len() {
-                self.drive(router);
-            }
-            self.check();
+            self.step();
         }
     }
 
+    pub(crate) fn step(&mut self) {
+        self.now = self.now + Duration::from_millis(STEP_MS);
+        self.elect();
+        while let Some(entry) = self
+            .events
+            .first_entry()
+            .filter(|entry| entry.key().0 <= self.now)
+        {
+            let event = entry.remove();
+            self.handle(event);
+        }
+        for router in 0..self.routers.len() {
+            self.drive(router);
+        }
+        self.check();
+    }
+
     /// Lets things go wrong, once a second.
     fn upset(&mut self) {
         if self.chance(self.faults.store_away) {
@@ -262,7 +266,7 @@
             *former != index && routers[*former].keeper.is_some() && routers[*former].term == *term
         });
         if self.formers.is_empty() {
-            keeper.predecessor_stopped(false, self.now);
+            keeper.predecessor_stopped(self.now);
         }
         let router = &mut self.routers[index];
         router.keeper = Some(keeper);
@@ -495,7 +499,10 @@
                 Outcome::Done { handover: None }
             }
             None => {
-                keys.into_iter().for_each(|key| upstream.holds[key] = None);
+                for key in keys {
+                    upstream.seen[key] = upstream.seen[key].max(order.fence);
+                    upstream.holds[key] = None;
+                }
                 Outcome::Done {
                     handover: Some(Arc::from("token")),
                 }
@@ -536,4 +543,26 @@
     pub(crate) fn set_faults(&mut self, faults: Faults) {
         self.faults = faults;
     }
+
+    /// Cuts the keeper off from store and routers, but not from upstreams, for
+    /// good.
+    pub(crate) fn cut_keeper_off(&mut self) {
+        if let Some(index) = self.store.1 {
+            self.routers[index].is_cut = true;
+        }
+    }
+
+    /// An upstream is about to leave, so its keys move.
+    pub(crate) fn retire(&mut self, index: usize) {
+        self.upstreams[index].leaving = true;
+    }
+
+    /// Number of ranges that are on their way.
+    pub(crate) fn on_their_way(&self) -> usize {
+        let Some(map) = &self.store.2 else {
+            return 0;
+        };
+        let moving = |range: &&Range| range.source.is_some();
+        map.ranges.iter().filter(moving).count()
+    }
 }
