A silent upstream gets keys again only after it has answered

Cause: an upstream that answered no grant lost its keys after 1.2 s; once its grants had run out nothing was known of it, so it looked idle, got keys again, and kept them from callers for 1.2 s and more, over and over, for as long as the registry listed it. Change: the keeper remembers silent upstreams and asks each once a second to release one key that it doesn't hold, which is never refused and leaves nothing behind. An answer to any order ends that. The same applies to one that the keeper alone can't reach. Ruled out: waiting times that double, since each try would still cost callers a range.

--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -15,6 +15,7 @@
 //!    predecessor has provably stopped or its authority has run out.
 
 mod planning;
+mod silence;
 mod transfer;
 
 use std::collections::{HashMap, HashSet};
@@ -23,6 +24,7 @@
 
 use eelgrassrock_model::time::Instant;
 
+use self::silence::Silence;
 use self::transfer::Transfer;
 use crate::lease::Lease;
 pub use crate::lease::Outcome;
@@ -114,6 +116,7 @@
     draft: Option<Map>,
     leases: Vec<Lease>,
     transfers: Vec<Transfer>,
+    silences: Vec<Silence>,
     upstreams: Vec<Upstream>,
     paces: Paces,
     shares: Vec<(Arc<str>, f32)>,
@@ -165,6 +168,7 @@
             draft: None,
             leases: Vec::new(),
             transfers: Vec::new(),
+            silences: Vec::new(),
             upstreams: Vec::new(),
             paces: Paces::default(),
             shares: Vec::new(),
@@ -239,6 +243,7 @@
         self.drop_old_leases(now);
         self.transfer(now, &mut actions);
         self.renew(now, &mut actions);
+        self.probe(now, &mut actions);
         if self.draft.is_none() {
             let next = self
                 .fence_off()
@@ -254,6 +259,9 @@
 
     /// Notes the end of a grant.
     pub fn granted(&mut self, order: &Order, outcome: &Outcome, now: Instant) {
+        if matches!(outcome, Outcome::Done { .. }) {
+            self.heard(&order.life);
+        }
         let longest = self.longest_hold();
         let renewal = self.settings.hold / RENEWALS_PER_HOLD;
         let same = |lease: &&mut Lease| {
@@ -287,12 +295,17 @@
 
     /// Notes the end of a release.
     pub fn released(&mut self, order: &Order, outcome: &Outcome, now: Instant) {
+        let is_answered = matches!(outcome, Outcome::Done { .. });
+        if is_answered {
+            self.heard(&order.life);
+        }
         let same = |transfer: &&mut Transfer| {
             transfer.source == order.life
                 && (transfer.from, transfer.to, transfer.fence)
                     == (order.from, order.to, order.fence)
         };
         let Some(transfer) = self.transfers.iter_mut().find(same) else {
+            self.probed(&order.life, now);
             return;
         };
         transfer.in_flight = false;
--- a/crates/ranges/src/keeper/planning.rs
+++ b/crates/ranges/src/keeper/planning.rs
@@ -7,7 +7,6 @@
 use eelgrassrock_model::time::Instant;
 
 use super::Keeper;
-use crate::lease::Lease;
 use crate::map::{Life, Map, Range};
 use crate::plan::{self, Candidate};
 use crate::weights::Load;
@@ -84,14 +83,6 @@
         plan::improve(&self.map, &load, &usable, is_fixed, moves)
     }
 
-    pub(super) fn is_silent(&self, life: &Life, now: Instant) -> bool {
-        let silent =
-            |lease: &Lease| lease.life == *life && lease.is_silent(self.settings.silence, now);
-        let answering =
-            |lease: &Lease| lease.life == *life && lease.is_answered() && !silent(lease);
-        self.leases.iter().any(silent) && !self.leases.iter().any(answering)
-    }
-
     /// Returns the map in which every range has a fencing token of this keeper,
     /// once after it took over.
     pub(super) fn fence_off(&mut self) -> Option<Map> {
--- a/crates/ranges/tests/ownership.rs
+++ b/crates/ranges/tests/ownership.rs
@@ -100,6 +100,39 @@
     assert!(were_moving >= 200, "{were_moving}");
 }
 
+/// Keys come back, also those whose next holder was lost before they arrived.
+#[rstest]
+#[case::upstreams(Faults { upstream_lost: 0.1, ..CALM })]
+#[case::all(Faults {
+    call_lost: 0.2,
+    keeper_lost: 0.1,
+    upstream_lost: 0.05,
+    store_away: 0.05,
+    path_lost: 0.03,
+})]
+fn every_key_has_a_holder_again_after_the_faults(#[case] faults: Faults) {
+    let slack = Duration::from_millis(300);
+    let election = Duration::from_secs(2);
+    let moves = Duration::from_secs(1);
+    // The store is away for up to 8 s; then the authority of a lost keeper runs out,
+    // and what it granted last.
+    let bound = Duration::from_secs(8)
+        + election
+        + SETTINGS.authority
+        + SETTINGS.hold.mul_f64(1.02)
+        + slack * 2
+        + moves;
+    for seed in 0..40 {
+        let mut world = World::new(seed, 5, faults);
+        world.run(20);
+        world.set_faults(CALM);
+        world.keep_most_up();
+        world.run(bound.as_secs() + 1);
+        let unheld = world.unheld();
+        assert!(unheld.is_empty(), "seed {seed}: {unheld:?}");
+    }
+}
+
 #[test]
 fn a_range_whose_next_holder_is_lost_goes_to_another() {
     for seed in 0..40 {
@@ -120,3 +153,26 @@
         assert!(unheld.is_empty(), "seed {seed}: {unheld:?}");
     }
 }
+
+/// An upstream that the registry lists and that answers nothing costs its keys
+/// once; when it answers again, it gets some.
+#[test]
+fn a_silent_upstream_gets_no_keys_until_it_answers() {
+    let settled = SETTINGS.silence + SETTINGS.hold.mul_f64(1.02) + Duration::from_secs(2);
+    for seed in 0..10 {
+        let mut world = World::new(seed, 5, CALM);
+        world.run(5);
+        world.set_up(0, false);
+        world.run(settled.as_secs() + 1);
+        world.longest_unheld = Duration::ZERO;
+        world.run(20);
+        let longest = world.longest_unheld;
+        assert!(
+            longest <= Duration::from_millis(400),
+            "seed {seed}: {longest:?}"
+        );
+        world.set_up(0, true);
+        world.run(5);
+        assert!(world.ranges_of(0) > 0, "seed {seed}: got nothing");
+    }
+}
