A test for feeds that die without a sign

Change: the store of the tests can kill the feeds that a router has open; configuration and registry must be followed again within 3 s.

--- a/crates/edge/tests/control.rs
+++ b/crates/edge/tests/control.rs
@@ -150,6 +150,34 @@
     served_within(&second, "/v2/1", Duration::from_millis(3_500)).await;
 }
 
+/// The bound on an upstream that leaves is a few seconds; the feed of the registry
+/// would wait for 20 s.
+#[tokio::test]
+async fn feeds_that_die_without_a_sign_are_replaced_within_three_seconds() {
+    let (store, server) = serving("/v1/").await;
+    let router = Router::start("router-1", &store);
+    router.ready().await;
+    // The first answers come soon after the start; then the feeds wait.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    store.kill_feeds("router-1");
+    let began = Instant::now();
+    let other = Server::start("up-1").await;
+    store.register("sheets", &other);
+    store.configure(2, vec![route("/v2/", Repeat::Idempotent, "sheets")], &[]);
+    store.unregister("up-0");
+    served_within(&router, "/v2/1", Duration::from_secs(3)).await;
+    while !router.lines.text().contains("upstream lapsed") {
+        assert!(
+            began.elapsed() < Duration::from_secs(3),
+            "{}",
+            router.lines.text()
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(status(&router, "/v2/2", "r2").await, 200);
+    assert_eq!(server.runs("r2"), 0);
+}
+
 async fn keyed(store: &Store, routers: usize) -> (Vec<Server>, Vec<Router>) {
     let servers = vec![
         Server::start("up-0").await.keyed(),
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -17,6 +17,9 @@
 
 use super::upstream::Server;
 
+/// Time after the end of a feed's wait when its caller gives up.
+const FEED_MARGIN: Duration = Duration::from_millis(500);
+
 /// The store of a test. Clones share it.
 #[derive(Clone, Default)]
 pub(crate) struct Store(Arc<Mutex<State>>);
@@ -32,6 +35,8 @@
     cut: Vec<String>,
     /// Feed calls by router.
     feed_calls: BTreeMap<String, usize>,
+    /// How often the open feeds of a router died without a sign.
+    feed_deaths: BTreeMap<String, usize>,
     /// Time that the row of a map takes.
     map_delay: Duration,
 }
@@ -123,6 +128,13 @@
         self.0.lock().unwrap().cut.push(router.to_owned());
     }
 
+    /// The feeds that a router has open bring nothing more, without a sign. Calls
+    /// that begin later are answered.
+    pub(crate) fn kill_feeds(&self, router: &str) {
+        let mut state = self.0.lock().unwrap();
+        *state.feed_deaths.entry(router.to_owned()).or_default() += 1;
+    }
+
     /// Answers calls for maps late.
     pub(crate) fn delay_maps(&self, delay: Duration) {
         self.0.lock().unwrap().map_delay = delay;
@@ -181,6 +193,11 @@
         Ok(())
     }
 
+    fn feed_deaths(&self) -> usize {
+        let state = self.store.0.lock().unwrap();
+        state.feed_deaths.get(&self.router).copied().unwrap_or(0)
+    }
+
     fn after(&self, table: Table, after: u64) -> Rows {
         let state = self.store.0.lock().unwrap();
         let of_table = state
@@ -235,7 +252,15 @@
             .feed_calls
             .entry(self.router.clone())
             .or_default() += 1;
+        let deaths = self.feed_deaths();
         loop {
+            if self.feed_deaths() != deaths {
+                tokio::time::sleep_until(give_up + FEED_MARGIN).await;
+                return Err(Fault {
+                    call: "test".into(),
+                    kind: Kind::Timeout(FEED_MARGIN),
+                });
+            }
             self.reach()?;
             let rows = self.after(table, after);
             if !rows.rows.is_empty() || tokio::time::Instant::now() >= give_up {
