A keeper that the store doesn't answer gives way to one that hears it

It can't change the map then, but kept the duty for its authority of 6 s, so 25 of 114 ranges stayed on their way and nothing followed the load from 1.1 to 7.0 s and from 7.4 to 13.1 s. Change: after 2 s without a confirmation (two missed) a keeper tells others that it doesn't act, and they stand. It goes on renewing until a successor's tokens fence it off. Only routers that hear the store stand, so an outage for all brings no calls.

--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -32,6 +32,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two questions to the store whether the duty is still ours.
 const CONFIRM_INTERVAL: Duration = Duration::from_secs(1);
+/// Time without a confirmation after which a keeper gives way to routers that hear
+/// the store: two were missed. Without the store it can't change the map.
+const GIVE_WAY_AFTER: Duration = Duration::from_secs(2);
 /// Pause after a call to the store that failed.
 const STORE_PAUSE: Duration = Duration::from_millis(150);
 /// Keys that are kept for one report. More are sampled by leaving out the rest.
@@ -63,7 +66,6 @@
     confirm_due: Instant,
     confirming: bool,
     standing: bool,
-    /// Whether all grants were answered when the duty was last given up.
     wake: Rc<Notify>,
 }
 
@@ -169,11 +171,14 @@
         }
     }
 
-    /// Whether this router is the keeper and may act.
+    /// Whether this router is the keeper, and is to stay it.
     pub(crate) fn acts(&self, service: &Arc<str>) -> bool {
         let services = self.services.borrow();
         let keeper = services.get(service).and_then(|seat| seat.keeper.as_ref());
-        keeper.is_some_and(|keeper| keeper.has_authority(clock::now()))
+        let now = clock::now();
+        keeper.is_some_and(|keeper| {
+            keeper.has_authority(now) && keeper.since_confirmed(now) < GIVE_WAY_AFTER
+        })
     }
 
     /// Gives the duty up to a later term. Returns whether this process certainly
--- a/crates/edge/src/duty/stand.rs
+++ b/crates/edge/src/duty/stand.rs
@@ -30,6 +30,9 @@
 
 impl<P: Platform> Node<P> {
     pub(super) fn next_stand(&self, service: &Arc<str>, now: Instant) -> Duration {
+        if !self.hears_from_store() {
+            return REPORT_INTERVAL;
+        }
         let at = self
             .seat(service, |seat| seat.election.stands_at())
             .flatten();
@@ -39,7 +42,9 @@
     }
 
     pub(super) fn stand_if_due(self: &Rc<Self>, service: &Arc<str>, now: Instant) {
-        if self.is_stopping() {
+        // Without the store the duty can't be taken. It also says that the router
+        // isn't about to stop.
+        if !self.hears_from_store() {
             return;
         }
         let address = self.settings.peer;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -280,7 +280,7 @@
 
     /// Whether this router hears from the store, if only through its relay:
     /// followers move up one by one when a relay is lost.
-    fn hears_from_store(&self) -> bool {
+    pub(crate) fn hears_from_store(&self) -> bool {
         let heard = self.relay.heard();
         !self.is_stopping() && heard.is_some_and(|at| clock::now() - at < DEAF_AFTER)
     }
--- a/crates/edge/tests/control.rs
+++ b/crates/edge/tests/control.rs
@@ -260,13 +260,7 @@
     })
     .await;
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    let is_keeper = |router: &Router| {
-        router
-            .lines
-            .text()
-            .lines()
-            .any(|line| line.contains("\"keeper\"") && line.contains("taken"))
-    };
+    let is_keeper = |router: &Router| terms(router) > 0;
     let keeper = routers.iter().position(is_keeper).unwrap();
     routers.remove(keeper).kill();
     let end = Instant::now() + Duration::from_secs(5);
@@ -281,6 +275,55 @@
     assert!(routers.iter().any(is_keeper));
 }
 
+/// A keeper that the store doesn't answer can't change the map, so ranges on their
+/// way stay without a holder for as long as it keeps the duty.
+#[tokio::test]
+async fn a_keeper_that_the_store_does_not_answer_gives_way_to_one_that_hears_it() {
+    let store = Store::default();
+    let (servers, routers) = keyed(&store, 3).await;
+    eventually("the grants", || {
+        servers.iter().any(|server| server.holds(7))
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let is_keeper = |router: &Router| terms(router) > 0;
+    let keeper = routers.iter().position(is_keeper).unwrap();
+    store.cut(&format!("router-{keeper}"));
+    let began = Instant::now();
+    let other = |at: usize| at != keeper && is_keeper(&routers[at]);
+    while !(0..routers.len()).any(other) {
+        assert!(began.elapsed() < Duration::from_secs(4), "no successor");
+        assert!(servers.iter().any(|server| server.holds(7)), "key 7 lapsed");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for _ in 0..100 {
+        assert!(servers.iter().any(|server| server.holds(7)), "key 7 lapsed");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Without the store nobody can take the duty, so nobody asks for it, and the
+/// keeper carries it out.
+#[tokio::test]
+async fn nobody_stands_while_the_store_answers_nobody() {
+    let store = Store::default();
+    let (servers, routers) = keyed(&store, 3).await;
+    eventually("the grants", || {
+        servers.iter().any(|server| server.holds(7))
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    (0..routers.len()).for_each(|at| store.cut(&format!("router-{at}")));
+    // A follower takes its relay's word for 1.6 s, and may be the next one's relay.
+    tokio::time::sleep(Duration::from_millis(4_900)).await;
+    let before = store.duty_calls();
+    for _ in 0..100 {
+        assert!(servers.iter().any(|server| server.holds(7)), "key 7 lapsed");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(store.duty_calls(), before);
+}
+
 /// Times that a router began to grant keys.
 fn terms(router: &Router) -> usize {
     let text = router.lines.text();
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -37,6 +37,8 @@
     feed_calls: BTreeMap<String, usize>,
     /// How often the open feeds of a router died without a sign.
     feed_deaths: BTreeMap<String, usize>,
+    /// Calls of all routers to write who has a duty.
+    duty_calls: usize,
     /// Time that the row of a map takes.
     map_delay: Duration,
 }
@@ -140,6 +142,10 @@
         self.0.lock().unwrap().map_delay = delay;
     }
 
+    pub(crate) fn duty_calls(&self) -> usize {
+        self.0.lock().unwrap().duty_calls
+    }
+
     pub(crate) fn feed_calls(&self, router: &str) -> usize {
         self.0
             .lock()
@@ -271,6 +277,10 @@
     }
 
     async fn commit(&self, transaction: &Transaction) -> Commit {
+        let is_duty = |(name, _): &(Name, Bytes)| name.key.starts_with("duty/");
+        if transaction.put.iter().any(is_duty) {
+            self.store.0.lock().unwrap().duty_calls += 1;
+        }
         if let Err(fault) = self.reach() {
             return Commit::NotDone(fault);
         }
--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -193,6 +193,12 @@
         self.authority_until = self.authority_until.max(until);
     }
 
+    /// Returns the time since the last question to which the store answered that
+    /// the duty is ours.
+    pub fn since_confirmed(&self, now: Instant) -> Duration {
+        (now + self.settings.authority) - self.authority_until
+    }
+
     /// Whether the keeper may act.
     pub fn has_authority(&self, now: Instant) -> bool {
         now < self.authority_until
