A stopping router goes on following its relay

Change: the address of a router that left is known for the grace. Ruled out: shorter feeds (their waits ended early because of changes, not by themselves).

--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -89,6 +89,9 @@
     pub(crate) services: IndexMap<Arc<str>, Service>,
     pub(crate) maps: IndexMap<Arc<str>, (Map, u64)>,
     pub(crate) routers: IndexMap<Arc<str>, Router>,
+    /// Addresses of routers whose rows are gone, and since when: a router that
+    /// stops removes its row and goes on for the grace.
+    pub(crate) departed: HashMap<IpAddr, Instant>,
     splits: HashMap<Arc<str>, Split>,
     waiters: HashMap<u64, oneshot::Sender<Step>>,
     polling: HashMap<Arc<str>, ()>,
@@ -96,6 +99,23 @@
     pub(crate) contact: HashMap<Table, bool>,
 }
 
+impl State {
+    /// Forgets a router, but for its address.
+    pub(crate) fn forget_router(&mut self, name: &str) {
+        if let Some(router) = self.routers.shift_remove(name) {
+            self.departed.insert(router.address.ip(), clock::now());
+        }
+    }
+
+    /// Whether an address is that of a router, or was that of one within `grace`.
+    pub(crate) fn knows(&self, address: IpAddr, grace: Duration) -> bool {
+        let mut routers = self.routers.values();
+        let departed = self.departed.get(&address);
+        routers.any(|router| router.address.ip() == address)
+            || departed.is_some_and(|since| clock::now() < *since + grace)
+    }
+}
+
 impl<P: Platform> Node<P> {
     pub(crate) fn new(platform: P, settings: Settings, logger: Logger) -> Self {
         let metrics = Metrics::new();
@@ -115,6 +135,7 @@
                 services: IndexMap::new(),
                 maps: IndexMap::new(),
                 routers: IndexMap::new(),
+                departed: HashMap::new(),
                 splits: HashMap::new(),
                 waiters: HashMap::new(),
                 polling: HashMap::new(),
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -228,13 +228,8 @@
     from: IpAddr,
     request: Request<Incoming>,
 ) -> Response<Payload> {
-    let known = node
-        .state
-        .borrow()
-        .routers
-        .values()
-        .any(|router| router.address.ip() == from);
-    if !known && from != node.settings.peer.ip() {
+    let is_known = node.state.borrow().knows(from, node.settings.grace);
+    if !is_known && from != node.settings.peer.ip() {
         node.log
             .request("stranger refused", &Stranger { address: from });
         return respond(StatusCode::FORBIDDEN, Bytes::new());
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -199,7 +199,13 @@
                     .iter()
                     .any(|row| row.key.strip_prefix(ROUTER) == Some(name))
             };
-            state.routers.retain(|name, _| present(name));
+            let gone: Vec<Arc<str>> = state
+                .routers
+                .keys()
+                .filter(|name| !present(name))
+                .cloned()
+                .collect();
+            gone.iter().for_each(|name| state.forget_router(name));
         }
         Table::Configuration | Table::Maps => {}
     }
@@ -339,7 +345,7 @@
         }
         Some(Err(error)) => note_bad(node, Table::Routers, row, &error.to_string()),
         None => {
-            state.routers.shift_remove(name);
+            state.forget_router(name);
         }
     }
 }
--- a/crates/edge/tests/control.rs
+++ b/crates/edge/tests/control.rs
@@ -106,17 +106,16 @@
     assert_eq!(store.feed_calls("router-2"), before);
 }
 
-/// Routers know each other by their addresses, so calls must come from there,
-/// also where the system would choose another one.
-#[tokio::test]
-async fn routers_at_addresses_of_their_own_know_each_other() {
-    let (store, _server) = serving("/v1/").await;
+/// Two routers at addresses of their own, `router-2` and `router-3`, of which the
+/// second follows the first.
+async fn relay_and_follower(store: &Store) -> Vec<Router> {
     let mut routers = Vec::new();
     for (last, size) in [(2, 500), (3, 100)] {
         let name = format!("router-{last}");
-        let router = Router::start_with(&name, &store, |settings| {
+        let router = Router::start_with(&name, store, |settings| {
             settings.peer.set_ip([127, 0, 0, last].into());
             settings.size = size;
+            settings.grace = Duration::from_secs(10);
         });
         router.ready().await;
         routers.push(router);
@@ -124,6 +123,33 @@
     // The first call may come before the relay has read the new router's row;
     // then the relay is passed over for 3 s.
     tokio::time::sleep(Duration::from_millis(4_500)).await;
+    routers
+}
+
+/// A router that stops has removed its row, and goes on for seconds. Refused as a
+/// stranger by its relay, it followed the store by itself.
+#[tokio::test]
+async fn a_stopping_router_goes_on_following_its_relay() {
+    let (store, _server) = serving("/v1/").await;
+    let mut routers = relay_and_follower(&store).await;
+    let refused = |router: &Router| router.lines.text().matches("stranger refused").count();
+    let refused_before = refused(&routers[0]);
+    routers[1].stop();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let before = store.feed_calls("router-3");
+    store.configure(2, vec![route("/v2/", Repeat::Idempotent, "sheets")], &[]);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert!(routers[1].is_running());
+    assert_eq!(store.feed_calls("router-3"), before);
+    assert_eq!(refused(&routers[0]), refused_before);
+}
+
+/// Routers know each other by their addresses, so calls must come from there,
+/// also where the system would choose another one.
+#[tokio::test]
+async fn routers_at_addresses_of_their_own_know_each_other() {
+    let (store, _server) = serving("/v1/").await;
+    let routers = relay_and_follower(&store).await;
     let before = store.feed_calls("router-3");
     store.configure(2, vec![route("/v2/", Repeat::Idempotent, "sheets")], &[]);
     tokio::time::sleep(Duration::from_millis(700)).await;
