A follower that is behind asks the router that told it, before the store

Followers also kept the version of a table's last change, so a relay that had read the table later took them for too far behind, and each read the table anew. Change: the router that told the later version is asked for it; only if that doesn't answer, or is no further, the store is followed. A relay without news says up to which version its tables hold. Ruled out: a longer wait for the relay (it was dead, or not reached, in those seconds).

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -145,22 +145,20 @@
             sleep(FAULT_PAUSE).await;
             continue;
         };
-        let known = node
-            .state
-            .borrow()
-            .routers
-            .values()
-            .any(|router| router.address.ip() == from.ip());
-        match postcard::from_bytes::<Message>(&buffer[..length])
-            .ok()
-            .filter(|_| known)
-        {
-            Some(Message::Counts(counts)) => take(&node, &counts),
-            Some(Message::Keys(service, keys)) => {
-                node.duties.hear(&service, &keys);
-            }
-            Some(Message::Versions(versions)) => node.hear_versions(versions),
-            None => {}
+        let sender = {
+            let state = node.state.borrow();
+            let mut routers = state.routers.values();
+            routers
+                .find(|router| router.address.ip() == from.ip())
+                .cloned()
+        };
+        let (Some(sender), Ok(message)) = (sender, postcard::from_bytes(&buffer[..length])) else {
+            continue;
+        };
+        match message {
+            Message::Counts(counts) => take(&node, &counts),
+            Message::Keys(service, keys) => node.duties.hear(&service, &keys),
+            Message::Versions(versions) => node.hear_versions(versions, sender),
         }
     }
 }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -242,6 +242,24 @@
     }
 }
 
+impl Relay {
+    /// Says for tables without changes up to which version that holds, so that a
+    /// follower needn't read them anew at a relay that has read them later.
+    fn unchanged(&self, after: [u64; 3]) -> Vec<Part> {
+        let journals = self.journals.borrow();
+        let tables = journals.iter().zip(after).enumerate();
+        tables
+            .filter(|(_, (journal, after))| *after > 0 && journal.version > *after)
+            .map(|(table, (journal, _))| Part {
+                table: table as u8,
+                rows: Vec::new(),
+                version: journal.version,
+                forgotten: false,
+            })
+            .collect()
+    }
+}
+
 impl<P: Platform> Node<P> {
     /// Returns the router whose news this one follows, `None` if it reads the
     /// store by itself.
@@ -285,8 +303,9 @@
         !self.is_stopping() && heard.is_some_and(|at| clock::now() - at < DEAF_AFTER)
     }
 
-    /// Notes the versions that another router has.
-    pub(crate) fn hear_versions(self: &Rc<Self>, versions: [u64; 2]) {
+    /// Notes the versions that another router has. If the own relay doesn't bring
+    /// them soon, that router is asked, and the store if it doesn't answer.
+    pub(crate) fn hear_versions(self: &Rc<Self>, versions: [u64; 2], sender: Router) {
         let is_behind = move |node: &Self| {
             let own = node.relay.newest();
             own.iter()
@@ -302,17 +321,44 @@
             if !is_behind(&node) {
                 return;
             }
-            if node.relay_to_follow().is_some() {
+            if node.relay_to_follow().is_none() {
+                node.relay.feeds_lost.notify_waiters();
+                return;
+            }
+            node.catch_up(&sender).await;
+            if is_behind(&node) {
                 node.relay
                     .direct_until
                     .set(Some(clock::now() + DIRECT_TIME));
                 node.relay.role.notify_waiters();
-            } else {
-                node.relay.feeds_lost.notify_waiters();
             }
         });
     }
 
+    /// Takes what another router knows and this one doesn't.
+    async fn catch_up(self: &Rc<Self>, sender: &Router) {
+        let question = self.question(Vec::new());
+        let answer = self.peers.follow(sender.address, HOLD_BACK, &question);
+        if let Ok(mut answer) = answer.await {
+            // It may know less of the past than the own relay.
+            answer.tables.retain(|part| !part.forgotten);
+            self.take_answer(answer);
+        }
+    }
+
+    /// Returns the question for what is news here.
+    fn question(&self, paces: Vec<(Arc<str>, Vec<Pace>)>) -> Question {
+        let state = self.state.borrow();
+        let maps = state.maps.iter();
+        Question {
+            after: TABLES.map(|table| self.relay.after(table).unwrap_or(0)),
+            maps: maps
+                .map(|(name, (_, version))| (Arc::clone(name), *version))
+                .collect(),
+            paces,
+        }
+    }
+
     /// Answers a follower when there is news, or after a while.
     pub(crate) async fn answer_follower(self: &Rc<Self>, question: Question) -> Answer {
         for (service, paces) in question.paces {
@@ -332,7 +378,8 @@
                 news()
             }
         };
-        let (tables, maps) = found.unwrap_or_default();
+        let nothing = || (self.relay.unchanged(question.after), Vec::new());
+        let (tables, maps) = found.unwrap_or_else(nothing);
         Answer {
             is_live: self.hears_from_store(),
             tables,
@@ -367,18 +414,7 @@
                 let _ = timeout(ROLE_POLL, self.relay.role.notified()).await;
                 continue;
             };
-            let after = TABLES.map(|table| self.relay.after(table).unwrap_or(0));
-            let maps = {
-                let state = self.state.borrow();
-                let maps = state.maps.iter();
-                maps.map(|(name, (_, version))| (Arc::clone(name), *version))
-                    .collect()
-            };
-            let question = Question {
-                after,
-                maps,
-                paces: self.duties.take_paces(),
-            };
+            let question = self.question(self.duties.take_paces());
             match self.peers.follow(relay.address, HOLD_BACK, &question).await {
                 Ok(answer) if answer.is_live => {
                     self.relay.hear_store();
--- a/crates/edge/tests/control.rs
+++ b/crates/edge/tests/control.rs
@@ -126,6 +126,26 @@
     routers
 }
 
+/// When a relay's feed is dead, its followers hear from another data centre that
+/// they are behind. All of them asked the store then, for two seconds.
+#[tokio::test]
+async fn a_follower_that_is_behind_asks_the_router_that_told_it() {
+    let (store, _server) = serving("/v1/").await;
+    let mut routers = relay_and_follower(&store).await;
+    let far = Router::start_with("router-4", &store, |settings| {
+        settings.peer.set_ip([127, 0, 0, 4].into());
+        settings.data_centre = "dc-b".into();
+    });
+    far.ready().await;
+    routers.push(far);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    store.kill_feeds("router-2");
+    let before = store.feed_calls("router-3");
+    store.configure(2, vec![route("/v2/", Repeat::Idempotent, "sheets")], &[]);
+    served_within(&routers[1], "/v2/1", Duration::from_millis(1_000)).await;
+    assert_eq!(store.feed_calls("router-3"), before);
+}
+
 /// A router that stops has removed its row, and goes on for seconds. Refused as a
 /// stranger by its relay, it followed the store by itself.
 #[tokio::test]
