--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -5,12 +5,15 @@
 //! each change. So the routers of a data centre agree on a *relay*, the first
 //! by size and name that answers. The others hold one call to it that it
 //! answers on news, or after a short while to show that it still hears from
-//! the store. A follower that gets no such answer, or hears of a version that
-//! its relay doesn't bring, reads the store by itself.
+//! the store. A follower that hears of a version that its relay doesn't bring
+//! asks the router that has it. One that gets no such answers reads the store by
+//! itself.
+
+mod journal;
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,6 +26,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
+use self::journal::{Journal, Part};
 use crate::clock;
 use crate::duty::Pace;
 use crate::node::{Node, Router, Shares};
@@ -43,8 +47,6 @@
 const DEAF_AFTER: Duration = Duration::from_millis(1_600);
 /// Time for which a router reads the store by itself after its relay was late.
 const DIRECT_TIME: Duration = Duration::from_secs(2);
-/// Changes of one table that are kept for followers.
-const MAX_JOURNAL: usize = 1_024;
 /// Pause before a follower that has no relay looks again.
 const ROLE_POLL: Duration = Duration::from_millis(500);
 
@@ -67,19 +69,6 @@
     pub(crate) feeds_lost: Notify,
 }
 
-#[derive(Debug, Default)]
-struct Journal {
-    rows: VecDeque<Row>,
-    /// Changes after this version are in `rows`.
-    since: u64,
-    /// Version up to which everything is known, 0 if the table wasn't read.
-    version: u64,
-    /// Highest version of a row.
-    newest_row: u64,
-    /// When the table was read or a change of it came.
-    changed: Option<Instant>,
-}
-
 /// Question of a follower.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Question {
@@ -100,43 +89,6 @@
     admitted: Vec<(Arc<str>, Shares)>,
 }
 
-/// Changes of one table.
-#[derive(Debug, Serialize, Deserialize)]
-struct Part {
-    table: u8,
-    rows: Vec<WireRow>,
-    version: u64,
-    /// The changes reach back too far.
-    forgotten: bool,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct WireRow {
-    key: Arc<str>,
-    value: Option<Vec<u8>>,
-    version: u64,
-}
-
-impl From<&Row> for WireRow {
-    fn from(row: &Row) -> Self {
-        Self {
-            key: Arc::clone(&row.key),
-            value: row.value.as_ref().map(|value| value.to_vec()),
-            version: row.version,
-        }
-    }
-}
-
-impl From<WireRow> for Row {
-    fn from(row: WireRow) -> Self {
-        Self {
-            key: row.key,
-            value: row.value.map(Into::into),
-            version: row.version,
-        }
-    }
-}
-
 /// Order in which the routers of a data centre become its relay.
 type Rank = (Reverse<u32>, u64);
 
@@ -147,119 +99,6 @@
     (Reverse(router.size), hasher.finish())
 }
 
-fn index(table: Table) -> usize {
-    TABLES.iter().position(|other| *other == table).unwrap_or(0)
-}
-
-impl Relay {
-    /// Keeps changes of a table. `whole` says that they are all of its rows.
-    pub(crate) fn keep(&self, table: Table, rows: &Rows, whole: bool) {
-        let mut journals = self.journals.borrow_mut();
-        let journal = &mut journals[index(table)];
-        if whole {
-            journal.rows.clear();
-            journal.since = rows.version;
-        } else {
-            journal.rows.extend(rows.rows.iter().cloned());
-        }
-        let newest = rows.rows.iter().map(|row| row.version).max().unwrap_or(0);
-        journal.newest_row = journal.newest_row.max(newest);
-        journal.version = journal.version.max(rows.version);
-        while journal.rows.len() > MAX_JOURNAL {
-            if let Some(row) = journal.rows.pop_front() {
-                journal.since = journal.since.max(row.version);
-            }
-        }
-        if whole || !rows.rows.is_empty() {
-            journal.changed = Some(clock::now());
-            self.news.notify_waiters();
-        }
-    }
-
-    /// Forgets a table, which then is read anew.
-    pub(crate) fn forget(&self, table: Table) {
-        self.journals.borrow_mut()[index(table)] = Journal::default();
-    }
-
-    /// Version from which the changes of a table go on, `None` if it must be
-    /// read whole.
-    pub(crate) fn after(&self, table: Table) -> Option<u64> {
-        let version = self.journals.borrow()[index(table)].version;
-        (version > 0).then_some(version)
-    }
-
-    /// Highest versions of rows of the tables that others write.
-    pub(crate) fn newest(&self) -> [u64; 2] {
-        let journals = self.journals.borrow();
-        [Table::Configuration, Table::Registry].map(|table| journals[index(table)].newest_row)
-    }
-
-    /// When the last news of a table came.
-    pub(crate) fn changed(&self, table: Table) -> Option<Instant> {
-        self.journals.borrow()[index(table)].changed
-    }
-
-    /// When the store gave its last sign, directly or through a relay.
-    pub(crate) fn heard(&self) -> Option<Instant> {
-        self.heard.get()
-    }
-
-    /// Notes a sign of the store.
-    pub(crate) fn hear_store(&self) {
-        self.heard.set(Some(clock::now()));
-    }
-
-    /// Tells followers that there is a new map.
-    pub(crate) fn tell(&self) {
-        self.news.notify_waiters();
-    }
-
-    fn changes(&self, after: [u64; 3]) -> Vec<Part> {
-        let journals = self.journals.borrow();
-        let mut parts = Vec::new();
-        for (table, journal) in journals.iter().enumerate() {
-            if journal.version == 0 || after[table] == 0 {
-                continue;
-            }
-            let forgotten = after[table] < journal.since;
-            let later = |row: &&Row| row.version > after[table];
-            let rows: Vec<WireRow> = journal
-                .rows
-                .iter()
-                .filter(later)
-                .map(WireRow::from)
-                .collect();
-            if forgotten || !rows.is_empty() {
-                parts.push(Part {
-                    table: table as u8,
-                    rows: if forgotten { Vec::new() } else { rows },
-                    version: journal.version,
-                    forgotten,
-                });
-            }
-        }
-        parts
-    }
-}
-
-impl Relay {
-    /// Says for tables without changes up to which version that holds, so that a
-    /// follower needn't read them anew at a relay that has read them later.
-    fn unchanged(&self, after: [u64; 3]) -> Vec<Part> {
-        let journals = self.journals.borrow();
-        let tables = journals.iter().zip(after).enumerate();
-        tables
-            .filter(|(_, (journal, after))| *after > 0 && journal.version > *after)
-            .map(|(table, (journal, _))| Part {
-                table: table as u8,
-                rows: Vec::new(),
-                version: journal.version,
-                forgotten: false,
-            })
-            .collect()
-    }
-}
-
 impl<P: Platform> Node<P> {
     /// Returns the router whose news this one follows, `None` if it reads the
     /// store by itself.
--- /dev/null
+++ b/crates/edge/src/relay/journal.rs
@@ -0,0 +1,176 @@
+//! Changes that a router keeps for its followers, and what they are sent of them.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use eelgrassrock_model::time::Instant;
+use serde::{Deserialize, Serialize};
+
+use super::{Relay, TABLES};
+use crate::clock;
+use crate::seam::{Row, Rows, Table};
+
+/// Changes of one table that are kept for followers.
+const MAX_JOURNAL: usize = 1_024;
+
+/// Recent changes of one table.
+#[derive(Debug, Default)]
+pub(super) struct Journal {
+    rows: VecDeque<Row>,
+    /// Changes after this version are in `rows`.
+    since: u64,
+    /// Version up to which everything is known, 0 if the table wasn't read.
+    version: u64,
+    /// Highest version of a row.
+    newest_row: u64,
+    /// When the table was read or a change of it came.
+    changed: Option<Instant>,
+}
+
+/// Changes of one table.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Part {
+    pub(super) table: u8,
+    pub(super) rows: Vec<WireRow>,
+    pub(super) version: u64,
+    /// The changes reach back too far.
+    pub(super) forgotten: bool,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct WireRow {
+    key: Arc<str>,
+    value: Option<Vec<u8>>,
+    version: u64,
+}
+
+impl From<&Row> for WireRow {
+    fn from(row: &Row) -> Self {
+        Self {
+            key: Arc::clone(&row.key),
+            value: row.value.as_ref().map(|value| value.to_vec()),
+            version: row.version,
+        }
+    }
+}
+
+impl From<WireRow> for Row {
+    fn from(row: WireRow) -> Self {
+        Self {
+            key: row.key,
+            value: row.value.map(Into::into),
+            version: row.version,
+        }
+    }
+}
+
+fn index(table: Table) -> usize {
+    TABLES.iter().position(|other| *other == table).unwrap_or(0)
+}
+
+impl Relay {
+    /// Keeps changes of a table. `whole` says that they are all of its rows.
+    pub(crate) fn keep(&self, table: Table, rows: &Rows, whole: bool) {
+        let mut journals = self.journals.borrow_mut();
+        let journal = &mut journals[index(table)];
+        if whole {
+            journal.rows.clear();
+            journal.since = rows.version;
+        } else {
+            journal.rows.extend(rows.rows.iter().cloned());
+        }
+        let newest = rows.rows.iter().map(|row| row.version).max().unwrap_or(0);
+        journal.newest_row = journal.newest_row.max(newest);
+        journal.version = journal.version.max(rows.version);
+        while journal.rows.len() > MAX_JOURNAL {
+            if let Some(row) = journal.rows.pop_front() {
+                journal.since = journal.since.max(row.version);
+            }
+        }
+        if whole || !rows.rows.is_empty() {
+            journal.changed = Some(clock::now());
+            self.news.notify_waiters();
+        }
+    }
+
+    /// Forgets a table, which then is read anew.
+    pub(crate) fn forget(&self, table: Table) {
+        self.journals.borrow_mut()[index(table)] = Journal::default();
+    }
+
+    /// Version from which the changes of a table go on, `None` if it must be
+    /// read whole.
+    pub(crate) fn after(&self, table: Table) -> Option<u64> {
+        let version = self.journals.borrow()[index(table)].version;
+        (version > 0).then_some(version)
+    }
+
+    /// Highest versions of rows of the tables that others write.
+    pub(crate) fn newest(&self) -> [u64; 2] {
+        let journals = self.journals.borrow();
+        [Table::Configuration, Table::Registry].map(|table| journals[index(table)].newest_row)
+    }
+
+    /// When the last news of a table came.
+    pub(crate) fn changed(&self, table: Table) -> Option<Instant> {
+        self.journals.borrow()[index(table)].changed
+    }
+
+    /// When the store gave its last sign, directly or through a relay.
+    pub(crate) fn heard(&self) -> Option<Instant> {
+        self.heard.get()
+    }
+
+    /// Notes a sign of the store.
+    pub(crate) fn hear_store(&self) {
+        self.heard.set(Some(clock::now()));
+    }
+
+    /// Tells followers that there is a new map.
+    pub(crate) fn tell(&self) {
+        self.news.notify_waiters();
+    }
+
+    pub(super) fn changes(&self, after: [u64; 3]) -> Vec<Part> {
+        let journals = self.journals.borrow();
+        let mut parts = Vec::new();
+        for (table, journal) in journals.iter().enumerate() {
+            if journal.version == 0 || after[table] == 0 {
+                continue;
+            }
+            let forgotten = after[table] < journal.since;
+            let later = |row: &&Row| row.version > after[table];
+            let rows: Vec<WireRow> = journal
+                .rows
+                .iter()
+                .filter(later)
+                .map(WireRow::from)
+                .collect();
+            if forgotten || !rows.is_empty() {
+                parts.push(Part {
+                    table: table as u8,
+                    rows: if forgotten { Vec::new() } else { rows },
+                    version: journal.version,
+                    forgotten,
+                });
+            }
+        }
+        parts
+    }
+
+    /// Says for tables without changes up to which version that holds, so that a
+    /// follower needn't read them anew at a relay that has read them later.
+    pub(super) fn unchanged(&self, after: [u64; 3]) -> Vec<Part> {
+        let journals = self.journals.borrow();
+        let tables = journals.iter().zip(after).enumerate();
+        tables
+            .filter(|(_, (journal, after))| *after > 0 && journal.version > *after)
+            .map(|(table, (journal, _))| Part {
+                table: table as u8,
+                rows: Vec::new(),
+                version: journal.version,
+                forgotten: false,
+            })
+            .collect()
+    }
+}
