A lease and a transfer hold the order that they are about

Cause: Order, Lease and Transfer each had upstream, first key, last key and token as four fields, with four hand-written comparisons and three places that built an order anew. Change: both hold an Order; one constructor from a range, one comparison. Behaviour as is.

--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -28,7 +28,7 @@
 use self::transfer::Transfer;
 use crate::lease::Lease;
 pub use crate::lease::Outcome;
-use crate::map::{Life, Map};
+use crate::map::{Life, Map, Range};
 use crate::pace::Paces;
 use crate::weights::Weights;
 
@@ -68,6 +68,23 @@
     pub fence: u64,
 }
 
+impl Order {
+    /// Creates the order to give a range to an upstream, or to take it back.
+    pub(crate) fn new(life: &Life, range: &Range) -> Self {
+        Self {
+            life: life.clone(),
+            from: range.from,
+            to: range.to,
+            fence: range.fence,
+        }
+    }
+
+    /// Whether it is about this range under its present token.
+    pub(crate) fn is_of(&self, range: &Range) -> bool {
+        (self.from, self.to, self.fence) == (range.from, range.to, range.fence)
+    }
+}
+
 /// Upstream of the service, as the registry lists it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Upstream {
@@ -270,11 +287,8 @@
         }
         let longest = self.longest_hold();
         let renewal = self.settings.hold / RENEWALS_PER_HOLD;
-        let same = |lease: &&mut Lease| {
-            lease.life == order.life
-                && (lease.from, lease.to, lease.fence) == (order.from, order.to, order.fence)
-        };
-        let Some(lease) = self.leases.iter_mut().find(same) else {
+        let mut leases = self.leases.iter_mut();
+        let Some(lease) = leases.find(|lease| lease.order == *order) else {
             return;
         };
         lease.end(outcome, longest, now);
@@ -305,12 +319,8 @@
         if is_answered {
             self.heard(&order.life);
         }
-        let same = |transfer: &&mut Transfer| {
-            transfer.source == order.life
-                && (transfer.from, transfer.to, transfer.fence)
-                    == (order.from, order.to, order.fence)
-        };
-        let Some(transfer) = self.transfers.iter_mut().find(same) else {
+        let mut transfers = self.transfers.iter_mut();
+        let Some(transfer) = transfers.find(|transfer| transfer.order == *order) else {
             self.probed(&order.life, now);
             return;
         };
--- a/crates/ranges/src/keeper/planning.rs
+++ b/crates/ranges/src/keeper/planning.rs
@@ -109,8 +109,7 @@
     pub(super) fn refence(&mut self) -> Option<Map> {
         let order = self.fenced.take()?;
         let range = self.map.range(order.from);
-        let is_same = (range.from, range.to, range.fence) == (order.from, order.to, order.fence);
-        if !is_same || !range.sources.is_empty() {
+        if !order.is_of(range) || !range.sources.is_empty() {
             return None;
         }
         let mut map = self.map.clone();
--- a/crates/ranges/src/keeper/silence.rs
+++ b/crates/ranges/src/keeper/silence.rs
@@ -32,10 +32,11 @@
     }
 
     fn answers_no_grant(&self, life: &Life, now: Instant) -> bool {
-        let silent =
-            |lease: &Lease| lease.life == *life && lease.is_silent(self.settings.silence, now);
+        let silent = |lease: &Lease| {
+            lease.order.life == *life && lease.is_silent(self.settings.silence, now)
+        };
         let answering =
-            |lease: &Lease| lease.life == *life && lease.is_answered() && !silent(lease);
+            |lease: &Lease| lease.order.life == *life && lease.is_answered() && !silent(lease);
         self.leases.iter().any(silent) && !self.leases.iter().any(answering)
     }
 
@@ -91,7 +92,10 @@
     /// Notes that an upstream answered an order.
     pub(super) fn heard(&mut self, life: &Life) {
         self.silences.retain(|silence| silence.life != *life);
-        let own = self.leases.iter_mut().filter(|lease| lease.life == *life);
+        let own = self
+            .leases
+            .iter_mut()
+            .filter(|lease| lease.order.life == *life);
         own.for_each(Lease::forget_failures);
     }
 }
--- a/crates/ranges/src/keeper/transfer.rs
+++ b/crates/ranges/src/keeper/transfer.rs
@@ -12,10 +12,8 @@
 /// One earlier holder of a range that changes hands.
 #[derive(Clone, Debug)]
 pub(super) struct Transfer {
-    pub(super) source: Life,
-    pub(super) from: u16,
-    pub(super) to: u16,
-    pub(super) fence: u64,
+    /// How the source is told to release the keys.
+    pub(super) order: Order,
     pub(super) released: bool,
     pub(super) handover: Option<Arc<str>>,
     pub(super) in_flight: bool,
@@ -25,12 +23,9 @@
 }
 
 impl Transfer {
-    fn new(source: &Life, range: &Range, now: Instant) -> Self {
+    fn new(order: Order, now: Instant) -> Self {
         Self {
-            source: source.clone(),
-            from: range.from,
-            to: range.to,
-            fence: range.fence,
+            order,
             released: false,
             handover: None,
             in_flight: false,
@@ -38,10 +33,6 @@
             cleared: false,
         }
     }
-
-    fn is_of(&self, range: &Range) -> bool {
-        (self.from, self.to, self.fence) == (range.from, range.to, range.fence)
-    }
 }
 
 impl Keeper {
@@ -52,8 +43,9 @@
         }
         let map = &self.map;
         self.leases.retain(|lease| {
-            let range = map.range(lease.from);
-            let is_named = lease.is_of(range) && range.holder.as_ref() == Some(&lease.life);
+            let order = &lease.order;
+            let range = map.range(order.from);
+            let is_named = order.is_of(range) && range.holder.as_ref() == Some(&order.life);
             is_named || lease.in_flight || now < lease.until
         });
     }
@@ -66,12 +58,10 @@
             .iter()
             .flat_map(|range| range.sources.iter().map(move |source| (range, source)));
         for (range, source) in moving {
-            let known = self
-                .transfers
-                .iter()
-                .position(|transfer| transfer.is_of(range) && transfer.source == *source);
-            let index = known.unwrap_or_else(|| {
-                self.transfers.push(Transfer::new(source, range, now));
+            let order = Order::new(source, range);
+            let known = |transfer: &Transfer| transfer.order == order;
+            let index = self.transfers.iter().position(known).unwrap_or_else(|| {
+                self.transfers.push(Transfer::new(order.clone(), now));
                 self.transfers.len() - 1
             });
             let transfer = &self.transfers[index];
@@ -87,12 +77,7 @@
                 transfer.cleared = true;
             } else if is_due {
                 transfer.in_flight = true;
-                actions.push(Action::Release(Order {
-                    life: source.clone(),
-                    from: range.from,
-                    to: range.to,
-                    fence: range.fence,
-                }));
+                actions.push(Action::Release(order));
             }
         }
     }
@@ -106,7 +91,7 @@
 
     /// Whether every grant of these keys to `source` has run out.
     fn has_run_out(&self, range: &Range, source: &Life, now: Instant) -> bool {
-        let own = |lease: &&Lease| lease.life == *source && lease.overlaps(range);
+        let own = |lease: &&Lease| lease.order.life == *source && lease.overlaps(range);
         let mut own = self.leases.iter().filter(own);
         let inherited = match self.inherited {
             _ if is_fenced_off(&self.fenced_off, source, range) => true,
@@ -120,7 +105,8 @@
     fn is_clear(&self, range: &Range) -> bool {
         range.sources.iter().all(|source| {
             self.transfers.iter().any(|transfer| {
-                transfer.is_of(range) && transfer.source == *source && transfer.cleared
+                let order = &transfer.order;
+                order.is_of(range) && order.life == *source && transfer.cleared
             })
         })
     }
@@ -142,12 +128,15 @@
                 // A renewal would only keep the keys away from others.
                 continue;
             }
-            let known = |lease: &Lease| lease.is_of(range) && lease.life == *holder;
+            let known = |lease: &Lease| lease.order.is_of(range) && lease.order.life == *holder;
             let index = self.leases.iter().position(known).unwrap_or_else(|| {
-                let mut transfers = self.transfers.iter().filter(|other| other.is_of(range));
-                let handover = transfers.find_map(|transfer| transfer.handover.clone());
-                self.leases
-                    .push(Lease::new(holder.clone(), range, handover, now));
+                let mut own = self
+                    .transfers
+                    .iter()
+                    .filter(|transfer| transfer.order.is_of(range));
+                let handover = own.find_map(|transfer| transfer.handover.clone());
+                let order = Order::new(holder, range);
+                self.leases.push(Lease::new(order, handover, now));
                 self.leases.len() - 1
             });
             let lease = &mut self.leases[index];
@@ -156,12 +145,7 @@
             }
             lease.in_flight = true;
             actions.push(Action::Grant {
-                order: Order {
-                    life: holder.clone(),
-                    from: range.from,
-                    to: range.to,
-                    fence: range.fence,
-                },
+                order: lease.order.clone(),
                 hold: self.settings.hold,
                 handover: lease.handover.clone(),
             });
@@ -171,8 +155,9 @@
     pub(super) fn forget_transfers(&mut self) {
         let map = &self.map;
         self.transfers.retain(|transfer| {
-            let range = map.range(transfer.from);
-            transfer.is_of(range) && range.sources.contains(&transfer.source)
+            let order = &transfer.order;
+            let range = map.range(order.from);
+            order.is_of(range) && range.sources.contains(&order.life)
         });
     }
 
@@ -192,7 +177,8 @@
 
     pub(super) fn is_granted(&self, range: &Range) -> bool {
         let answered = |lease: &Lease| {
-            lease.is_of(range) && Some(&lease.life) == range.holder.as_ref() && lease.is_answered()
+            let order = &lease.order;
+            order.is_of(range) && Some(&order.life) == range.holder.as_ref() && lease.is_answered()
         };
         self.leases.iter().any(answered)
     }
--- a/crates/ranges/src/lease.rs
+++ b/crates/ranges/src/lease.rs
@@ -5,15 +5,13 @@
 
 use eelgrassrock_model::time::Instant;
 
-use crate::map::{Life, Range};
+use crate::keeper::Order;
+use crate::map::Range;
 
 /// Grant of one range under one fencing token, and its renewals.
 #[derive(Clone, Debug)]
 pub(crate) struct Lease {
-    pub(crate) life: Life,
-    pub(crate) from: u16,
-    pub(crate) to: u16,
-    pub(crate) fence: u64,
+    pub(crate) order: Order,
     /// Token of the holder before, which saves the new one the warm-up.
     pub(crate) handover: Option<Arc<str>>,
     pub(crate) in_flight: bool,
@@ -42,12 +40,9 @@
 }
 
 impl Lease {
-    pub(crate) fn new(life: Life, range: &Range, handover: Option<Arc<str>>, now: Instant) -> Self {
+    pub(crate) fn new(order: Order, handover: Option<Arc<str>>, now: Instant) -> Self {
         Self {
-            life,
-            from: range.from,
-            to: range.to,
-            fence: range.fence,
+            order,
             handover,
             in_flight: false,
             due: now,
@@ -58,12 +53,8 @@
         }
     }
 
-    pub(crate) fn is_of(&self, range: &Range) -> bool {
-        (self.from, self.to, self.fence) == (range.from, range.to, range.fence)
-    }
-
     pub(crate) fn overlaps(&self, range: &Range) -> bool {
-        self.from <= range.to && range.from <= self.to
+        self.order.from <= range.to && range.from <= self.order.to
     }
 
     pub(crate) fn is_answered(&self) -> bool {
