Whether tokens are inherited is read off the map; the map is copied only to settle

Cause: a flag said that tokens of an earlier keeper are in the map, and was kept in step in four places. It was cleared when the change of the tokens was sent, not when it was in the store, so ranges on their way were released in between under the old token, and again under the new one. Each look of the keeper, 25 a second, also copied the whole map to see whether a range had arrived. Map::reassign took an option that nobody left empty. Change: the flag is gone, each place looks at the token; settle looks before it copies. One difference: no release under the old token while the change is under way.

--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -142,8 +142,6 @@
     /// When the grants of new fencing tokens were first answered.
     granted_at: HashMap<u64, Instant>,
     inherited: Inherited,
-    /// Whether the fencing tokens of an earlier keeper are still in the map.
-    is_inherited: bool,
     /// Ranges that holders took under fencing tokens of this keeper.
     fenced_off: Vec<(Life, u16, u16)>,
     /// Lowest fencing token of this keeper.
@@ -178,7 +176,6 @@
     ) -> Self {
         Self {
             settings,
-            is_inherited: map.next_fence > 1,
             fenced_off: Vec::new(),
             first_fence: map.next_fence,
             map,
@@ -350,14 +347,12 @@
         self.confirm(asked);
         self.draft = None;
         self.map = map;
-        self.is_inherited = self.has_inherited_fences();
         self.forget_transfers();
     }
 
     /// Forgets a commit that certainly had no effect.
     pub fn not_committed(&mut self) {
         self.draft = None;
-        self.is_inherited = self.has_inherited_fences();
     }
 
     /// Longest time for which a grant that arrives now is in force.
--- a/crates/ranges/src/keeper/planning.rs
+++ b/crates/ranges/src/keeper/planning.rs
@@ -33,7 +33,7 @@
 
 impl Keeper {
     pub(super) fn plan(&mut self, now: Instant) -> Option<Map> {
-        if now < self.plan_due || self.is_inherited {
+        if now < self.plan_due {
             return None;
         }
         self.plan_due = now + PLAN_INTERVAL;
@@ -84,9 +84,9 @@
     }
 
     /// Returns the map in which every range has a fencing token of this keeper,
-    /// once after it took over.
-    pub(super) fn fence_off(&mut self) -> Option<Map> {
-        if !std::mem::take(&mut self.is_inherited) {
+    /// unless all have one: after it took over.
+    pub(super) fn fence_off(&self) -> Option<Map> {
+        if !self.has_inherited_fences() {
             return None;
         }
         let mut map = self.map.clone();
@@ -99,7 +99,7 @@
     }
 
     /// Whether a range has a fencing token of an earlier keeper.
-    pub(super) fn has_inherited_fences(&self) -> bool {
+    fn has_inherited_fences(&self) -> bool {
         let inherited = |range: &Range| range.holder.is_some() && range.fence < self.first_fence;
         self.map.ranges.iter().any(inherited)
     }
--- a/crates/ranges/src/keeper/silence.rs
+++ b/crates/ranges/src/keeper/silence.rs
@@ -57,16 +57,17 @@
                 due: now,
             });
         }
-        if self.is_inherited {
-            return;
-        }
+        let first_fence = self.first_fence;
         for silence in &mut self.silences {
             if silence.in_flight || now < silence.due {
                 continue;
             }
             let is_foreign = |range: &&Range| {
                 let life = Some(&silence.life);
-                range.holder.is_some() && range.holder.as_ref() != life && range.sources.is_empty()
+                range.fence >= first_fence
+                    && range.holder.is_some()
+                    && range.holder.as_ref() != life
+                    && range.sources.is_empty()
             };
             let Some(range) = self.map.ranges.iter().find(is_foreign) else {
                 continue;
--- a/crates/ranges/src/keeper/transfer.rs
+++ b/crates/ranges/src/keeper/transfer.rs
@@ -71,7 +71,9 @@
             let is_over = transfer.released
                 || self.has_restarted(source)
                 || (!transfer.in_flight && self.has_run_out(range, source, now));
-            let is_due = !transfer.in_flight && !self.is_inherited && now >= transfer.due;
+            // A range under a token of an earlier keeper is about to get one of ours.
+            let is_own = range.fence >= self.first_fence;
+            let is_due = !transfer.in_flight && is_own && now >= transfer.due;
             let transfer = &mut self.transfers[index];
             if is_over {
                 transfer.cleared = true;
@@ -164,15 +166,14 @@
     /// Returns the map in which every range that has reached its new holder is
     /// settled, if there are any.
     pub(super) fn settle(&self) -> Option<Map> {
-        let mut map = self.map.clone();
-        let mut settled = false;
-        for range in &mut map.ranges {
-            if !range.sources.is_empty() && self.is_granted(range) {
-                range.sources.clear();
-                settled = true;
-            }
+        let has_arrived = |range: &Range| !range.sources.is_empty() && self.is_granted(range);
+        if !self.map.ranges.iter().any(has_arrived) {
+            return None;
         }
-        settled.then_some(map)
+        let mut map = self.map.clone();
+        let arrived = map.ranges.iter_mut().filter(|range| has_arrived(range));
+        arrived.for_each(|range| range.sources.clear());
+        Some(map)
     }
 
     pub(super) fn is_granted(&self, range: &Range) -> bool {
--- a/crates/ranges/src/map.rs
+++ b/crates/ranges/src/map.rs
@@ -139,10 +139,10 @@
     }
 
     /// Gives a range to another holder under a new fencing token.
-    pub fn reassign(&mut self, index: usize, holder: Option<Life>) {
+    pub fn reassign(&mut self, index: usize, holder: Life) {
         let fence = self.take_fence();
         let range = &mut self.ranges[index];
-        let lost = std::mem::replace(&mut range.holder, holder);
+        let lost = range.holder.replace(holder);
         if let Some(life) = lost.filter(|life| !range.sources.contains(life)) {
             range.sources.push(life);
         }
--- a/crates/ranges/src/plan.rs
+++ b/crates/ranges/src/plan.rs
@@ -178,7 +178,7 @@
         }
         let carried = book.load.of(&map.ranges[index]);
         *book.carried.entry(receiver).or_default() += carried;
-        map.reassign(index, Some(receiver.clone()));
+        map.reassign(index, receiver.clone());
         housed = true;
         index += 1;
     }
@@ -246,7 +246,7 @@
             return false;
         }
         book.transfer(donor, receiver, carried);
-        map.reassign(piece, Some(receiver.clone()));
+        map.reassign(piece, receiver.clone());
         return true;
     }
     false
@@ -315,7 +315,7 @@
         let receiver = *receiver;
         let piece = cut_out(map, key);
         book.transfer(donor, receiver, heat);
-        map.reassign(piece, Some(receiver.clone()));
+        map.reassign(piece, receiver.clone());
         return true;
     }
     false
--- a/crates/ranges/tests/plan.rs
+++ b/crates/ranges/tests/plan.rs
@@ -180,7 +180,7 @@
         map.cut_before(start);
     }
     for (index, holder) in holders.iter().enumerate() {
-        map.reassign(index, Some(life(holder)));
+        map.reassign(index, life(holder));
     }
     // 60 a second for the one key, and about as much of its capacity as the
     // others have for each of them.
