--- a/crates/edge/tests/control.rs
+++ b/crates/edge/tests/control.rs
@@ -246,6 +246,16 @@
     (servers, routers)
 }
 
+/// Whether key 7 has a holder.
+fn is_held(servers: &[Server]) -> bool {
+    servers.iter().any(|server| server.holds(7))
+}
+
+/// Whether a router has ever granted keys.
+fn is_keeper(router: &Router) -> bool {
+    terms(router) > 0
+}
+
 async fn read_key(router: &Router, key: u16, id: &str) -> u16 {
     let mut request = get("/read/1", HOST, id, 1_500);
     request.headers_mut().insert("x-key", key.into());
@@ -257,10 +267,7 @@
 async fn keys_are_granted_and_requests_go_to_their_holders() {
     let store = Store::default();
     let (servers, routers) = keyed(&store, 1).await;
-    eventually("the grants", || {
-        servers.iter().any(|server| server.holds(7))
-    })
-    .await;
+    eventually("the grants", || is_held(&servers)).await;
     for key in [0, 7, 40_000, u16::MAX] {
         assert_eq!(read_key(&routers[0], key, &format!("k{key}")).await, 200);
     }
@@ -272,10 +279,7 @@
 async fn a_read_leaves_a_silent_holder_once_another_one_has_its_key() {
     let store = Store::default();
     let (servers, routers) = keyed(&store, 1).await;
-    eventually("the grants", || {
-        servers.iter().any(|server| server.holds(7))
-    })
-    .await;
+    eventually("the grants", || is_held(&servers)).await;
     let mut patient = route("/read/", Repeat::Idempotent, "sheets");
     patient.timeout = Some(Duration::from_secs(6));
     store.configure(2, vec![patient], &["sheets"]);
@@ -301,20 +305,15 @@
 async fn no_key_lapses_when_the_keeper_is_killed() {
     let store = Store::default();
     let (servers, mut routers) = keyed(&store, 3).await;
-    eventually("the grants", || {
-        servers.iter().any(|server| server.holds(7))
-    })
-    .await;
+    eventually("the grants", || is_held(&servers)).await;
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    let is_keeper = |router: &Router| terms(router) > 0;
     let keeper = routers.iter().position(is_keeper).unwrap();
     routers.remove(keeper).kill();
     let end = Instant::now() + Duration::from_secs(5);
     let mut n = 0;
     while Instant::now() < end {
         n += 1;
-        let held = servers.iter().any(|server| server.holds(7));
-        assert!(held, "key 7 lapsed");
+        assert!(is_held(&servers), "key 7 lapsed");
         assert_eq!(read_key(&routers[n % 2], 7, &format!("k{n}")).await, 200);
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
@@ -327,23 +326,19 @@
 async fn a_keeper_that_the_store_does_not_answer_gives_way_to_one_that_hears_it() {
     let store = Store::default();
     let (servers, routers) = keyed(&store, 3).await;
-    eventually("the grants", || {
-        servers.iter().any(|server| server.holds(7))
-    })
-    .await;
+    eventually("the grants", || is_held(&servers)).await;
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    let is_keeper = |router: &Router| terms(router) > 0;
     let keeper = routers.iter().position(is_keeper).unwrap();
     store.cut(&format!("router-{keeper}"));
     let began = Instant::now();
     let other = |at: usize| at != keeper && is_keeper(&routers[at]);
     while !(0..routers.len()).any(other) {
         assert!(began.elapsed() < Duration::from_secs(4), "no successor");
-        assert!(servers.iter().any(|server| server.holds(7)), "key 7 lapsed");
+        assert!(is_held(&servers), "key 7 lapsed");
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     for _ in 0..100 {
-        assert!(servers.iter().any(|server| server.holds(7)), "key 7 lapsed");
+        assert!(is_held(&servers), "key 7 lapsed");
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
@@ -354,17 +349,14 @@
 async fn nobody_stands_while_the_store_answers_nobody() {
     let store = Store::default();
     let (servers, routers) = keyed(&store, 3).await;
-    eventually("the grants", || {
-        servers.iter().any(|server| server.holds(7))
-    })
-    .await;
+    eventually("the grants", || is_held(&servers)).await;
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     (0..routers.len()).for_each(|at| store.cut(&format!("router-{at}")));
     // A follower takes its relay's word for 1.6 s, and may be the next one's relay.
     tokio::time::sleep(Duration::from_millis(4_900)).await;
     let before = store.duty_calls();
     for _ in 0..100 {
-        assert!(servers.iter().any(|server| server.holds(7)), "key 7 lapsed");
+        assert!(is_held(&servers), "key 7 lapsed");
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     assert_eq!(store.duty_calls(), before);
@@ -391,10 +383,7 @@
         router.ready().await;
         routers.push(router);
     }
-    eventually("the grants", || {
-        servers.iter().any(|server| server.holds(7))
-    })
-    .await;
+    eventually("the grants", || is_held(&servers)).await;
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     store.delay_maps(Duration::from_millis(400));
     routers.remove(0).kill();
--- a/crates/ranges/tests/ownership.rs
+++ b/crates/ranges/tests/ownership.rs
@@ -83,13 +83,7 @@
     for seed in 0..200 {
         let mut world = World::new(seed, 4, CALM);
         world.run(5);
-        world.retire(0);
-        for _ in 0..100 {
-            world.step();
-            if world.on_their_way() > 0 {
-                break;
-            }
-        }
+        world.retire_until_keys_move(0);
         were_moving += world.on_their_way();
         world.longest_unheld = Duration::ZERO;
         world.cut_keeper_off();
@@ -138,13 +132,7 @@
     for seed in 0..40 {
         let mut world = World::new(seed, 8, CALM);
         world.run(5);
-        world.retire(0);
-        for _ in 0..100 {
-            world.step();
-            if world.on_their_way() > 0 {
-                break;
-            }
-        }
+        world.retire_until_keys_move(0);
         assert!(world.on_their_way() > 0, "seed {seed}: nothing moves");
         world.lose_next_holder();
         // What the lost one held before runs out, and goes on.
--- a/crates/ranges/tests/plan.rs
+++ b/crates/ranges/tests/plan.rs
@@ -1,7 +1,7 @@
 //! Which ranges change hands: balance, few keys moved, hot runs spread.
 
 use eelgrassrock_model::time::Instant;
-use eelgrassrock_ranges::map::{Life, Map};
+use eelgrassrock_ranges::map::{Life, Map, Range};
 use eelgrassrock_ranges::plan::{Candidate, improve};
 use eelgrassrock_ranges::weights::Weights;
 use rstest::rstest;
@@ -56,18 +56,23 @@
     panic!("the plan never settles: {map:?}");
 }
 
-fn usage(map: &Map, weights: &mut Weights, candidates: &[Candidate]) -> Vec<f64> {
-    let load = weights.load(at(1), candidates.len());
+/// Use of each upstream, if `carried` is the load of a range.
+fn usage_by(map: &Map, candidates: &[Candidate], carried: impl Fn(&Range) -> f64) -> Vec<f64> {
     let of = |candidate: &Candidate| {
         let own = map
             .ranges
             .iter()
             .filter(|range| range.holder.as_ref() == Some(&candidate.life));
-        own.map(|range| load.of(range)).sum::<f64>() / candidate.capacity_per_s
+        own.map(&carried).sum::<f64>() / candidate.capacity_per_s
     };
     candidates.iter().map(of).collect()
 }
 
+fn usage(map: &Map, weights: &mut Weights, candidates: &[Candidate]) -> Vec<f64> {
+    let load = weights.load(at(1), candidates.len());
+    usage_by(map, candidates, |range| load.of(range))
+}
+
 #[test]
 fn the_first_plan_gives_every_key_a_holder_and_every_upstream_keys() {
     let candidates = candidates(11);
@@ -202,21 +207,13 @@
     weights
 }
 
-/// Shares of the load of all keys but one, by upstream.
+/// Use of each upstream by all keys but one.
 fn usage_without(map: &Map, key: u16, weights: &mut Weights, candidates: &[Candidate]) -> Vec<f64> {
     let load = weights.load(at(1), candidates.len());
-    let of = |candidate: &Candidate| {
-        let own = map
-            .ranges
-            .iter()
-            .filter(|range| range.holder.as_ref() == Some(&candidate.life));
-        let without = own.map(|range| {
-            let is_in = (range.from..=range.to).contains(&key);
-            load.of(range) - if is_in { load.between(key, key) } else { 0.0 }
-        });
-        without.sum::<f64>() / candidate.capacity_per_s
-    };
-    candidates.iter().map(of).collect()
+    usage_by(map, candidates, |range| {
+        let is_in = (range.from..=range.to).contains(&key);
+        load.of(range) - if is_in { load.between(key, key) } else { 0.0 }
+    })
 }
 
 /// A key that overloads its holder must not keep the others from being
