A stop waits for the last byte of each answer, not for its head

Cause: a request counted as open until its answer was handed to the HTTP library.

Change: connections of callers count as open from their acceptance to their end. Once told to stop, each ends after the last byte of an answer that says `Connection: close`, and unused ones are closed at 0.7 of the grace. The look at an unused connection could come later than that; it is due at that instant now.

Ruled out: counting the body until it is dropped; the library drops it when it has copied it into its buffer, before it is written.

Before: tests/stop.rs fails in its three phases (signal before the answer, while nothing of it is read, half read). After: green, and a caller that stops reading keeps the process no longer than the grace.

--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -27,6 +27,8 @@
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 /// Pause after a failure to accept, for instance when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Shortest time between two looks at a connection.
+const MIN_LOOK: Duration = Duration::from_millis(100);
 /// Share of the grace after which unused connections are closed. Until then,
 /// callers may still send on them, and are told with the answer to leave.
 const CLOSE_SHARE: f64 = 0.7;
@@ -66,7 +68,29 @@
 pub(crate) async fn accept<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
     loop {
         let (stream, _) = next(&node, &listener, "front").await;
-        tokio::task::spawn_local(connection(Rc::clone(&node), stream));
+        let open = Open::new(Rc::clone(&node));
+        let node = Rc::clone(&node);
+        tokio::task::spawn_local(async move {
+            connection(node, stream).await;
+            drop(open);
+        });
+    }
+}
+
+/// Counts one connection of a caller as open, from its acceptance to its end.
+struct Open<P: Platform>(Rc<Node<P>>);
+
+impl<P: Platform> Open<P> {
+    fn new(node: Rc<Node<P>>) -> Self {
+        node.open_connections.set(node.open_connections.get() + 1);
+        Self(node)
+    }
+}
+
+impl<P: Platform> Drop for Open<P> {
+    fn drop(&mut self) {
+        let open = &self.0.open_connections;
+        open.set(open.get() - 1);
     }
 }
 
@@ -113,22 +137,24 @@
 }
 
 fn next_look<P: Platform>(node: &Node<P>, activity: &Activity, idle: Duration) -> Duration {
-    let idle = if node.is_stopping() {
-        node.settings.grace.mul_f64(CLOSE_SHARE)
-    } else {
-        idle
+    let now = clock::now();
+    let unused = idle.saturating_sub(now - activity.last.get());
+    let left = match closes_at(node) {
+        Some(at) => unused.min(at - now),
+        None => unused,
     };
-    let used = clock::now() - activity.last.get();
-    let left = idle.saturating_sub(used);
-    left.clamp(Duration::from_millis(100), idle)
+    left.clamp(MIN_LOOK, idle.max(MIN_LOOK))
+}
+
+/// When unused connections are closed, once the process was told to stop.
+fn closes_at<P: Platform>(node: &Node<P>) -> Option<Instant> {
+    let stopped = node.stopped.get()?;
+    Some(stopped + node.settings.grace.mul_f64(CLOSE_SHARE))
 }
 
 fn is_unused<P: Platform>(node: &Node<P>, activity: &Activity, idle: Duration) -> bool {
     let now = clock::now();
-    let closes = node
-        .stopped
-        .get()
-        .is_some_and(|at| now - at >= node.settings.grace.mul_f64(CLOSE_SHARE));
+    let closes = closes_at(node).is_some_and(|at| now >= at);
     activity.open.get() == 0 && (closes || now - activity.last.get() >= idle)
 }
 
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -79,6 +79,9 @@
     pub(crate) stop: Notify,
     /// Requests that have no answer yet.
     pub(crate) open_requests: Cell<u64>,
+    /// Connections of callers. After the signal to stop, one ends as soon as the
+    /// last byte of its answer has left.
+    pub(crate) open_connections: Cell<u64>,
     next_ticket: Cell<u64>,
 }
 
@@ -154,6 +157,7 @@
             stopped: Cell::new(None),
             stop: Notify::new(),
             open_requests: Cell::new(0),
+            open_connections: Cell::new(0),
             next_ticket: Cell::new(1),
         }
     }
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -26,8 +26,10 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause after a failure to write the row of this router.
 const REGISTER_PAUSE: Duration = Duration::from_millis(200);
-/// Share of the grace after which a process without open requests ends: by
-/// then the platform sends it no callers, and unused connections are closed.
+/// Share of the grace after which a process without open connections ends: by
+/// then the platform sends it no callers, and unused connections are closed. An
+/// answer that is handed to its connection may still be on its way, so requests
+/// without an answer aren't all that is open.
 const END_SHARE: f64 = 0.75;
 /// Time between two looks at what is still open.
 const STOP_POLL: Duration = Duration::from_millis(50);
@@ -74,6 +76,7 @@
 #[derive(Serialize)]
 struct Stop {
     open_requests: u64,
+    open_connections: u64,
     elapsed_ms: u64,
 }
 
@@ -205,6 +208,7 @@
     node.stop.notify_waiters();
     let line = |elapsed: Duration| Stop {
         open_requests: node.open_requests.get(),
+        open_connections: node.open_connections.get(),
         elapsed_ms: elapsed.as_millis() as u64,
     };
     node.log.note("stopping", &line(Duration::ZERO));
@@ -221,7 +225,8 @@
     let grace = node.settings.grace;
     loop {
         let elapsed = clock::now() - began;
-        let is_done = elapsed >= grace.mul_f64(END_SHARE) && node.open_requests.get() == 0;
+        let is_idle = node.open_requests.get() == 0 && node.open_connections.get() == 0;
+        let is_done = elapsed >= grace.mul_f64(END_SHARE) && is_idle;
         if is_done || node.ends_at().is_some_and(|end| clock::now() >= end) {
             node.log.note("stop", &line(elapsed));
             node.log.flush();
--- /dev/null
+++ b/crates/edge/tests/stop.rs
@@ -0,0 +1,130 @@
+//! A planned stop: what was accepted gets its answer, down to the last byte.
+
+mod support;
+
+use std::time::Duration;
+
+use eelgrassrock_dispatch::directory::Repeat;
+use rstest::rstest;
+use support::platform::{Store, route};
+use support::upstream::{Act, Server};
+use support::{Router, eventually};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::{sleep, timeout};
+
+const HOST: &str = "sheets.example";
+const GRACE: Duration = Duration::from_secs(6);
+/// More than the system's buffers on both sides take up.
+const LARGE_BYTES: usize = 16 << 20;
+
+async fn world() -> (Store, Server, Router) {
+    let store = Store::default();
+    let server = Server::start("up-0").await;
+    store.register("sheets", &server);
+    let routes = vec![route("/read/", Repeat::Idempotent, "sheets")];
+    store.configure(1, routes, &[]);
+    let router = Router::start_with("router-1", &store, |settings| settings.grace = GRACE);
+    router.ready().await;
+    (store, server, router)
+}
+
+/// A caller whose system takes up little of what it doesn't read.
+async fn slow_caller(router: &Router) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(16 << 10).unwrap();
+    socket.connect(router.settings.front).await.unwrap()
+}
+
+fn request(id: &str, patience_ms: u64) -> String {
+    format!(
+        "GET /read/1 HTTP/1.1\r\nhost: {HOST}\r\nx-id: {id}\r\nx-patience: {patience_ms}\r\n\r\n"
+    )
+}
+
+/// Reads an answer until the connection ends or `length` bytes of its body came.
+async fn body_length(stream: &mut TcpStream, length: usize) -> usize {
+    let mut bytes = Vec::new();
+    let mut buffer = vec![0; 64 << 10];
+    let head_end = |bytes: &[u8]| bytes.windows(4).position(|part| part == b"\r\n\r\n");
+    loop {
+        let read = match stream.read(&mut buffer).await {
+            Ok(read) => read,
+            Err(_) => 0,
+        };
+        bytes.extend_from_slice(&buffer[..read]);
+        let head = head_end(&bytes[..bytes.len().min(4_096)]).map_or(0, |at| at + 4);
+        if read == 0 || (head > 0 && bytes.len() - head >= length) {
+            return bytes.len() - head;
+        }
+    }
+}
+
+/// The signal comes before the upstream answers, while its answer is on its way
+/// to the caller, or when the caller has read a part of it.
+#[rstest]
+#[case::before_the_answer(1_500, 0)]
+#[case::unread(0, 0)]
+#[case::half_read(0, LARGE_BYTES / 2)]
+#[tokio::test]
+async fn a_large_answer_is_whole_though_its_router_stops(
+    #[case] answer_ms: u64,
+    #[case] read_first: usize,
+) {
+    let (_store, server, mut router) = world().await;
+    server.next(&[Act::Large(answer_ms, LARGE_BYTES)]);
+    let mut caller = slow_caller(&router).await;
+    caller
+        .write_all(request("r1", 5_000).as_bytes())
+        .await
+        .unwrap();
+    eventually("the request", || server.runs("r1") == 1).await;
+    let mut first = vec![0; read_first];
+    caller.read_exact(&mut first).await.unwrap();
+    router.stop();
+    // The caller reads on when a router without open work would have ended.
+    sleep(GRACE.mul_f64(0.8)).await;
+    assert!(router.is_running(), "ended with an answer on its way");
+    let rest = timeout(GRACE, body_length(&mut caller, LARGE_BYTES)).await;
+    let rest = rest.expect("the rest of the answer");
+    assert!(
+        rest + read_first >= LARGE_BYTES,
+        "{rest} bytes after {read_first}"
+    );
+}
+
+#[tokio::test]
+async fn a_caller_that_stops_reading_keeps_its_router_no_longer_than_the_grace() {
+    let (_store, server, mut router) = world().await;
+    server.next(&[Act::Large(0, LARGE_BYTES)]);
+    let mut caller = slow_caller(&router).await;
+    caller
+        .write_all(request("r1", 5_000).as_bytes())
+        .await
+        .unwrap();
+    eventually("the request", || server.runs("r1") == 1).await;
+    router.stop();
+    sleep(GRACE).await;
+    assert!(!router.is_running());
+}
+
+/// Connections that are open but unused don't hold up a stop.
+#[tokio::test]
+async fn unused_connections_are_closed_before_the_grace_is_over() {
+    let (_store, _server, mut router) = world().await;
+    let mut fresh = slow_caller(&router).await;
+    let mut kept = slow_caller(&router).await;
+    kept.write_all(request("r1", 1_000).as_bytes())
+        .await
+        .unwrap();
+    assert!(body_length(&mut kept, 1).await > 0);
+    router.stop();
+    let mut late = slow_caller(&router).await;
+    sleep(GRACE.mul_f64(0.85)).await;
+    assert!(!router.is_running());
+    for stream in [&mut fresh, &mut kept, &mut late] {
+        let mut rest = Vec::new();
+        let end = timeout(Duration::from_secs(1), stream.read_to_end(&mut rest)).await;
+        end.expect("the end of the connection").unwrap();
+    }
+}
--- a/crates/edge/tests/support/upstream.rs
+++ b/crates/edge/tests/support/upstream.rs
@@ -31,6 +31,8 @@
     Fail,
     /// Runs it and breaks off in the middle of its answer.
     Truncate,
+    /// Answers after some milliseconds with so many bytes.
+    Large(u64, usize),
 }
 
 /// An upstream. Clones share it.
@@ -224,7 +226,9 @@
             self.state.lock().unwrap().bodies.push(body.to_bytes());
         }
         match act {
-            Act::Answer(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
+            Act::Answer(ms) | Act::Large(ms, _) => {
+                tokio::time::sleep(Duration::from_millis(ms)).await
+            }
             Act::Close => {
                 close.notify_one();
                 std::future::pending::<()>().await;
@@ -240,6 +244,9 @@
                 close.notify_one();
                 builder.body(Full::from("half")).unwrap()
             }
+            Act::Large(_, length) => answer(200, &id)
+                .body(Full::from(vec![b'x'; length]))
+                .unwrap(),
             _ => answer(200, &id)
                 .body(Full::from(format!("{} ran {id}", self.id)))
                 .unwrap(),
