A keeper's work grows with its ranges, not with their product with the upstreams

Cause: each look of a keeper compared every upstream with every lease (twice, for silence), every range with every lease and every upstream, and each answered renewal caused such a look: with 394 upstreams some 300,000 comparisons, 500 times a second. A plan looked up the load of upstreams by hashed name in each comparison of a sort.

Change: leases by order, upstreams by name; silent ones are found in one pass over the leases that failed; a plan numbers the upstreams and counts by number; an answered renewal causes no look. What is decided is unchanged, the schedules of ranges/tests stay green.

--- a/crates/edge/src/duty/drive.rs
+++ b/crates/edge/src/duty/drive.rs
@@ -101,8 +101,10 @@
                 };
                 let now = clock::now();
                 node.note_call("grant", &name, &order, &outcome, now - started);
-                node.keeper(&name, |keeper| keeper.granted(&order, &outcome, now));
-                node.wake(&name);
+                let is_news = node.keeper(&name, |keeper| keeper.granted(&order, &outcome, now));
+                if is_news == Some(true) {
+                    node.wake(&name);
+                }
             }),
             Action::Release(order) => tokio::task::spawn_local(async move {
                 let started = clock::now();
--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -23,6 +23,7 @@
 use std::time::Duration;
 
 use eelgrassrock_model::time::Instant;
+use indexmap::IndexMap;
 
 use self::silence::Silence;
 use self::transfer::Transfer;
@@ -56,7 +57,7 @@
 }
 
 /// Order to an upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Order {
     /// Life of the upstream that it is for.
     pub life: Life,
@@ -131,10 +132,10 @@
     settings: Settings,
     map: Map,
     draft: Option<Map>,
-    leases: Vec<Lease>,
+    leases: IndexMap<Order, Lease>,
     transfers: Vec<Transfer>,
     silences: Vec<Silence>,
-    upstreams: Vec<Upstream>,
+    upstreams: IndexMap<Arc<str>, Upstream>,
     paces: Paces,
     shares: Vec<(Arc<str>, f32)>,
     /// Upstreams of which much of the capacity is used.
@@ -180,10 +181,10 @@
             first_fence: map.next_fence,
             map,
             draft: None,
-            leases: Vec::new(),
+            leases: IndexMap::new(),
             transfers: Vec::new(),
             silences: Vec::new(),
-            upstreams: Vec::new(),
+            upstreams: IndexMap::new(),
             paces: Paces::default(),
             shares: Vec::new(),
             busy: HashSet::new(),
@@ -233,7 +234,8 @@
 
     /// Replaces the list of upstreams whose process is taken to run.
     pub fn set_upstreams(&mut self, upstreams: Vec<Upstream>) {
-        self.upstreams = upstreams;
+        let by_name = |upstream: Upstream| (Arc::clone(&upstream.life.upstream), upstream);
+        self.upstreams = upstreams.into_iter().map(by_name).collect();
     }
 
     /// Counts answers of an upstream that took `total` together.
@@ -277,19 +279,20 @@
         actions
     }
 
-    /// Notes the end of a grant.
-    pub fn granted(&mut self, order: &Order, outcome: &Outcome, now: Instant) {
-        if matches!(outcome, Outcome::Done { .. }) {
+    /// Notes the end of a grant. Returns whether there may be something to do
+    /// because of it: not after a renewal that was answered.
+    pub fn granted(&mut self, order: &Order, outcome: &Outcome, now: Instant) -> bool {
+        let is_done = matches!(outcome, Outcome::Done { .. });
+        if is_done {
             self.heard(&order.life);
         }
         let longest = self.longest_hold();
         let renewal = self.settings.hold / RENEWALS_PER_HOLD;
-        let mut leases = self.leases.iter_mut();
-        let Some(lease) = leases.find(|lease| lease.order == *order) else {
-            return;
+        let Some(lease) = self.leases.get_mut(order) else {
+            return true;
         };
+        let is_renewal = lease.is_answered();
         lease.end(outcome, longest, now);
-        let is_done = matches!(outcome, Outcome::Done { .. });
         if is_done {
             self.granted_at.entry(order.fence).or_insert(now);
         }
@@ -308,6 +311,7 @@
         if *outcome == Outcome::Fenced {
             self.fenced = Some(order.clone());
         }
+        !(is_done && is_renewal)
     }
 
     /// Notes the end of a release.
--- a/crates/ranges/src/keeper/planning.rs
+++ b/crates/ranges/src/keeper/planning.rs
@@ -1,6 +1,6 @@
 //! When the map should change: for balance, and after a takeover.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -38,13 +38,15 @@
         }
         self.plan_due = now + PLAN_INTERVAL;
         let listed = self.upstreams.len();
+        let silent = self.silent(now);
+        let typical = self.paces.typical_ms();
         let usable: Vec<Candidate> = self
             .upstreams
-            .iter()
-            .filter(|upstream| !self.is_silent(&upstream.life, now))
+            .values()
+            .filter(|upstream| !silent.contains(&upstream.life))
             .map(|upstream| Candidate {
                 life: upstream.life.clone(),
-                capacity_per_s: self.paces.capacity_per_s(upstream),
+                capacity_per_s: self.paces.capacity_per_s(upstream, typical),
                 leaving: upstream.leaving,
             })
             .collect();
@@ -52,23 +54,24 @@
             return None;
         }
         let load = self.weights.load(now, usable.len());
-        self.shares = shares(&self.map, &load, &usable);
-        self.busy = busy(&self.map, &load, &usable);
+        let asked = asked(&self.map, &load);
+        self.shares = shares(&asked, &load, &usable);
+        self.busy = busy(&asked, &usable);
         let map = &self.map;
-        self.granted_at
-            .retain(|fence, _| map.ranges.iter().any(|range| range.fence == *fence));
-        let staying = |life: &Life| {
-            usable
-                .iter()
-                .any(|other| other.life == *life && !other.leaving)
-        };
+        let fences: HashSet<u64> = map.ranges.iter().map(|range| range.fence).collect();
+        self.granted_at.retain(|fence, _| fences.contains(fence));
+        let leaving: HashMap<&Life, bool> = usable
+            .iter()
+            .map(|candidate| (&candidate.life, candidate.leaving))
+            .collect();
+        let staying = |life: &Life| leaving.get(life) == Some(&false);
         let is_fixed = |range: &Range| {
             let Some(holder) = &range.holder else {
                 return false;
             };
             if !range.sources.is_empty() {
                 // It goes on, unless its next holder was lost on the way.
-                return usable.iter().any(|other| other.life == *holder);
+                return leaving.contains_key(holder);
             }
             let is_own =
                 !self.has_active_predecessor() || is_fenced_off(&self.fenced_off, holder, range);
@@ -127,19 +130,22 @@
     fenced_off.iter().any(covers)
 }
 
-/// Requests per second for the keys that an upstream holds.
-fn asked(map: &Map, load: &Load, life: &Life) -> f64 {
-    let own = map
-        .ranges
-        .iter()
-        .filter(|range| range.holder.as_ref() == Some(life));
-    own.map(|range| load.of(range)).sum()
+/// Requests per second for the keys that each upstream holds.
+fn asked<'a>(map: &'a Map, load: &Load) -> HashMap<&'a Life, f64> {
+    let mut asked = HashMap::new();
+    for range in &map.ranges {
+        if let Some(holder) = &range.holder {
+            *asked.entry(holder).or_default() += load.of(range);
+        }
+    }
+    asked
 }
 
 /// Returns the upstreams of which much of the capacity is used.
-fn busy(map: &Map, load: &Load, candidates: &[Candidate]) -> HashSet<Arc<str>> {
+fn busy(asked: &HashMap<&Life, f64>, candidates: &[Candidate]) -> HashSet<Arc<str>> {
     let is_busy = |candidate: &&Candidate| {
-        asked(map, load, &candidate.life) > BUSY_SHARE * candidate.capacity_per_s
+        let asked = asked.get(&candidate.life).copied().unwrap_or_default();
+        asked > BUSY_SHARE * candidate.capacity_per_s
     };
     let busy = candidates.iter().filter(is_busy);
     busy.map(|candidate| Arc::clone(&candidate.life.upstream))
@@ -148,11 +154,15 @@
 
 /// Returns which holders are asked for more than they can serve, and what
 /// share they can serve.
-fn shares(map: &Map, load: &Load, candidates: &[Candidate]) -> Vec<(Arc<str>, f32)> {
+fn shares(
+    asked: &HashMap<&Life, f64>,
+    load: &Load,
+    candidates: &[Candidate],
+) -> Vec<(Arc<str>, f32)> {
     let count_per_load = load.counted / load.total().max(0.1);
     let mut shares = Vec::new();
     for candidate in candidates {
-        let asked = asked(map, load, &candidate.life);
+        let asked = asked.get(&candidate.life).copied().unwrap_or_default();
         let noise = 1.0 + OVERLOAD_DEVIATIONS / (asked * count_per_load).max(1.0).sqrt();
         if asked <= candidate.capacity_per_s * noise {
             continue;
--- a/crates/ranges/src/keeper/silence.rs
+++ b/crates/ranges/src/keeper/silence.rs
@@ -25,38 +25,51 @@
 }
 
 impl Keeper {
-    /// Whether an upstream answers no grant, or hasn't answered since it did so.
-    pub(super) fn is_silent(&self, life: &Life, now: Instant) -> bool {
-        self.silences.iter().any(|silence| silence.life == *life)
-            || self.answers_no_grant(life, now)
+    /// Returns the upstreams that answer no grant, or haven't answered since they
+    /// did so.
+    pub(super) fn silent(&self, now: Instant) -> Vec<Life> {
+        let mut silent = self.answering_no_grant(now);
+        silent.extend(self.silences.iter().map(|silence| silence.life.clone()));
+        silent
     }
 
-    fn answers_no_grant(&self, life: &Life, now: Instant) -> bool {
-        let silent = |lease: &Lease| {
-            lease.order.life == *life && lease.is_silent(self.settings.silence, now)
-        };
-        let answering =
-            |lease: &Lease| lease.order.life == *life && lease.is_answered() && !silent(lease);
-        self.leases.iter().any(silent) && !self.leases.iter().any(answering)
+    fn answering_no_grant(&self, now: Instant) -> Vec<Life> {
+        let limit = self.settings.silence;
+        let leases = self.leases.values();
+        let mut lives: Vec<Life> = Vec::new();
+        for lease in leases.filter(|lease| lease.is_silent(limit, now)) {
+            let life = &lease.order.life;
+            let answering = |other: &Lease| {
+                other.order.life == *life && other.is_answered() && !other.is_silent(limit, now)
+            };
+            if !lives.contains(life) && !self.leases.values().any(answering) {
+                lives.push(life.clone());
+            }
+        }
+        lives
+    }
+
+    fn is_listed(&self, life: &Life) -> bool {
+        let upstream = self.upstreams.get(&life.upstream);
+        upstream.is_some_and(|upstream| upstream.life == *life)
     }
 
     /// Asks silent upstreams for keys that they don't hold: a release is never
     /// refused and leaves nothing behind.
     pub(super) fn probe(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let upstreams = &self.upstreams;
-        self.silences
-            .retain(|silence| upstreams.iter().any(|other| other.life == silence.life));
-        for upstream in &self.upstreams {
-            let life = &upstream.life;
-            if !self.is_silent(life, now) || self.silences.iter().any(|other| other.life == *life) {
-                continue;
+        let mut silences = std::mem::take(&mut self.silences);
+        silences.retain(|silence| self.is_listed(&silence.life));
+        for life in self.answering_no_grant(now) {
+            let is_known = silences.iter().any(|silence| silence.life == life);
+            if self.is_listed(&life) && !is_known {
+                silences.push(Silence {
+                    life,
+                    in_flight: false,
+                    due: now,
+                });
             }
-            self.silences.push(Silence {
-                life: life.clone(),
-                in_flight: false,
-                due: now,
-            });
         }
+        self.silences = silences;
         let first_fence = self.first_fence;
         for silence in &mut self.silences {
             if silence.in_flight || now < silence.due {
@@ -93,10 +106,8 @@
     /// Notes that an upstream answered an order.
     pub(super) fn heard(&mut self, life: &Life) {
         self.silences.retain(|silence| silence.life != *life);
-        let own = self
-            .leases
-            .iter_mut()
-            .filter(|lease| lease.order.life == *life);
+        let leases = self.leases.values_mut();
+        let own = leases.filter(|lease| lease.order.life == *life);
         own.for_each(Lease::forget_failures);
     }
 }
--- a/crates/ranges/src/keeper/transfer.rs
+++ b/crates/ranges/src/keeper/transfer.rs
@@ -42,8 +42,7 @@
             self.fenced_off.clear();
         }
         let map = &self.map;
-        self.leases.retain(|lease| {
-            let order = &lease.order;
+        self.leases.retain(|order, lease| {
             let range = map.range(order.from);
             let is_named = order.is_of(range) && range.holder.as_ref() == Some(&order.life);
             is_named || lease.in_flight || now < lease.until
@@ -86,15 +85,14 @@
 
     /// Whether another life answers under the name of an upstream.
     fn has_restarted(&self, life: &Life) -> bool {
-        self.upstreams.iter().any(|upstream| {
-            upstream.life.upstream == life.upstream && upstream.life.incarnation != life.incarnation
-        })
+        let listed = self.upstreams.get(&life.upstream);
+        listed.is_some_and(|upstream| upstream.life.incarnation != life.incarnation)
     }
 
     /// Whether every grant of these keys to `source` has run out.
     fn has_run_out(&self, range: &Range, source: &Life, now: Instant) -> bool {
         let own = |lease: &&Lease| lease.order.life == *source && lease.overlaps(range);
-        let mut own = self.leases.iter().filter(own);
+        let mut own = self.leases.values().filter(own);
         let inherited = match self.inherited {
             _ if is_fenced_off(&self.fenced_off, source, range) => true,
             Inherited::Active { .. } => false,
@@ -122,26 +120,21 @@
             if !self.is_clear(range) {
                 continue;
             }
-            let is_listed = self
-                .upstreams
-                .iter()
-                .any(|upstream| upstream.life == *holder);
+            let listed = self.upstreams.get(&holder.upstream);
+            let is_listed = listed.is_some_and(|upstream| upstream.life == *holder);
             if !is_listed && !self.upstreams.is_empty() {
                 // A renewal would only keep the keys away from others.
                 continue;
             }
-            let known = |lease: &Lease| lease.order.is_of(range) && lease.order.life == *holder;
-            let index = self.leases.iter().position(known).unwrap_or_else(|| {
+            let order = Order::new(holder, range);
+            let lease = self.leases.entry(order.clone()).or_insert_with(|| {
                 let mut own = self
                     .transfers
                     .iter()
                     .filter(|transfer| transfer.order.is_of(range));
                 let handover = own.find_map(|transfer| transfer.handover.clone());
-                let order = Order::new(holder, range);
-                self.leases.push(Lease::new(order, handover, now));
-                self.leases.len() - 1
+                Lease::new(order, handover, now)
             });
-            let lease = &mut self.leases[index];
             if lease.in_flight || now < lease.due {
                 continue;
             }
@@ -177,10 +170,10 @@
     }
 
     pub(super) fn is_granted(&self, range: &Range) -> bool {
-        let answered = |lease: &Lease| {
-            let order = &lease.order;
-            order.is_of(range) && Some(&order.life) == range.holder.as_ref() && lease.is_answered()
+        let Some(holder) = &range.holder else {
+            return false;
         };
-        self.leases.iter().any(answered)
+        let lease = self.leases.get(&Order::new(holder, range));
+        lease.is_some_and(Lease::is_answered)
     }
 }
--- a/crates/ranges/src/pace.rs
+++ b/crates/ranges/src/pace.rs
@@ -59,9 +59,9 @@
         pace.answers = (pace.answers + answers).min(MEMORY);
     }
 
-    /// Requests per second that an upstream can work on.
-    pub(crate) fn capacity_per_s(&self, upstream: &Upstream) -> f64 {
-        let typical = self.typical_ms();
+    /// Requests per second that an upstream can work on, if the others take
+    /// `typical` ms for one.
+    pub(crate) fn capacity_per_s(&self, upstream: &Upstream, typical: f64) -> f64 {
         let pace = self.paces.get(&upstream.life.upstream);
         let mean_ms = pace.map_or(typical, |pace| {
             let sum = pace.mean_ms * pace.answers + typical * PRIOR_ANSWERS;
@@ -70,7 +70,8 @@
         f64::from(upstream.slots.max(1)) * 1e3 / mean_ms.max(1.0)
     }
 
-    fn typical_ms(&self) -> f64 {
+    /// Mean time for one request at all upstreams, in milliseconds.
+    pub(crate) fn typical_ms(&self) -> f64 {
         let answers: f64 = self.paces.values().map(|pace| pace.answers).sum();
         if answers < 1.0 {
             return INITIAL_MS;
--- a/crates/ranges/src/plan.rs
+++ b/crates/ranges/src/plan.rs
@@ -43,10 +43,15 @@
     pub leaving: bool,
 }
 
+/// What the staying upstreams carry and can carry.
 struct Book<'a> {
     load: &'a Load,
-    capacity: HashMap<&'a Life, f64>,
-    carried: HashMap<&'a Life, f64>,
+    /// In the order of their names, so that the same input gives the same plan.
+    lives: Vec<&'a Life>,
+    numbers: HashMap<&'a Life, usize>,
+    /// Requests per second, by number.
+    capacity: Vec<f64>,
+    carried: Vec<f64>,
     target: f64,
 }
 
@@ -61,21 +66,15 @@
     is_fixed: impl Fn(&Range) -> bool,
     max_moves: usize,
 ) -> Option<Map> {
-    let staying: Vec<&Candidate> = candidates.iter().filter(|other| !other.leaving).collect();
+    let mut staying: Vec<&Candidate> = candidates.iter().filter(|other| !other.leaving).collect();
+    staying.sort_by(|one, other| one.life.upstream.cmp(&other.life.upstream));
     if staying.is_empty() {
         return None;
     }
-    let capacity: HashMap<&Life, f64> = staying
-        .iter()
-        .map(|candidate| (&candidate.life, candidate.capacity_per_s.max(0.1)))
-        .collect();
-    let servable = load.total() - unservable(map, load, &capacity);
-    let mut book = Book {
-        load,
-        carried: capacity.keys().map(|life| (*life, 0.0)).collect(),
-        target: servable / capacity.values().sum::<f64>(),
-        capacity,
-    };
+    let upstreams = staying.len();
+    let mut book = Book::new(staying, load);
+    let servable = load.total() - unservable(map, &book);
+    book.target = servable / book.capacity.iter().sum::<f64>();
     book.count(map);
     let mut next = map.clone();
     let housed = house(&mut next, &mut book, &is_fixed);
@@ -86,7 +85,7 @@
     while moved < max_moves && shift(&mut next, &mut book, &is_fixed) {
         moved += 1;
     }
-    if next.ranges.len() > MAX_RANGES_PER_UPSTREAM * staying.len() + MAX_RANGES_PER_UPSTREAM {
+    if next.ranges.len() > MAX_RANGES_PER_UPSTREAM * (upstreams + 1) {
         merge(&mut next, &is_fixed);
     }
     (housed || moved > 0).then_some(next)
@@ -94,61 +93,79 @@
 
 /// Load of single keys beyond what their holders can serve. Nobody can serve
 /// it, so it counts for no one's balance.
-fn unservable(map: &Map, load: &Load, capacity: &HashMap<&Life, f64>) -> f64 {
+fn unservable(map: &Map, book: &Book<'_>) -> f64 {
     let beyond = |range: &Range| {
-        let capacity = capacity.get(range.holder.as_ref()?)?;
-        (range.from == range.to).then(|| (load.of(range) - capacity).max(0.0))
+        let holder = book.holder(range)?;
+        let beyond = book.load.of(range) - book.capacity[holder];
+        (range.from == range.to).then_some(beyond.max(0.0))
     };
     map.ranges.iter().filter_map(beyond).sum()
 }
 
 impl<'a> Book<'a> {
+    fn new(staying: Vec<&'a Candidate>, load: &'a Load) -> Self {
+        let lives: Vec<&Life> = staying.iter().map(|candidate| &candidate.life).collect();
+        let numbered = lives.iter().enumerate();
+        Self {
+            load,
+            numbers: numbered.map(|(number, life)| (*life, number)).collect(),
+            capacity: staying
+                .iter()
+                .map(|candidate| candidate.capacity_per_s.max(0.1))
+                .collect(),
+            carried: vec![0.0; lives.len()],
+            lives,
+            target: 0.0,
+        }
+    }
+
+    /// Number of the upstream that holds a range, if it stays.
+    fn holder(&self, range: &Range) -> Option<usize> {
+        self.numbers.get(range.holder.as_ref()?).copied()
+    }
+
+    /// Whether an upstream holds a range.
+    fn holds(&self, upstream: usize, range: &Range) -> bool {
+        range.holder.as_ref() == Some(self.lives[upstream])
+    }
+
     fn count(&mut self, map: &Map) {
         for range in &map.ranges {
-            if let Some(carried) = range
-                .holder
-                .as_ref()
-                .and_then(|life| self.carried.get_mut(life))
-            {
-                *carried += self.load.of(range);
+            if let Some(holder) = self.holder(range) {
+                self.carried[holder] += self.load.of(range);
             }
         }
     }
 
-    fn usage(&self, life: &Life) -> f64 {
-        self.carried[life] / self.capacity[life]
+    fn usage(&self, upstream: usize) -> f64 {
+        self.carried[upstream] / self.capacity[upstream]
     }
 
-    fn least_used(&self) -> &'a Life {
-        let by_usage = |a: &&&Life, b: &&&Life| self.order(a, b);
-        self.capacity
-            .keys()
-            .min_by(by_usage)
-            .expect("there is a candidate")
+    fn least_used(&self) -> usize {
+        let by_usage = |a: &usize, b: &usize| self.order(*a, *b);
+        let all = 0..self.lives.len();
+        all.min_by(by_usage).expect("there is a candidate")
     }
 
     /// Returns all upstreams, the most used first.
-    fn by_usage(&self) -> Vec<&'a Life> {
-        let mut lives: Vec<&Life> = self.capacity.keys().copied().collect();
-        lives.sort_by(|a, b| self.order(b, a));
-        lives
+    fn by_usage(&self) -> Vec<usize> {
+        let mut all: Vec<usize> = (0..self.lives.len()).collect();
+        all.sort_by(|a, b| self.order(*b, *a));
+        all
     }
 
-    /// Ties are broken by name, so that the same input gives the same plan.
-    fn order(&self, a: &Life, b: &Life) -> std::cmp::Ordering {
-        let by_name = || a.upstream.cmp(&b.upstream);
+    fn order(&self, a: usize, b: usize) -> std::cmp::Ordering {
+        let by_name = || a.cmp(&b);
         self.usage(a).total_cmp(&self.usage(b)).then_with(by_name)
     }
 
-    fn transfer(&mut self, donor: &Life, receiver: &'a Life, carried: f64) {
-        if let Some(other) = self.carried.get_mut(donor) {
-            *other -= carried;
-        }
-        *self.carried.entry(receiver).or_default() += carried;
+    fn transfer(&mut self, donor: usize, receiver: usize, carried: f64) {
+        self.carried[donor] -= carried;
+        self.carried[receiver] += carried;
     }
 
-    fn room(&self, life: &Life) -> f64 {
-        self.target * self.capacity[life] - self.carried[life]
+    fn room(&self, upstream: usize) -> f64 {
+        self.target * self.capacity[upstream] - self.carried[upstream]
     }
 }
 
@@ -158,11 +175,7 @@
     let mut index = 0;
     while index < map.ranges.len() {
         let range = &map.ranges[index];
-        let has_holder = range
-            .holder
-            .as_ref()
-            .is_some_and(|life| book.capacity.contains_key(life));
-        if has_holder || is_fixed(range) {
+        if book.holder(range).is_some() || is_fixed(range) {
             index += 1;
             continue;
         }
@@ -177,8 +190,8 @@
             }
         }
         let carried = book.load.of(&map.ranges[index]);
-        *book.carried.entry(receiver).or_default() += carried;
-        map.reassign(index, receiver.clone());
+        book.carried[receiver] += carried;
+        map.reassign(index, book.lives[receiver].clone());
         housed = true;
         index += 1;
     }
@@ -207,19 +220,19 @@
 
 /// Moves one piece from `donor` to `receiver`, unless no range fits. The map may
 /// be cut in vain.
-fn give<'a>(
+fn give(
     map: &mut Map,
-    book: &mut Book<'a>,
+    book: &mut Book<'_>,
     is_fixed: &impl Fn(&Range) -> bool,
-    donor: &'a Life,
-    receiver: &'a Life,
+    donor: usize,
+    receiver: usize,
 ) -> bool {
     // What makes both equally used.
     let (from, to) = (book.capacity[donor], book.capacity[receiver]);
     let equal = (book.usage(donor) - book.usage(receiver)) * from * to / (from + to);
     let too_hot = to.min(MAX_OVERSHOOT * equal);
     let is_stuck = isolate(map, book, is_fixed, donor, too_hot);
-    let movable = |range: &&Range| range.holder.as_ref() == Some(donor) && !is_fixed(range);
+    let movable = |range: &&Range| book.holds(donor, range) && !is_fixed(range);
     let mut ranges: Vec<Range> = map.ranges.iter().filter(movable).cloned().collect();
     ranges.sort_by(|a, b| book.load.of(b).total_cmp(&book.load.of(a)));
     let (wanted, least) = if is_stuck {
@@ -246,7 +259,7 @@
             return false;
         }
         book.transfer(donor, receiver, carried);
-        map.reassign(piece, receiver.clone());
+        map.reassign(piece, book.lives[receiver].clone());
         return true;
     }
     false
@@ -258,13 +271,10 @@
     map: &mut Map,
     book: &Book<'_>,
     is_fixed: &impl Fn(&Range) -> bool,
-    donor: &Life,
+    donor: usize,
     too_hot: f64,
 ) -> bool {
-    let own = map
-        .ranges
-        .iter()
-        .filter(|range| range.holder.as_ref() == Some(donor));
+    let own = map.ranges.iter().filter(|range| book.holds(donor, range));
     let hot: Vec<(u16, bool)> = own
         .filter(|range| book.load.of(range) > too_hot)
         .map(|range| (book.load.hottest(range), is_fixed(range)))
@@ -282,7 +292,7 @@
 /// all that can be done for its callers; other ranges of the receiver move away
 /// as it fills.
 fn lift(map: &mut Map, book: &mut Book<'_>, is_fixed: &impl Fn(&Range) -> bool) -> bool {
-    let heats = heats(map, book.load);
+    let heats = heats(map, book);
     for (place, donor) in book.by_usage().into_iter().enumerate() {
         if place > 0 && book.usage(donor) <= 1.0 {
             return false;
@@ -291,43 +301,38 @@
         let own = map
             .ranges
             .iter()
-            .filter(|range| range.holder.as_ref() == Some(donor) && !is_fixed(range));
+            .filter(|range| book.holds(donor, range) && !is_fixed(range));
         let hottest = own
             .map(|range| book.load.hottest(range))
             .max_by(|a, b| a.1.total_cmp(&b.1));
         let Some((key, heat)) = hottest.filter(|(_, heat)| *heat > HOT_SHARE * capacity) else {
             continue;
         };
-        let has_hot_key = |life: &Life| {
-            heats
-                .get(life)
-                .is_some_and(|other| *other > HOT_SHARE * capacity)
+        let free = (0..heats.len()).filter(|other| heats[*other] <= HOT_SHARE * capacity);
+        let by_capacity = |a: &usize, b: &usize| {
+            let by_name = || b.cmp(a);
+            let order = book.capacity[*a].total_cmp(&book.capacity[*b]);
+            order.then_with(by_name)
         };
-        let free = book.capacity.iter().filter(|(life, _)| !has_hot_key(life));
-        let fastest = free.max_by(|a, b| {
-            a.1.total_cmp(b.1)
-                .then_with(|| b.0.upstream.cmp(&a.0.upstream))
-        });
-        let Some((receiver, _)) = fastest.filter(|(_, fastest)| **fastest >= MIN_LIFT * capacity)
-        else {
+        let fastest = free.max_by(by_capacity);
+        let is_faster = |other: &usize| book.capacity[*other] >= MIN_LIFT * capacity;
+        let Some(receiver) = fastest.filter(is_faster) else {
             continue;
         };
-        let receiver = *receiver;
         let piece = cut_out(map, key);
         book.transfer(donor, receiver, heat);
-        map.reassign(piece, receiver.clone());
+        map.reassign(piece, book.lives[receiver].clone());
         return true;
     }
     false
 }
 
-/// Returns the load of the hottest key of each holder.
-fn heats(map: &Map, load: &Load) -> HashMap<Life, f64> {
-    let mut heats = HashMap::new();
+/// Returns the load of the hottest key of each upstream, by number.
+fn heats(map: &Map, book: &Book<'_>) -> Vec<f64> {
+    let mut heats = vec![0.0_f64; book.lives.len()];
     for range in &map.ranges {
-        if let Some(holder) = &range.holder {
-            let heat = heats.entry(holder.clone()).or_insert(0.0_f64);
-            *heat = heat.max(load.hottest(range).1);
+        if let Some(holder) = book.holder(range) {
+            heats[holder] = heats[holder].max(book.load.hottest(range).1);
         }
     }
     heats
