Routers start from their relay, and tell counts to those who share upstreams

Cause: a start of the large fleet costs the store 13 calls a router: each writes its row, reads three tables, follows them and reads the map and the duty until it knows its relay. Each of these readers told all others of each batch of registrations: 295 times 294 datagrams. The routers of a data centre told each other all counts ten times a second, 600 datagrams a second to and from each.

Change: a router reads only the table of the routers from the store; its relay gives it the others whole, also where its changes reach back too far. A relay that doesn't know a new router yet is asked again, for 1.5 s at most; if it can't be reached, a router that knows nothing reads the store by itself. Versions are told within the data centre and to three routers of each other one. Counts go to the routers whose subsets overlap, 25 ms after a change, and again after 400 ms.

Ruled out: an older whole table from a relay is not taken, so nothing that was seen is taken back.

--- a/crates/edge/src/book.rs
+++ b/crates/edge/src/book.rs
@@ -163,6 +163,15 @@
             .collect()
     }
 
+    /// Returns how many upstreams a service has in a data centre.
+    pub(crate) fn near(&self, service: &str, data_centre: &str) -> usize {
+        let upstreams = self.entries.values().map(|entry| &entry.upstream);
+        let is_near = |upstream: &&Arc<Upstream>| {
+            &*upstream.service == service && &*upstream.data_centre == data_centre
+        };
+        upstreams.filter(is_near).count()
+    }
+
     pub(crate) fn get(&self, id: &str) -> Option<&Arc<Upstream>> {
         self.entries.get(id).map(|entry| &entry.upstream)
     }
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -246,7 +246,10 @@
         let node = Rc::clone(self);
         let service = Arc::clone(service);
         tokio::task::spawn_local(async move {
-            if let Some(Some((map, version))) = node.read_map(&service).await {
+            // A relay brings the map with its news.
+            if node.relay_to_follow().is_none()
+                && let Some(Some((map, version))) = node.read_map(&service).await
+            {
                 node.learn_map(&service, map, version);
             }
             node.tend_forever(service).await;
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -1,26 +1,28 @@
-//! Counts of requests under way, told to the routers of the data centre.
+//! Counts of requests under way, told to the routers whose subsets overlap.
 //!
-//! An upstream has a few slots for all routers. Those of its own data centre
-//! send it most of its requests, so they tell each other. Losing a datagram
-//! makes a choice worse, not wrong.
+//! An upstream has a few slots for all routers. Those that prefer it tell each
+//! other what they have under way there, soon after each change: the older a
+//! count, the more routers choose the same free slot. Losing a datagram makes a
+//! choice worse, not wrong.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::clock;
 use crate::node::Node;
 use crate::seam::Platform;
 
-/// Time between two messages, for every so many routers of the data centre: a
-/// fraction of the time for one request, and a bounded number of datagrams.
-const INTERVAL: Duration = Duration::from_millis(50);
-const NEIGHBOURS_PER_INTERVAL: usize = 32;
+/// Time in which changes are gathered for one message: a small part of the time
+/// for one request.
+const GATHER: Duration = Duration::from_millis(25);
+/// Time after which counts that don't change are told again, in case the last
+/// message was lost.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(400);
 /// Time between two messages about keys, for every so many routers: a keeper
 /// hears from all of them.
 const KEYS_INTERVAL: Duration = Duration::from_millis(100);
@@ -42,37 +44,44 @@
     Versions([u64; 2]),
 }
 
+/// Service, upstream, and requests under way there.
+type Count = (Arc<str>, Arc<str>, u32);
+
 #[derive(Debug, Serialize, Deserialize)]
 struct Counts {
     router: Arc<str>,
-    /// Service, upstream, and requests under way.
-    counts: Vec<(Arc<str>, Arc<str>, u32)>,
+    counts: Vec<Count>,
 }
 
-/// Tells the counts of this router as long as they aren't zero.
+/// Tells the counts of this router when they change, and as long as they aren't
+/// zero.
 pub(crate) async fn tell<P: Platform>(node: Rc<Node<P>>, socket: Rc<UdpSocket>) {
-    let mut was_empty = true;
+    let mut told: Vec<Count> = Vec::new();
+    let mut repeat_due = clock::now();
     let mut keys_due = clock::now();
     loop {
-        let neighbours = neighbours(&node);
-        let crowd = neighbours.len() / NEIGHBOURS_PER_INTERVAL;
-        sleep(INTERVAL * (crowd as u32 + 1)).await;
-        if clock::now() >= keys_due {
+        // Either there is a change, or something is due.
+        let _ = timeout(KEYS_INTERVAL, node.counts_changed.notified()).await;
+        sleep(GATHER).await;
+        let now = clock::now();
+        if now >= keys_due {
             tell_keys(&node, &socket);
             let crowd = node.state.borrow().routers.len() as u32 / ROUTERS_PER_INTERVAL;
-            keys_due = clock::now() + KEYS_INTERVAL * (crowd + 1);
+            keys_due = now + KEYS_INTERVAL * (crowd + 1);
         }
         let counts = counts(&node);
-        if counts.is_empty() && was_empty {
+        let is_due = now >= repeat_due && !counts.is_empty();
+        if counts == told && !is_due {
             continue;
         }
-        was_empty = counts.is_empty();
+        repeat_due = now + REPEAT_INTERVAL;
+        told.clone_from(&counts);
         let message = Message::Counts(Counts {
             router: Arc::clone(&node.settings.router),
             counts,
         });
         if let Ok(bytes) = postcard::to_allocvec(&message) {
-            for address in &neighbours {
+            for address in &node.state.borrow().neighbours {
                 // The next message makes up for one that isn't sent.
                 let _ = socket.try_send_to(&bytes, *address);
             }
@@ -93,8 +102,9 @@
     }
 }
 
-/// Tells all routers which versions this one has, so that none relies on a
-/// relay that is behind.
+/// Tells which versions this router has, so that none relies on a relay that is
+/// behind: the routers of its data centre, and of the others those that may be
+/// their relays.
 pub(crate) fn tell_versions<P: Platform>(node: &Node<P>) {
     let Some(socket) = node.socket.borrow().clone() else {
         return;
@@ -105,18 +115,13 @@
     let Ok(bytes) = postcard::to_allocvec(&Message::Versions(node.relay.newest())) else {
         return;
     };
-    let state = node.state.borrow();
-    let others = state
-        .routers
-        .iter()
-        .filter(|(name, _)| **name != node.settings.router);
-    for (_, router) in others {
+    for address in node.news_addresses() {
         // Each change is told by every relay, so one datagram may get lost.
-        let _ = socket.try_send_to(&bytes, router.address);
+        let _ = socket.try_send_to(&bytes, address);
     }
 }
 
-fn counts<P: Platform>(node: &Node<P>) -> Vec<(Arc<str>, Arc<str>, u32)> {
+fn counts<P: Platform>(node: &Node<P>) -> Vec<Count> {
     let state = node.state.borrow();
     let mut counts = Vec::new();
     for (name, service) in &state.services {
@@ -127,16 +132,6 @@
     counts
 }
 
-fn neighbours<P: Platform>(node: &Node<P>) -> Vec<SocketAddr> {
-    let state = node.state.borrow();
-    let own = &node.settings;
-    let near = state
-        .routers
-        .iter()
-        .filter(|(name, router)| **name != own.router && router.data_centre == own.data_centre);
-    near.map(|(_, router)| router.address).collect()
-}
-
 /// Hears the counts of other routers.
 pub(crate) async fn hear<P: Platform>(node: Rc<Node<P>>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_BYTES];
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -9,6 +9,7 @@
 
 use eelgrassrock_dispatch::Split;
 use eelgrassrock_dispatch::directory::{Directory, Route};
+use eelgrassrock_dispatch::place::{self, Place};
 use eelgrassrock_dispatch::service::{Service, Span, Step};
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_ranges::map::Map;
@@ -77,6 +78,8 @@
     /// When the process was told to stop.
     pub(crate) stopped: Cell<Option<Instant>>,
     pub(crate) stop: Notify,
+    /// Wakes the task that tells other routers what is under way.
+    pub(crate) counts_changed: Notify,
     /// Requests that have no answer yet.
     pub(crate) open_requests: Cell<u64>,
     /// Connections of callers. After the signal to stop, one ends as soon as the
@@ -92,6 +95,8 @@
     pub(crate) services: IndexMap<Arc<str>, Service>,
     pub(crate) maps: IndexMap<Arc<str>, (Map, u64)>,
     pub(crate) routers: IndexMap<Arc<str>, Router>,
+    /// Routers whose subsets of upstreams overlap with that of this one.
+    pub(crate) neighbours: Vec<SocketAddr>,
     /// Addresses of routers whose rows are gone, and since when: a router that
     /// stops removes its row and goes on for the grace.
     pub(crate) departed: HashMap<IpAddr, Instant>,
@@ -143,6 +148,7 @@
                 services: IndexMap::new(),
                 maps: IndexMap::new(),
                 routers: IndexMap::new(),
+                neighbours: Vec::new(),
                 departed: HashMap::new(),
                 splits: HashMap::new(),
                 waiters: HashMap::new(),
@@ -156,6 +162,7 @@
             socket: RefCell::new(None),
             stopped: Cell::new(None),
             stop: Notify::new(),
+            counts_changed: Notify::new(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
             next_ticket: Cell::new(1),
@@ -278,6 +285,8 @@
                 return;
             };
             let now = clock::now();
+            let (place, neighbours) = place(state, &directory, &self.settings);
+            state.neighbours = neighbours;
             state
                 .services
                 .retain(|name, _| directory.services.contains_key(name));
@@ -286,6 +295,7 @@
                 let service = state.services.entry(Arc::clone(name)).or_insert_with(|| {
                     Service::new(Arc::clone(data_centre), self.settings.repeats)
                 });
+                service.set_place(place);
                 service.set_upstreams(state.book.of(name), now);
                 service.set_routers(state.routers.len());
                 let map = state.maps.get(name).map(|(map, _)| map);
@@ -363,6 +373,35 @@
     }
 }
 
+/// Returns where this router stands among those of its data centre, and the
+/// addresses of those whose subsets overlap with its own.
+fn place(state: &State, directory: &Directory, own: &Settings) -> (Place, Vec<SocketAddr>) {
+    let routers = state.routers.iter();
+    let mut ring: Vec<(&Arc<str>, SocketAddr)> = routers
+        .filter(|(_, router)| router.data_centre == own.data_centre)
+        .map(|(name, router)| (name, router.address))
+        .collect();
+    if !state.routers.contains_key(&own.router) {
+        ring.push((&own.router, own.peer));
+    }
+    ring.sort_by_cached_key(|(name, _)| place::order(name));
+    let index = ring.iter().position(|(name, _)| **name == own.router);
+    // Keys decide who serves a divided service, so only the others count.
+    let undivided = directory
+        .services
+        .iter()
+        .filter(|(_, declared)| declared.keyed.is_none());
+    let near = undivided.map(|(name, _)| state.book.near(name, &own.data_centre));
+    let least = near.filter(|near| *near > 0).min();
+    let place = Place::new(index.unwrap_or(0), ring.len(), least.unwrap_or(0));
+    let others = ring.iter().enumerate();
+    let neighbours = others
+        .filter(|(index, (name, _))| **name != own.router && place.is_neighbour(*index))
+        .map(|(_, (_, address))| *address)
+        .collect();
+    (place, neighbours)
+}
+
 /// Requests go to a holder only when no earlier one can have the keys.
 fn spans(map: &Map) -> Vec<Span> {
     let span = |range: &eelgrassrock_ranges::map::Range| Span {
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::clock;
 use crate::node::{Node, Router};
@@ -24,6 +24,8 @@
 
 /// Time between two clean-ups.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Time that a start waits for the row of this router: some calls to the store.
+const REGISTER_WAIT: Duration = Duration::from_millis(300);
 /// Pause after a failure to write the row of this router.
 const REGISTER_PAUSE: Duration = Duration::from_millis(200);
 /// Share of the grace after which a process without open connections ends: by
@@ -145,11 +147,7 @@
     spawn_local(metrics::accept(Rc::clone(&node), metrics));
     spawn_local(gossip::tell(Rc::clone(&node), Rc::clone(&socket)));
     spawn_local(gossip::hear(Rc::clone(&node), socket));
-    spawn_local(register(Rc::clone(&node)));
-    for table in TABLES {
-        spawn_local(watch::follow(Rc::clone(&node), table));
-    }
-    spawn_local(Rc::clone(&node).follow_relay());
+    spawn_local(learn(Rc::clone(&node)));
     spawn_local(sweep(Rc::clone(&node)));
     stop.await;
     leave(&node).await;
@@ -161,6 +159,18 @@
     listener.map_err(|source| Fault::Listen { address, source })
 }
 
+/// Makes this router known, then begins to learn what the others know: a relay
+/// answers only routers that it knows.
+async fn learn<P: Platform>(node: Rc<Node<P>>) {
+    let registered = spawn_local(register(Rc::clone(&node)));
+    // Without its row it can still read the store by itself.
+    let _ = timeout(REGISTER_WAIT, registered).await;
+    for table in TABLES {
+        spawn_local(watch::follow(Rc::clone(&node), table));
+    }
+    spawn_local(node.follow_relay());
+}
+
 /// Makes this router known to the others.
 async fn register<P: Platform>(node: Rc<Node<P>>) {
     let router = Router {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -8,6 +8,10 @@
 //! the store. A follower that hears of a version that its relay doesn't bring
 //! asks the router that has it. One that gets no such answers reads the store by
 //! itself.
+//!
+//! A router that starts reads only the table of the routers from the store, to find
+//! its relay; the relay gives it the other tables whole. So the start of a fleet costs
+//! the store two calls a router.
 
 mod journal;
 
@@ -21,6 +25,7 @@
 use std::time::Duration;
 
 use eelgrassrock_model::time::Instant;
+use eelgrassrock_ranges::election::Contact;
 use eelgrassrock_ranges::map::Map;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
@@ -47,6 +52,13 @@
 const DEAF_AFTER: Duration = Duration::from_millis(1_600);
 /// Time for which a router reads the store by itself after its relay was late.
 const DIRECT_TIME: Duration = Duration::from_secs(2);
+/// Routers of each other data centre that are told of versions: its relay, and who
+/// is next should that one be lost.
+const RELAYS_TOLD: usize = 3;
+/// Time for which a relay may not know this router yet, and pause until it is
+/// asked again: its own row is on its way to the relay.
+const INTRODUCTION: Duration = Duration::from_millis(1_500);
+const INTRODUCTION_PAUSE: Duration = Duration::from_millis(150);
 /// Pause before a follower that has no relay looks again.
 const ROLE_POLL: Duration = Duration::from_millis(500);
 
@@ -89,6 +101,14 @@
     admitted: Vec<(Arc<str>, Shares)>,
 }
 
+impl Relay {
+    /// Lets this router read the store by itself for a while.
+    fn go_direct(&self) {
+        self.direct_until.set(Some(clock::now() + DIRECT_TIME));
+        self.role.notify_waiters();
+    }
+}
+
 /// Order in which the routers of a data centre become its relay.
 type Rank = (Reverse<u32>, u64);
 
@@ -109,10 +129,7 @@
             .direct_until
             .get()
             .is_some_and(|until| now < until);
-        let unread = TABLES
-            .iter()
-            .any(|table| self.relay.after(*table).is_none());
-        if direct || unread {
+        if direct || self.relay.after(Table::Routers).is_none() {
             return None;
         }
         let own = &self.settings;
@@ -126,6 +143,32 @@
         (*name != own.router).then(|| router.clone())
     }
 
+    /// Addresses of the routers that are told which versions this one has.
+    pub(crate) fn news_addresses(&self) -> Vec<SocketAddr> {
+        let own = &self.settings;
+        let state = self.state.borrow();
+        let mut addresses = Vec::new();
+        let mut elsewhere: HashMap<&str, Vec<(Rank, SocketAddr)>> = HashMap::new();
+        for (name, router) in state
+            .routers
+            .iter()
+            .filter(|(name, _)| **name != own.router)
+        {
+            if router.data_centre == own.data_centre {
+                addresses.push(router.address);
+            } else {
+                let others = elsewhere.entry(&router.data_centre).or_default();
+                others.push((rank(name, router), router.address));
+            }
+        }
+        for mut others in elsewhere.into_values() {
+            others.sort_unstable();
+            let first = others.into_iter().take(RELAYS_TOLD);
+            addresses.extend(first.map(|(_, address)| address));
+        }
+        addresses
+    }
+
     /// Name of a router with this address.
     fn router_at(&self, router: &Router) -> Option<Arc<str>> {
         let state = self.state.borrow();
@@ -166,10 +209,7 @@
             }
             node.catch_up(sender).await;
             if is_behind(&node) {
-                node.relay
-                    .direct_until
-                    .set(Some(clock::now() + DIRECT_TIME));
-                node.relay.role.notify_waiters();
+                node.relay.go_direct();
             }
         });
     }
@@ -179,8 +219,8 @@
         let question = self.question(Vec::new());
         let answer = self.peers.follow(sender, HOLD_BACK, &question);
         if let Ok(mut answer) = answer.await {
-            // It may know less of the past than the own relay.
-            answer.tables.retain(|part| !part.forgotten);
+            // What this router has is newer than much of a whole table.
+            answer.tables.retain(|part| !part.is_whole);
             self.take_answer(answer);
         }
     }
@@ -248,6 +288,7 @@
 
     /// Follows a relay as long as there is one.
     pub(crate) async fn follow_relay(self: Rc<Self>) {
+        let mut unknown_since = None;
         loop {
             let Some(relay) = self.relay_to_follow() else {
                 let _ = timeout(ROLE_POLL, self.relay.role.notified()).await;
@@ -256,10 +297,23 @@
             let question = self.question(self.duties.take_paces());
             match self.peers.follow(relay.address, HOLD_BACK, &question).await {
                 Ok(answer) if answer.is_live => {
+                    unknown_since = None;
                     self.relay.hear_store();
                     self.take_answer(answer);
                 }
+                Err(Contact::Stranger)
+                    if clock::now() - *unknown_since.get_or_insert_with(clock::now)
+                        < INTRODUCTION =>
+                {
+                    sleep(INTRODUCTION_PAUSE).await;
+                }
                 Ok(_) | Err(_) => {
+                    unknown_since = None;
+                    if self.relay.after(Table::Configuration).is_none() {
+                        // Until it knows more it can't serve, and the next relay may
+                        // be as lost as this one.
+                        self.relay.go_direct();
+                    }
                     if let Some(name) = self.router_at(&relay) {
                         let until = clock::now() + PASS_OVER;
                         self.relay.passed_over.borrow_mut().insert(name, until);
@@ -275,16 +329,20 @@
             let Some(table) = TABLES.get(usize::from(part.table)).copied() else {
                 continue;
             };
-            if part.forgotten {
-                self.relay.forget(table);
-                self.relay.role.notify_waiters();
-                continue;
-            }
             let rows = Rows {
                 rows: part.rows.into_iter().map(Row::from).collect(),
                 version: part.version,
             };
-            watch::take_changes(self, table, &rows);
+            if !part.is_whole {
+                watch::take_changes(self, table, &rows);
+            } else if self
+                .relay
+                .after(table)
+                .is_none_or(|own| own <= rows.version)
+            {
+                // An older table would take back what this router has seen since.
+                watch::take_whole(self, table, &rows);
+            }
         }
         for (service, shares) in answer.admitted {
             self.learn_shares(&service, shares);
--- a/crates/edge/src/relay/journal.rs
+++ b/crates/edge/src/relay/journal.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use eelgrassrock_model::time::Instant;
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use super::{Relay, TABLES};
@@ -13,9 +14,11 @@
 /// Changes of one table that are kept for followers.
 const MAX_JOURNAL: usize = 1_024;
 
-/// Recent changes of one table.
+/// Rows of one table and their recent changes.
 #[derive(Debug, Default)]
 pub(super) struct Journal {
+    /// Rows that are in the table, for followers that don't have it.
+    whole: IndexMap<Arc<str>, Row>,
     rows: VecDeque<Row>,
     /// Changes after this version are in `rows`.
     since: u64,
@@ -27,14 +30,15 @@
     changed: Option<Instant>,
 }
 
-/// Changes of one table.
+/// Changes of one table, or all of it.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct Part {
     pub(super) table: u8,
     pub(super) rows: Vec<WireRow>,
     pub(super) version: u64,
-    /// The changes reach back too far.
-    pub(super) forgotten: bool,
+    /// The rows are all that are in the table: the follower has none of it, or
+    /// its changes reach back too far.
+    pub(super) is_whole: bool,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -75,10 +79,18 @@
         let journal = &mut journals[index(table)];
         if whole {
             journal.rows.clear();
+            journal.whole.clear();
             journal.since = rows.version;
         } else {
             journal.rows.extend(rows.rows.iter().cloned());
         }
+        for row in &rows.rows {
+            if row.value.is_none() {
+                journal.whole.swap_remove(&row.key);
+            } else {
+                journal.whole.insert(Arc::clone(&row.key), row.clone());
+            }
+        }
         let newest = rows.rows.iter().map(|row| row.version).max().unwrap_or(0);
         journal.newest_row = journal.newest_row.max(newest);
         journal.version = journal.version.max(rows.version);
@@ -135,23 +147,23 @@
         let journals = self.journals.borrow();
         let mut parts = Vec::new();
         for (table, journal) in journals.iter().enumerate() {
-            if journal.version == 0 || after[table] == 0 {
+            if journal.version == 0 {
                 continue;
             }
-            let forgotten = after[table] < journal.since;
-            let later = |row: &&Row| row.version > after[table];
-            let rows: Vec<WireRow> = journal
-                .rows
-                .iter()
-                .filter(later)
-                .map(WireRow::from)
-                .collect();
-            if forgotten || !rows.is_empty() {
+            let is_whole = after[table] < journal.since;
+            let rows: Vec<WireRow> = if is_whole {
+                journal.whole.values().map(WireRow::from).collect()
+            } else {
+                let later = |row: &&Row| row.version > after[table];
+                let rows = journal.rows.iter().filter(later);
+                rows.map(WireRow::from).collect()
+            };
+            if is_whole || !rows.is_empty() {
                 parts.push(Part {
                     table: table as u8,
-                    rows: if forgotten { Vec::new() } else { rows },
+                    rows,
                     version: journal.version,
-                    forgotten,
+                    is_whole,
                 });
             }
         }
@@ -169,7 +181,7 @@
                 table: table as u8,
                 rows: Vec::new(),
                 version: journal.version,
-                forgotten: false,
+                is_whole: false,
             })
             .collect()
     }
--- a/crates/edge/src/request/race.rs
+++ b/crates/edge/src/request/race.rs
@@ -148,6 +148,7 @@
         upstream: &Arc<Upstream>,
         started: Instant,
     ) -> Self {
+        node.counts_changed.notify_one();
         Self {
             node: Rc::clone(node),
             service: Arc::clone(service),
@@ -166,5 +167,6 @@
         self.node.with(&self.service, |service, now| {
             service.end(upstream, key, started, report, now);
         });
+        self.node.counts_changed.notify_one();
     }
 }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -71,7 +71,9 @@
     let mut pause = MIN_PAUSE;
     let mut is_first = true;
     loop {
-        if node.relay_to_follow().is_some() {
+        // Who brings the news of the other tables is known from that of the routers.
+        let must_wait = table != Table::Routers && node.relay.after(Table::Routers).is_none();
+        if must_wait || node.relay_to_follow().is_some() {
             let _ = timeout(ROLE_POLL, node.relay.role.notified()).await;
             continue;
         }
@@ -119,8 +121,7 @@
     let Some(after) = node.relay.after(table) else {
         let rows = node.platform.rows(table).await?;
         note_contact(node, table, None);
-        take_all(node, table, &rows);
-        node.relay.keep(table, &rows, true);
+        take_whole(node, table, &rows);
         return Ok(());
     };
     let wait = if table == Table::Configuration {
@@ -141,6 +142,15 @@
     Ok(())
 }
 
+/// Takes all of a table, wherever it comes from.
+pub(crate) fn take_whole<P: Platform>(node: &Rc<Node<P>>, table: Table, rows: &Rows) {
+    take_all(node, table, rows);
+    node.relay.keep(table, rows, true);
+    if table == Table::Routers {
+        node.relay.role.notify_waiters();
+    }
+}
+
 /// Takes changes of a table, wherever they come from.
 pub(crate) fn take_changes<P: Platform>(node: &Rc<Node<P>>, table: Table, rows: &Rows) {
     take(node, table, &rows.rows);
--- a/crates/edge/tests/control.rs
+++ b/crates/edge/tests/control.rs
@@ -8,7 +8,7 @@
 use eelgrassrock_edge::seam::Table;
 use support::platform::{Store, route};
 use support::upstream::{Act, Server};
-use support::{GRACE, Router, eventually, get, send};
+use support::{GRACE, Router, eventually, get, send, serving};
 
 const HOST: &str = "sheets.example";
 
@@ -62,16 +62,6 @@
     }
 }
 
-/// A store with one upstream and one route.
-async fn serving(prefix: &str) -> (Store, Server) {
-    let store = Store::default();
-    let server = Server::start("up-0").await;
-    store.register("sheets", &server);
-    let routes = vec![route(prefix, Repeat::Idempotent, "sheets")];
-    store.configure(1, routes, &[]);
-    (store, server)
-}
-
 /// Asks until a path is served, which must be within a limit from now.
 async fn served_within(router: &Router, path: &str, limit: Duration) {
     let began = Instant::now();
--- a/crates/edge/tests/stop.rs
+++ b/crates/edge/tests/stop.rs
@@ -4,11 +4,10 @@
 
 use std::time::Duration;
 
-use eelgrassrock_dispatch::directory::Repeat;
 use rstest::rstest;
-use support::platform::{Store, route};
+use support::platform::Store;
 use support::upstream::{Act, Server};
-use support::{Router, eventually};
+use support::{Router, eventually, serving};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{sleep, timeout};
@@ -19,11 +18,7 @@
 const LARGE_BYTES: usize = 16 << 20;
 
 async fn world() -> (Store, Server, Router) {
-    let store = Store::default();
-    let server = Server::start("up-0").await;
-    store.register("sheets", &server);
-    let routes = vec![route("/read/", Repeat::Idempotent, "sheets")];
-    store.configure(1, routes, &[]);
+    let (store, server) = serving("/read/").await;
     let router = Router::start_with("router-1", &store, |settings| settings.grace = GRACE);
     router.ready().await;
     (store, server, router)
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassrock_dispatch::budget;
+use eelgrassrock_dispatch::directory::Repeat;
 use eelgrassrock_edge::settings::{Level, Log, Settings};
 use eelgrassrock_telemetry::log::Logger;
 use http::{Request, Response};
@@ -23,7 +24,8 @@
 use tokio::sync::oneshot;
 use tokio::task::LocalSet;
 
-use platform::{Fake, Store};
+use platform::{Fake, Store, route};
+use upstream::Server;
 
 pub(crate) const GRACE: Duration = Duration::from_secs(3);
 
@@ -231,6 +233,16 @@
     }
 }
 
+/// A store with one upstream and one route for reads.
+pub(crate) async fn serving(prefix: &str) -> (Store, Server) {
+    let store = Store::default();
+    let server = Server::start("up-0").await;
+    store.register("sheets", &server);
+    let routes = vec![route(prefix, Repeat::Idempotent, "sheets")];
+    store.configure(1, routes, &[]);
+    (store, server)
+}
+
 /// Waits until something holds, for some seconds at most.
 pub(crate) async fn eventually(what: &str, holds: impl Fn() -> bool) {
     for _ in 0..400 {
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -33,6 +33,8 @@
     servers: Vec<Server>,
     /// Routers that the store doesn't answer.
     cut: Vec<String>,
+    /// Calls of any kind by router.
+    calls: BTreeMap<String, usize>,
     /// Feed calls by router.
     feed_calls: BTreeMap<String, usize>,
     /// How often the open feeds of a router died without a sign.
@@ -146,6 +148,11 @@
         self.0.lock().unwrap().duty_calls
     }
 
+    pub(crate) fn calls(&self, router: &str) -> usize {
+        let state = self.0.lock().unwrap();
+        state.calls.get(router).copied().unwrap_or(0)
+    }
+
     pub(crate) fn feed_calls(&self, router: &str) -> usize {
         self.0
             .lock()
@@ -188,6 +195,11 @@
         }
     }
 
+    fn count(&self) {
+        let mut state = self.store.0.lock().unwrap();
+        *state.calls.entry(self.router.clone()).or_default() += 1;
+    }
+
     fn reach(&self) -> Result<(), Fault> {
         let state = self.store.0.lock().unwrap();
         if state.cut.contains(&self.router) {
@@ -231,6 +243,7 @@
 
 impl Platform for Fake {
     async fn rows(&self, table: Table) -> Result<Rows, Fault> {
+        self.count();
         self.reach()?;
         let mut rows = self.after(table, 0);
         rows.rows.retain(|row| row.value.is_some());
@@ -238,6 +251,7 @@
     }
 
     async fn row(&self, name: &Name) -> Result<Option<Row>, Fault> {
+        self.count();
         if name.table == Table::Maps {
             let delay = self.store.0.lock().unwrap().map_delay;
             tokio::time::sleep(delay).await;
@@ -249,6 +263,7 @@
     }
 
     async fn changes(&self, table: Table, after: u64, wait: Duration) -> Result<Changes, Fault> {
+        self.count();
         let give_up = tokio::time::Instant::now() + wait;
         *self
             .store
@@ -277,6 +292,7 @@
     }
 
     async fn commit(&self, transaction: &Transaction) -> Commit {
+        self.count();
         let is_duty = |(name, _): &(Name, Bytes)| name.key.starts_with("duty/");
         if transaction.put.iter().any(is_duty) {
             self.store.0.lock().unwrap().duty_calls += 1;
