The first keeper of a service is on a large VM

Cause: a router that has read the tables and knows no relay stands for a duty that nobody has at once. Reports of keys came every 1.3 s with 295 routers, so a run of hot keys of 5 s was half over when the keeper saw it.

Change: a duty that nobody ever had is taken when no new router has shown up for a second; relays, on the largest VMs, stand first then. Keys are reported every 400 ms at 295 routers, at most 960 datagrams a second at the keeper.

Ruled out: handing the duty over to a larger VM later; each hand-over renews all ranges under new tokens.

Before: the_first_keeper_is_on_the_largest_vm fails, the first of six has the duty. After: the largest has it.

--- a/crates/edge/src/duty/stand.rs
+++ b/crates/edge/src/duty/stand.rs
@@ -14,7 +14,7 @@
 use super::{CONFIRM_INTERVAL, REPORT_INTERVAL, STORE_PAUSE, duty_row, read_duty};
 use crate::clock;
 use crate::node::Node;
-use crate::seam::{Commit, Platform, Transaction};
+use crate::seam::{Commit, Platform, Table, Transaction};
 
 /// Longest time for which a grant holds, if the platform allows it: a holder
 /// that is lost without a sign gives its keys back after that.
@@ -25,12 +25,15 @@
 const AUTHORITY_SHARE: f64 = 0.6;
 /// Time after which a holder that answers nothing loses its keys.
 const SILENCE: Duration = Duration::from_millis(1_200);
+/// Time without a new router before a duty that nobody ever had is taken: routers
+/// that start together know by then which of them are relays, on large VMs.
+const FIRST_STAND: Duration = Duration::from_millis(1_000);
 /// Pause between two tries to learn whether an earlier keeper has stopped.
 const PROOF_PAUSE: Duration = Duration::from_millis(250);
 
 impl<P: Platform> Node<P> {
     pub(super) fn next_stand(&self, service: &Arc<str>, now: Instant) -> Duration {
-        if !self.hears_from_store() {
+        if !self.may_stand(service, now) {
             return REPORT_INTERVAL;
         }
         let at = self
@@ -41,10 +44,20 @@
         })
     }
 
-    pub(super) fn stand_if_due(self: &Rc<Self>, service: &Arc<str>, now: Instant) {
+    /// Whether this router may take the duty of a service.
+    fn may_stand(&self, service: &Arc<str>, now: Instant) -> bool {
+        let had = self.seat(service, |seat| seat.election.duty().is_some());
+        let routers_settled = || {
+            let changed = self.relay.changed(Table::Routers);
+            changed.is_some_and(|at| now - at >= FIRST_STAND)
+        };
         // Without the store the duty can't be taken. It also says that the router
         // isn't about to stop.
-        if !self.hears_from_store() {
+        self.hears_from_store() && (had == Some(true) || routers_settled())
+    }
+
+    pub(super) fn stand_if_due(self: &Rc<Self>, service: &Arc<str>, now: Instant) {
+        if !self.may_stand(service, now) {
             return;
         }
         let address = self.settings.peer;
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -24,9 +24,9 @@
 /// message was lost.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(400);
 /// Time between two messages about keys, for every so many routers: a keeper
-/// hears from all of them.
+/// hears from all of them, and has to see a run of hot keys within a second.
 const KEYS_INTERVAL: Duration = Duration::from_millis(100);
-const ROUTERS_PER_INTERVAL: u32 = 24;
+const ROUTERS_PER_INTERVAL: u32 = 96;
 /// Keys in one message, so that it fits into a packet.
 const MAX_KEYS: usize = 400;
 /// Largest message that is read, in bytes.
--- a/crates/edge/tests/control.rs
+++ b/crates/edge/tests/control.rs
@@ -246,6 +246,33 @@
     terms(router) > 0
 }
 
+/// Load answered: a keeper of hundreds of upstreams. Of routers that start together,
+/// the first to read the tables took the duty, on whatever VM it was.
+#[tokio::test]
+async fn the_first_keeper_is_on_the_largest_vm() {
+    let store = Store::default();
+    let server = Server::start("up-0").await.keyed();
+    store.register("sheets", &server);
+    let routes = vec![route("/read/", Repeat::Idempotent, "sheets")];
+    store.configure(1, routes, &["sheets"]);
+    let mut routers = Vec::new();
+    for last in 2..8 {
+        routers.push(Router::start_with(
+            &format!("router-{last}"),
+            &store,
+            |settings| {
+                settings.peer.set_ip([127, 0, 0, last].into());
+                settings.size = if last == 7 { 500 } else { 100 };
+            },
+        ));
+        // Machines of a fleet start within 0.3 s.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    eventually("the grant", || is_held(std::slice::from_ref(&server))).await;
+    let keepers: Vec<bool> = routers.iter().map(is_keeper).collect();
+    assert_eq!(keepers, [false, false, false, false, false, true]);
+}
+
 async fn read_key(router: &Router, key: u16, id: &str) -> u16 {
     let mut request = get("/read/1", HOST, id, 1_500);
     request.headers_mut().insert("x-key", key.into());
