Tests: second copies of answers, late and at every phase of a connection

Twenty-five cases: five kinds of extra bytes, at once, after 1, 50 and 400 ms, and once the next request has arrived; reads and writes follow each other over the reused connection.

Found: it can't happen here.

--- /dev/null
+++ b/crates/edge/tests/copies.rs
@@ -0,0 +1,173 @@
+//! Upstreams that send an answer twice, late, or with bytes behind it: a caller
+//! gets its own answer or a failure, never what was meant for another.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eelgrassrock_dispatch::directory::Repeat;
+use rstest::rstest;
+use support::platform::{Store, route};
+use support::upstream::Server;
+use support::{Router, get, post, send};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+const HOST: &str = "sheets.example";
+
+/// What follows the first answer on a connection.
+#[derive(Clone, Copy, Debug)]
+enum Extra {
+    /// The same answer again, as if it were for the next request.
+    Copy,
+    /// An answer that names no request.
+    Nameless,
+    /// Bytes beyond the length that was announced, which are no answer.
+    Noise,
+    /// The copy in two pieces, the second 20 ms later.
+    Pieces,
+    /// The copy behind an interim answer.
+    Interim,
+}
+
+/// When it is sent.
+#[derive(Clone, Copy, Debug)]
+enum When {
+    /// So many milliseconds after the answer.
+    After(u64),
+    /// When the next request on the connection has arrived.
+    NextRequest,
+}
+
+async fn head(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"\r\n\r\n") {
+        bytes.push(stream.read_u8().await.ok()?);
+    }
+    Some(String::from_utf8_lossy(&bytes).to_lowercase())
+}
+
+fn field<'a>(head: &'a str, name: &str) -> &'a str {
+    let line = head.lines().find_map(|line| line.strip_prefix(name));
+    line.unwrap_or_default().trim_start_matches(':').trim()
+}
+
+fn answer(id: Option<&str>, body: &str) -> String {
+    let id = id.map_or(String::new(), |id| format!("x-id: {id}\r\n"));
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\n{id}content-length: {length}\r\n\r\n{body}")
+}
+
+async fn send_extra(stream: &mut TcpStream, extra: Extra, id: &str) -> std::io::Result<()> {
+    let copy = answer(Some(id), &format!("for {id}"));
+    match extra {
+        Extra::Copy => stream.write_all(copy.as_bytes()).await,
+        Extra::Nameless => stream.write_all(answer(None, "for whom?").as_bytes()).await,
+        Extra::Noise => stream.write_all(b"\x00\x01 bytes of nothing\r\n").await,
+        Extra::Pieces => {
+            let (first, second) = copy.as_bytes().split_at(25);
+            stream.write_all(first).await?;
+            sleep(Duration::from_millis(20)).await;
+            stream.write_all(second).await
+        }
+        Extra::Interim => {
+            stream
+                .write_all(b"HTTP/1.1 103 Early Hints\r\n\r\n")
+                .await?;
+            stream.write_all(copy.as_bytes()).await
+        }
+    }
+}
+
+/// Answers the requests of one connection; the first one more than once.
+async fn serve(mut stream: TcpStream, extra: Extra, when: When) -> Option<()> {
+    let first = head(&mut stream).await?;
+    let id = field(&first, "x-id").to_owned();
+    let own = answer(Some(&id), &format!("for {id}"));
+    stream.write_all(own.as_bytes()).await.ok()?;
+    if let When::After(ms) = when {
+        sleep(Duration::from_millis(ms)).await;
+        send_extra(&mut stream, extra, &id).await.ok()?;
+    }
+    let mut is_next = true;
+    loop {
+        let next = head(&mut stream).await?;
+        if is_next && matches!(when, When::NextRequest) {
+            send_extra(&mut stream, extra, &id).await.ok()?;
+        }
+        is_next = false;
+        let id = field(&next, "x-id");
+        let own = answer(Some(id), &format!("for {id}"));
+        stream.write_all(own.as_bytes()).await.ok()?;
+    }
+}
+
+async fn upstream(extra: Extra, when: When) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            stream.set_nodelay(true).unwrap();
+            tokio::spawn(serve(stream, extra, when));
+        }
+    });
+    address
+}
+
+/// Requests follow each other while the connection rests, as it is taken, and
+/// after it was, one at a time and several at once.
+#[rstest]
+#[tokio::test]
+async fn no_caller_gets_the_second_copy_of_an_answer(
+    #[values(
+        Extra::Copy,
+        Extra::Nameless,
+        Extra::Noise,
+        Extra::Pieces,
+        Extra::Interim
+    )]
+    extra: Extra,
+    #[values(
+        When::After(0),
+        When::After(1),
+        When::After(50),
+        When::After(400),
+        When::NextRequest
+    )]
+    when: When,
+) {
+    let store = Store::default();
+    let server = Server::at("up-0", upstream(extra, when).await);
+    store.register("sheets", &server);
+    let routes = vec![
+        route("/read/", Repeat::Idempotent, "sheets"),
+        route("/issue/", Repeat::Once, "sheets"),
+    ];
+    store.configure(1, routes, &[]);
+    let router = Router::start("router-1", &store);
+    router.ready().await;
+    let mut own = 0;
+    for (n, pause_ms) in [0, 0, 1, 2, 5, 45, 51, 60, 395, 405, 0]
+        .into_iter()
+        .enumerate()
+    {
+        sleep(Duration::from_millis(pause_ms)).await;
+        let id = format!("r{n}");
+        let request = if n % 2 == 0 {
+            get("/read/1", HOST, &id, 1_000)
+        } else {
+            post("/issue/1", &id, 1_000, "")
+        };
+        let answer = send(router.settings.front, request).await.unwrap();
+        if answer.status() == 200 {
+            assert_eq!(answer.body(), &format!("for {id}"));
+            own += 1;
+        } else {
+            assert_eq!(answer.status(), 502, "{id}");
+            assert!(!answer.body().starts_with(b"for "), "{id}");
+        }
+    }
+    assert!(own >= 7, "{own} of 11 answered: {}", router.lines.text());
+}
--- a/crates/edge/tests/support/upstream.rs
+++ b/crates/edge/tests/support/upstream.rs
@@ -99,6 +99,15 @@
         server
     }
 
+    /// An upstream that the test itself serves at an address.
+    pub(crate) fn at(id: &str, address: SocketAddr) -> Self {
+        Self {
+            id: id.to_owned(),
+            address,
+            state: Arc::default(),
+        }
+    }
+
     /// Serves only requests for keys that it was granted.
     pub(crate) fn keyed(self) -> Self {
         self.state.lock().unwrap().is_keyed = true;
