Tests: a stop under load, and with a request half read

Callers press on new and on kept connections until nothing listens any more; a request whose head and body straddle the signal. None is cut off without an answer; the answers say that the connection closes.

--- a/crates/edge/tests/stop.rs
+++ b/crates/edge/tests/stop.rs
@@ -123,3 +123,98 @@
         end.expect("the end of the connection").unwrap();
     }
 }
+
+/// What became of the requests of one caller.
+#[derive(Debug, Default)]
+struct Tally {
+    answered: usize,
+    /// Read by the router, then cut off.
+    lost: Vec<String>,
+}
+
+/// Sends requests one after the other until nothing listens any more, on one
+/// connection for as long as the router lets it, or on a new one each.
+async fn press(front: std::net::SocketAddr, name: usize, keeps: bool) -> Tally {
+    let mut tally = Tally::default();
+    let mut open: Option<TcpStream> = None;
+    for n in 0.. {
+        let mut stream = match open.take() {
+            Some(stream) => stream,
+            None => match TcpStream::connect(front).await {
+                Ok(stream) => stream,
+                Err(_) => return tally,
+            },
+        };
+        let id = format!("c{name}-{n}");
+        let is_sent = stream.write_all(request(&id, 800).as_bytes()).await.is_ok();
+        let head = timeout(Duration::from_secs(3), answer_head(&mut stream)).await;
+        match head.expect("an answer or an end") {
+            Some(head) => {
+                tally.answered += 1;
+                if keeps && !head.contains("connection: close") {
+                    open = Some(stream);
+                }
+            }
+            // Once nothing listens, what the process hasn't accepted is reset.
+            None if TcpStream::connect(front).await.is_err() => return tally,
+            None if is_sent => tally.lost.push(id),
+            None => {}
+        }
+    }
+    tally
+}
+
+/// Reads one answer, and returns its head; `None` if the connection ended first.
+async fn answer_head(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"\r\n\r\n") {
+        bytes.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8_lossy(&bytes).to_lowercase();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
+    let mut body = vec![0; length?.parse().ok()?];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(head)
+}
+
+/// Callers press on new and on kept connections from before the signal until the
+/// process is gone. Each request that was accepted has an answer.
+#[tokio::test]
+async fn no_request_is_cut_off_by_a_stop_under_load() {
+    let (_store, server, mut router) = world().await;
+    server.next(&vec![Act::Answer(40); 20_000]);
+    let front = router.settings.front;
+    let callers: Vec<_> = (0..24)
+        .map(|name| tokio::spawn(press(front, name, name % 2 == 0)))
+        .collect();
+    sleep(Duration::from_millis(500)).await;
+    router.stop();
+    for caller in callers {
+        let tally = caller.await.unwrap();
+        assert!(tally.answered > 5, "{tally:?}");
+        assert_eq!(tally.lost, Vec::<String>::new());
+    }
+}
+
+/// The body of a request is still on its way when the signal comes.
+#[tokio::test]
+async fn a_request_that_is_half_read_gets_its_answer() {
+    let (_store, server, mut router) = world().await;
+    let mut caller = slow_caller(&router).await;
+    let head = "GET /read/1 HTTP/1.1\r\nhost: sheets.example\r\nx-id: r1\r\n";
+    let rest = "x-patience: 2000\r\ncontent-length: 8\r\n\r\nhalf";
+    caller.write_all(head.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(50)).await;
+    router.stop();
+    sleep(Duration::from_millis(300)).await;
+    caller.write_all(rest.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(300)).await;
+    caller.write_all(b"half").await.unwrap();
+    let answer = timeout(Duration::from_secs(2), answer_head(&mut caller)).await;
+    let answer = answer.unwrap().expect("an answer");
+    assert!(answer.starts_with("http/1.1 200"), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+    assert_eq!(server.runs("r1"), 1);
+}
