Maps travel as changes, arrivals are gathered, and a map goes on fitting its row

Cause: a map of 394 upstreams is some 20 kB. While a run of hot keys is spread, each arrival of a range was a version of its own, up to one each 12 ms, told whole to each router: by calculation 59 followers x 20 kB x 25 versions/s is more than the 200 Mbit/s of a relay. And at six ranges an upstream it grows beyond the 64 KB of a row; then no change could be written any more.

Change: relays, reports and the keeper's news carry the ranges that changed since the version that the other has; one that misses earlier changes reports at once. Arrivals are gathered for 0.1 ms a range (40 ms at 400). From 1,200 ranges on, neighbours are merged and nothing is cut.

--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -349,7 +349,7 @@
     }
 
     /// Tells the keeper which keys were asked for, and hears from it.
-    async fn report(self: Rc<Self>, service: Arc<str>) {
+    pub(crate) async fn report(self: Rc<Self>, service: Arc<str>) {
         let taken = self.seat(&service, |seat| {
             let duty = seat.election.duty().map(|(duty, _)| duty.clone());
             (duty, seat.take_paces())
@@ -363,20 +363,15 @@
             self.find_duty(&service).await;
             return;
         }
-        let map_version = self
-            .state
-            .borrow()
-            .maps
-            .get(&service)
-            .map_or(0, |(_, version)| *version);
+        let map_version = self.map_version(&service);
         let report = Report {
             service: Arc::clone(&service),
             paces,
             map_version,
         };
-        let (contact, map, shares) = self.peers.report(&duty, &report).await;
-        if let Some((map, version)) = map.filter(|(map, _)| map.check().is_ok()) {
-            self.learn_map(&service, map, version);
+        let (contact, changes, shares) = self.peers.report(&duty, &report).await;
+        if let Some(changes) = changes {
+            self.learn_changes(&service, changes);
         }
         if contact == Contact::Serving {
             self.learn_shares(&service, shares);
--- a/crates/edge/src/duty/drive.rs
+++ b/crates/edge/src/duty/drive.rs
@@ -168,12 +168,7 @@
         let duty = self
             .seat(service, |seat| seat.election.duty().map(|(_, at)| *at))
             .flatten();
-        let known = self
-            .state
-            .borrow()
-            .maps
-            .get(service)
-            .map_or(0, |(_, version)| *version);
+        let known = self.map_version(service);
         let (Some(duty), Ok(value)) = (duty, postcard::to_allocvec(&map)) else {
             return;
         };
@@ -208,8 +203,8 @@
         match end {
             Commit::Done(version) => {
                 self.keeper(service, |keeper| keeper.committed(asked));
-                self.publish_map(service, &map, version);
                 self.learn_map(service, map, version);
+                self.publish_map(service, known);
             }
             Commit::NotDone(_) => {
                 sleep(STORE_PAUSE).await;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -235,7 +235,10 @@
             self.repeats_left
                 .get_or_create(&labels)
                 .set(service.repeats_left(now));
-            let ranges = state.maps.get(name).map_or(0, |(map, _)| map.ranges.len());
+            let ranges = state
+                .maps
+                .get(name)
+                .map_or(0, |edition| edition.map().ranges.len());
             self.ranges.get_or_create(&labels).set(ranges as i64);
             self.keeper
                 .get_or_create(&labels)
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -12,6 +12,7 @@
 use eelgrassrock_dispatch::place::{self, Place};
 use eelgrassrock_dispatch::service::{Service, Span, Step};
 use eelgrassrock_model::time::Instant;
+use eelgrassrock_ranges::edition::{Delta, Edition};
 use eelgrassrock_ranges::map::Map;
 use eelgrassrock_telemetry::log::Logger;
 use indexmap::IndexMap;
@@ -60,6 +61,13 @@
     pause_ms: u64,
 }
 
+#[derive(Serialize)]
+struct BadMap<'a> {
+    service: &'a str,
+    version: u64,
+    reason: &'a str,
+}
+
 /// What all tasks of a process share.
 pub(crate) struct Node<P> {
     pub(crate) platform: P,
@@ -93,7 +101,7 @@
     pub(crate) directory: Option<Arc<Directory>>,
     pub(crate) book: Book,
     pub(crate) services: IndexMap<Arc<str>, Service>,
-    pub(crate) maps: IndexMap<Arc<str>, (Map, u64)>,
+    pub(crate) maps: IndexMap<Arc<str>, Edition>,
     pub(crate) routers: IndexMap<Arc<str>, Router>,
     /// Routers whose subsets of upstreams overlap with that of this one.
     pub(crate) neighbours: Vec<SocketAddr>,
@@ -298,7 +306,7 @@
                 service.set_place(place);
                 service.set_upstreams(state.book.of(name), now);
                 service.set_routers(state.routers.len());
-                let map = state.maps.get(name).map(|(map, _)| map);
+                let map = state.maps.get(name).map(Edition::map);
                 service.set_spans(declared.keyed.map(|_| map.map(spans).unwrap_or_default()));
             }
             state.services.keys().cloned().collect::<Vec<_>>()
@@ -347,29 +355,70 @@
             .borrow()
             .maps
             .get(service)
-            .map_or(0, |(_, version)| *version)
+            .map_or(0, Edition::version)
     }
 
-    /// Takes a map unless a later one is known. Returns whether it is new.
-    pub(crate) fn learn_map(self: &Rc<Self>, service: &Arc<str>, map: Map, version: u64) -> bool {
-        {
-            let mut state = self.state.borrow_mut();
-            if state
-                .maps
-                .get(service)
-                .is_some_and(|(_, known)| *known >= version)
-            {
-                return false;
+    /// Takes a map unless a later one is known.
+    pub(crate) fn learn_map(self: &Rc<Self>, service: &Arc<str>, map: Map, version: u64) {
+        if self.map_version(service) >= version {
+            return;
+        }
+        let mut state = self.state.borrow_mut();
+        match state.maps.get_mut(service) {
+            Some(edition) => edition.advance(map, version),
+            None => {
+                let edition = Edition::new(map, version);
+                state.maps.insert(Arc::clone(service), edition);
+            }
+        }
+        drop(state);
+        self.use_map(service);
+    }
+
+    /// Takes changes of a map from another router, unless later ones are known.
+    /// Returns whether earlier ones are missing.
+    pub(crate) fn learn_changes(self: &Rc<Self>, service: &Arc<str>, delta: Delta) -> bool {
+        let mut state = self.state.borrow_mut();
+        let version = delta.version();
+        let taken = match state.maps.get_mut(service) {
+            Some(edition) => edition.apply(delta),
+            None => delta.into_whole().map(|edition| {
+                state.maps.insert(Arc::clone(service), edition);
+                true
+            }),
+        };
+        drop(state);
+        match taken {
+            Ok(true) => {
+                self.use_map(service);
+                false
+            }
+            Ok(false) => self.map_version(service) < version,
+            Err(fault) => {
+                let reason = fault.to_string();
+                let line = BadMap {
+                    service,
+                    version,
+                    reason: &reason,
+                };
+                self.log.warn("map refused", &line);
+                true
             }
-            let spans = spans(&map);
-            state.maps.insert(Arc::clone(service), (map, version));
-            if let Some(service) = state.services.get_mut(service) {
-                service.set_spans(Some(spans));
+        }
+    }
+
+    /// Sends requests by the map that is known now.
+    fn use_map(self: &Rc<Self>, service: &Arc<str>) {
+        {
+            let mut guard = self.state.borrow_mut();
+            let state = &mut *guard;
+            let edition = state.maps.get(service);
+            if let (Some(edition), Some(service)) = (edition, state.services.get_mut(service)) {
+                service.set_spans(Some(spans(edition.map())));
             }
         }
         self.with(service, |_, _| ());
         self.relay.tell();
-        true
     }
 }
 
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use eelgrassrock_ranges::edition::Delta;
 use eelgrassrock_ranges::election::{Contact, Duty, Former};
-use eelgrassrock_ranges::map::Map;
 use eelgrassrock_store::Kind;
 use eelgrassrock_store::endpoint::{Call, Endpoint};
 use eelgrassrock_store::settings::Settings;
@@ -53,8 +53,8 @@
     is_keeper: bool,
     /// Whether it is about to take the duty, or has and doesn't act yet.
     is_beginning: bool,
-    /// The map, if the router's is older.
-    map: Option<(Map, u64)>,
+    /// Changes of the map, if the router's is older.
+    changes: Option<Delta>,
     /// Shares of requests that overloaded holders can serve.
     admitted: Shares,
 }
@@ -72,12 +72,11 @@
     has_yielded: bool,
 }
 
-/// A new map of a service.
+/// Changes of the map of a service.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct News {
     pub(crate) service: Arc<str>,
-    pub(crate) map: Map,
-    pub(crate) version: u64,
+    pub(crate) changes: Delta,
 }
 
 /// Connections to other routers.
@@ -135,21 +134,21 @@
         postcard::from_bytes(&answer.body).map_err(|_| Contact::Idle)
     }
 
-    /// Reports to a keeper. Returns what the contact showed, a newer map, and
+    /// Reports to a keeper. Returns what the contact showed, changes of the map, and
     /// which holders are overloaded.
     pub(crate) async fn report(
         &self,
         duty: &Duty,
         report: &Report,
-    ) -> (Contact, Option<(Map, u64)>, Shares) {
+    ) -> (Contact, Option<Delta>, Shares) {
         match self
             .call::<Reply>(duty.address, "/report", report, CALL_TIMEOUT)
             .await
         {
-            Ok(reply) if reply.is_keeper => (Contact::Serving, reply.map, reply.admitted),
+            Ok(reply) if reply.is_keeper => (Contact::Serving, reply.changes, reply.admitted),
             // Another one that stood now would only take the duty away again.
-            Ok(reply) if reply.is_beginning => (Contact::Silent, reply.map, Shares::new()),
-            Ok(reply) => (Contact::Idle, reply.map, Shares::new()),
+            Ok(reply) if reply.is_beginning => (Contact::Silent, reply.changes, Shares::new()),
+            Ok(reply) => (Contact::Idle, reply.changes, Shares::new()),
             Err(contact) => (contact, None, Shares::new()),
         }
     }
@@ -186,7 +185,7 @@
             .await
     }
 
-    /// Gives a relay a new map.
+    /// Gives a relay changes of a map.
     pub(crate) async fn tell_map(&self, address: SocketAddr, news: &News) -> Result<(), Contact> {
         self.call(address, "/map", news, CALL_TIMEOUT).await
     }
@@ -249,8 +248,9 @@
             Err(_) => respond(StatusCode::BAD_REQUEST, Bytes::new()),
         },
         "/map" => encode(postcard::from_bytes(&body).ok().map(|news: News| {
-            if news.map.check().is_ok() {
-                node.learn_map(&news.service, news.map, news.version);
+            if node.learn_changes(&news.service, news.changes) {
+                // The keeper's answer to a report brings what is missing.
+                tokio::task::spawn_local(Rc::clone(node).report(news.service));
             }
         })),
         "/yield" => encode(
@@ -276,14 +276,14 @@
         .cloned()
         .unwrap_or_default();
     let state = node.state.borrow();
-    let map = state
+    let newer = state
         .maps
         .get(&report.service)
-        .filter(|(_, version)| *version > report.map_version);
+        .filter(|edition| edition.version() > report.map_version);
     Reply {
         is_keeper,
         is_beginning,
-        map: map.cloned(),
+        changes: newer.map(|edition| edition.since(report.map_version)),
         admitted,
     }
 }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -25,8 +25,8 @@
 use std::time::Duration;
 
 use eelgrassrock_model::time::Instant;
+use eelgrassrock_ranges::edition::Delta;
 use eelgrassrock_ranges::election::Contact;
-use eelgrassrock_ranges::map::Map;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -96,7 +96,8 @@
     /// Whether the relay can be relied upon: it hears from the store.
     is_live: bool,
     tables: Vec<Part>,
-    maps: Vec<(Arc<str>, Map, u64)>,
+    /// Changes of the maps since the versions that the follower has.
+    maps: Vec<(Arc<str>, Delta)>,
     /// For each service, shares of requests that overloaded holders can serve.
     admitted: Vec<(Arc<str>, Shares)>,
 }
@@ -232,7 +233,7 @@
         Question {
             after: TABLES.map(|table| self.relay.after(table).unwrap_or(0)),
             maps: maps
-                .map(|(name, (_, version))| (Arc::clone(name), *version))
+                .map(|(name, edition)| (Arc::clone(name), edition.version()))
                 .collect(),
             paces,
         }
@@ -272,18 +273,15 @@
         }
     }
 
-    fn newer_maps(&self, known: &[(Arc<str>, u64)]) -> Vec<(Arc<str>, Map, u64)> {
+    fn newer_maps(&self, known: &[(Arc<str>, u64)]) -> Vec<(Arc<str>, Delta)> {
         let state = self.state.borrow();
-        let is_newer = |name: &Arc<str>, version: u64| {
+        let maps = state.maps.iter();
+        let changes = maps.filter_map(|(name, edition)| {
             let known = known.iter().find(|(other, _)| other == name);
-            known.is_none_or(|(_, known)| *known < version)
-        };
-        let maps = state
-            .maps
-            .iter()
-            .filter(|(name, (_, version))| is_newer(name, *version));
-        maps.map(|(name, (map, version))| (Arc::clone(name), map.clone(), *version))
-            .collect()
+            let known = known.map_or(0, |(_, known)| *known);
+            (edition.version() > known).then(|| (Arc::clone(name), edition.since(known)))
+        });
+        changes.collect()
     }
 
     /// Follows a relay as long as there is one.
@@ -347,16 +345,21 @@
         for (service, shares) in answer.admitted {
             self.learn_shares(&service, shares);
         }
-        for (service, map, version) in answer.maps {
-            if map.check().is_ok() {
-                self.learn_map(&service, map, version);
-            }
+        for (service, changes) in answer.maps {
+            self.learn_changes(&service, changes);
         }
     }
 
-    /// Gives a new map to the relays of the other data centres and to the own
-    /// one; theirs tell their followers.
-    pub(crate) fn publish_map(self: &Rc<Self>, service: &Arc<str>, map: &Map, version: u64) {
+    /// Gives the changes of the own map after `before` to the relays of the other
+    /// data centres and to the own one; theirs tell their followers.
+    pub(crate) fn publish_map(self: &Rc<Self>, service: &Arc<str>, before: u64) {
+        let changes = {
+            let state = self.state.borrow();
+            state.maps.get(service).map(|edition| edition.since(before))
+        };
+        let Some(changes) = changes else {
+            return;
+        };
         let mut relays: HashMap<Arc<str>, (Rank, SocketAddr)> = HashMap::new();
         {
             let state = self.state.borrow();
@@ -376,8 +379,7 @@
             let node = Rc::clone(self);
             let message = peer::News {
                 service: Arc::clone(service),
-                map: map.clone(),
-                version,
+                changes: changes.clone(),
             };
             tokio::task::spawn_local(async move {
                 // What gets lost comes with the answer to the next report.
--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -40,6 +40,10 @@
 const SLACK: Duration = Duration::from_millis(300);
 /// Renewals in the time of one grant, so that two may fail.
 const RENEWALS_PER_HOLD: u32 = 4;
+/// Time in which arrivals of ranges are gathered for one map, for each range of the
+/// map: hundreds of ranges may be on their way, and each map is written whole and told
+/// to every router.
+const SETTLE_PER_RANGE: Duration = Duration::from_micros(100);
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// Pause after a call to an upstream that couldn't be reached.
@@ -150,6 +154,8 @@
     authority_until: Instant,
     weights: Weights,
     plan_due: Instant,
+    /// When arrivals of ranges may be written next.
+    settle_due: Instant,
     /// Keys whose holder has seen a higher fencing token than ours.
     fenced: Option<Order>,
 }
@@ -193,6 +199,7 @@
             authority_until: asked + settings.authority,
             weights: Weights::new(now),
             plan_due: now,
+            settle_due: now,
             fenced: None,
         }
     }
@@ -269,7 +276,7 @@
         if self.draft.is_none() {
             let next = self
                 .fence_off()
-                .or_else(|| self.settle())
+                .or_else(|| self.settle(now))
                 .or_else(|| self.refence());
             if let Some(map) = next.or_else(|| self.plan(now)) {
                 self.draft = Some(map.clone());
@@ -340,6 +347,7 @@
     pub fn committed(&mut self, asked: Instant) {
         self.confirm(asked);
         if let Some(map) = self.draft.take() {
+            self.settle_due = asked + SETTLE_PER_RANGE * map.ranges.len() as u32;
             self.map = map;
             self.forget_transfers();
         }
--- a/crates/ranges/src/keeper/transfer.rs
+++ b/crates/ranges/src/keeper/transfer.rs
@@ -157,8 +157,11 @@
     }
 
     /// Returns the map in which every range that has reached its new holder is
-    /// settled, if there are any.
-    pub(super) fn settle(&self) -> Option<Map> {
+    /// settled, if there are any and it is time to write them.
+    pub(super) fn settle(&self, now: Instant) -> Option<Map> {
+        if now < self.settle_due {
+            return None;
+        }
         let has_arrived = |range: &Range| !range.sources.is_empty() && self.is_granted(range);
         if !self.map.ranges.iter().any(has_arrived) {
             return None;
--- a/crates/ranges/src/lib.rs
+++ b/crates/ranges/src/lib.rs
@@ -9,6 +9,7 @@
 //! Nothing here performs I/O or reads a clock. Instants must come from a clock
 //! that goes on while the machine sleeps.
 
+pub mod edition;
 pub mod election;
 pub mod keeper;
 mod lease;
--- a/crates/ranges/src/plan.rs
+++ b/crates/ranges/src/plan.rs
@@ -31,6 +31,9 @@
 const MIN_RELIEF: f64 = 0.02;
 /// Ranges per upstream above which neighbours are merged.
 const MAX_RANGES_PER_UPSTREAM: usize = 6;
+/// Ranges above which neighbours are merged and none is cut any more: a range takes up
+/// to 50 bytes of the 64 KB of a row.
+const MAX_RANGES: usize = 1_200;
 
 /// Upstream that may hold keys.
 #[derive(Clone, Debug, PartialEq)]
@@ -79,13 +82,15 @@
     let mut next = map.clone();
     let housed = house(&mut next, &mut book, &is_fixed);
     let mut moved = 0;
-    while moved < max_moves && lift(&mut next, &mut book, &is_fixed) {
+    let may_cut = |map: &Map| map.ranges.len() < MAX_RANGES;
+    while moved < max_moves && may_cut(&next) && lift(&mut next, &mut book, &is_fixed) {
         moved += 1;
     }
-    while moved < max_moves && shift(&mut next, &mut book, &is_fixed) {
+    while moved < max_moves && may_cut(&next) && shift(&mut next, &mut book, &is_fixed) {
         moved += 1;
     }
-    if next.ranges.len() > MAX_RANGES_PER_UPSTREAM * (upstreams + 1) {
+    let most = MAX_RANGES.min(MAX_RANGES_PER_UPSTREAM * (upstreams + 1));
+    if next.ranges.len() > most {
         merge(&mut next, &is_fixed);
     }
     (housed || moved > 0).then_some(next)
--- a/crates/ranges/tests/plan.rs
+++ b/crates/ranges/tests/plan.rs
@@ -272,3 +272,41 @@
     holders.sort();
     assert_eq!(holders, ["u03".into(), "u07".into(), "u11".into()]);
 }
+
+/// Load answered: runs of hot keys that move on, on hundreds of upstreams. Each is cut
+/// into single keys; a map beyond the size of a row could never be written again.
+#[test]
+fn a_map_of_many_cuts_goes_on_fitting_a_row() {
+    const ROW_BYTES: usize = 64 << 10;
+    let candidates: Vec<Candidate> = (0..394)
+        .map(|n| candidate(&format!("i-{:08x}", n * 7_919), 3.0 + f64::from(n % 5)))
+        .collect();
+    let mut map = Map::unowned();
+    for run in 0..60_u16 {
+        let mut weights = Weights::new(at(0));
+        weights.record((0..1_500_u32).map(|n| ((n * 40_503) % 65_536) as u16));
+        weights.record((0..1_500).map(|n| run * 1_000 + (n % 200)));
+        let load = weights.load(at(1), candidates.len());
+        if let Some(next) = improve(&map, &load, &candidates, |_| false, 134) {
+            map = next;
+            map.check().unwrap();
+        }
+        let bytes: usize = map.ranges.iter().map(encoded_bytes).sum();
+        assert!(
+            bytes < ROW_BYTES,
+            "{bytes} bytes, {} ranges",
+            map.ranges.len()
+        );
+        map.ranges
+            .iter_mut()
+            .for_each(|range| range.sources.clear());
+    }
+}
+
+/// Bytes of a range in a row: numbers of variable length, names with their length.
+fn encoded_bytes(range: &Range) -> usize {
+    const INCARNATION_BYTES: usize = 6;
+    let life = |life: &Life| 1 + life.upstream.len() + INCARNATION_BYTES;
+    let holder = range.holder.as_ref().map_or(0, life);
+    3 + 3 + 4 + 1 + holder + 1 + range.sources.iter().map(life).sum::<usize>()
+}
