A run of hot keys is spread in one round of moves, and seen within a second

With 394 upstreams the counts rest on 8 s, so after one second a new run shows with a twelfth of its load. And each move gave a receiver half of what the donor held: a run of 60 keys took six rounds, of which each waits for the work that runs on the keys.

Change: a piece that moves fills its receiver to the mean. A second count with a half-life of 0.6 s raises the load of blocks of 16 keys that were asked for clearly more often.

--- a/crates/edge/tests/stop.rs
+++ b/crates/edge/tests/stop.rs
@@ -43,10 +43,8 @@
     let mut buffer = vec![0; 64 << 10];
     let head_end = |bytes: &[u8]| bytes.windows(4).position(|part| part == b"\r\n\r\n");
     loop {
-        let read = match stream.read(&mut buffer).await {
-            Ok(read) => read,
-            Err(_) => 0,
-        };
+        // A reset ends the answer as a close does.
+        let read = stream.read(&mut buffer).await.unwrap_or_default();
         bytes.extend_from_slice(&buffer[..read]);
         let head = head_end(&bytes[..bytes.len().min(4_096)]).map_or(0, |at| at + 4);
         if read == 0 || (head > 0 && bytes.len() - head >= length) {
--- a/crates/ranges/src/plan.rs
+++ b/crates/ranges/src/plan.rs
@@ -240,12 +240,15 @@
     let movable = |range: &&Range| book.holds(donor, range) && !is_fixed(range);
     let mut ranges: Vec<Range> = map.ranges.iter().filter(movable).cloned().collect();
     ranges.sort_by(|a, b| book.load.of(b).total_cmp(&book.load.of(a)));
-    let (wanted, least) = if is_stuck {
+    // A piece that fills the receiver stays with it; one that made both equal would
+    // have to be divided again after it has arrived.
+    let room = book.room(receiver).max(MIN_IMBALANCE * book.target * to);
+    let wanted = equal.min(room);
+    let (most, least) = if is_stuck {
         // The key stays; what else the donor holds goes, as far as it fits.
-        let room = book.room(receiver).max(MIN_IMBALANCE * book.target * to);
-        (equal.min(room), MIN_RELIEF * from)
+        (MAX_OVERSHOOT * wanted, MIN_RELIEF * from)
     } else {
-        (equal, MIN_PIECE * equal)
+        (MAX_OVERSHOOT * equal, MIN_PIECE * wanted)
     };
     for range in ranges {
         if range.from == range.to && book.load.of(&range) > too_hot {
@@ -256,7 +259,7 @@
         let carried = book.load.of(&map.ranges[piece]);
         // If one key is hotter than that, a move would only change who is
         // overloaded; other ranges of the donor may still help.
-        if carried > MAX_OVERSHOOT * wanted {
+        if carried > most {
             *map = uncut;
             continue;
         }
--- a/crates/ranges/src/weights.rs
+++ b/crates/ranges/src/weights.rs
@@ -12,16 +12,26 @@
 /// service.
 const MIN_HALF_LIFE: Duration = Duration::from_millis(1_200);
 const MAX_HALF_LIFE: Duration = Duration::from_secs(8);
+/// Half-life of the counts of late, which show a run of hot keys within a second.
+const RECENT_HALF_LIFE: Duration = Duration::from_millis(600);
+/// Neighbouring keys whose counts of late are judged together: hot keys are
+/// neighbours, and each may have been asked for only once or twice.
+const BLOCK: usize = 16;
+/// Standard deviations by which a block must have been asked for more often than
+/// never: single requests for rarely asked keys don't count as a run.
+const RECENT_DEVIATIONS: f64 = 1.5;
 /// Requests that the counts should rest on, per upstream.
 const WANTED_COUNT: f64 = 25.0;
 /// Share of the load that is spread over all keys evenly, so that keys which
 /// were not asked for lately count as well.
 const EVEN_SHARE: f64 = 0.1;
 
-/// Decaying counts of the requests for each key.
+/// Decaying counts of the requests for each key, in two time scales: one that many
+/// requests are counted in, and one that follows a run of hot keys.
 #[derive(Clone, Debug)]
 pub struct Weights {
     counts: Vec<f32>,
+    recent: Vec<f32>,
     total: f64,
     half_life: Duration,
     decayed_at: Instant,
@@ -41,6 +51,7 @@
     pub fn new(now: Instant) -> Self {
         Self {
             counts: vec![0.0; KEYS],
+            recent: vec![0.0; KEYS],
             total: 0.0,
             half_life: MIN_HALF_LIFE,
             decayed_at: now,
@@ -51,6 +62,7 @@
     pub fn record(&mut self, keys: impl IntoIterator<Item = u16>) {
         for key in keys {
             self.counts[usize::from(key)] += 1.0;
+            self.recent[usize::from(key)] += 1.0;
             self.total += 1.0;
         }
     }
@@ -65,9 +77,16 @@
         let mut sums = Vec::with_capacity(KEYS + 1);
         let mut sum = 0.0;
         sums.push(sum);
-        for count in &self.counts {
-            sum += f64::from(*count) / seconds + even;
-            sums.push(sum);
+        let recent_seconds = RECENT_HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
+        let blocks = self.counts.chunks(BLOCK).zip(self.recent.chunks(BLOCK));
+        for (counts, recent) in blocks {
+            let counted: f64 = recent.iter().map(|count| f64::from(*count)).sum();
+            let sure = (1.0 - RECENT_DEVIATIONS / counted.sqrt()).max(0.0);
+            for (count, recent) in counts.iter().zip(recent) {
+                let lately = sure * f64::from(*recent) / recent_seconds;
+                sum += lately.max(f64::from(*count) / seconds) + even;
+                sums.push(sum);
+            }
         }
         Load {
             sums,
@@ -92,6 +111,10 @@
             total += f64::from(*count);
         }
         self.total = total;
+        let factor = 0.5_f64.powf(age / RECENT_HALF_LIFE.as_secs_f64());
+        for count in &mut self.recent {
+            *count *= factor as f32;
+        }
     }
 }
 
