--- a/crates/edge/tests/copies.rs
+++ b/crates/edge/tests/copies.rs
@@ -3,16 +3,16 @@
 
 mod support;
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use eelgrassrock_dispatch::directory::Repeat;
 use rstest::rstest;
 use support::platform::{Store, route};
+use support::raw::{answer, field, head, upstream};
 use support::upstream::Server;
 use support::{Router, get, post, send};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 const HOST: &str = "sheets.example";
@@ -41,25 +41,6 @@
     NextRequest,
 }
 
-async fn head(stream: &mut TcpStream) -> Option<String> {
-    let mut bytes = Vec::new();
-    while !bytes.ends_with(b"\r\n\r\n") {
-        bytes.push(stream.read_u8().await.ok()?);
-    }
-    Some(String::from_utf8_lossy(&bytes).to_lowercase())
-}
-
-fn field<'a>(head: &'a str, name: &str) -> &'a str {
-    let line = head.lines().find_map(|line| line.strip_prefix(name));
-    line.unwrap_or_default().trim_start_matches(':').trim()
-}
-
-fn answer(id: Option<&str>, body: &str) -> String {
-    let id = id.map_or(String::new(), |id| format!("x-id: {id}\r\n"));
-    let length = body.len();
-    format!("HTTP/1.1 200 OK\r\n{id}content-length: {length}\r\n\r\n{body}")
-}
-
 async fn send_extra(stream: &mut TcpStream, extra: Extra, id: &str) -> std::io::Result<()> {
     let copy = answer(Some(id), &format!("for {id}"));
     match extra {
@@ -104,18 +85,6 @@
     }
 }
 
-async fn upstream(extra: Extra, when: When) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            stream.set_nodelay(true).unwrap();
-            tokio::spawn(serve(stream, extra, when));
-        }
-    });
-    address
-}
-
 /// Requests follow each other while the connection rests, as it is taken, and
 /// after it was, one at a time and several at once.
 #[rstest]
@@ -139,7 +108,8 @@
     when: When,
 ) {
     let store = Store::default();
-    let server = Server::at("up-0", upstream(extra, when).await);
+    let address = upstream(move |stream| serve(stream, extra, when)).await;
+    let server = Server::at("up-0", address);
     store.register("sheets", &server);
     let routes = vec![
         route("/read/", Repeat::Idempotent, "sheets"),
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)] // Each test file uses a part of it.
 
 pub(crate) mod platform;
+pub(crate) mod raw;
 pub(crate) mod upstream;
 
 use std::net::{SocketAddr, TcpListener, UdpSocket};
