--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -94,10 +94,10 @@
     hasher.finish()
 }
 
-/// Sorts upstreams so that those of the subset come first, then those of the
-/// data centre in the order of the ring, then the others, each router beginning
-/// with others of these too. Returns the lengths of the first two parts together
-/// with the subset.
+/// Sorts upstreams: first the subset, then the rest of the data centre in the order
+/// of the ring, then the others, among which each router begins at another one.
+/// Returns them with the length of the subset and the number of those in the data
+/// centre, the subset included.
 pub(crate) fn arrange<T>(
     place: &Place,
     items: Vec<T>,
