--- a/crates/edge/tests/stop.rs
+++ b/crates/edge/tests/stop.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use support::platform::Store;
 use support::upstream::{Act, Server};
-use support::{Router, eventually, serving};
+use support::{Router, eventually, raw, serving};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{sleep, timeout};
@@ -37,9 +37,9 @@
     )
 }
 
-/// Reads an answer until the connection ends or `length` bytes of its body came.
-async fn body_length(stream: &mut TcpStream, length: usize) -> usize {
-    let mut bytes = Vec::new();
+/// Reads an answer that begins with `bytes` until the connection ends or `length`
+/// bytes of its body came. Returns how many bytes of its body came.
+async fn body_length(stream: &mut TcpStream, mut bytes: Vec<u8>, length: usize) -> usize {
     let mut buffer = vec![0; 64 << 10];
     let head_end = |bytes: &[u8]| bytes.windows(4).position(|part| part == b"\r\n\r\n");
     loop {
@@ -53,6 +53,15 @@
     }
 }
 
+/// A slow caller whose request has reached the upstream.
+async fn slow_request(router: &Router, server: &Server) -> TcpStream {
+    let mut caller = slow_caller(router).await;
+    let request = request("r1", 5_000);
+    caller.write_all(request.as_bytes()).await.unwrap();
+    eventually("the request", || server.runs("r1") == 1).await;
+    caller
+}
+
 /// The signal comes before the upstream answers, while its answer is on its way
 /// to the caller, or when the caller has read a part of it.
 #[rstest]
@@ -66,36 +75,22 @@
 ) {
     let (_store, server, mut router) = world().await;
     server.next(&[Act::Large(answer_ms, LARGE_BYTES)]);
-    let mut caller = slow_caller(&router).await;
-    caller
-        .write_all(request("r1", 5_000).as_bytes())
-        .await
-        .unwrap();
-    eventually("the request", || server.runs("r1") == 1).await;
+    let mut caller = slow_request(&router, &server).await;
     let mut first = vec![0; read_first];
     caller.read_exact(&mut first).await.unwrap();
     router.stop();
     // The caller reads on when a router without open work would have ended.
     sleep(GRACE.mul_f64(0.8)).await;
     assert!(router.is_running(), "ended with an answer on its way");
-    let rest = timeout(GRACE, body_length(&mut caller, LARGE_BYTES)).await;
-    let rest = rest.expect("the rest of the answer");
-    assert!(
-        rest + read_first >= LARGE_BYTES,
-        "{rest} bytes after {read_first}"
-    );
+    let length = timeout(GRACE, body_length(&mut caller, first, LARGE_BYTES)).await;
+    assert_eq!(length.expect("the rest of the answer"), LARGE_BYTES);
 }
 
 #[tokio::test]
 async fn a_caller_that_stops_reading_keeps_its_router_no_longer_than_the_grace() {
     let (_store, server, mut router) = world().await;
     server.next(&[Act::Large(0, LARGE_BYTES)]);
-    let mut caller = slow_caller(&router).await;
-    caller
-        .write_all(request("r1", 5_000).as_bytes())
-        .await
-        .unwrap();
-    eventually("the request", || server.runs("r1") == 1).await;
+    let _caller = slow_request(&router, &server).await;
     router.stop();
     sleep(GRACE).await;
     assert!(!router.is_running());
@@ -110,7 +105,7 @@
     kept.write_all(request("r1", 1_000).as_bytes())
         .await
         .unwrap();
-    assert!(body_length(&mut kept, 1).await > 0);
+    assert!(body_length(&mut kept, Vec::new(), 1).await > 0);
     router.stop();
     let mut late = slow_caller(&router).await;
     sleep(GRACE.mul_f64(0.85)).await;
@@ -164,11 +159,7 @@
 
 /// Reads one answer, and returns its head; `None` if the connection ended first.
 async fn answer_head(stream: &mut TcpStream) -> Option<String> {
-    let mut bytes = Vec::new();
-    while !bytes.ends_with(b"\r\n\r\n") {
-        bytes.push(stream.read_u8().await.ok()?);
-    }
-    let head = String::from_utf8_lossy(&bytes).to_lowercase();
+    let head = raw::head(stream).await?;
     let length = head
         .lines()
         .find_map(|line| line.strip_prefix("content-length: "));
--- a/crates/edge/tests/support/raw.rs
+++ b/crates/edge/tests/support/raw.rs
@@ -6,7 +6,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 
-/// Reads the head of a request, in lower case.
+/// Reads the head of a request or an answer, in lower case.
 pub(crate) async fn head(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     while !bytes.ends_with(b"\r\n\r\n") {
