Heed what upstreams say with their answers: that they leave, or want a pause

Cause: two rules of the platform are new and weren't in the code: after an answer that says that its upstream leaves, nothing may reach that life later than the drain; after a 503 with Retry-After it wants nothing from this router for so long. Change: the adapter decodes both into a notice (seam). Leaving marks the life in the book, which remembers ended lives for a minute and takes no older statement of them; routers tell each other, one that starts hears all that is remembered. A pause is kept for the life by dispatch/service/deferral.rs: choice, queue and second questions know it; what can't wait is refused at once with the time that is left. Half of the routers turned away for a second or longer make the keeper move the keys. A leaving holder is used for half of the drain at most. Also: one instant bounds a whole exchange; head and body each had the full time before. Ruled out: a cap on the pause (a breach of its own); datagrams for the news (the messages that routers exchange anyway arrive within half a second).

--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -32,6 +32,9 @@
 /// Time for which a leaving holder of keys is still used. It serves on for
 /// seconds; its keys move within a fraction of one.
 const LEAVING_USE: Duration = Duration::from_millis(1_000);
+/// The same as a share of the time after which it may get nothing more, so that what
+/// was chosen before has reached it by then.
+const LEAVING_USE_SHARE: f64 = 0.5;
 /// Factor by which the window shrinks after a refusal.
 const WINDOW_CUT: f64 = 0.6;
 /// Shortest and longest time for which an upstream that has no room gets no
@@ -63,6 +66,8 @@
     /// requests until then.
     full_until: Instant,
     full_pause: Duration,
+    /// It asked for no requests until then.
+    deferred_until: Instant,
 }
 
 impl Member {
@@ -83,6 +88,7 @@
             leaving_since: None,
             full_until: now,
             full_pause: MIN_FULL_PAUSE,
+            deferred_until: now,
         }
     }
 
@@ -96,9 +102,19 @@
 
     /// Whether a leaving holder gets no requests any more. Until its keys are
     /// with another, it is the only one that can serve them.
-    pub(crate) fn is_closed(&self, now: Instant) -> bool {
-        self.leaving_since
-            .is_some_and(|since| now - since >= LEAVING_USE)
+    pub(crate) fn is_closed(&self, drain: Duration, now: Instant) -> bool {
+        let limit = LEAVING_USE.min(drain.mul_f64(LEAVING_USE_SHARE));
+        self.leaving_since.is_some_and(|since| now - since >= limit)
+    }
+
+    /// Sends it nothing until an instant.
+    pub(crate) fn defer(&mut self, until: Instant) {
+        self.deferred_until = self.deferred_until.max(until);
+    }
+
+    /// Time for which it has asked for no requests.
+    pub(crate) fn deferral(&self, now: Instant) -> Duration {
+        self.deferred_until - now
     }
 
     pub(crate) fn pace_ms(&self) -> f64 {
@@ -164,7 +180,7 @@
 
     /// Whether one more request may be sent to it.
     pub(crate) fn has_room(&self, now: Instant) -> bool {
-        if self.is_paused(now) || now < self.full_until {
+        if self.is_paused(now) || now < self.full_until || now < self.deferred_until {
             return false;
         }
         if self.failures_in_row >= FAILURES_TO_PAUSE && self.in_flight() > 0 {
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -9,6 +9,7 @@
 
 mod block;
 mod choice;
+mod deferral;
 mod queue;
 
 use std::sync::Arc;
@@ -18,6 +19,7 @@
 use indexmap::IndexMap;
 
 use self::block::{Block, MAX_BLOCK};
+use self::deferral::Deferral;
 use crate::budget::{self, Budget};
 use crate::directory::Repeat;
 use crate::member::Member;
@@ -28,6 +30,9 @@
 const DEFAULT_TARGET_SHARE: f64 = 0.4;
 /// What a router begins with: the mean of what is saved up.
 const INITIAL_CREDIT: f32 = 0.5;
+/// Time after which an upstream that leaves may get nothing more, unless another one
+/// is set.
+const DEFAULT_DRAIN: Duration = Duration::from_secs(2);
 /// Span over which answers are counted to tell how fast the queue moves.
 const RATE_SPAN: Duration = Duration::from_secs(1);
 
@@ -152,6 +157,8 @@
     Attempts,
     /// All routers together may not send more repeats now.
     Budget,
+    /// The upstreams that could take it asked for no requests for a while.
+    Deferred,
 }
 
 impl Reason {
@@ -164,6 +171,7 @@
             Self::NoHolder => "no-holder",
             Self::Attempts => "attempts",
             Self::Budget => "budget",
+            Self::Deferred => "deferred",
         }
     }
 }
@@ -205,6 +213,10 @@
     /// Upstreams that each other router named last. Only these are looked at
     /// when it speaks again: there may be thousands of others.
     named: IndexMap<Arc<str>, Vec<Arc<str>>>,
+    /// Upstreams that asked for no requests for a while.
+    deferrals: IndexMap<Arc<str>, Deferral>,
+    /// Time after which an upstream that leaves may get nothing more.
+    drain: Duration,
 }
 
 /// Change of the trust in an upstream.
@@ -237,9 +249,16 @@
             shares: IndexMap::new(),
             credit: INITIAL_CREDIT,
             named: IndexMap::new(),
+            deferrals: IndexMap::new(),
+            drain: DEFAULT_DRAIN,
         }
     }
 
+    /// Sets the time after which an upstream that leaves may get nothing more.
+    pub fn set_drain(&mut self, drain: Duration) {
+        self.drain = drain;
+    }
+
     /// Sets where the router stands among those of its data centre, for the next
     /// list of upstreams.
     pub fn set_place(&mut self, place: Place) {
@@ -260,17 +279,14 @@
             let kept = old
                 .swap_remove(&id)
                 .filter(|member| member.upstream.incarnation == upstream.incarnation);
-            let member = match kept {
-                Some(mut member) => {
-                    member.update(upstream, now);
-                    member
+            let mut member = kept.unwrap_or_else(|| {
+                let mut member = Member::new(Arc::clone(&upstream), typical, now);
+                if let Some(until) = self.deferred_until(&upstream) {
+                    member.defer(until);
                 }
-                None => {
-                    let mut member = Member::new(Arc::clone(&upstream), typical, now);
-                    member.update(upstream, now);
-                    member
-                }
-            };
+                member
+            });
+            member.update(upstream, now);
             self.members.insert(id, member);
         }
     }
@@ -437,6 +453,7 @@
     /// Forgets what is too old to matter. To be called about once a second.
     pub fn sweep(&mut self, now: Instant) {
         self.answers.retain(|at| now - *at < RATE_SPAN);
+        self.deferrals.retain(|_, deferral| now < deferral.until);
         self.members
             .values_mut()
             .for_each(|member| member.sweep(now));
--- a/crates/dispatch/src/service/choice.rs
+++ b/crates/dispatch/src/service/choice.rs
@@ -131,7 +131,7 @@
             return Choice::NoHolder;
         }
         match self.members.get(holder) {
-            Some(member) if member.is_closed(now) => Choice::NoHolder,
+            Some(member) if member.is_closed(self.drain, now) => Choice::NoHolder,
             Some(member) if member.has_room(now) => Choice::Take(Arc::clone(&member.upstream)),
             Some(_) => Choice::Full,
             None => Choice::NoHolder,
--- a/crates/dispatch/src/service/queue.rs
+++ b/crates/dispatch/src/service/queue.rs
@@ -66,6 +66,10 @@
                     let refusal = self.refuse(Reason::NoHolder, &request, now);
                     done.push((request.ticket, refusal));
                 }
+                Choice::Full if self.is_deferred_too_long(&request, now) => {
+                    let refusal = self.refuse(Reason::Deferred, &request, now);
+                    done.push((request.ticket, refusal));
+                }
                 _ if self.is_hopeless(&request, now) => {
                     let reason = match choice {
                         Choice::NoHolder => Reason::NoHolder,
@@ -89,13 +93,19 @@
     pub(super) fn place(&mut self, request: Request, now: Instant) -> Step {
         match self.choose(&request, now) {
             Choice::Take(upstream) => self.begin(upstream, request.key, now),
-            Choice::NoUpstream => self.refuse(Reason::NoUpstream, &request, now),
+            Choice::NoUpstream if self.deferral_of(&request, now).is_zero() => {
+                self.refuse(Reason::NoUpstream, &request, now)
+            }
+            Choice::NoUpstream => self.refuse(Reason::Deferred, &request, now),
             Choice::NoHolder
                 if self.can_wait(&request, now) && !Self::has_waited_for_holder(&request, now) =>
             {
                 self.enqueue(request)
             }
             Choice::NoHolder => self.refuse(Reason::NoHolder, &request, now),
+            Choice::Full if self.is_deferred_too_long(&request, now) => {
+                self.refuse(Reason::Deferred, &request, now)
+            }
             Choice::Full if self.can_wait(&request, now) => self.enqueue(request),
             Choice::Full => self.refuse(Reason::Busy, &request, now),
         }
@@ -179,12 +189,18 @@
             Reason::NoHolder | Reason::NoUpstream => NO_HOLDER_RETRY_AFTER,
             Reason::Overload => OVERLOAD_RETRY_AFTER,
             Reason::Busy | Reason::Attempts | Reason::Budget => self.wait(request, now),
+            Reason::Deferred => self.deferral_of(request, now),
         };
         // Callers that are refused together come back one after the other.
         let spread = wait.mul_f64(f64::from((request.ticket % 8) as u32) / 16.0);
+        let most = match reason {
+            // The upstream has said how long it takes.
+            Reason::Deferred => MAX_RETRY_AFTER.max(wait + spread),
+            _ => MAX_RETRY_AFTER,
+        };
         Step::Refuse(Refusal {
             reason,
-            retry_after: (wait + spread).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+            retry_after: (wait + spread).clamp(MIN_RETRY_AFTER, most),
         })
     }
 }
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -265,7 +265,8 @@
             .flatten()
     }
 
-    fn wake(&self, service: &Arc<str>) {
+    /// Lets the task of a duty look at what is due.
+    pub(crate) fn wake(&self, service: &Arc<str>) {
         self.seat(service, |seat| seat.wake.notify_one());
     }
 
@@ -368,14 +369,16 @@
             service: Arc::clone(&service),
             paces,
             map_version,
+            notices: self.relayed_notices(),
         };
-        let (contact, changes, shares) = self.peers.report(&duty, &report).await;
-        if let Some(changes) = changes {
+        let (contact, heard) = self.peers.report(&duty, &report).await;
+        if let Some(changes) = heard.changes {
             self.learn_changes(&service, changes);
         }
         if contact == Contact::Serving {
-            self.learn_shares(&service, shares);
+            self.learn_shares(&service, heard.admitted);
         }
+        self.hear_departures(heard.departures);
         let rank = self.rank(&service);
         self.seat(&service, |seat| {
             let still = seat
--- a/crates/edge/src/duty/drive.rs
+++ b/crates/edge/src/duty/drive.rs
@@ -69,16 +69,16 @@
     }
 
     pub(super) fn upstreams(&self, service: &Arc<str>) -> Vec<keeper::Upstream> {
-        let state = self.state.borrow();
         let upstream = |upstream: Arc<Upstream>| keeper::Upstream {
             life: Life {
                 upstream: Arc::clone(&upstream.id),
                 incarnation: upstream.incarnation,
             },
             slots: upstream.slots,
-            leaving: upstream.leaving,
+            leaving: upstream.leaving || self.turns_routers_away(&upstream),
         };
-        state.book.of(service).into_iter().map(upstream).collect()
+        let listed = self.state.borrow().book.of(service);
+        listed.into_iter().map(upstream).collect()
     }
 
     pub(super) fn act(self: &Rc<Self>, service: &Arc<str>, action: Action) {
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -1,14 +1,18 @@
 //! One send of a request to an upstream.
 
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use eelgrassrock_dispatch::directory::Repeat;
 use eelgrassrock_dispatch::service::Report;
 use eelgrassrock_dispatch::upstream::Upstream;
+use eelgrassrock_model::time::Instant;
 use http::{HeaderMap, Request, Response, StatusCode, request};
 use tokio::time::timeout;
 
+use crate::clock;
 use crate::link::{self, Link};
 use crate::node::Node;
 use crate::payload::{self, Payload, Taken};
@@ -74,12 +78,13 @@
 
 /// Sends a request to an upstream and waits for its answer.
 pub(crate) async fn exchange<P: Platform>(
-    node: &Node<P>,
-    upstream: &Upstream,
+    node: &Rc<Node<P>>,
+    upstream: &Arc<Upstream>,
     message: &mut Message,
     head: &Head,
-    left: Duration,
+    until: Instant,
 ) -> Exchange {
+    let left = until - clock::now();
     let mut headers = message.parts.headers.clone();
     let allowed = left
         .saturating_sub(ANSWER_MARGIN)
@@ -91,16 +96,17 @@
         let was_kept = kept.is_some();
         let link = match kept {
             Some(link) => Some(link),
-            None => link::connect(upstream.address, left).await,
+            None => link::connect(upstream.address, until - clock::now()).await,
         };
         let Some(mut link) = link else {
             message.restore(request);
             return Exchange::None(Report::Unreachable);
         };
+        let left = until - clock::now();
         let sent = timeout(left, link.sender.try_send_request(request)).await;
         match sent {
             Err(_) => return Exchange::None(Report::Silent),
-            Ok(Ok(response)) => return receive(node, upstream, link, response, head, left).await,
+            Ok(Ok(response)) => return receive(node, upstream, link, response, head, until).await,
             Ok(Err(mut error)) => match error.take_message() {
                 // The request comes back only if no byte of it was sent.
                 Some(unsent) if was_kept => request = unsent,
@@ -132,17 +138,21 @@
 }
 
 async fn receive<P: Platform>(
-    node: &Node<P>,
-    upstream: &Upstream,
+    node: &Rc<Node<P>>,
+    upstream: &Arc<Upstream>,
     link: Link,
     response: Response<hyper::body::Incoming>,
     head: &Head,
-    left: Duration,
+    until: Instant,
 ) -> Exchange {
     let (parts, body) = response.into_parts();
     let verdict = node
         .platform
         .judge(head, &upstream.id, parts.status, &parts.headers);
+    if !matches!(verdict, Verdict::Foreign | Verdict::Replaced) {
+        let notice = node.platform.notice(parts.status, &parts.headers);
+        node.heed(upstream, notice);
+    }
     match verdict {
         Verdict::Foreign => {
             node.links.distrust(upstream);
@@ -163,7 +173,7 @@
         }
         Verdict::Own => {}
     }
-    match timeout(left, payload::take(body)).await {
+    match timeout(until - clock::now(), payload::take(body)).await {
         Err(_) => Exchange::None(Report::Silent),
         Ok(Taken::Broken) => Exchange::None(Report::Broken),
         Ok(Taken::Whole(bytes)) => {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,6 +16,7 @@
 mod log;
 mod metrics;
 mod node;
+mod notice;
 mod payload;
 mod peer;
 mod process;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -81,6 +81,7 @@
     upstream: Histograms,
     sends: Family<Send, Counter>,
     left_out: Counter,
+    deferred: Family<Service, Counter>,
     open: Gauge,
     configuration: Gauge,
     upstreams: Family<Service, Gauge>,
@@ -102,6 +103,7 @@
             upstream: Family::new_with_constructor(histogram),
             sends: Family::default(),
             left_out: Counter::default(),
+            deferred: Family::default(),
             open: Gauge::default(),
             configuration: Gauge::default(),
             upstreams: Family::default(),
@@ -138,6 +140,8 @@
         );
         let help = "Log lines about requests beyond the bound";
         all.register("log_lines_left_out", help, self.left_out.clone());
+        let help = "Pauses that upstreams asked for";
+        all.register("deferrals", help, self.deferred.clone());
         all.register(
             "open_requests",
             "Requests without an answer",
@@ -198,6 +202,12 @@
         observe(&self.upstream, service, span);
     }
 
+    /// Counts a pause that an upstream asked for.
+    pub(crate) fn deferred(&self, service: &Arc<str>) {
+        let service = Arc::clone(service);
+        self.deferred.get_or_create(&Service { service }).inc();
+    }
+
     /// Counter of the lines that the log leaves out.
     pub(crate) fn left_out(&self) -> Counter {
         self.left_out.clone()
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -26,6 +26,7 @@
 use crate::link::Links;
 use crate::log::Log;
 use crate::metrics::Metrics;
+use crate::notice::Pauses;
 use crate::peer::Peers;
 use crate::relay::Relay;
 use crate::seam::{Platform, Table};
@@ -79,6 +80,7 @@
     pub(crate) duties: Duties,
     pub(crate) relay: Relay,
     pub(crate) peers: Peers,
+    pub(crate) pauses: Pauses,
     /// What the keepers say of overloaded holders.
     pub(crate) admitted: RefCell<IndexMap<Arc<str>, Shares>>,
     /// Socket of the datagrams between routers, once it is open.
@@ -166,6 +168,7 @@
             duties,
             relay: Relay::default(),
             peers,
+            pauses: Pauses::default(),
             admitted: RefCell::default(),
             socket: RefCell::new(None),
             stopped: Cell::new(None),
@@ -304,6 +307,7 @@
                     Service::new(Arc::clone(data_centre), self.settings.repeats)
                 });
                 service.set_place(place);
+                service.set_drain(self.settings.drain);
                 service.set_upstreams(state.book.of(name), now);
                 service.set_routers(state.routers.len());
                 let map = state.maps.get(name).map(Edition::map);
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -26,9 +26,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
+use crate::book::Departure;
 use crate::duty::Pace;
 use crate::front;
 use crate::node::{Node, Shares};
+use crate::notice::Notices;
 use crate::payload::{self, Payload, Taken};
 use crate::relay;
 use crate::seam::Platform;
@@ -46,6 +48,15 @@
     pub(crate) paces: Vec<Pace>,
     /// Version of the map that the router has.
     pub(crate) map_version: u64,
+    pub(crate) notices: Notices,
+}
+
+/// What a router hears from a keeper.
+#[derive(Debug, Default)]
+pub(crate) struct Heard {
+    pub(crate) changes: Option<Delta>,
+    pub(crate) admitted: Shares,
+    pub(crate) departures: Vec<Departure>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -57,6 +68,7 @@
     changes: Option<Delta>,
     /// Shares of requests that overloaded holders can serve.
     admitted: Shares,
+    departures: Vec<Departure>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -134,23 +146,25 @@
         postcard::from_bytes(&answer.body).map_err(|_| Contact::Idle)
     }
 
-    /// Reports to a keeper. Returns what the contact showed, changes of the map, and
-    /// which holders are overloaded.
-    pub(crate) async fn report(
-        &self,
-        duty: &Duty,
-        report: &Report,
-    ) -> (Contact, Option<Delta>, Shares) {
-        match self
-            .call::<Reply>(duty.address, "/report", report, CALL_TIMEOUT)
-            .await
-        {
-            Ok(reply) if reply.is_keeper => (Contact::Serving, reply.changes, reply.admitted),
+    /// Reports to a keeper. Returns what the contact showed, and what it said.
+    pub(crate) async fn report(&self, duty: &Duty, report: &Report) -> (Contact, Heard) {
+        let call = self.call::<Reply>(duty.address, "/report", report, CALL_TIMEOUT);
+        let reply = match call.await {
+            Ok(reply) => reply,
+            Err(contact) => return (contact, Heard::default()),
+        };
+        let contact = match (reply.is_keeper, reply.is_beginning) {
+            (true, _) => Contact::Serving,
             // Another one that stood now would only take the duty away again.
-            Ok(reply) if reply.is_beginning => (Contact::Silent, reply.changes, Shares::new()),
-            Ok(reply) => (Contact::Idle, reply.changes, Shares::new()),
-            Err(contact) => (contact, None, Shares::new()),
-        }
+            (false, true) => Contact::Silent,
+            (false, false) => Contact::Idle,
+        };
+        let heard = Heard {
+            changes: reply.changes,
+            admitted: reply.admitted,
+            departures: reply.departures,
+        };
+        (contact, heard)
     }
 
     /// Asks an earlier keeper to stop. Returns whether it has certainly stopped.
@@ -241,7 +255,7 @@
         "/report" => encode(
             postcard::from_bytes(&body)
                 .ok()
-                .map(|report| hear(node, &report)),
+                .map(|report| hear(node, report)),
         ),
         "/follow" => match postcard::from_bytes(&body) {
             Ok(question) => encode(Some(node.answer_follower(question).await)),
@@ -265,7 +279,8 @@
     }
 }
 
-fn hear<P: Platform>(node: &Node<P>, report: &Report) -> Reply {
+fn hear<P: Platform>(node: &Rc<Node<P>>, report: Report) -> Reply {
+    node.hear_notices(report.notices);
     node.duties.absorb_paces(&report.service, &report.paces);
     let is_keeper = node.duties.acts(&report.service);
     let is_beginning = node.duties.is_standing(&report.service);
@@ -275,6 +290,7 @@
         .get(&report.service)
         .cloned()
         .unwrap_or_default();
+    let departures = node.departures(false);
     let state = node.state.borrow();
     let newer = state
         .maps
@@ -285,6 +301,7 @@
         is_beginning,
         changes: newer.map(|edition| edition.since(report.map_version)),
         admitted,
+        departures,
     }
 }
 
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -32,9 +32,11 @@
 use tokio::time::{sleep, timeout};
 
 use self::journal::{Journal, Part};
+use crate::book::Departure;
 use crate::clock;
 use crate::duty::Pace;
 use crate::node::{Node, Router, Shares};
+use crate::notice::Notices;
 use crate::peer;
 use crate::seam::{Platform, Row, Rows, Table};
 use crate::watch;
@@ -88,6 +90,7 @@
     maps: Vec<(Arc<str>, u64)>,
     /// Answers that the follower got, by service.
     paces: Vec<(Arc<str>, Vec<Pace>)>,
+    notices: Notices,
 }
 
 /// Answer of a relay.
@@ -100,6 +103,7 @@
     maps: Vec<(Arc<str>, Delta)>,
     /// For each service, shares of requests that overloaded holders can serve.
     admitted: Vec<(Arc<str>, Shares)>,
+    departures: Vec<Departure>,
 }
 
 impl Relay {
@@ -236,6 +240,7 @@
                 .map(|(name, edition)| (Arc::clone(name), edition.version()))
                 .collect(),
             paces,
+            notices: self.own_notices(),
         }
     }
 
@@ -244,6 +249,7 @@
         for (service, paces) in question.paces {
             self.duties.absorb_paces(&service, &paces);
         }
+        self.hear_notices(question.notices);
         let news = || {
             let tables = self.relay.changes(question.after);
             let maps = self.newer_maps(&question.maps);
@@ -270,6 +276,7 @@
                 .iter()
                 .map(|(name, shares)| (Arc::clone(name), shares.clone()))
                 .collect(),
+            departures: self.departures(question.after == Question::default().after),
         }
     }
 
@@ -323,6 +330,7 @@
     }
 
     fn take_answer(self: &Rc<Self>, answer: Answer) {
+        self.hear_departures(answer.departures);
         for part in answer.tables {
             let Some(table) = TABLES.get(usize::from(part.table)).copied() else {
                 continue;
--- a/crates/edge/src/request/race.rs
+++ b/crates/edge/src/request/race.rs
@@ -42,9 +42,9 @@
     };
     let spare = job.message.copy();
     let is_repeatable = job.message.is_repeatable();
-    let left = job.work.give_up - first.started;
+    let until = job.work.give_up;
     let asked = Arc::clone(&first.upstream);
-    let mut one = pin!(exchange(node, &asked, &mut job.message, &job.head, left));
+    let mut one = pin!(exchange(node, &asked, &mut job.message, &job.head, until));
     let alone = |end, sending| Race {
         end,
         sending,
@@ -78,8 +78,7 @@
     };
     job.work.is_repeat = true;
     let mut second = Sending::new(node, &job.service, None, &upstream, started);
-    let left = job.work.give_up - started;
-    let mut two = pin!(exchange(node, &upstream, &mut spare, &job.head, left));
+    let mut two = pin!(exchange(node, &upstream, &mut spare, &job.head, until));
     let (end, is_first) = tokio::select! {
         end = &mut one => (end, true),
         end = &mut two => (end, false),
--- a/crates/edge/src/seam.rs
+++ b/crates/edge/src/seam.rs
@@ -129,7 +129,16 @@
     Foreign,
 }
 
-/// Why a row can't be used.
+/// What an upstream says of itself with an answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// It is about to leave.
+    pub is_leaving: bool,
+    /// Time for which it wants no requests from this router.
+    pub pause: Option<Result<Duration, Unreadable>>,
+}
+
+/// Why a row or a field of an answer can't be used.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 #[display("{field}: {reason}")]
 pub struct Unreadable {
@@ -202,6 +211,9 @@
         headers: &HeaderMap,
     ) -> Verdict;
 
+    /// Reads what an upstream says of itself with an answer.
+    fn notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice;
+
     /// Whether this call asks if the router is ready.
     fn asks_readiness(&self, method: &Method, path: &str) -> bool;
 }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -32,6 +32,8 @@
     pub max_hold: Duration,
     /// Time from the signal to stop to the end of the process.
     pub grace: Duration,
+    /// Time after which an upstream that leaves may get nothing more.
+    pub drain: Duration,
     /// Time for which a lapsed entry of the registry may come back after the
     /// store was away.
     pub return_time: Duration,
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -311,7 +311,7 @@
     note_change(node, &change);
 }
 
-fn note_change<P: Platform>(node: &Node<P>, change: &Change) {
+pub(crate) fn note_change<P: Platform>(node: &Node<P>, change: &Change) {
     let (event, upstream) = match change {
         Change::Learnt(upstream) => ("upstream learnt", upstream),
         Change::Leaving(upstream) => ("upstream leaving", upstream),
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -9,7 +9,8 @@
 use eelgrassrock_dispatch::directory::{Directory, Keyed, Limits, Part, Repeat, Route, Service};
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_edge::seam::{
-    Changes, Commit, Head, Name, Platform, Row, Rows, Table, Transaction, Unreadable, Verdict,
+    Changes, Commit, Head, Name, Notice, Platform, Row, Rows, Table, Transaction, Unreadable,
+    Verdict,
 };
 use eelgrassrock_ranges::keeper::{Order, Outcome};
 use eelgrassrock_store::{Fault, Kind};
@@ -100,9 +101,19 @@
 
     /// Registers an upstream.
     pub(crate) fn register(&self, service: &str, server: &Server) {
+        self.register_as(service, server, |_| ());
+    }
+
+    /// Registers an upstream that says something else of itself than usual.
+    pub(crate) fn register_as(
+        &self,
+        service: &str,
+        server: &Server,
+        change: impl Fn(&mut Upstream),
+    ) {
         let mut state = self.0.lock().unwrap();
         let index = state.upstreams.len();
-        state.upstreams.push(Upstream {
+        let mut upstream = Upstream {
             id: server.id.as_str().into(),
             incarnation: 1,
             sequence: 1,
@@ -112,7 +123,9 @@
             slots: 2,
             leaving: false,
             warm_up: Duration::ZERO,
-        });
+        };
+        change(&mut upstream);
+        state.upstreams.push(upstream);
         state.servers.push(server.clone());
         drop(state);
         self.write(Table::Registry, &server.id, Some(index.to_string().into()));
@@ -416,6 +429,18 @@
         }
     }
 
+    fn notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice {
+        let pause = headers.get("x-pause-ms").and_then(|value| {
+            let text = value.to_str().ok()?;
+            let pause = text.parse().map(Duration::from_millis);
+            Some(pause.map_err(|_| unreadable(&format!("is {text}, expected ms"))))
+        });
+        Notice {
+            is_leaving: headers.contains_key("x-leaving"),
+            pause: pause.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE),
+        }
+    }
+
     fn asks_readiness(&self, method: &Method, path: &str) -> bool {
         *method == Method::GET && path == "/ready"
     }
--- a/crates/edge/tests/support/upstream.rs
+++ b/crates/edge/tests/support/upstream.rs
@@ -23,6 +23,10 @@
     Answer(u64),
     /// Says that it has no room.
     Refuse,
+    /// The same, and wants nothing for some milliseconds.
+    Defer(u64),
+    /// The same, with a time that can't be read.
+    DeferOddly,
     /// Runs it and closes the connection without an answer.
     Close,
     /// Runs it and answers with the identifier of another request.
@@ -55,6 +59,10 @@
     is_keyed: bool,
     /// Connections that are open.
     connections: usize,
+    /// Says with each answer that it leaves.
+    is_leaving: bool,
+    /// When requests arrived, run or not.
+    arrivals: Vec<Instant>,
 }
 
 struct Running(Arc<Mutex<State>>, bool);
@@ -114,6 +122,22 @@
         self
     }
 
+    /// Says from now on, with each answer, that it leaves.
+    pub(crate) fn leave(&self) {
+        self.state.lock().unwrap().is_leaving = true;
+    }
+
+    /// Requests that have arrived since an instant, run or not.
+    pub(crate) fn arrivals_since(&self, since: Instant) -> usize {
+        self.arrivals_between(since, Instant::now())
+    }
+
+    pub(crate) fn arrivals_between(&self, from: Instant, to: Instant) -> usize {
+        let state = self.state.lock().unwrap();
+        let between = |at: &&Instant| (from..to).contains(*at);
+        state.arrivals.iter().filter(between).count()
+    }
+
     /// What it does with the next requests; after that it answers at once.
     pub(crate) fn next(&self, acts: &[Act]) {
         self.state.lock().unwrap().acts.extend(acts);
@@ -209,19 +233,29 @@
             .acts
             .pop_front()
             .unwrap_or(Act::Answer(0));
+        self.state.lock().unwrap().arrivals.push(Instant::now());
         let answer = |status: u16, id: &str| {
             let builder = Response::builder().status(status).header("x-id", id);
-            builder.header("x-from", &self.id)
+            let builder = builder.header("x-from", &self.id);
+            if self.state.lock().unwrap().is_leaving {
+                builder.header("x-leaving", "1")
+            } else {
+                builder
+            }
         };
         let is_keyed = self.state.lock().unwrap().is_keyed;
         if is_keyed && !key.is_some_and(|key| self.holds(key)) {
             return answer(421, &id).body(Full::default()).unwrap();
         }
-        if act == Act::Refuse {
-            return answer(503, &id)
-                .header("x-not-run", "1")
-                .body(Full::default())
-                .unwrap();
+        let refusal = || answer(503, &id).header("x-not-run", "1");
+        let refused = match act {
+            Act::Refuse => Some(refusal()),
+            Act::Defer(ms) => Some(refusal().header("x-pause-ms", ms)),
+            Act::DeferOddly => Some(refusal().header("x-pause-ms", "soon")),
+            _ => None,
+        };
+        if let Some(refused) = refused {
+            return refused.body(Full::default()).unwrap();
         }
         *self
             .state
