--- a/crates/edge/src/book.rs
+++ b/crates/edge/src/book.rs
@@ -71,6 +71,18 @@
         self.regained = Some(now);
     }
 
+    /// Whether a later statement of an upstream is known, or its end.
+    pub(crate) fn is_outdated(&self, upstream: &Upstream) -> bool {
+        let said = (upstream.incarnation, upstream.sequence);
+        let is_later = |entry: &Entry| (entry.upstream.incarnation, entry.upstream.sequence) > said;
+        let departure = self.departures.get(&upstream.id);
+        let is_over = departure.is_some_and(|(departure, _)| {
+            let last = departure.dropped_after.unwrap_or(0);
+            departure.incarnation > said.0 || (departure.incarnation == said.0 && last >= said.1)
+        });
+        is_over || self.entries.get(&upstream.id).is_some_and(is_later)
+    }
+
     /// Takes what an upstream says of itself. An older statement of the same
     /// life changes nothing.
     pub(crate) fn put(&mut self, mut upstream: Upstream) -> Change {
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -2,6 +2,7 @@
 
 mod drive;
 mod leave;
+mod retake;
 mod stand;
 
 use std::cell::RefCell;
@@ -10,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_ranges::election::{Contact, Duty, Election};
 use eelgrassrock_ranges::keeper::Keeper;
@@ -24,8 +26,9 @@
 use crate::node::Node;
 use crate::peer::Report;
 use crate::seam::{Name, Platform, Row, Table};
-use crate::watch::DUTY;
 
+/// Prefix of the rows that say who has a duty.
+const DUTY: &str = "duty/";
 /// Time between two looks of a keeper at what is due.
 const KEEPER_TICK: Duration = Duration::from_millis(40);
 /// Time between two reports to the keeper.
@@ -44,6 +47,9 @@
 #[derive(Default)]
 pub(crate) struct Duties {
     services: RefCell<IndexMap<Arc<str>, Seat>>,
+    /// Services that had a keeper, and the latest era of the store in which one is known
+    /// to have taken the duty.
+    history: RefCell<IndexMap<Arc<str>, u64>>,
 }
 
 /// Answers of one upstream.
@@ -181,6 +187,32 @@
         })
     }
 
+    /// Lets all duties go on in a new era of the store.
+    pub(crate) fn enter_era(&self, era: u64) {
+        let now = clock::now();
+        for seat in self.services.borrow_mut().values_mut() {
+            seat.election.enter_era(era);
+            seat.confirm_due = now;
+            seat.wake.notify_one();
+        }
+    }
+
+    /// Services whose keys this router grants.
+    pub(crate) fn own(&self) -> Vec<Arc<str>> {
+        let services = self.services.borrow();
+        let own = services.iter().filter(|(_, seat)| seat.keeper.is_some());
+        own.map(|(name, _)| Arc::clone(name)).collect()
+    }
+
+    /// Returns the services that have had a keeper, and in which era of the store.
+    pub(crate) fn history(&self) -> Vec<(Arc<str>, u64)> {
+        let history = self.history.borrow();
+        history
+            .iter()
+            .map(|(name, era)| (Arc::clone(name), *era))
+            .collect()
+    }
+
     /// Gives the duty up to a later term. Returns whether this process certainly
     /// doesn't act on it any more.
     pub(crate) fn give_up(&self, service: &Arc<str>, term: u64) -> bool {
@@ -241,7 +273,11 @@
         }
         let settings = &self.settings;
         let now = clock::now();
-        let seat = Seat::new(Arc::clone(&settings.router), settings.incarnation, now);
+        let mut seat = Seat::new(Arc::clone(&settings.router), settings.incarnation, now);
+        seat.election.enter_era(self.era.get());
+        if let Some(era) = self.duties.history.borrow().get(service) {
+            seat.election.note_history(*era);
+        }
         services.insert(Arc::clone(service), seat);
         let node = Rc::clone(self);
         let service = Arc::clone(service);
@@ -271,8 +307,11 @@
     }
 
     /// Takes what the store says of a duty.
-    pub(crate) fn learn_duty(self: &Rc<Self>, service: &Arc<str>, duty: Option<(Duty, u64)>) {
+    pub(crate) fn learn_duty(self: &Rc<Self>, service: &Arc<str>, duty: Option<(Duty, Revision)>) {
         self.tend(service);
+        if duty.is_some() {
+            self.note_history(service, self.era.get());
+        }
         let rank = self.rank(service);
         let line = duty
             .as_ref()
@@ -291,6 +330,14 @@
         }
     }
 
+    /// Notes that a service had a keeper in an era of the store.
+    pub(crate) fn note_history(&self, service: &Arc<str>, era: u64) {
+        let mut history = self.duties.history.borrow_mut();
+        let latest = history.entry(Arc::clone(service)).or_insert(era);
+        *latest = era.max(*latest);
+        self.seat(service, |seat| seat.election.note_history(era));
+    }
+
     fn note_term(&self, service: &str, term: u64, router: &str, reason: &str) {
         let line = Term {
             service,
@@ -328,8 +375,9 @@
     }
 
     /// Reads the map of a service; the inner `None` says that there is none.
-    async fn read_map(&self, service: &Arc<str>) -> Option<Option<(Map, u64)>> {
-        let row = self.platform.row(&map_row(service)).await.ok()?;
+    async fn read_map(self: &Rc<Self>, service: &Arc<str>) -> Option<Option<(Map, Revision)>> {
+        let name = map_row(self.era.get(), service);
+        let row = self.read_row(&name).await.ok()?;
         let Some(row) = row else {
             return Some(None);
         };
@@ -341,7 +389,7 @@
                     service,
                     ranges: 0,
                     moving: 0,
-                    version: row.version,
+                    version: row.version.number,
                     outcome: "unreadable",
                 },
             );
@@ -393,26 +441,37 @@
     }
 
     async fn find_duty(self: &Rc<Self>, service: &Arc<str>) {
-        if let Ok(row) = self.platform.row(&duty_row(service)).await {
+        let era = self.era.get();
+        if let Ok(row) = self.read_row(&duty_row(era, service)).await
+            && era == self.era.get()
+        {
             self.learn_duty(service, row.as_ref().and_then(read_duty));
         }
     }
 }
 
-fn duty_row(service: &str) -> Name {
-    Name::new(Table::Routers, format!("{DUTY}{service}"))
+/// Name of the row of a duty in an era of the store.
+fn duty_row(era: u64, service: &str) -> Name {
+    Name::new(Table::Routers, format!("{DUTY}{era}/{service}"))
+}
+
+/// Returns the era and the service of the row of a duty.
+pub(crate) fn of_row(key: &str) -> Option<(u64, &str)> {
+    let (era, service) = key.strip_prefix(DUTY)?.split_once('/')?;
+    Some((era.parse().ok()?, service))
 }
 
-fn map_row(service: &str) -> Name {
-    Name::new(Table::Maps, service)
+/// Name of the row of a map in an era of the store.
+fn map_row(era: u64, service: &str) -> Name {
+    Name::new(Table::Maps, format!("{era}/{service}"))
 }
 
-fn read_duty(row: &Row) -> Option<(Duty, u64)> {
+fn read_duty(row: &Row) -> Option<(Duty, Revision)> {
     let duty = postcard::from_bytes(row.value.as_ref()?).ok()?;
     Some((duty, row.version))
 }
 
-fn read_map(row: &Row) -> Option<(Map, u64)> {
+fn read_map(row: &Row) -> Option<(Map, Revision)> {
     let map: Map = postcard::from_bytes(row.value.as_ref()?).ok()?;
     map.check().is_ok().then_some((map, row.version))
 }
--- a/crates/edge/src/duty/drive.rs
+++ b/crates/edge/src/duty/drive.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use eelgrassrock_dispatch::upstream::Upstream;
+use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_ranges::keeper::{self, Action, Keeper, Order, Outcome};
 use eelgrassrock_ranges::map::{Life, Map};
@@ -165,27 +166,39 @@
     /// Writes a map if the duty is ours and the map has not changed.
     pub(super) async fn commit(self: &Rc<Self>, service: &Arc<str>, map: Map) {
         let asked = clock::now();
+        let era = self.era.get();
         let duty = self
             .seat(service, |seat| seat.election.duty().map(|(_, at)| *at))
-            .flatten();
+            .flatten()
+            .filter(|version| version.era == era);
         let known = self.map_version(service);
+        let expected = if known.era == era {
+            known
+        } else {
+            Revision::default()
+        };
+        if duty.is_none() {
+            // The duty has to be taken again first.
+            self.keeper(service, Keeper::not_committed);
+        }
         let (Some(duty), Ok(value)) = (duty, postcard::to_allocvec(&map)) else {
             return;
         };
-        let map_key = map_row(service);
+        let map_key = map_row(era, service);
         let transaction = Transaction {
-            expected: vec![(duty_row(service), duty), (map_key.clone(), known)],
+            era,
+            expected: vec![(duty_row(era, service), duty), (map_key.clone(), expected)],
             put: vec![(map_key, Bytes::from(value))],
             remove: Vec::new(),
         };
-        let end = self.platform.commit(&transaction).await;
+        let end = self.write_rows(&transaction).await;
         let moving = map
             .ranges
             .iter()
             .filter(|range| !range.sources.is_empty())
             .count();
         let (outcome, version) = match &end {
-            Commit::Done(version) => ("done", *version),
+            Commit::Done(version) => ("done", version.number),
             Commit::Conflict => ("conflict", 0),
             Commit::NotDone(_) => ("not done", 0),
             Commit::Unknown(_) => ("unknown", 0),
@@ -244,13 +257,28 @@
     /// `false` if it isn't or the store doesn't answer.
     pub(super) async fn confirm(self: &Rc<Self>, service: &Arc<str>) -> bool {
         let asked = clock::now();
-        let Ok(row) = self.platform.row(&duty_row(service)).await else {
+        let era = self.era.get();
+        let Ok(row) = self.read_row(&duty_row(era, service)).await else {
             return false;
         };
-        self.learn_duty(service, row.as_ref().and_then(read_duty));
-        let is_own = self.seat(service, |seat| seat.election.is_own()) == Some(true);
+        if era != self.era.get() {
+            // Who has the duty in the new era is asked next.
+            return false;
+        }
+        let found = row.as_ref().and_then(read_duty);
+        if found.is_none() && !self.retake(service).await {
+            return false;
+        }
+        if found.is_some() {
+            self.learn_duty(service, found);
+        }
+        let is_own = self.seat(service, |seat| {
+            seat.election.is_own() && !seat.election.is_outdated()
+        });
+        let is_own = is_own == Some(true) && self.resume(service, asked).await;
         if is_own {
             self.keeper(service, |keeper| keeper.confirm(asked));
+            self.note_settled(service).await;
         }
         is_own
     }
--- a/crates/edge/src/duty/leave.rs
+++ b/crates/edge/src/duty/leave.rs
@@ -7,10 +7,10 @@
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
-use super::{KEEPER_TICK, STORE_PAUSE, Seat, duty_row};
+use super::{KEEPER_TICK, STORE_PAUSE, Seat};
 use crate::clock;
 use crate::node::Node;
-use crate::seam::{Platform, Transaction};
+use crate::seam::Platform;
 
 /// Time that calls under way get when the duty is given up.
 const HAND_OVER_TIME: Duration = Duration::from_millis(350);
@@ -52,17 +52,9 @@
         if is_sure {
             duty.formers.clear();
         }
-        let key = duty_row(service);
-        let Ok(value) = postcard::to_allocvec(&duty) else {
-            return;
-        };
-        let transaction = Transaction {
-            expected: vec![(key.clone(), version)],
-            put: vec![(key, value.into())],
-            remove: Vec::new(),
-        };
+        let term = duty.term;
         // If this fails, others find out by themselves that nobody answers.
-        let _ = self.platform.commit(&transaction).await;
-        self.note_term(service, duty.term, &self.settings.router, "given up");
+        self.rewrite_duty(service, duty, version).await;
+        self.note_term(service, term, &self.settings.router, "given up");
     }
 }
--- a/crates/edge/src/duty/stand.rs
+++ b/crates/edge/src/duty/stand.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_ranges::election::{Duty, Former};
 use eelgrassrock_ranges::keeper::{Keeper, Settings};
@@ -82,21 +83,26 @@
     }
 
     /// Tries to take the duty.
-    pub(super) async fn stand(self: &Rc<Self>, service: &Arc<str>, duty: Duty, version: u64) {
-        let key = duty_row(service);
+    pub(super) async fn stand(self: &Rc<Self>, service: &Arc<str>, duty: Duty, version: Revision) {
+        let era = self.era.get();
+        let key = duty_row(era, service);
         let asked = clock::now();
         let Ok(value) = postcard::to_allocvec(&duty) else {
             return;
         };
         let transaction = Transaction {
+            era,
             expected: vec![(key.clone(), version)],
             put: vec![(key.clone(), value.into())],
             remove: Vec::new(),
         };
-        let taken = match self.platform.commit(&transaction).await {
+        let taken = match self.write_rows(&transaction).await {
             Commit::Done(version) => Some(version),
             Commit::Conflict | Commit::Unknown(_) => {
-                let row = self.platform.row(&key).await;
+                let row = self.read_row(&key).await;
+                if era != self.era.get() {
+                    return;
+                }
                 let Ok(found) = row.map(|row| row.and_then(|row| read_duty(&row))) else {
                     return;
                 };
@@ -126,7 +132,7 @@
         service: &Arc<str>,
         duty: &Duty,
         mut asked: Instant,
-    ) -> Option<(Option<(Map, u64)>, Instant)> {
+    ) -> Option<(Option<(Map, Revision)>, Instant)> {
         loop {
             if let Some(map) = self.read_map(service).await {
                 return Some((map, asked));
@@ -138,9 +144,13 @@
                 return None;
             }
             let again = clock::now();
-            let Ok(row) = self.platform.row(&duty_row(service)).await else {
+            let era = self.era.get();
+            let Ok(row) = self.read_row(&duty_row(era, service)).await else {
                 continue;
             };
+            if era != self.era.get() {
+                return None;
+            }
             match row.and_then(|row| read_duty(&row)) {
                 Some((found, _)) if found == *duty => asked = again,
                 found => {
@@ -156,8 +166,8 @@
         self: &Rc<Self>,
         service: &Arc<str>,
         duty: Duty,
-        version: u64,
-        map: Option<(Map, u64)>,
+        version: Revision,
+        map: Option<(Map, Revision)>,
         asked: Instant,
     ) {
         let now = clock::now();
@@ -173,9 +183,12 @@
             authority: self.settings.max_hold.mul_f64(AUTHORITY_SHARE),
             silence: SILENCE,
         };
-        let mut keeper = match &map {
-            None => Keeper::first(settings, asked, now),
-            Some((map, _)) => Keeper::successor(settings, map.clone(), asked, now),
+        let era = version.era;
+        let read = map.as_ref().map(|(map, _)| map.clone());
+        let mut keeper = match read {
+            read if duty.is_unsettled => Keeper::unsettled(settings, read, era, asked, now),
+            None => Keeper::first(settings, era, asked, now),
+            Some(map) => Keeper::successor(settings, map, era, asked, now),
         };
         // A former life of this process has ended.
         let mut formers = duty.formers.clone();
@@ -256,15 +269,27 @@
             return;
         };
         duty.formers.clear();
+        self.rewrite_duty(service, duty, version).await;
+    }
+
+    /// Writes a change of the own duty, whose row has this version.
+    pub(super) async fn rewrite_duty(
+        self: &Rc<Self>,
+        service: &Arc<str>,
+        duty: Duty,
+        version: Revision,
+    ) {
         let Ok(value) = postcard::to_allocvec(&duty) else {
             return;
         };
+        let key = duty_row(version.era, service);
         let transaction = Transaction {
-            expected: vec![(duty_row(service), version)],
-            put: vec![(duty_row(service), value.into())],
+            era: version.era,
+            expected: vec![(key.clone(), version)],
+            put: vec![(key, value.into())],
             remove: Vec::new(),
         };
-        if let Commit::Done(version) = self.platform.commit(&transaction).await {
+        if let Commit::Done(version) = self.write_rows(&transaction).await {
             self.learn_duty(service, Some((duty, version)));
         }
     }
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrassrock_model::Revision;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
@@ -45,7 +46,7 @@
     /// Keys that were asked for at the sender, for the keeper of a service.
     Keys(Arc<str>, Vec<u16>),
     /// Versions that the sender has of configuration and registry.
-    Versions([u64; 2]),
+    Versions([Revision; 2]),
 }
 
 /// Service, upstream, and requests under way there.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,6 +9,7 @@
 mod book;
 mod clock;
 mod duty;
+mod era;
 mod exchange;
 mod front;
 mod gossip;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -82,6 +82,8 @@
     sends: Family<Send, Counter>,
     left_out: Counter,
     deferred: Counter,
+    restored: Counter,
+    store_era: Gauge,
     open: Gauge,
     body_bytes: Gauge,
     configuration: Gauge,
@@ -105,6 +107,8 @@
             sends: Family::default(),
             left_out: Counter::default(),
             deferred: Counter::default(),
+            restored: Counter::default(),
+            store_era: Gauge::default(),
             open: Gauge::default(),
             body_bytes: Gauge::default(),
             configuration: Gauge::default(),
@@ -142,6 +146,10 @@
         );
         let help = "Log lines about requests beyond the bound";
         all.register("log_lines_left_out", help, self.left_out.clone());
+        let help = "Times that the store came back from an older copy";
+        all.register("store_restores", help, self.restored.clone());
+        let help = "Era of the store, 0 if it doesn't count any";
+        all.register("store_era", help, self.store_era.clone());
         let help = "Pauses that upstreams asked for";
         all.register("deferrals", help, self.deferred.clone());
         all.register(
@@ -206,6 +214,11 @@
         observe(&self.upstream, service, span);
     }
 
+    /// Counts that the store came back from an older copy.
+    pub(crate) fn store_restored(&self) {
+        self.restored.inc();
+    }
+
     /// Counts a pause that an upstream asked for.
     pub(crate) fn deferred(&self) {
         self.deferred.inc();
@@ -230,6 +243,7 @@
         let mut guard = node.state.borrow_mut();
         let state = &mut *guard;
         self.open.set(node.open_requests.get() as i64);
+        self.store_era.set(node.era.get() as i64);
         self.body_bytes.set(node.memory.used() as i64);
         let version = state
             .directory
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -11,6 +11,7 @@
 use eelgrassrock_dispatch::directory::{Directory, Route};
 use eelgrassrock_dispatch::place::{self, Place};
 use eelgrassrock_dispatch::service::{Service, Span, Step};
+use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_ranges::edition::{Delta, Edition};
 use eelgrassrock_ranges::map::Map;
@@ -83,6 +84,10 @@
     pub(crate) peers: Peers,
     pub(crate) pauses: Pauses,
     pub(crate) memory: Memory,
+    /// Latest era of the store that is known.
+    pub(crate) era: Cell<u64>,
+    /// When this process saw the store come back from a copy.
+    pub(crate) era_began: Cell<Option<Instant>>,
     /// What the keepers say of overloaded holders.
     pub(crate) admitted: RefCell<IndexMap<Arc<str>, Shares>>,
     /// Socket of the datagrams between routers, once it is open.
@@ -109,6 +114,8 @@
     pub(crate) routers: IndexMap<Arc<str>, Router>,
     /// Routers whose subsets of upstreams overlap with that of this one.
     pub(crate) neighbours: Vec<SocketAddr>,
+    /// Lives of routers that have removed their rows, by name.
+    pub(crate) stopped_routers: HashMap<Arc<str>, u64>,
     /// Addresses of routers whose rows are gone, and since when: a router that
     /// stops removes its row and goes on for the grace.
     pub(crate) departed: HashMap<IpAddr, Instant>,
@@ -162,6 +169,7 @@
                 maps: IndexMap::new(),
                 routers: IndexMap::new(),
                 neighbours: Vec::new(),
+                stopped_routers: HashMap::new(),
                 departed: HashMap::new(),
                 splits: HashMap::new(),
                 waiters: HashMap::new(),
@@ -173,6 +181,8 @@
             peers,
             pauses: Pauses::default(),
             memory,
+            era: Cell::new(0),
+            era_began: Cell::new(None),
             admitted: RefCell::default(),
             socket: RefCell::new(None),
             stopped: Cell::new(None),
@@ -357,17 +367,15 @@
         service.hedge_delay(upstream, clock::now())
     }
 
-    /// Version of the map of a service, 0 if there is none.
-    pub(crate) fn map_version(&self, service: &str) -> u64 {
-        self.state
-            .borrow()
-            .maps
-            .get(service)
-            .map_or(0, Edition::version)
+    /// Version of the map of a service, none if there is no map.
+    pub(crate) fn map_version(&self, service: &str) -> Revision {
+        let state = self.state.borrow();
+        let edition = state.maps.get(service);
+        edition.map(Edition::version).unwrap_or_default()
     }
 
     /// Takes a map unless a later one is known.
-    pub(crate) fn learn_map(self: &Rc<Self>, service: &Arc<str>, map: Map, version: u64) {
+    pub(crate) fn learn_map(self: &Rc<Self>, service: &Arc<str>, map: Map, version: Revision) {
         if self.map_version(service) >= version {
             return;
         }
@@ -406,7 +414,7 @@
                 let reason = fault.to_string();
                 let line = BadMap {
                     service,
-                    version,
+                    version: version.number,
                     reason: &reason,
                 };
                 self.log.warn("map refused", &line);
--- a/crates/edge/src/payload.rs
+++ b/crates/edge/src/payload.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
@@ -22,9 +23,11 @@
 const MAX_WHOLE_BYTES: usize = 256 << 10;
 /// The same while little memory is left for bodies.
 const MAX_WHOLE_BYTES_IN_NEED: usize = 16 << 10;
-/// Largest answer that goes on after its time: a slow caller gets what its upstream
-/// had ready.
+/// Largest rest of an answer that is passed on after its time: a slow caller gets what
+/// its upstream had ready.
 const MAX_LATE_BYTES: u64 = 16 << 20;
+/// Time for which an upstream may be waited for after that, all in all.
+const LATE_WAIT: Duration = Duration::from_millis(300);
 
 /// Body on its way.
 #[derive(Debug)]
@@ -45,7 +48,12 @@
 pub(crate) struct Source {
     /// Connection that it comes over, closed with the body.
     _link: Link,
+    /// End of its time, then of the present wait for the upstream.
     end: Pin<Box<Sleep>>,
+    is_late: bool,
+    /// Time that is left of [`LATE_WAIT`], and the beginning of the present wait.
+    late_wait: Duration,
+    waits_since: Option<Instant>,
     origin: Origin,
 }
 
@@ -102,11 +110,33 @@
         Self {
             _link: link,
             end: Box::pin(tokio::time::sleep(until - clock::now())),
+            is_late: false,
+            late_wait: LATE_WAIT,
+            waits_since: None,
             origin,
         }
     }
 
-    fn is_over(&mut self, context: &mut Context<'_>) -> bool {
+    /// Whether the time of the answer is over.
+    fn is_late(&mut self, context: &mut Context<'_>) -> bool {
+        self.is_late = self.is_late || self.end.as_mut().poll(context).is_ready();
+        self.is_late
+    }
+
+    /// Notes that the upstream has sent something.
+    fn end_wait(&mut self) {
+        if let Some(since) = self.waits_since.take() {
+            self.late_wait = self.late_wait.saturating_sub(clock::now() - since);
+        }
+    }
+
+    /// Whether a late answer was waited for too long.
+    fn waited_too_long(&mut self, context: &mut Context<'_>) -> bool {
+        if self.waits_since.is_none() {
+            self.waits_since = Some(clock::now());
+            let end = tokio::time::Instant::now() + self.late_wait;
+            self.end.as_mut().reset(end);
+        }
         self.end.as_mut().poll(context).is_ready()
     }
 
@@ -173,20 +203,26 @@
         };
         return Pin::new(rest).poll_frame(context).map_err(broken);
     };
-    let is_over = source.is_over(context);
+    let is_late = source.is_late(context);
     let may_go_on = rest
         .size_hint()
         .exact()
         .is_some_and(|left| left <= MAX_LATE_BYTES);
-    if is_over && !may_go_on {
+    if is_late && !may_go_on {
         return Poll::Ready(Some(Err(source.endless())));
     }
     match Pin::new(rest).poll_frame(context) {
-        Poll::Pending if is_over => Poll::Ready(Some(Err(source.endless()))),
-        polled => polled.map_err(|error| Fault::Broken {
-            source: error,
-            origin: Some(source.origin.clone()),
-        }),
+        Poll::Pending if is_late && source.waited_too_long(context) => {
+            Poll::Ready(Some(Err(source.endless())))
+        }
+        Poll::Pending => Poll::Pending,
+        polled => {
+            source.end_wait();
+            polled.map_err(|error| Fault::Broken {
+                source: error,
+                origin: Some(source.origin.clone()),
+            })
+        }
     }
 }
 
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use eelgrassrock_model::Revision;
 use eelgrassrock_ranges::edition::Delta;
 use eelgrassrock_ranges::election::{Contact, Duty, Former};
 use eelgrassrock_store::Kind;
@@ -40,6 +41,9 @@
 /// Time for a call that the other router may hold back.
 const HELD_CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Question of a router that starts.
+const CONSULT_PATH: &str = "/consult";
+
 /// What a router tells the keeper of a service.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Report {
@@ -47,7 +51,7 @@
     /// Answers since the last report.
     pub(crate) paces: Vec<Pace>,
     /// Version of the map that the router has.
-    pub(crate) map_version: u64,
+    pub(crate) map_version: Revision,
     pub(crate) notices: Notices,
 }
 
@@ -199,6 +203,11 @@
             .await
     }
 
+    /// Asks a router what it knows that the store may have lost.
+    pub(crate) async fn consult(&self, address: SocketAddr) -> Result<relay::Answer, Contact> {
+        self.call(address, CONSULT_PATH, &(), CALL_TIMEOUT).await
+    }
+
     /// Gives a relay changes of a map.
     pub(crate) async fn tell_map(&self, address: SocketAddr, news: &News) -> Result<(), Contact> {
         self.call(address, "/map", news, CALL_TIMEOUT).await
@@ -241,13 +250,17 @@
     from: IpAddr,
     request: Request<Incoming>,
 ) -> Response<Payload> {
+    let path = request.uri().path().to_owned();
+    let knows_nothing = node.state.borrow().directory.is_none();
+    if path == CONSULT_PATH && knows_nothing {
+        return respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+    }
     let is_known = node.state.borrow().knows(from, node.settings.grace);
     if !is_known && from != node.settings.peer.ip() {
         node.log
             .request("stranger refused", &Stranger { address: from });
         return respond(StatusCode::FORBIDDEN, Bytes::new());
     }
-    let path = request.uri().path().to_owned();
     let Taken::Whole(body) = payload::take(request.into_body(), &node.memory).await else {
         return respond(StatusCode::BAD_REQUEST, Bytes::new());
     };
@@ -261,6 +274,7 @@
             Ok(question) => encode(Some(node.answer_follower(question).await)),
             Err(_) => respond(StatusCode::BAD_REQUEST, Bytes::new()),
         },
+        CONSULT_PATH => encode(Some(node.answer_consultation())),
         "/map" => encode(postcard::from_bytes(&body).ok().map(|news: News| {
             if node.learn_changes(&news.service, news.changes) {
                 // The keeper's answer to a report brings what is missing.
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -165,14 +165,21 @@
     let registered = spawn_local(register(Rc::clone(&node)));
     // Without its row it can still read the store by itself.
     let _ = timeout(REGISTER_WAIT, registered).await;
-    for table in TABLES {
+    spawn_local(watch::follow(Rc::clone(&node), Table::Routers));
+    while node.relay.after(Table::Routers).is_none() {
+        node.relay.role.notified().await;
+    }
+    if node.relay_to_follow().is_none() {
+        node.consult().await;
+    }
+    for table in TABLES.into_iter().filter(|table| *table != Table::Routers) {
         spawn_local(watch::follow(Rc::clone(&node), table));
     }
     spawn_local(node.follow_relay());
 }
 
 /// Makes this router known to the others.
-async fn register<P: Platform>(node: Rc<Node<P>>) {
+pub(crate) async fn register<P: Platform>(node: Rc<Node<P>>) {
     let router = Router {
         address: node.settings.peer,
         data_centre: Arc::clone(&node.settings.data_centre),
@@ -186,11 +193,21 @@
         put: vec![(row_of(&node.settings), value.into())],
         ..Transaction::default()
     };
-    while !matches!(node.platform.commit(&transaction).await, Commit::Done(_)) {
+    while !matches!(node.write_rows(&transaction).await, Commit::Done(_)) {
         sleep(REGISTER_PAUSE).await;
     }
 }
 
+/// Makes known that this router has stopped.
+pub(crate) async fn unregister<P: Platform>(node: &Rc<Node<P>>) {
+    let transaction = Transaction {
+        remove: vec![row_of(&node.settings)],
+        ..Transaction::default()
+    };
+    // A row that stays only makes the others count one router too many.
+    let _ = node.write_rows(&transaction).await;
+}
+
 fn row_of(settings: &Settings) -> Name {
     Name::new(Table::Routers, format!("{ROUTER}{}", settings.router))
 }
@@ -225,12 +242,7 @@
     let leaving = Rc::clone(node);
     spawn_local(async move {
         leaving.hand_over().await;
-        let transaction = Transaction {
-            remove: vec![row_of(&leaving.settings)],
-            ..Transaction::default()
-        };
-        // A row that stays only makes the others count one router too many.
-        let _ = leaving.platform.commit(&transaction).await;
+        unregister(&leaving).await;
     });
     let grace = node.settings.grace;
     loop {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -24,6 +24,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_ranges::edition::Delta;
 use eelgrassrock_ranges::election::Contact;
@@ -61,6 +62,8 @@
 /// asked again: its own row is on its way to the relay.
 const INTRODUCTION: Duration = Duration::from_millis(1_500);
 const INTRODUCTION_PAUSE: Duration = Duration::from_millis(150);
+/// Routers that one is asked before it believes the store.
+const CONSULTED: usize = 3;
 /// Pause before a follower that has no relay looks again.
 const ROLE_POLL: Duration = Duration::from_millis(500);
 
@@ -84,10 +87,10 @@
 }
 
 /// Question of a follower.
-#[derive(Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Question {
-    after: [u64; 3],
-    maps: Vec<(Arc<str>, u64)>,
+    after: [Revision; 3],
+    maps: Vec<(Arc<str>, Revision)>,
     /// Answers that the follower got, by service.
     paces: Vec<(Arc<str>, Vec<Pace>)>,
     notices: Notices,
@@ -104,6 +107,9 @@
     /// For each service, shares of requests that overloaded holders can serve.
     admitted: Vec<(Arc<str>, Shares)>,
     departures: Vec<Departure>,
+    /// Services that have had a keeper, and the era of the store in which the last one
+    /// took the duty; for a follower that is new.
+    history: Vec<(Arc<str>, u64)>,
 }
 
 impl Relay {
@@ -192,12 +198,12 @@
 
     /// Notes the versions that another router has. If the own relay doesn't bring
     /// them soon, that router is asked, and the store if it doesn't answer.
-    pub(crate) fn hear_versions(self: &Rc<Self>, versions: [u64; 2], sender: SocketAddr) {
+    pub(crate) fn hear_versions(self: &Rc<Self>, versions: [Revision; 2], sender: SocketAddr) {
         let is_behind = move |node: &Self| {
             let own = node.relay.newest();
             own.iter()
                 .zip(versions)
-                .any(|(own, theirs)| *own > 0 && *own < theirs)
+                .any(|(own, theirs)| !own.is_none() && *own < theirs)
         };
         if !is_behind(self) {
             return;
@@ -235,7 +241,7 @@
         let state = self.state.borrow();
         let maps = state.maps.iter();
         Question {
-            after: TABLES.map(|table| self.relay.after(table).unwrap_or(0)),
+            after: TABLES.map(|table| self.relay.after(table).unwrap_or_default()),
             maps: maps
                 .map(|(name, edition)| (Arc::clone(name), edition.version()))
                 .collect(),
@@ -266,6 +272,18 @@
         };
         let nothing = || (self.relay.unchanged(question.after), Vec::new());
         let (tables, maps) = found.unwrap_or_else(nothing);
+        // It has read the routers by itself, to find its relay.
+        let is_new = question.after.iter().any(Revision::is_none);
+        self.answer_with(tables, maps, is_new)
+    }
+
+    /// Tells a router that starts what is known here.
+    pub(crate) fn answer_consultation(&self) -> Answer {
+        let tables = self.relay.changes(Question::default().after);
+        self.answer_with(tables, Vec::new(), true)
+    }
+
+    fn answer_with(&self, tables: Vec<Part>, maps: Vec<(Arc<str>, Delta)>, is_new: bool) -> Answer {
         Answer {
             is_live: self.hears_from_store(),
             tables,
@@ -276,16 +294,17 @@
                 .iter()
                 .map(|(name, shares)| (Arc::clone(name), shares.clone()))
                 .collect(),
-            departures: self.departures(question.after == Question::default().after),
+            departures: self.departures(is_new),
+            history: is_new.then(|| self.duties.history()).unwrap_or_default(),
         }
     }
 
-    fn newer_maps(&self, known: &[(Arc<str>, u64)]) -> Vec<(Arc<str>, Delta)> {
+    fn newer_maps(&self, known: &[(Arc<str>, Revision)]) -> Vec<(Arc<str>, Delta)> {
         let state = self.state.borrow();
         let maps = state.maps.iter();
         let changes = maps.filter_map(|(name, edition)| {
             let known = known.iter().find(|(other, _)| other == name);
-            let known = known.map_or(0, |(_, known)| *known);
+            let known = known.map_or_else(Revision::default, |(_, known)| *known);
             (edition.version() > known).then(|| (Arc::clone(name), edition.since(known)))
         });
         changes.collect()
@@ -329,7 +348,52 @@
         }
     }
 
+    /// Asks some routers that live what they know, before the store is believed: it may
+    /// have come back from a copy that shows what is over by now.
+    pub(crate) async fn consult(self: &Rc<Self>) {
+        let addresses = self.news_addresses().into_iter().take(CONSULTED);
+        let calls = addresses.map(|address| {
+            let node = Rc::clone(self);
+            tokio::task::spawn_local(async move { node.consult_router(address).await })
+        });
+        for call in calls.collect::<Vec<_>>() {
+            // A task that was cancelled has told nothing.
+            let _ = call.await;
+        }
+    }
+
+    /// Asks one router, until it knows this one.
+    async fn consult_router(self: Rc<Self>, address: SocketAddr) {
+        let began = clock::now();
+        loop {
+            match self.peers.consult(address).await {
+                Ok(answer) => return self.take_consultation(answer),
+                Err(Contact::Stranger) if clock::now() - began < INTRODUCTION => {
+                    sleep(INTRODUCTION_PAUSE).await;
+                }
+                // It has nothing to tell, or has ended.
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn take_consultation(self: &Rc<Self>, answer: Answer) {
+        self.hear_departures(answer.departures);
+        for (service, era) in answer.history {
+            self.note_history(&service, era);
+        }
+        for part in answer.tables {
+            if let Some(table) = TABLES.get(usize::from(part.table)) {
+                let rows: Vec<Row> = part.rows.into_iter().map(Row::from).collect();
+                self.take_hearsay(*table, &rows);
+            }
+        }
+    }
+
     fn take_answer(self: &Rc<Self>, answer: Answer) {
+        for (service, era) in answer.history {
+            self.note_history(&service, era);
+        }
         self.hear_departures(answer.departures);
         for part in answer.tables {
             let Some(table) = TABLES.get(usize::from(part.table)).copied() else {
@@ -339,6 +403,11 @@
                 rows: part.rows.into_iter().map(Row::from).collect(),
                 version: part.version,
             };
+            self.heed_era(rows.version.era);
+            if rows.version.era < self.era.get() {
+                // The relay hasn't noticed yet that the store has lost this.
+                continue;
+            }
             if !part.is_whole {
                 watch::take_changes(self, table, &rows);
             } else if self
@@ -360,7 +429,7 @@
 
     /// Gives the changes of the own map after `before` to the relays of the other
     /// data centres and to the own one; theirs tell their followers.
-    pub(crate) fn publish_map(self: &Rc<Self>, service: &Arc<str>, before: u64) {
+    pub(crate) fn publish_map(self: &Rc<Self>, service: &Arc<str>, before: Revision) {
         let changes = {
             let state = self.state.borrow();
             state.maps.get(service).map(|edition| edition.since(before))
--- a/crates/edge/src/relay/journal.rs
+++ b/crates/edge/src/relay/journal.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -21,11 +22,11 @@
     whole: IndexMap<Arc<str>, Row>,
     rows: VecDeque<Row>,
     /// Changes after this version are in `rows`.
-    since: u64,
-    /// Version up to which everything is known, 0 if the table wasn't read.
-    version: u64,
+    since: Revision,
+    /// Version up to which everything is known, none if the table must be read.
+    version: Revision,
     /// Highest version of a row.
-    newest_row: u64,
+    newest_row: Revision,
     /// When the table was read or a change of it came.
     changed: Option<Instant>,
 }
@@ -35,7 +36,7 @@
 pub(super) struct Part {
     pub(super) table: u8,
     pub(super) rows: Vec<WireRow>,
-    pub(super) version: u64,
+    pub(super) version: Revision,
     /// The rows are all that are in the table: the follower has none of it, or
     /// its changes reach back too far.
     pub(super) is_whole: bool,
@@ -45,7 +46,7 @@
 pub(super) struct WireRow {
     key: Arc<str>,
     value: Option<Vec<u8>>,
-    version: u64,
+    version: Revision,
 }
 
 impl From<&Row> for WireRow {
@@ -91,7 +92,12 @@
                 journal.whole.insert(Arc::clone(&row.key), row.clone());
             }
         }
-        let newest = rows.rows.iter().map(|row| row.version).max().unwrap_or(0);
+        let newest = rows
+            .rows
+            .iter()
+            .map(|row| row.version)
+            .max()
+            .unwrap_or_default();
         journal.newest_row = journal.newest_row.max(newest);
         journal.version = journal.version.max(rows.version);
         while journal.rows.len() > MAX_JOURNAL {
@@ -105,20 +111,36 @@
         }
     }
 
-    /// Forgets a table, which then is read anew.
+    /// Lets a table be read anew. Until then its rows stay as they are.
     pub(crate) fn forget(&self, table: Table) {
-        self.journals.borrow_mut()[index(table)] = Journal::default();
+        let mut journals = self.journals.borrow_mut();
+        let journal = &mut journals[index(table)];
+        journal.version = Revision::default();
+        journal.rows.clear();
+    }
+
+    /// Returns a row as it was known before a table was read anew.
+    pub(crate) fn known(&self, table: Table, key: &str) -> Option<Row> {
+        self.journals.borrow()[index(table)].whole.get(key).cloned()
+    }
+
+    /// Keeps what another router knows better than the store, for those who have
+    /// nothing of a table yet.
+    pub(crate) fn amend(&self, table: Table, row: &Row) {
+        let mut journals = self.journals.borrow_mut();
+        let whole = &mut journals[index(table)].whole;
+        whole.insert(Arc::clone(&row.key), row.clone());
     }
 
     /// Version from which the changes of a table go on, `None` if it must be
     /// read whole.
-    pub(crate) fn after(&self, table: Table) -> Option<u64> {
+    pub(crate) fn after(&self, table: Table) -> Option<Revision> {
         let version = self.journals.borrow()[index(table)].version;
-        (version > 0).then_some(version)
+        (!version.is_none()).then_some(version)
     }
 
     /// Highest versions of rows of the tables that others write.
-    pub(crate) fn newest(&self) -> [u64; 2] {
+    pub(crate) fn newest(&self) -> [Revision; 2] {
         let journals = self.journals.borrow();
         [Table::Configuration, Table::Registry].map(|table| journals[index(table)].newest_row)
     }
@@ -143,11 +165,11 @@
         self.news.notify_waiters();
     }
 
-    pub(super) fn changes(&self, after: [u64; 3]) -> Vec<Part> {
+    pub(super) fn changes(&self, after: [Revision; 3]) -> Vec<Part> {
         let journals = self.journals.borrow();
         let mut parts = Vec::new();
         for (table, journal) in journals.iter().enumerate() {
-            if journal.version == 0 {
+            if journal.version.is_none() {
                 continue;
             }
             let is_whole = after[table] < journal.since;
@@ -172,11 +194,11 @@
 
     /// Says for tables without changes up to which version that holds, so that a
     /// follower needn't read them anew at a relay that has read them later.
-    pub(super) fn unchanged(&self, after: [u64; 3]) -> Vec<Part> {
+    pub(super) fn unchanged(&self, after: [Revision; 3]) -> Vec<Part> {
         let journals = self.journals.borrow();
         let tables = journals.iter().zip(after).enumerate();
         tables
-            .filter(|(_, (journal, after))| *after > 0 && journal.version > *after)
+            .filter(|(_, (journal, after))| !after.is_none() && journal.version > *after)
             .map(|(table, (journal, _))| Part {
                 table: table as u8,
                 rows: Vec::new(),
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -358,7 +358,10 @@
             at_ms: (sending.started - self.work.arrived).as_millis() as u64,
             elapsed_ms: elapsed.as_millis() as u64,
             end: report.as_str(),
-            map: self.work.key.map_or(0, |_| node.map_version(&self.service)),
+            map: self
+                .work
+                .key
+                .map_or(0, |_| node.map_version(&self.service).number),
         });
     }
 }
--- a/crates/edge/src/seam.rs
+++ b/crates/edge/src/seam.rs
@@ -9,6 +9,7 @@
 use derive_more::Display;
 use eelgrassrock_dispatch::directory::Directory;
 use eelgrassrock_dispatch::upstream::Upstream;
+use eelgrassrock_model::Revision;
 use eelgrassrock_ranges::keeper::{Order, Outcome};
 use eelgrassrock_store::Fault;
 use http::{HeaderMap, Method, StatusCode};
@@ -58,7 +59,7 @@
     /// Contents, `None` if the row was removed.
     pub value: Option<Bytes>,
     /// Version of its last change.
-    pub version: u64,
+    pub version: Revision,
 }
 
 /// Rows of one moment, or changes up to one moment.
@@ -67,7 +68,7 @@
     /// The rows.
     pub rows: Vec<Row>,
     /// Version of the store at that moment.
-    pub version: u64,
+    pub version: Revision,
 }
 
 /// Answer of a change feed.
@@ -75,15 +76,19 @@
 pub enum Changes {
     /// What has changed; empty if nothing did for the time of the call.
     Rows(Rows),
-    /// The store has forgotten the changes; the table must be read anew.
+    /// The store has forgotten the changes, or has come back from a copy; the table must
+    /// be read anew.
     Forgotten,
 }
 
 /// Rows to be written together.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Transaction {
-    /// Versions that rows must have, 0 for rows that must not exist.
-    pub expected: Vec<(Name, u64)>,
+    /// Era of the store that the expectations rest on. In another one versions mean
+    /// other rows, so the end of the transaction is unknown then.
+    pub era: u64,
+    /// Versions that rows must have, none for rows that must not exist.
+    pub expected: Vec<(Name, Revision)>,
     /// Rows to write.
     pub put: Vec<(Name, Bytes)>,
     /// Rows to remove.
@@ -94,7 +99,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Commit {
     /// It took effect at this version.
-    Done(u64),
+    Done(Revision),
     /// A row had another version; nothing was written.
     Conflict,
     /// Nothing was written, for a reason that may pass.
@@ -150,6 +155,10 @@
 
 /// A platform.
 pub trait Platform: Sized + 'static {
+    /// Returns the latest era that the store has shown in an answer; 0 for a store that
+    /// doesn't count eras.
+    fn era(&self) -> u64;
+
     /// Reads all rows of a table.
     fn rows(&self, table: Table) -> impl Future<Output = Result<Rows, Fault>>;
 
@@ -161,7 +170,7 @@
     fn changes(
         &self,
         table: Table,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> impl Future<Output = Result<Changes, Fault>>;
 
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -12,6 +12,7 @@
 
 use crate::book::Change;
 use crate::clock;
+use crate::duty;
 use crate::gossip;
 use crate::node::{Node, Router};
 use crate::seam::{Changes, Platform, Row, Rows, Table};
@@ -32,9 +33,8 @@
 /// Pause before a follower that has no relay looks again.
 const ROLE_POLL: Duration = Duration::from_secs(5);
 
-/// Prefixes of the rows that routers keep.
+/// Prefix of the rows by which routers make themselves known.
 pub(crate) const ROUTER: &str = "router/";
-pub(crate) const DUTY: &str = "duty/";
 
 #[derive(Serialize)]
 struct Store<'a> {
@@ -119,7 +119,9 @@
 /// Makes one call and takes what it brings.
 async fn step<P: Platform>(node: &Rc<Node<P>>, table: Table) -> Result<(), Fault> {
     let Some(after) = node.relay.after(table) else {
-        let rows = node.platform.rows(table).await?;
+        let rows = node.platform.rows(table).await;
+        node.heed_era(node.platform.era());
+        let rows = rows?;
         note_contact(node, table, None);
         take_whole(node, table, &rows);
         return Ok(());
@@ -129,7 +131,9 @@
     } else {
         QUIET_WAIT
     };
-    match node.platform.changes(table, after, wait).await? {
+    let changes = node.platform.changes(table, after, wait).await;
+    node.heed_era(node.platform.era());
+    match changes? {
         Changes::Forgotten => node.relay.forget(table),
         Changes::Rows(rows) => {
             note_contact(node, table, None);
@@ -144,6 +148,7 @@
 
 /// Takes all of a table, wherever it comes from.
 pub(crate) fn take_whole<P: Platform>(node: &Rc<Node<P>>, table: Table, rows: &Rows) {
+    let rows = &node.correct(table, rows);
     take_all(node, table, rows);
     node.relay.keep(table, rows, true);
     if table == Table::Routers {
@@ -203,6 +208,9 @@
             lapsed.iter().for_each(|change| note_change(node, change));
         }
         Table::Routers => {
+            // Right after the store came back from a copy, those that started since may
+            // be absent.
+            let keeps_absent = node.is_rejoining();
             let mut state = node.state.borrow_mut();
             let present = |name: &str| {
                 rows.rows
@@ -212,7 +220,7 @@
             let gone: Vec<Arc<str>> = state
                 .routers
                 .keys()
-                .filter(|name| !present(name))
+                .filter(|name| !keeps_absent && !present(name))
                 .cloned()
                 .collect();
             gone.iter().for_each(|name| state.forget_router(name));
@@ -262,7 +270,7 @@
     }
 }
 
-fn take_configuration<P: Platform>(node: &Rc<Node<P>>, row: &Row) {
+pub(crate) fn take_configuration<P: Platform>(node: &Rc<Node<P>>, row: &Row) {
     match node.platform.directory(row) {
         Ok(Some(directory)) => {
             let mut state = node.state.borrow_mut();
@@ -290,7 +298,7 @@
     let line = Bad {
         table: table.to_string(),
         key: &row.key,
-        version: row.version,
+        version: row.version.number,
         reason,
     };
     node.log.warn("row unreadable", &line);
@@ -330,7 +338,11 @@
 fn take_own<P: Platform>(node: &Rc<Node<P>>, row: &Row) {
     if let Some(name) = row.key.strip_prefix(ROUTER) {
         take_router(node, name, row);
-    } else if let Some(service) = row.key.strip_prefix(DUTY) {
+    } else if let Some((era, service)) = duty::of_row(&row.key) {
+        if era != node.era.get() {
+            node.note_history(&service.into(), era);
+            return;
+        }
         match row
             .value
             .as_ref()
@@ -351,10 +363,19 @@
         .map(|value| postcard::from_bytes::<Router>(value))
     {
         Some(Ok(router)) => {
+            if state.stopped_routers.get(name) == Some(&router.incarnation) {
+                drop(state);
+                node.remove_stale_router(row);
+                return;
+            }
             state.routers.insert(name.into(), router);
         }
         Some(Err(error)) => note_bad(node, Table::Routers, row, &error.to_string()),
         None => {
+            if let Some(router) = state.routers.get(name) {
+                let incarnation = router.incarnation;
+                state.stopped_routers.insert(name.into(), incarnation);
+            }
             state.forget_router(name);
         }
     }
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -1,5 +1,6 @@
 //! A platform with a store in memory and header names of its own.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -12,6 +13,7 @@
     Changes, Commit, Head, Name, Notice, Platform, Row, Rows, Table, Transaction, Unreadable,
     Verdict,
 };
+use eelgrassrock_model::Revision;
 use eelgrassrock_ranges::keeper::{Order, Outcome};
 use eelgrassrock_store::{Fault, Kind};
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
@@ -27,8 +29,11 @@
 
 #[derive(Default)]
 struct State {
+    era: u64,
     version: u64,
     rows: BTreeMap<(u8, Arc<str>), Row>,
+    /// Copies of the store, from which it may come back.
+    copies: Vec<(u64, BTreeMap<(u8, Arc<str>), Row>)>,
     configurations: BTreeMap<u64, Directory>,
     upstreams: Vec<Upstream>,
     servers: Vec<Server>,
@@ -56,16 +61,24 @@
 }
 
 impl Store {
-    fn write(&self, table: Table, key: &str, value: Option<Bytes>) -> u64 {
+    fn write(&self, table: Table, key: &str, value: Option<Bytes>) -> Revision {
+        self.write_all(&[(&Name::new(table, key), value.as_ref())])
+    }
+
+    /// Writes rows in one transaction: all get its version.
+    fn write_all(&self, writes: &[(&Name, Option<&Bytes>)]) -> Revision {
         let mut state = self.0.lock().unwrap();
         state.version += 1;
-        let version = state.version;
-        let row = Row {
-            key: key.into(),
-            value,
-            version,
-        };
-        state.rows.insert((number(table), key.into()), row);
+        let version = Revision::new(state.era, state.version);
+        for (name, value) in writes {
+            let row = Row {
+                key: Arc::clone(&name.key),
+                value: value.cloned(),
+                version,
+            };
+            let place = (number(name.table), Arc::clone(&name.key));
+            state.rows.insert(place, row);
+        }
         version
     }
 
@@ -99,6 +112,41 @@
         );
     }
 
+    /// Begins to count eras, as a store does that can come back from a copy.
+    pub(crate) fn count_eras(&self) {
+        self.0.lock().unwrap().era = 1;
+    }
+
+    /// Makes a copy, and returns its number.
+    pub(crate) fn copy(&self) -> usize {
+        let mut state = self.0.lock().unwrap();
+        let copy = (state.version, state.rows.clone());
+        state.copies.push(copy);
+        state.copies.len() - 1
+    }
+
+    /// Comes back from a copy: versions are given out again, in another era.
+    pub(crate) fn restore(&self, copy: usize) {
+        let mut state = self.0.lock().unwrap();
+        state.era += 1;
+        (state.version, state.rows) = state.copies[copy].clone();
+        let era = state.era;
+        for row in state.rows.values_mut() {
+            row.version.era = era;
+        }
+    }
+
+    /// Keys of the rows of a table that aren't removed.
+    pub(crate) fn keys(&self, table: Table) -> Vec<String> {
+        let state = self.0.lock().unwrap();
+        let rows = state
+            .rows
+            .iter()
+            .filter(|((other, _), _)| *other == number(table));
+        let present = rows.filter(|(_, row)| row.value.is_some());
+        present.map(|((_, key), _)| key.to_string()).collect()
+    }
+
     /// Registers an upstream.
     pub(crate) fn register(&self, service: &str, server: &Server) {
         self.register_as(service, server, |_| ());
@@ -210,6 +258,8 @@
 pub(crate) struct Fake {
     store: Store,
     router: String,
+    /// Latest era that the store has shown this router.
+    era: Cell<u64>,
 }
 
 impl Fake {
@@ -217,6 +267,7 @@
         Self {
             store: store.clone(),
             router: router.to_owned(),
+            era: Cell::new(0),
         }
     }
 
@@ -241,7 +292,7 @@
         state.feed_deaths.get(&self.router).copied().unwrap_or(0)
     }
 
-    fn after(&self, table: Table, after: u64) -> Rows {
+    fn after(&self, table: Table, after: Revision) -> Rows {
         let state = self.store.0.lock().unwrap();
         let of_table = state
             .rows
@@ -249,12 +300,12 @@
             .filter(|((other, _), _)| *other == number(table));
         let later = of_table
             .map(|(_, row)| row)
-            .filter(|row| row.version > after);
+            .filter(|row| row.version.number > after.number);
         let mut rows: Vec<Row> = later.cloned().collect();
         rows.sort_by_key(|row| row.version);
         Rows {
             rows,
-            version: state.version,
+            version: Revision::new(state.era, state.version),
         }
     }
 }
@@ -267,10 +318,18 @@
 }
 
 impl Platform for Fake {
+    fn era(&self) -> u64 {
+        let shown = self.era.get();
+        if self.reach().is_ok() {
+            self.era.set(self.store.0.lock().unwrap().era);
+        }
+        self.era.get().max(shown)
+    }
+
     async fn rows(&self, table: Table) -> Result<Rows, Fault> {
         self.count();
         self.reach()?;
-        let mut rows = self.after(table, 0);
+        let mut rows = self.after(table, Revision::default());
         rows.rows.retain(|row| row.value.is_some());
         Ok(rows)
     }
@@ -287,7 +346,12 @@
         Ok(row.filter(|row| row.value.is_some()).cloned())
     }
 
-    async fn changes(&self, table: Table, after: u64, wait: Duration) -> Result<Changes, Fault> {
+    async fn changes(
+        &self,
+        table: Table,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Changes, Fault> {
         self.count();
         let give_up = tokio::time::Instant::now() + wait;
         *self
@@ -309,6 +373,9 @@
             }
             self.reach()?;
             let rows = self.after(table, after);
+            if rows.version.era != after.era || rows.version < after {
+                return Ok(Changes::Forgotten);
+            }
             if !rows.rows.is_empty() || tokio::time::Instant::now() >= give_up {
                 return Ok(Changes::Rows(rows));
             }
@@ -330,23 +397,34 @@
             let current = |name: &Name| {
                 let row = state.rows.get(&(number(name.table), Arc::clone(&name.key)));
                 row.filter(|row| row.value.is_some())
-                    .map_or(0, |row| row.version)
+                    .map_or(0, |row| row.version.number)
             };
             if transaction
                 .expected
                 .iter()
-                .any(|(name, version)| current(name) != *version)
+                .any(|(name, version)| current(name) != version.number)
             {
                 return Commit::Conflict;
             }
-            state.version
+            Revision::new(state.era, state.version)
         };
-        let mut last = version;
-        for (name, value) in &transaction.put {
-            last = self.store.write(name.table, &name.key, Some(value.clone()));
-        }
-        for name in &transaction.remove {
-            last = self.store.write(name.table, &name.key, None);
+        let is_other_era = version.era != transaction.era && !transaction.expected.is_empty();
+        let puts = transaction
+            .put
+            .iter()
+            .map(|(name, value)| (name, Some(value)));
+        let removes = transaction.remove.iter().map(|name| (name, None));
+        let writes: Vec<_> = puts.chain(removes).collect();
+        let last = if writes.is_empty() {
+            version
+        } else {
+            self.store.write_all(&writes)
+        };
+        if is_other_era {
+            return Commit::Unknown(Fault {
+                call: "test".into(),
+                kind: Kind::Malformed("another era".into()),
+            });
         }
         Commit::Done(last)
     }
--- a/crates/edge/tests/support/upstream.rs
+++ b/crates/edge/tests/support/upstream.rs
@@ -173,6 +173,14 @@
         state.holds.iter().any(covers)
     }
 
+    /// Highest fencing token of its grants that are in force.
+    pub(crate) fn highest_token(&self) -> Option<u64> {
+        let state = self.state.lock().unwrap();
+        let now = Instant::now();
+        let held = state.holds.iter().filter(|(.., until)| now < *until);
+        held.map(|(_, _, token, _)| *token).max()
+    }
+
     pub(crate) fn grant(&self, order: &Order, hold: Duration) -> Outcome {
         let mut state = self.state.lock().unwrap();
         let overlaps =
--- a/crates/ranges/src/edition.rs
+++ b/crates/ranges/src/edition.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 
+use eelgrassrock_model::Revision;
 use serde::{Deserialize, Serialize};
 
 use crate::map::{Fault, Map, Range};
@@ -12,38 +13,40 @@
 /// A map and the version of its row.
 ///
 /// ```
+/// use eelgrassrock_model::Revision;
 /// use eelgrassrock_ranges::edition::Edition;
 /// use eelgrassrock_ranges::map::Map;
 ///
-/// let mut relay = Edition::new(Map::unowned(), 3);
+/// let first = Revision::new(0, 3);
+/// let mut relay = Edition::new(Map::unowned(), first);
 /// let mut follower = relay.clone();
 /// let mut map = relay.map().clone();
 /// map.cut_before(4_096);
-/// relay.advance(map, 5);
-/// assert_eq!(follower.apply(relay.since(3)), Ok(true));
+/// relay.advance(map, Revision::new(0, 5));
+/// assert_eq!(follower.apply(relay.since(first)), Ok(true));
 /// assert_eq!(follower.map(), relay.map());
 /// ```
 #[derive(Clone, Debug)]
 pub struct Edition {
     map: Map,
-    version: u64,
+    version: Revision,
     /// For each range, the first known version in which it was as it is.
-    changed: Vec<u64>,
+    changed: Vec<Revision>,
 }
 
 /// What changed in a map after a version.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta {
-    /// Version that it is applied to, or a later one. 0 if it is the whole map.
-    since: u64,
-    version: u64,
+    /// Version that it is applied to, or a later one; none if it is the whole map.
+    since: Revision,
+    version: Revision,
     next_fence: u64,
     ranges: Vec<Range>,
 }
 
 impl Edition {
     /// Creates the first edition that is known.
-    pub fn new(map: Map, version: u64) -> Self {
+    pub fn new(map: Map, version: Revision) -> Self {
         Self {
             changed: vec![version; map.ranges.len()],
             map,
@@ -57,13 +60,18 @@
     }
 
     /// Returns the version of the map.
-    pub fn version(&self) -> u64 {
+    pub fn version(&self) -> Revision {
         self.version
     }
 
-    /// Replaces the map by a later one.
-    pub fn advance(&mut self, map: Map, version: u64) {
-        let known: HashMap<u16, (&Range, u64)> = self
+    /// Replaces the map by a later one. In a new era of the store all of it counts as
+    /// changed: others may have versions that the store has lost.
+    pub fn advance(&mut self, map: Map, version: Revision) {
+        if version.era > self.version.era {
+            *self = Self::new(map, version);
+            return;
+        }
+        let known: HashMap<u16, (&Range, Revision)> = self
             .map
             .ranges
             .iter()
@@ -79,9 +87,9 @@
         self.version = version;
     }
 
-    /// Returns what changed after `version`, which was this map's version once; 0
+    /// Returns what changed after `version`, which was this map's version once; none
     /// for the whole map.
-    pub fn since(&self, version: u64) -> Delta {
+    pub fn since(&self, version: Revision) -> Delta {
         let ranges = self.map.ranges.iter().zip(&self.changed);
         Delta {
             since: version,
@@ -105,7 +113,7 @@
             return Ok(false);
         }
         let version = delta.version;
-        let mut map = if delta.since == 0 {
+        let mut map = if delta.since.is_none() {
             Map {
                 next_fence: delta.next_fence,
                 ranges: Vec::new(),
@@ -130,7 +138,7 @@
 
 impl Delta {
     /// Returns the version of the map that it leads to.
-    pub fn version(&self) -> u64 {
+    pub fn version(&self) -> Revision {
         self.version
     }
 
--- a/crates/ranges/src/election.rs
+++ b/crates/ranges/src/election.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
 use serde::{Deserialize, Serialize};
 
@@ -42,6 +43,9 @@
     /// Earlier keepers that weren't known to have stopped when this one took
     /// the duty. A successor must be sure of all of them.
     pub formers: Vec<Former>,
+    /// Whether nobody has made sure yet that no keeper acts which the store has
+    /// forgotten, since it came back from a copy.
+    pub is_unsettled: bool,
 }
 
 /// Earlier keeper that may still act.
@@ -87,9 +91,13 @@
 pub struct Election {
     router: Arc<str>,
     incarnation: u64,
-    duty: Option<(Duty, u64)>,
+    duty: Option<(Duty, Revision)>,
     heard: Instant,
     stand_at: Option<Instant>,
+    /// Era of the store.
+    era: u64,
+    /// Latest era of the store in which a router is known to have had the duty.
+    history: Option<u64>,
 }
 
 impl Election {
@@ -101,11 +109,30 @@
             duty: None,
             heard: now,
             stand_at: None,
+            era: 0,
+            history: None,
         }
     }
 
+    /// Notes that the store has come back from a copy. The keeper goes on for as long as
+    /// it has authority, and takes the duty again by itself.
+    pub fn enter_era(&mut self, era: u64) {
+        self.era = self.era.max(era);
+    }
+
+    /// Notes that some router had the duty in an era.
+    pub fn note_history(&mut self, era: u64) {
+        self.history = self.history.max(Some(era));
+    }
+
+    /// Whether the duty that is known was taken in an earlier era of the store.
+    pub fn is_outdated(&self) -> bool {
+        let version = self.duty.as_ref().map(|(_, version)| version);
+        version.is_some_and(|version| version.era < self.era)
+    }
+
     /// Returns the duty and the version of its row.
-    pub fn duty(&self) -> Option<&(Duty, u64)> {
+    pub fn duty(&self) -> Option<&(Duty, Revision)> {
         self.duty.as_ref()
     }
 
@@ -119,9 +146,15 @@
 
     /// Notes what the store says, unless something later is known. `rank` is
     /// the number of routers that stand earlier.
-    pub fn learn(&mut self, duty: Option<(Duty, u64)>, rank: u32, now: Instant) {
-        let version = |duty: &Option<(Duty, u64)>| duty.as_ref().map_or(0, |(_, version)| *version);
+    pub fn learn(&mut self, duty: Option<(Duty, Revision)>, rank: u32, now: Instant) {
+        let version = |duty: &Option<(Duty, Revision)>| {
+            let version = duty.as_ref().map(|(_, version)| *version);
+            version.unwrap_or_default()
+        };
         if version(&duty) < version(&self.duty) {
+            if duty.is_none() && self.is_outdated() && self.is_vacant() {
+                self.prepare(now + wait(rank));
+            }
             return;
         }
         let is_new = version(&duty) > version(&self.duty);
@@ -130,18 +163,19 @@
             self.heard = now;
             self.stand_at = None;
         }
-        let vacant = match &self.duty {
-            None => true,
-            Some((duty, _)) => {
-                duty.is_released
-                    || (duty.router == self.router && duty.incarnation != self.incarnation)
-            }
-        };
-        if vacant {
+        if self.is_vacant() {
             self.prepare(now + wait(rank));
         }
     }
 
+    /// Whether no process acts on the duty that is known.
+    fn is_vacant(&self) -> bool {
+        let is_vacant = |duty: &Duty| {
+            duty.is_released || (duty.router == self.router && duty.incarnation != self.incarnation)
+        };
+        self.duty.as_ref().is_none_or(|(duty, _)| is_vacant(duty))
+    }
+
     /// Notes what a contact with the keeper showed.
     pub fn contact(&mut self, contact: Contact, rank: u32, now: Instant) {
         match contact {
@@ -173,24 +207,34 @@
 
     /// Returns the duty to write and the version that the row must have, if it
     /// is time to stand.
-    pub fn poll(&mut self, address: SocketAddr, now: Instant) -> Option<(Duty, u64)> {
+    pub fn poll(&mut self, address: SocketAddr, now: Instant) -> Option<(Duty, Revision)> {
         if self.is_own() || self.stand_at.is_none_or(|at| now < at) {
             return None;
         }
         self.stand_at = Some(now + RETRY);
-        let (term, version, formers) = match &self.duty {
-            Some((duty, version)) => (duty.term + 1, *version, duty.formers()),
-            None => (1, 0, Vec::new()),
-        };
+        Some(self.claim(address))
+    }
+
+    /// Returns the duty to write to have it in the era of the store, and the version that
+    /// its row must have: none if it wasn't taken yet in this era.
+    pub fn claim(&self, address: SocketAddr) -> (Duty, Revision) {
+        let known = self.duty.as_ref();
+        let current = known.filter(|(_, version)| version.era == self.era);
+        let has_history = self.is_outdated() || self.history.is_some_and(|era| era < self.era);
+        let is_unsettled = current.map_or(has_history, |(duty, _)| duty.is_unsettled);
         let duty = Duty {
-            term,
+            term: known.map_or(1, |(duty, _)| duty.term + 1),
             router: Arc::clone(&self.router),
             incarnation: self.incarnation,
             address,
             is_released: false,
-            formers,
+            formers: known.map_or_else(Vec::new, |(duty, _)| duty.formers()),
+            is_unsettled,
         };
-        Some((duty, version))
+        (
+            duty,
+            current.map_or_else(Revision::default, |(_, version)| *version),
+        )
     }
 }
 
--- a/crates/ranges/src/keeper.rs
+++ b/crates/ranges/src/keeper.rs
@@ -13,6 +13,11 @@
 //!    tokens: a holder that took one refuses all that the predecessor may
 //!    still send. Only keys whose holder can't be reached wait until the
 //!    predecessor has provably stopped or its authority has run out.
+//! 4. A store that comes back from a copy has lost who had the duty last, and what
+//!    that keeper has granted. So in a new era of the store no map is written until
+//!    no keeper that the store has forgotten can act any more, and all its grants have
+//!    run out. Until then, a keeper that had the duty shortly before goes on renewing
+//!    what it granted, under the tokens of the earlier era, and any other one waits.
 
 mod planning;
 mod silence;
@@ -127,7 +132,11 @@
     /// It may still act, until this instant at the latest.
     Active { until: Instant },
     /// It has stopped; its grants may be in force until then.
-    Stopped { until: Instant },
+    Stopped {
+        until: Instant,
+        /// It was seen to stop, or else its authority has run out.
+        is_proven: bool,
+    },
 }
 
 /// The router that grants the keys of one service.
@@ -158,30 +167,83 @@
     settle_due: Instant,
     /// Keys whose holder has seen a higher fencing token than ours.
     fenced: Option<Order>,
+    /// Era of the store in which the duty is held.
+    era: u64,
+    /// When no keeper that the store has forgotten can act any more, nor anything that
+    /// it granted be in force. No map is written before.
+    settled_at: Instant,
 }
 
 impl Keeper {
     /// Creates the keeper of a service that never had one.
-    pub fn first(settings: Settings, asked: Instant, now: Instant) -> Self {
-        let stopped = Inherited::Stopped { until: now };
-        Self::new(settings, Map::unowned(), stopped, asked, now)
+    pub fn first(settings: Settings, era: u64, asked: Instant, now: Instant) -> Self {
+        let stopped = Inherited::Stopped {
+            until: now,
+            is_proven: true,
+        };
+        let mut map = Map::unowned();
+        map.enter_era(era);
+        Self::new(settings, map, stopped, era, asked, now)
     }
 
     /// Creates a keeper that took the duty over at `now`, with the map that it
     /// read after that. The store was asked for the duty at `asked`.
-    pub fn successor(settings: Settings, map: Map, asked: Instant, now: Instant) -> Self {
+    pub fn successor(settings: Settings, map: Map, era: u64, asked: Instant, now: Instant) -> Self {
         let until = now + settings.authority + SLACK;
-        Self::new(settings, map, Inherited::Active { until }, asked, now)
+        Self::new(settings, map, Inherited::Active { until }, era, asked, now)
+    }
+
+    /// Creates a keeper like [`Self::successor`], in an era of the store of which nobody
+    /// has made sure yet that no forgotten keeper acts. Without a map of this era it has
+    /// nothing to renew.
+    pub fn unsettled(
+        settings: Settings,
+        map: Option<Map>,
+        era: u64,
+        asked: Instant,
+        now: Instant,
+    ) -> Self {
+        let mut map = map.unwrap_or_else(Map::unowned);
+        map.enter_era(era);
+        let mut keeper = Self::successor(settings, map, era, asked, now);
+        keeper.unsettle(now);
+        keeper
+    }
+
+    /// Goes on in a new era of the store, in which the duty was taken again with `map`:
+    /// the one that this keeper had. The store was asked for the duty at `asked`.
+    pub fn enter_era(&mut self, era: u64, map: Map, asked: Instant, now: Instant) {
+        self.era = era;
+        self.adopt(map, asked);
+        self.unsettle(now);
+    }
+
+    fn unsettle(&mut self, now: Instant) {
+        self.settled_at = now + self.settings.authority + SLACK + self.longest_hold();
+    }
+
+    /// Returns the era of the store in which the duty is held.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Whether no keeper that the store has forgotten can act, nor anything that it
+    /// granted be in force.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        now >= self.settled_at
     }
 
     fn new(
         settings: Settings,
         map: Map,
         inherited: Inherited,
+        era: u64,
         asked: Instant,
         now: Instant,
     ) -> Self {
         Self {
+            era,
+            settled_at: now,
             settings,
             fenced_off: Vec::new(),
             first_fence: map.next_fence,
@@ -230,7 +292,10 @@
     pub fn predecessor_stopped(&mut self, now: Instant) {
         if let Inherited::Active { .. } = self.inherited {
             let until = now + self.longest_hold();
-            self.inherited = Inherited::Stopped { until };
+            self.inherited = Inherited::Stopped {
+                until,
+                is_proven: true,
+            };
         }
     }
 
@@ -273,7 +338,10 @@
         self.transfer(now, &mut actions);
         self.renew(now, &mut actions);
         self.probe(now, &mut actions);
-        if self.draft.is_none() {
+        if !self.is_settled(now) {
+            // The plan says which holders are overloaded; it isn't written.
+            let _ = self.plan(now);
+        } else if self.draft.is_none() {
             let next = self
                 .fence_off()
                 .or_else(|| self.settle(now))
@@ -376,7 +444,10 @@
         if let Inherited::Active { until } = self.inherited
             && now >= until
         {
-            self.predecessor_stopped(until);
+            self.inherited = Inherited::Stopped {
+                until: until + self.longest_hold(),
+                is_proven: false,
+            };
         }
     }
 }
--- a/crates/ranges/src/keeper/transfer.rs
+++ b/crates/ranges/src/keeper/transfer.rs
@@ -1,6 +1,7 @@
 //! Grants, renewals, and ranges on their way from one holder to the next.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use eelgrassrock_model::time::Instant;
 
@@ -9,6 +10,10 @@
 use crate::lease::Lease;
 use crate::map::{Life, Map, Range};
 
+/// Longest time since the store said that the duty is ours, for the end of a predecessor's
+/// time to count: less than the time by which its grants outlast its authority.
+const FRESH_CONTACT: Duration = Duration::from_secs(3);
+
 /// One earlier holder of a range that changes hands.
 #[derive(Clone, Debug)]
 pub(super) struct Transfer {
@@ -38,7 +43,7 @@
 impl Keeper {
     /// Drops leases that can't be in force and that the map doesn't name.
     pub(super) fn drop_old_leases(&mut self, now: Instant) {
-        if matches!(self.inherited, Inherited::Stopped { until } if now >= until) {
+        if matches!(self.inherited, Inherited::Stopped { until, .. } if now >= until) {
             self.fenced_off.clear();
         }
         let map = &self.map;
@@ -96,7 +101,11 @@
         let inherited = match self.inherited {
             _ if is_fenced_off(&self.fenced_off, source, range) => true,
             Inherited::Active { .. } => false,
-            Inherited::Stopped { until } => now >= until,
+            // Without the store this keeper can't know whether a new era of it has
+            // begun, in which its predecessor has the duty again.
+            Inherited::Stopped { until, is_proven } => {
+                now >= until && (is_proven || self.since_confirmed(now) <= FRESH_CONTACT)
+            }
         };
         inherited && own.all(|lease| !lease.in_flight && now >= lease.until)
     }
--- a/crates/ranges/src/map.rs
+++ b/crates/ranges/src/map.rs
@@ -7,6 +7,9 @@
 
 /// Last key.
 pub const LAST_KEY: u16 = u16::MAX;
+/// Bits of a fencing token below its era. Readers that keep numbers as floating point
+/// have 53 bits: 2 million eras, and a thousand tokens a second for 50 days in each.
+const FENCES_PER_ERA_BITS: u32 = 32;
 
 /// Division of all keys of a service, as it lies in the store.
 ///
@@ -119,6 +122,23 @@
         &self.ranges[index]
     }
 
+    /// Makes all tokens that are taken from now on higher than any of an earlier era of
+    /// the store: what it has lost may name tokens that this map doesn't.
+    ///
+    /// ```
+    /// use eelgrassrock_ranges::map::Map;
+    ///
+    /// let mut lost = Map::unowned();
+    /// lost.enter_era(1);
+    /// let last = (0..1_000).map(|_| lost.take_fence()).last().unwrap();
+    /// let mut copy = Map::unowned();
+    /// copy.enter_era(2);
+    /// assert!(copy.take_fence() > last);
+    /// ```
+    pub fn enter_era(&mut self, era: u64) {
+        self.next_fence = self.next_fence.max(era << FENCES_PER_ERA_BITS);
+    }
+
     /// Takes a new fencing token.
     pub fn take_fence(&mut self) -> u64 {
         let fence = self.next_fence;
--- a/crates/ranges/tests/edition.rs
+++ b/crates/ranges/tests/edition.rs
@@ -1,6 +1,7 @@
 //! Changes between two versions of a map lead from one to the other, whatever a
 //! follower has missed.
 
+use eelgrassrock_model::Revision;
 use eelgrassrock_ranges::edition::Edition;
 use eelgrassrock_ranges::map::{Life, Map};
 use rand::{RngExt, SeedableRng};
@@ -38,13 +39,13 @@
 #[rstest]
 fn a_follower_has_the_relays_map(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let mut relay = Edition::new(Map::unowned(), 1);
+    let mut relay = Edition::new(Map::unowned(), Revision::new(0, 1));
     let mut often = relay.clone();
-    let mut rarely = relay.since(0).into_whole().unwrap();
-    let mut version = 1;
+    let mut rarely = relay.since(Revision::default()).into_whole().unwrap();
+    let mut version = Revision::new(0, 1);
     for _ in 0..200 {
         let before = version;
-        version += random.random_range(1..4);
+        version.number += random.random_range(1..4);
         let mut map = relay.map().clone();
         change(&mut map, &mut random);
         relay.advance(map, version);
@@ -60,16 +61,35 @@
 
 #[test]
 fn changes_of_a_map_that_is_not_known_are_not_taken() {
-    let mut relay = Edition::new(Map::unowned(), 1);
+    let mut relay = Edition::new(Map::unowned(), Revision::new(0, 1));
     let mut behind = relay.clone();
     for version in [2, 3] {
         let mut map = relay.map().clone();
         map.cut_before(1_000 * version as u16);
-        relay.advance(map, version);
+        relay.advance(map, Revision::new(0, version));
     }
-    let last = relay.since(2);
+    let last = relay.since(Revision::new(0, 2));
     assert_eq!(behind.apply(last), Ok(false));
-    assert_eq!(behind.version(), 1);
-    assert_eq!(relay.apply(behind.since(0)), Ok(false), "it is older");
-    assert!(relay.since(2).into_whole().is_err());
+    assert_eq!(behind.version(), Revision::new(0, 1));
+    assert_eq!(
+        relay.apply(behind.since(Revision::default())),
+        Ok(false),
+        "it is older"
+    );
+    assert!(relay.since(Revision::new(0, 2)).into_whole().is_err());
+}
+
+/// The store has lost the version that a follower has; the keeper goes on from the one
+/// before.
+#[test]
+fn in_a_new_era_a_follower_gets_the_whole_map() {
+    let mut keeper = Edition::new(Map::unowned(), Revision::new(1, 90));
+    let mut follower = keeper.clone();
+    let mut lost = keeper.map().clone();
+    lost.cut_before(4_096);
+    follower.advance(lost, Revision::new(1, 95));
+    keeper.advance(keeper.map().clone(), Revision::new(2, 85));
+    assert_eq!(follower.apply(keeper.since(follower.version())), Ok(true));
+    assert_eq!(follower.map(), keeper.map());
+    assert_eq!(follower.version(), Revision::new(2, 85));
 }
--- a/crates/ranges/tests/election.rs
+++ b/crates/ranges/tests/election.rs
@@ -1,5 +1,6 @@
 //! When a router stands for the duty of the keeper.
 
+use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_ranges::election::{Contact, Duty, Election};
 use rstest::rstest;
@@ -18,8 +19,9 @@
         address: "127.0.0.1:7540".parse().unwrap(),
         is_released: false,
         formers: Vec::new(),
+        is_unsettled: false,
     };
-    election.learn(Some((duty, 10)), 0, at(0));
+    election.learn(Some((duty, Revision::new(0, 10))), 0, at(0));
     election
 }
 
--- a/crates/ranges/tests/hot.rs
+++ b/crates/ranges/tests/hot.rs
@@ -48,7 +48,7 @@
             authority: Duration::from_secs(600),
             silence: Duration::from_millis(1_200),
         };
-        let mut keeper = Keeper::first(settings, at(0), at(0));
+        let mut keeper = Keeper::first(settings, 0, at(0), at(0));
         let upstreams = (0..UPSTREAMS).map(|n| Upstream {
             life: Life {
                 upstream: format!("i-{:08x}", n.wrapping_mul(2_654_435_761)).into(),
--- a/crates/ranges/tests/ownership.rs
+++ b/crates/ranges/tests/ownership.rs
@@ -13,6 +13,7 @@
     upstream_lost: 0.0,
     store_away: 0.0,
     path_lost: 0.0,
+    restored: 0.0,
 };
 
 #[test]
@@ -43,6 +44,18 @@
     upstream_lost: 0.05,
     store_away: 0.05,
     path_lost: 0.03,
+    ..CALM
+})]
+#[case::restores(Faults { restored: 0.1, ..CALM })]
+#[case::restores_and_keepers(Faults { restored: 0.1, keeper_lost: 0.2, ..CALM })]
+#[case::restores_and_paths(Faults { restored: 0.05, path_lost: 0.05, keeper_lost: 0.1, ..CALM })]
+#[case::restores_and_all(Faults {
+    call_lost: 0.2,
+    keeper_lost: 0.1,
+    upstream_lost: 0.05,
+    store_away: 0.05,
+    path_lost: 0.03,
+    restored: 0.05,
 })]
 fn no_key_is_ever_with_two_upstreams(#[case] faults: Faults) {
     for seed in 0..40 {
@@ -103,13 +116,15 @@
     upstream_lost: 0.05,
     store_away: 0.05,
     path_lost: 0.03,
+    ..CALM
 })]
+#[case::restores(Faults { restored: 0.1, keeper_lost: 0.1, ..CALM })]
 fn every_key_has_a_holder_again_after_the_faults(#[case] faults: Faults) {
     let slack = Duration::from_millis(300);
     let election = Duration::from_secs(2);
     let moves = Duration::from_secs(1);
     // The store is away for up to 8 s; then the authority of a lost keeper runs out,
-    // and what it granted last.
+    // and what it granted last. In a new era of the store that time begins anew.
     let bound = Duration::from_secs(8)
         + election
         + SETTINGS.authority
@@ -121,6 +136,10 @@
         world.run(20);
         world.set_faults(CALM);
         world.keep_most_up();
+        if faults.restored > 0.0 {
+            // A cut would add to the time for which the last keeper has to wait.
+            world.reconnect();
+        }
         world.run(bound.as_secs() + 1);
         let unheld = world.unheld();
         assert!(unheld.is_empty(), "seed {seed}: {unheld:?}");
@@ -188,3 +207,55 @@
         );
     }
 }
+
+/// Steps of a schedule at which the store comes back from a copy, one at a time.
+const RESTORE_STEPS: u64 = 60;
+const RESTORE_STEP_MS: u64 = 200;
+
+/// A keeper is cut off while a range moves, and another one takes over; the store comes
+/// back from a copy at each step of that, so that it has forgotten one, both or neither.
+#[rstest]
+fn no_key_is_with_two_upstreams_whenever_the_store_is_restored(
+    #[values(100, 1_500, 3_000, 5_900)] age_ms: u64,
+) {
+    for step in 0..RESTORE_STEPS {
+        let mut world = World::new(step, 4, CALM);
+        world.run(4);
+        world.retire_until_keys_move(0);
+        world.cut_keeper_off();
+        let at = step * RESTORE_STEP_MS;
+        (0..at / 10).for_each(|_| world.step());
+        world.restore(age_ms);
+        world.set_faults(Faults {
+            keeper_lost: 0.1,
+            path_lost: 0.02,
+            ..CALM
+        });
+        world.run(16);
+        world.restore(age_ms);
+        world.run(16);
+    }
+}
+
+/// A keeper that lives goes on: no key is without a holder because of a restore.
+#[test]
+fn a_restore_alone_takes_no_key_from_its_holder() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 5, CALM);
+        world.run(8);
+        world.longest_unheld = Duration::ZERO;
+        for age_ms in [500, 2_000, 5_000] {
+            world.restore(age_ms);
+            world.run(14);
+        }
+        let longest = world.longest_unheld;
+        // Another router may take the duty first, since nothing here tells it that
+        // the keeper lives; then the keys wait until all grants have run out.
+        if world.retaken == 3 {
+            assert!(
+                longest <= Duration::from_millis(400),
+                "seed {seed}: {longest:?}"
+            );
+        }
+    }
+}
--- a/crates/ranges/tests/world/levers.rs
+++ b/crates/ranges/tests/world/levers.rs
@@ -12,7 +12,7 @@
     /// Cuts the keeper off from store and routers, but not from upstreams, for
     /// good.
     pub(crate) fn cut_keeper_off(&mut self) {
-        if let Some(index) = self.store.1 {
+        if let Some(index) = self.store.keeper {
             self.routers[index].is_cut = true;
         }
     }
@@ -32,7 +32,7 @@
     /// Ends an upstream to which a range is on its way, for good. The registry has
     /// noticed.
     pub(crate) fn lose_next_holder(&mut self) {
-        let Some(map) = &self.store.2 else {
+        let Some(map) = &self.store.map else {
             return;
         };
         let moving = map.ranges.iter().find(|range| !range.sources.is_empty());
@@ -52,7 +52,7 @@
 
     /// Number of ranges that an upstream has or is to get.
     pub(crate) fn ranges_of(&self, index: usize) -> usize {
-        let Some(map) = &self.store.2 else {
+        let Some(map) = &self.store.map else {
             return 0;
         };
         let life = Some(&self.upstreams[index].life);
@@ -62,7 +62,7 @@
 
     /// Number of ranges that are on their way.
     pub(crate) fn on_their_way(&self) -> usize {
-        let Some(map) = &self.store.2 else {
+        let Some(map) = &self.store.map else {
             return 0;
         };
         let moving = |range: &&Range| !range.sources.is_empty();
@@ -84,4 +84,11 @@
         let unheld = unheld.filter(|(_, since)| since.is_some());
         unheld.map(|(index, _)| sample(index)).collect()
     }
+
+    /// Ends all cuts.
+    pub(crate) fn reconnect(&mut self) {
+        for router in &mut self.routers {
+            router.is_cut = false;
+        }
+    }
 }
--- a/crates/ranges/tests/world/mod.rs
+++ b/crates/ranges/tests/world/mod.rs
@@ -3,7 +3,7 @@
 
 mod levers;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +16,8 @@
 /// Keys that are watched; the others behave alike.
 const SAMPLES: usize = 64;
 const STEP_MS: u64 = 10;
+/// Age of the oldest copy that the store comes back from.
+const MAX_COPY_AGE_MS: u64 = 6_000;
 /// Clock of an upstream against that of the routers.
 const SLOWEST_CLOCK: f64 = 1.02;
 
@@ -38,6 +40,8 @@
     pub(crate) store_away: f64,
     /// A router and an upstream lose each other in a second, though both run.
     pub(crate) path_lost: f64,
+    /// The store comes back from a copy in a second.
+    pub(crate) restored: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -56,7 +60,8 @@
 struct Router {
     keeper: Option<Keeper>,
     term: u64,
-    duty_version: u64,
+    /// Era and version of the duty that it took last.
+    duty_version: (u64, u64),
     is_cut: bool,
     confirm_due: Instant,
 }
@@ -84,6 +89,19 @@
     },
 }
 
+/// What the store holds of the present era; rows of earlier ones have other names.
+#[derive(Clone, Default)]
+struct Store {
+    era: u64,
+    /// Version of the duty, 0 if nobody has it.
+    version: u64,
+    keeper: Option<usize>,
+    map: Option<Map>,
+    is_unsettled: bool,
+    /// Routers and terms whose keepers weren't seen to stop.
+    formers: Vec<(usize, u64)>,
+}
+
 pub(crate) struct World {
     random: ChaCha8Rng,
     faults: Faults,
@@ -94,15 +112,19 @@
     lost_paths: BTreeMap<(usize, Arc<str>), Instant>,
     events: BTreeMap<(Instant, u64), Event>,
     next_event: u64,
-    store: (u64, Option<usize>, Option<Map>),
-    /// Routers and terms whose keepers weren't seen to stop.
-    formers: Vec<(usize, u64)>,
+    store: Store,
+    /// The store as it was at each step of the last seconds.
+    copies: VecDeque<Store>,
     store_away_until: Instant,
     pub(crate) longest_unheld: Duration,
     unheld_since: Vec<Option<Instant>>,
     pub(crate) moves: usize,
     /// Orders to release that were sent.
     pub(crate) releases: usize,
+    /// Times that a keeper took the duty again in a new era.
+    pub(crate) retaken: usize,
+    /// Whether the service ever had a keeper.
+    had_keeper: bool,
 }
 
 fn sample(index: usize) -> u16 {
@@ -130,7 +152,7 @@
         let router = |_| Router {
             keeper: None,
             term: 0,
-            duty_version: 0,
+            duty_version: (0, 0),
             is_cut: false,
             confirm_due: now,
         };
@@ -143,13 +165,15 @@
             lost_paths: BTreeMap::new(),
             events: BTreeMap::new(),
             next_event: 0,
-            store: (0, None, None),
-            formers: Vec::new(),
+            store: Store::default(),
+            copies: VecDeque::new(),
             store_away_until: now,
             longest_unheld: Duration::ZERO,
             unheld_since: vec![None; SAMPLES],
             moves: 0,
             releases: 0,
+            retaken: 0,
+            had_keeper: false,
         }
     }
 
@@ -175,6 +199,10 @@
 
     pub(crate) fn step(&mut self) {
         self.now = self.now + Duration::from_millis(STEP_MS);
+        self.copies.push_back(self.store.clone());
+        if self.copies.len() as u64 > MAX_COPY_AGE_MS / STEP_MS {
+            self.copies.pop_front();
+        }
         self.elect();
         while let Some(entry) = self
             .events
@@ -196,6 +224,10 @@
             let seconds = self.random.random_range(1..9);
             self.store_away_until = self.now + Duration::from_secs(seconds);
         }
+        if self.faults.restored > 0.0 && self.chance(self.faults.restored) {
+            let age_ms = self.random.random_range(0..MAX_COPY_AGE_MS);
+            self.restore(age_ms);
+        }
         for index in 0..self.routers.len() {
             if self.routers[index].is_cut {
                 self.routers[index].is_cut = self.chance(0.92);
@@ -238,16 +270,31 @@
         }
     }
 
+    /// The store comes back from a copy of an age. Rows of the era in which it was made
+    /// are of no use any more, but show that some router had the duty.
+    pub(crate) fn restore(&mut self, age_ms: u64) {
+        let steps = (age_ms / STEP_MS) as usize;
+        let index = self.copies.len().saturating_sub(1 + steps);
+        let copy = self.copies.get(index).cloned().unwrap_or_default();
+        self.copies.clear();
+        self.store = Store {
+            era: self.store.era + 1,
+            is_unsettled: copy.version > 0 || copy.is_unsettled,
+            ..Store::default()
+        };
+    }
+
     /// A router that the store reaches takes the duty when the keeper is gone
     /// or can't be reached.
     fn elect(&mut self) {
         if self.now < self.store_away_until {
             return;
         }
-        let holder = self.store.1;
+        let holder = self.store.keeper;
+        let current = (self.store.era, self.store.version);
         let serves = holder.is_some_and(|index| {
             let router = &self.routers[index];
-            router.keeper.is_some() && !router.is_cut && router.duty_version == self.store.0
+            router.keeper.is_some() && !router.is_cut && router.duty_version == current
         });
         if serves || !self.chance(0.02) {
             return;
@@ -258,45 +305,79 @@
         }
         let asked = self.now;
         if let Some(before) = holder {
-            self.formers.push((before, self.routers[before].term));
+            self.store.formers.push((before, self.routers[before].term));
         }
-        self.store.0 += 1;
-        self.store.1 = Some(index);
-        let keeper = match &self.store.2 {
-            None => Keeper::first(SETTINGS, asked, self.now),
-            Some(map) => Keeper::successor(SETTINGS, map.clone(), asked, self.now),
+        // Routers that lived in an earlier era remember it, whatever the copy says, and
+        // tell those that start.
+        self.store.is_unsettled |= self.store.version == 0 && self.had_keeper;
+        self.had_keeper = true;
+        self.store.version += 1;
+        self.store.keeper = Some(index);
+        let (era, map) = (self.store.era, self.store.map.clone());
+        let mut keeper = match map {
+            map if self.store.is_unsettled => {
+                Keeper::unsettled(SETTINGS, map, era, asked, self.now)
+            }
+            None => Keeper::first(SETTINGS, era, asked, self.now),
+            Some(map) => Keeper::successor(SETTINGS, map, era, asked, self.now),
         };
-        let mut keeper = keeper;
         // Those whose processes have ended are known to have stopped.
         let routers = &self.routers;
-        self.formers.retain(|(former, term)| {
+        self.store.formers.retain(|(former, term)| {
             *former != index && routers[*former].keeper.is_some() && routers[*former].term == *term
         });
-        if self.formers.is_empty() {
+        if self.store.formers.is_empty() {
             keeper.predecessor_stopped(self.now);
         }
         let router = &mut self.routers[index];
         router.keeper = Some(keeper);
         router.term += 1;
-        router.duty_version = self.store.0;
+        router.duty_version = (self.store.era, self.store.version);
         router.confirm_due = self.now;
     }
 
+    /// A keeper asks whether the duty is still its own, and takes it again in a new era
+    /// if nobody has it.
+    fn confirm(&mut self, index: usize) {
+        let now = self.now;
+        let router = &mut self.routers[index];
+        router.confirm_due = now + Duration::from_secs(1);
+        let Some(keeper) = &mut router.keeper else {
+            return;
+        };
+        let is_vacant = self.store.version == 0;
+        let is_new_era = router.duty_version.0 < self.store.era;
+        if is_new_era && is_vacant && keeper.has_authority(now) {
+            let mut map = keeper.map().clone();
+            map.enter_era(self.store.era);
+            keeper.enter_era(self.store.era, map.clone(), now, now);
+            self.store = Store {
+                era: self.store.era,
+                version: 1,
+                keeper: Some(index),
+                map: Some(map),
+                is_unsettled: true,
+                // By the time that it is settled, none of them has authority.
+                formers: Vec::new(),
+            };
+            router.duty_version = (self.store.era, 1);
+            self.retaken += 1;
+        }
+        if router.duty_version != (self.store.era, self.store.version) {
+            router.keeper = None;
+            return;
+        }
+        keeper.confirm(now);
+        self.store.is_unsettled &= !keeper.is_settled(now);
+    }
+
     fn drive(&mut self, index: usize) {
         if self.routers[index].keeper.is_none() {
             return;
         }
         let reaches = !self.routers[index].is_cut && self.now >= self.store_away_until;
         if reaches && self.now >= self.routers[index].confirm_due {
-            self.routers[index].confirm_due = self.now + Duration::from_secs(1);
-            if self.store.0 != self.routers[index].duty_version {
-                self.routers[index].keeper = None;
-                return;
-            }
-            let now = self.now;
-            if let Some(keeper) = &mut self.routers[index].keeper {
-                keeper.confirm(now);
-            }
+            self.confirm(index);
         }
         let upstreams = self
             .upstreams
@@ -331,10 +412,11 @@
                 let delay = self.random.random_range(1..40);
                 let is_cut = self.routers[router].is_cut;
                 let reaches = !is_cut && self.now >= self.store_away_until;
-                let done = reaches && self.store.0 == self.routers[router].duty_version;
+                let current = (self.store.era, self.store.version);
+                let done = reaches && current == self.routers[router].duty_version;
                 if done {
                     self.moves += 1;
-                    self.store.2 = Some(map.clone());
+                    self.store.map = Some(map.clone());
                 }
                 let unknown = !reaches;
                 let done = done && !unknown;
@@ -462,13 +544,21 @@
                 asked,
                 done,
             } => {
-                let duty = self.store.0;
-                let stored = self.store.2.clone();
+                let duty = (self.store.era, self.store.version);
+                let stored = self.store.map.clone();
                 let reaches = self.now >= self.store_away_until && !self.routers[router].is_cut;
                 let router = &mut self.routers[router];
                 if router.term != term {
                     return;
                 }
+                if reaches && router.duty_version.0 < duty.0 {
+                    // Its next question finds out who has the duty in the new era.
+                    router.confirm_due = self.now;
+                    if let Some(keeper) = &mut router.keeper {
+                        keeper.not_committed();
+                    }
+                    return;
+                }
                 if reaches && router.duty_version != duty {
                     router.keeper = None;
                 }
