--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -295,7 +295,11 @@
                 .map(|(name, shares)| (Arc::clone(name), shares.clone()))
                 .collect(),
             departures: self.departures(is_new),
-            history: is_new.then(|| self.duties.history()).unwrap_or_default(),
+            history: if is_new {
+                self.duties.history()
+            } else {
+                Vec::new()
+            },
         }
     }
 
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -23,6 +23,9 @@
 /// Time after the end of a feed's wait when its caller gives up.
 const FEED_MARGIN: Duration = Duration::from_millis(500);
 
+/// Rows by the number of their table and their key.
+type Content = BTreeMap<(u8, Arc<str>), Row>;
+
 /// The store of a test. Clones share it.
 #[derive(Clone, Default)]
 pub(crate) struct Store(Arc<Mutex<State>>);
@@ -31,9 +34,9 @@
 struct State {
     era: u64,
     version: u64,
-    rows: BTreeMap<(u8, Arc<str>), Row>,
+    rows: Content,
     /// Copies of the store, from which it may come back.
-    copies: Vec<(u64, BTreeMap<(u8, Arc<str>), Row>)>,
+    copies: Vec<(u64, Content)>,
     configurations: BTreeMap<u64, Directory>,
     upstreams: Vec<Upstream>,
     servers: Vec<Server>,
--- a/crates/ranges/tests/world/mod.rs
+++ b/crates/ranges/tests/world/mod.rs
@@ -125,6 +125,9 @@
     pub(crate) retaken: usize,
     /// Whether the service ever had a keeper.
     had_keeper: bool,
+    /// For each sampled key, the highest fencing token under which it was taken, and who
+    /// took it.
+    taken: Vec<(u64, Option<Life>)>,
 }
 
 fn sample(index: usize) -> u16 {
@@ -174,6 +177,7 @@
             releases: 0,
             retaken: 0,
             had_keeper: false,
+            taken: vec![(0, None); SAMPLES],
         }
     }
 
@@ -596,6 +600,18 @@
                 for key in keys {
                     upstream.seen[key] = order.fence;
                     upstream.holds[key] = Some((order.fence, until));
+                    let (highest, by) = &mut self.taken[key];
+                    let is_other = by.as_ref().is_some_and(|by| *by != order.life);
+                    assert!(
+                        order.fence > *highest || !is_other,
+                        "key {} taken by {:?} under {} after {by:?} under {highest}",
+                        sample(key),
+                        order.life,
+                        order.fence
+                    );
+                    if order.fence >= *highest {
+                        (*highest, *by) = (order.fence, Some(order.life.clone()));
+                    }
                 }
                 Outcome::Done { handover: None }
             }
