Soak: a store that comes back from a copy, upstreams that say they leave, want pauses, never end

Cause: the soak didn't play the new rules. Three failures of upstreams; the ledger checks for each router that nothing reaches an upstream later than the drain after it said that it leaves, and at most two requests in a pause. An endless answer excuses nothing.

--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -19,6 +19,10 @@
 /// Time from the store's acceptance of an upstream's leaving until no request
 /// may reach it.
 const DRAIN: Duration = Duration::from_secs(2);
+/// Time from a refusal until the pause holds that it asked for, and requests that may
+/// still arrive then.
+const PAUSE_SLACK: Duration = Duration::from_millis(500);
+const PAUSE_ARRIVALS: usize = 2;
 /// Requests that may go to one upstream more than allowed.
 const ATTEMPTS_SLACK: usize = 3;
 
@@ -101,6 +105,14 @@
     is_excused: bool,
 }
 
+/// Time in which a router may send an upstream next to nothing.
+#[derive(Clone, Copy, Debug)]
+struct Pause {
+    from: Instant,
+    until: Instant,
+    arrivals: usize,
+}
+
 #[derive(Debug, Default)]
 struct State {
     requests: HashMap<Arc<str>, Request>,
@@ -113,6 +125,10 @@
     /// only that one and later ones may.
     services: HashMap<Arc<str>, Vec<(Instant, Arc<str>)>>,
     left: HashMap<usize, Instant>,
+    /// When an upstream first said to a router that it leaves.
+    said_leaving: HashMap<(usize, usize), Instant>,
+    /// Pauses that upstreams asked routers for.
+    pauses: HashMap<(usize, usize), Pause>,
     /// Pauses and cuts that ended, after which old orders may arrive.
     thaws: Vec<Instant>,
     violations: Vec<Violation>,
@@ -299,11 +315,35 @@
         }
     }
 
+    /// Notes that an upstream answers a request, and says that it leaves.
+    pub fn say_leaving(&self, id: Option<&str>, upstream: usize) {
+        let mut state = self.state();
+        if let Some(router) = state.router_of(id) {
+            let said = state.said_leaving.entry((upstream, router));
+            said.or_insert_with(Instant::now);
+        }
+    }
+
+    /// Notes that an upstream turns a request away, and wants nothing for `pause`.
+    pub fn defer(&self, id: Option<&str>, upstream: usize, pause: Duration) {
+        let now = Instant::now();
+        let mut state = self.state();
+        if let Some(router) = state.router_of(id) {
+            let pause = Pause {
+                from: now + PAUSE_SLACK,
+                until: now + pause,
+                arrivals: 0,
+            };
+            state.pauses.insert((upstream, router), pause);
+        }
+    }
+
     /// Notes that a request reached an upstream, whether it ran or not.
     pub fn arrive(&self, id: Option<&str>, upstream: usize) {
         let at = self.started.elapsed();
         let now = Instant::now();
         let mut state = self.state();
+        state.check_notices(at, id, upstream);
         let Some(left) = state.left.get(&upstream).copied() else {
             return;
         };
--- a/crates/soak/src/ledger/check.rs
+++ b/crates/soak/src/ledger/check.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::Instant;
 
-use super::{Disturbance, Ending, Hold, Request, State, Subject};
+use super::{DRAIN, Disturbance, Ending, Hold, PAUSE_ARRIVALS, Request, State, Subject};
 use crate::promise::{Promise, Violation};
 
 /// Time from the store's acceptance of a configuration until it applies.
@@ -79,6 +79,44 @@
             .any(|other| subjects.contains(&other.subject) && overlaps(other))
     }
 
+    pub(super) fn router_of(&self, id: Option<&str>) -> Option<usize> {
+        Some(self.requests.get(id?)?.asked.router)
+    }
+
+    /// Checks what an upstream said to the router of a request that reaches it. Only a
+    /// fault of that router excuses it.
+    pub(super) fn check_notices(&mut self, at: Duration, id: Option<&str>, upstream: usize) {
+        let now = Instant::now();
+        let Some(router) = self.router_of(id) else {
+            return;
+        };
+        let place = (upstream, router);
+        let excuses = [Subject::Router(router), Subject::Upstream(upstream)];
+        let is_excused = self.is_disturbed(&excuses, now, now);
+        let sent = id
+            .and_then(|id| self.requests.get(id))
+            .map(|request| request.at);
+        if let Some(said) = self.said_leaving.get(&place)
+            && sent.is_some_and(|sent| sent > *said + DRAIN)
+            && !is_excused
+        {
+            let late = now - *said;
+            let what = format!("{id:?} reached upstream {upstream} {late:?} after it said so");
+            self.violate(at, Promise::Drain, what);
+        }
+        if let Some(pause) = self.pauses.get_mut(&place)
+            && (pause.from..pause.until).contains(&now)
+            && !is_excused
+        {
+            pause.arrivals += 1;
+            if pause.arrivals > PAUSE_ARRIVALS {
+                let left = pause.until - now;
+                let what = format!("{id:?} reached upstream {upstream} {left:?} too early");
+                self.violate(at, Promise::Pause, what);
+            }
+        }
+    }
+
     pub(super) fn check_holder(&mut self, at: Duration, now: Instant, key: u16, upstream: usize) {
         let own = self.holds.get(&upstream).and_then(|holds| holds.get(&key));
         let is_excused = own.is_none_or(|own| own.is_excused);
--- a/crates/soak/src/promise.rs
+++ b/crates/soak/src/promise.rs
@@ -31,6 +31,9 @@
     /// No request reaches an upstream that left.
     #[display("drain")]
     Drain,
+    /// An upstream that wants a pause gets it.
+    #[display("pause")]
+    Pause,
     /// A configuration applies in time, and never goes back.
     #[display("configuration")]
     Configuration,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -80,6 +80,8 @@
     routers: Vec<Arc<Router>>,
     slots: Vec<Slot>,
     lives: AtomicU64,
+    /// Statements that upstreams have made of themselves.
+    statements: AtomicU64,
     version: AtomicU64,
     lags: AtomicU32,
 }
@@ -170,6 +172,7 @@
             routers: Vec::new(),
             slots: Vec::new(),
             lives: AtomicU64::new(0),
+            statements: AtomicU64::new(0),
             version: AtomicU64::new(0),
             lags: AtomicU32::new(0),
         };
@@ -220,10 +223,17 @@
         let id = name.unwrap_or_else(|| format!("upstream-{life}"));
         let server = Server::start(life, id, service, is_keyed, self.seed, &self.ledger).await?;
         let proxy = Proxy::start(server.address).await?;
-        self.store.register(&entry(&server, &proxy, false));
+        self.state(&server, &proxy, false);
         Ok((server, Arc::new(proxy)))
     }
 
+    /// Lets an upstream write what it says of itself.
+    fn state(&self, server: &Server, proxy: &Proxy, leaving: bool) {
+        let sequence = self.statements.fetch_add(1, Ordering::Relaxed) + 1;
+        self.store
+            .register(&entry(server, proxy, sequence, leaving));
+    }
+
     fn slot(&self, slot: usize) -> MutexGuard<'_, Current> {
         let current = self.slots[slot].current.lock();
         current.unwrap_or_else(PoisonError::into_inner)
@@ -242,7 +252,12 @@
     }
 
     fn configure(&self) {
-        let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
+        self.version.fetch_add(1, Ordering::Relaxed);
+        self.write_configuration();
+    }
+
+    fn write_configuration(&self) {
+        let version = self.version.load(Ordering::Relaxed);
         let (directory, services) = plan::directory(version);
         self.store.configure(&directory);
         for (prefix, service) in services {
@@ -306,11 +321,11 @@
     format!("dc-{}", ["a", "b"][number % 2])
 }
 
-fn entry(server: &Server, proxy: &Proxy, leaving: bool) -> Upstream {
+fn entry(server: &Server, proxy: &Proxy, sequence: u64, leaving: bool) -> Upstream {
     Upstream {
         id: server.id.as_str().into(),
         incarnation: server.life as u64 + 1,
-        sequence: if leaving { 2 } else { 1 },
+        sequence,
         service: Arc::clone(&server.service),
         address: proxy.address(),
         data_centre: data_centre(server.life).into(),
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -6,7 +6,7 @@
 use rustix::process::Signal;
 use tokio::time::sleep;
 
-use super::{Fleet, GRACE, entry};
+use super::{Fleet, GRACE};
 use crate::ledger::Subject;
 use crate::router::RESTART_PAUSE;
 use crate::schedule::{Degradation, Event, Failure, Fault, Impairment, Link};
@@ -16,6 +16,9 @@
 /// Time for which an upstream serves after it has said that it leaves: longer
 /// than routers may send to it.
 const DRAIN: Duration = Duration::from_millis(5_000);
+/// Time after which the operator and the upstreams have written theirs again in a store
+/// that came back from a copy.
+const REWRITE_PAUSE: Duration = Duration::from_millis(700);
 /// Pause before a replacement of an upstream that died.
 const REPLACE_PAUSE: Duration = Duration::from_millis(800);
 /// Share of the calls whose answer the store loses, or that take effect late.
@@ -42,6 +45,7 @@
                 self.ledger.disturb(Subject::Store, Duration::ZERO);
                 self.store.forget_history();
             }
+            Fault::Restore(age) => self.restore(age).await,
             Fault::Upstream(slot, failure) => self.fail(slot, failure, span).await,
             Fault::Configure => self.configure(),
         }
@@ -105,10 +109,34 @@
         self.ledger.disturb(Subject::Store, Duration::ZERO);
     }
 
+    /// Brings the store back from a copy. The operator and the upstreams write theirs
+    /// again; entries of upstreams that have ended lapse.
+    async fn restore(&self, age: Duration) {
+        self.ledger.disturb(Subject::Store, REWRITE_PAUSE);
+        self.store.restore(age);
+        sleep(REWRITE_PAUSE).await;
+        self.write_configuration();
+        for slot in 0..self.slots.len() {
+            let (server, proxy) = self.slot(slot).clone();
+            self.state(&server, &proxy, false);
+        }
+        sleep(LAPSE).await;
+        let alive: Vec<String> = (0..self.slots.len())
+            .map(|slot| self.slot(slot).0.id.clone())
+            .collect();
+        self.store
+            .retain(|id| alive.iter().any(|other| other == id));
+    }
+
     async fn fail(&self, slot: usize, failure: Failure, span: Duration) {
         let (server, proxy) = self.slot(slot).clone();
         let subject = Subject::Upstream(server.life);
-        if failure != Failure::Leaves {
+        // These excuse nothing at the routers.
+        let excuses = !matches!(
+            failure,
+            Failure::Leaves | Failure::SaysLeaving | Failure::Defers | Failure::Endless
+        );
+        if excuses {
             self.ledger.disturb(subject, span);
         }
         match failure {
@@ -126,13 +154,31 @@
                 self.replace(slot, &server, Some(server.id.clone())).await;
             }
             Failure::Leaves => {
-                self.store.register(&entry(&server, &proxy, true));
+                self.state(&server, &proxy, true);
                 self.ledger.leave(server.life);
                 self.replace(slot, &server, None).await;
                 sleep(DRAIN).await;
                 server.end();
                 self.store.unregister(&server.id);
             }
+            Failure::SaysLeaving => {
+                let says = server.behave_for(DRAIN, |behaviour| &mut behaviour.says_leaving);
+                says.await;
+                self.replace(slot, &server, None).await;
+                server.end();
+                sleep(LAPSE).await;
+                self.store.unregister(&server.id);
+            }
+            Failure::Defers => {
+                server
+                    .behave_for(span, |behaviour| &mut behaviour.defers)
+                    .await;
+            }
+            Failure::Endless => {
+                server
+                    .behave_for(span, |behaviour| &mut behaviour.is_endless)
+                    .await;
+            }
             Failure::Pauses => {
                 server
                     .behave_for(span, |behaviour| &mut behaviour.is_paused)
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -10,6 +10,8 @@
 /// Longest time that one fault lasts: beyond the time for which grants hold.
 const MAX_FAULT: Duration = Duration::from_millis(5_000);
 const MIN_FAULT: Duration = Duration::from_millis(200);
+/// Age of the oldest copy that the store comes back from, in milliseconds.
+const MAX_COPY_AGE_MS: u64 = 6_000;
 /// Mean time between two faults.
 const MEAN_GAP: Duration = Duration::from_millis(600);
 /// Share of faults that come in a series on the same subject.
@@ -99,6 +101,16 @@
     /// It leaves orders unanswered and carries them out late.
     #[display("carries orders out late")]
     LateOrders,
+    /// It says with its answers that it leaves, and the registry doesn't; then it ends
+    /// and another one comes.
+    #[display("says that it leaves")]
+    SaysLeaving,
+    /// It turns some requests away and wants nothing for a while.
+    #[display("wants pauses")]
+    Defers,
+    /// It begins some answers and never ends them.
+    #[display("answers without end")]
+    Endless,
 }
 
 /// A fault.
@@ -128,6 +140,9 @@
     /// The store forgets its history.
     #[display("store: forgets")]
     Forget,
+    /// The store comes back from a copy.
+    #[display("store: comes back from a copy {} ms old", _0.as_millis())]
+    Restore(Duration),
     /// An upstream misbehaves.
     #[display("upstream {_0}: {_1}")]
     Upstream(usize, Failure),
@@ -180,7 +195,7 @@
 fn fault(random: &mut ChaCha8Rng, routers: usize, upstreams: usize) -> Fault {
     let router = random.random_range(0..routers);
     let upstream = random.random_range(0..upstreams);
-    match random.random_range(0..24) {
+    match random.random_range(0..28) {
         0 | 1 => Fault::Kill(router),
         2 => Fault::KillAll,
         3 | 4 => Fault::Pause(router),
@@ -192,6 +207,9 @@
         13 => Fault::Link(Link::Front(router), impairment(random)),
         14 => Fault::Link(Link::Store(router), impairment(random)),
         15 | 16 => Fault::Link(Link::Upstream(upstream), impairment(random)),
+        17 | 18 => Fault::Restore(Duration::from_millis(
+            random.random_range(0..MAX_COPY_AGE_MS),
+        )),
         _ => Fault::Upstream(upstream, failure(random)),
     }
 }
@@ -231,6 +249,9 @@
         Failure::Fails,
         Failure::MixesUp,
         Failure::LateOrders,
+        Failure::SaysLeaving,
+        Failure::Defers,
+        Failure::Endless,
     ];
     *failures.choose(random).expect("there are some")
 }
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -1,16 +1,21 @@
 //! Upstreams that hold keys by grants, misbehave as they are told, and write
 //! down what they run.
 
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrassrock_platform_standin::framing::{Arrival, Call, Keys, Reply, decode, encode};
+use eelgrassrock_platform_standin::framing::{
+    Arrival, Call, Keys, Reply, decode, encode, mark_leaving,
+};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Either, Full};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -18,7 +23,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, Interval, interval, sleep, timeout};
 
 use crate::ledger::Ledger;
 
@@ -37,6 +42,13 @@
 /// Time by which orders are late when told to.
 const LATE_ORDERS: Duration = Duration::from_millis(1_500);
 
+/// Share of requests that it turns away when told to, and the pause that it wants.
+const DEFER_SHARE: f64 = 0.2;
+const DEFERRAL: Duration = Duration::from_millis(1_400);
+
+/// Time between two parts of an answer without end.
+const NOISE_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Identifier in the answers that it mixes up.
 const OTHER_REQUEST: &str = "r-0";
 
@@ -49,6 +61,9 @@
     pub(crate) fails: bool,
     pub(crate) mixes_up: bool,
     pub(crate) is_late_with_orders: bool,
+    pub(crate) says_leaving: bool,
+    pub(crate) defers: bool,
+    pub(crate) is_endless: bool,
     /// It has ended.
     pub(crate) is_gone: bool,
 }
@@ -91,9 +106,36 @@
     Answered(Reply),
     /// It ran, and the answer to another request is sent.
     MixedUp(Reply),
+    /// It ran, and its answer never ends.
+    Endless,
     Lost,
 }
 
+/// Bytes without end, at a rate that callers can keep what arrives of them.
+#[derive(Debug)]
+pub(crate) struct Noise(Interval);
+
+impl Noise {
+    fn new() -> Self {
+        Self(interval(NOISE_INTERVAL))
+    }
+}
+
+impl Body for Noise {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let frame = |_| Some(Ok(Frame::data(Bytes::from_static(&[b'x'; 4_096]))));
+        self.get_mut().0.poll_tick(context).map(frame)
+    }
+}
+
+type Answer = Response<Either<Full<Bytes>, Noise>>;
+
 impl Server {
     pub(crate) async fn start(
         life: usize,
@@ -186,7 +228,7 @@
         let _ = behaviour.wait_for(|behaviour| !behaviour.is_paused).await;
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Option<Response<Full<Bytes>>> {
+    async fn answer(&self, request: Request<Incoming>) -> Option<Answer> {
         self.awake().await;
         let arrived = Instant::now();
         let (parts, body) = request.into_parts();
@@ -203,11 +245,23 @@
             Call::Unreadable => Fate::Answered(Reply::Unreadable),
         };
         self.awake().await;
-        match fate {
-            Fate::Answered(reply) => Some(encode(reply, &self.id, id.as_deref())),
-            Fate::MixedUp(reply) => Some(encode(reply, &self.id, Some(OTHER_REQUEST))),
-            Fate::Lost => None,
+        let (reply, named) = match fate {
+            Fate::Answered(reply) => (reply, id.as_deref()),
+            Fate::MixedUp(reply) => (reply, Some(OTHER_REQUEST)),
+            Fate::Endless => {
+                let whole = encode(Reply::Answer(Bytes::new()), &self.id, id.as_deref());
+                return Some(whole.map(|_| Either::Right(Noise::new())));
+            }
+            Fate::Lost => return None,
+        };
+        let mut response = encode(reply, &self.id, named);
+        if self.behaviour.borrow().says_leaving {
+            mark_leaving(&mut response);
+            if named == id.as_deref() {
+                self.ledger.say_leaving(named, self.life);
+            }
         }
+        Some(response.map(Either::Left))
     }
 
     async fn grant(&self, keys: Keys, hold: Duration, arrived: Instant) -> Fate {
@@ -285,6 +339,10 @@
             return Fate::Answered(Reply::Misdirected);
         }
         self.ledger.arrive(id, self.life);
+        if self.behaviour.borrow().defers && self.draw() < DEFER_SHARE {
+            self.ledger.defer(id, self.life, DEFERRAL);
+            return Fate::Answered(Reply::Deferred(DEFERRAL));
+        }
         let Ok(_place) = self.places.try_acquire() else {
             return Fate::Answered(Reply::Refused);
         };
@@ -311,6 +369,9 @@
         if behaviour.loses_answers && draw < FAIL_SHARE {
             return Fate::Lost;
         }
+        if behaviour.is_endless && draw < FAIL_SHARE {
+            return Fate::Endless;
+        }
         if behaviour.fails && draw < FAIL_SHARE {
             return Fate::Answered(Reply::Failed);
         }
