--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod place;
 pub mod service;
 mod split;
+pub mod uplink;
 pub mod upstream;
 
 pub use split::Split;
--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -283,7 +283,7 @@
                     self.count_failure(now);
                 }
             }
-            Report::Cancelled => {}
+            Report::NotSent | Report::Cancelled => {}
         }
         self.trust_note(before, now)
     }
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -81,6 +81,8 @@
     Replaced,
     /// No byte of the request was sent.
     Unreachable,
+    /// No byte of it was sent, for a reason that says nothing of the upstream.
+    NotSent,
     /// The connection broke after the request was sent.
     Broken,
     /// No answer came in time.
@@ -99,6 +101,7 @@
             Self::Misdirected => "not-holder",
             Self::Replaced => "replaced",
             Self::Unreachable => "unreachable",
+            Self::NotSent => "not-sent",
             Self::Broken => "broken",
             Self::Silent => "silent",
             Self::Cancelled => "cancelled",
@@ -112,6 +115,7 @@
             Self::Misdirected,
             Self::Replaced,
             Self::Unreachable,
+            Self::NotSent,
         ];
         not_run.contains(&self)
     }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -94,13 +94,21 @@
     loop {
         let kept = node.links.take(upstream, message.repeat);
         let was_kept = kept.is_some();
+        let connecting_since = clock::now();
         let link = match kept {
             Some(link) => Some(link),
             None => link::connect(upstream.address, until - clock::now()).await,
         };
         let Some(mut link) = link else {
             message.restore(request);
-            return Exchange::None(Report::Unreachable);
+            // On a busy link, connections to any upstream are late.
+            let is_own_fault =
+                connecting_since + link::CONNECT_TIMEOUT <= clock::now() && node.is_link_busy();
+            return Exchange::None(if is_own_fault {
+                Report::NotSent
+            } else {
+                Report::Unreachable
+            });
         };
         let left = until - clock::now();
         let sent = timeout(left, link.sender.try_send_request(request)).await;
--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -23,7 +23,7 @@
 
 /// Time to establish a connection: several round trips within a region. A lost
 /// first packet is repeated only after a second, which is too late.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which an unused connection is trusted if the upstream names none.
 const IDLE_LIMIT: Duration = Duration::from_secs(4);
 /// Share of the idle time named by an upstream that is used, so that its close
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -59,6 +59,11 @@
     input: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Direction {
+    direction: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Table {
     table: String,
@@ -86,6 +91,7 @@
     store_era: Gauge,
     open: Gauge,
     body_bytes: Gauge,
+    link_wait: Family<Direction, Fraction>,
     configuration: Gauge,
     upstreams: Family<Service, Gauge>,
     waiting: Family<Service, Gauge>,
@@ -111,6 +117,7 @@
             store_era: Gauge::default(),
             open: Gauge::default(),
             body_bytes: Gauge::default(),
+            link_wait: Family::default(),
             configuration: Gauge::default(),
             upstreams: Family::default(),
             waiting: Family::default(),
@@ -157,6 +164,9 @@
             "Requests without an answer",
             self.open.clone(),
         );
+        let help = "Time until what is on its way on the VM's own link has passed";
+        let seconds = Unit::Seconds;
+        all.register_with_unit("link_wait", help, seconds, self.link_wait.clone());
         let help = "Bytes of bodies on their way";
         all.register("body_bytes", help, self.body_bytes.clone());
         let help = "Version of the configuration in force, 0 for none";
@@ -244,6 +254,15 @@
         let state = &mut *guard;
         self.open.set(node.open_requests.get() as i64);
         self.store_era.set(node.era.get() as i64);
+        {
+            let link = node.uplink.borrow();
+            let waits = [("in", link.wait_in(now)), ("out", link.wait_out(now))];
+            for (direction, wait) in waits {
+                let labels = Direction { direction };
+                let gauge = self.link_wait.get_or_create(&labels);
+                gauge.set(wait.as_secs_f64());
+            }
+        }
         self.body_bytes.set(node.memory.used() as i64);
         let version = state
             .directory
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -11,6 +11,7 @@
 use eelgrassrock_dispatch::directory::{Directory, Route};
 use eelgrassrock_dispatch::place::{self, Place};
 use eelgrassrock_dispatch::service::{Service, Span, Step};
+use eelgrassrock_dispatch::uplink::{self, Size, Uplink};
 use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_ranges::edition::{Delta, Edition};
@@ -84,6 +85,9 @@
     pub(crate) peers: Peers,
     pub(crate) pauses: Pauses,
     pub(crate) memory: Memory,
+    pub(crate) uplink: RefCell<Uplink>,
+    /// Mean size of the answers to each route.
+    pub(crate) sizes: RefCell<HashMap<Arc<str>, Size>>,
     /// Latest era of the store that is known.
     pub(crate) era: Cell<u64>,
     /// When this process saw the store come back from a copy.
@@ -156,6 +160,7 @@
         let book = Book::new(settings.return_time);
         let peers = Peers::new(settings.peer.ip());
         let memory = Memory::of(settings.memory);
+        let uplink = RefCell::new(Uplink::new(settings.link_mbit_per_s));
         Self {
             platform,
             settings,
@@ -181,6 +186,8 @@
             peers,
             pauses: Pauses::default(),
             memory,
+            uplink,
+            sizes: RefCell::default(),
             era: Cell::new(0),
             era_began: Cell::new(None),
             admitted: RefCell::default(),
@@ -360,8 +367,30 @@
         ((all as f64 * IDLE_CONNECTIONS_SHARE) as usize / routers).max(1)
     }
 
-    /// How long a request may take at an upstream before another is asked.
+    /// Whether messages wait for others on the router's own link.
+    pub(crate) fn is_link_busy(&self) -> bool {
+        self.uplink.borrow().state(clock::now()) == uplink::State::Busy
+    }
+
+    /// Counts that a request of a route is sent, and its answer will come.
+    pub(crate) fn expect_answer(&self, route: &str) {
+        let bytes = self.sizes.borrow().get(route).map_or(0, Size::bytes);
+        self.uplink.borrow_mut().expect(bytes, clock::now());
+    }
+
+    /// Counts an answer that is passed on.
+    pub(crate) fn pass_answer(&self, route: &Arc<str>, bytes: usize) {
+        self.uplink.borrow_mut().send(bytes, clock::now());
+        let mut sizes = self.sizes.borrow_mut();
+        sizes.entry(Arc::clone(route)).or_default().record(bytes);
+    }
+
+    /// How long a request may take at an upstream before another is asked, `None` if none
+    /// is to be asked: on a busy link a second answer would only make all wait longer.
     pub(crate) fn hedge_delay(&self, service: &str, upstream: &str) -> Option<Duration> {
+        if self.is_link_busy() {
+            return None;
+        }
         let state = self.state.borrow();
         let service = state.services.get(service)?;
         service.hedge_delay(upstream, clock::now())
--- a/crates/edge/src/payload.rs
+++ b/crates/edge/src/payload.rs
@@ -151,6 +151,12 @@
         Self::Whole(Some(bytes.into()))
     }
 
+    /// Bytes of it, as far as they are known.
+    pub(crate) fn known_bytes(&self) -> usize {
+        let hint = self.size_hint();
+        hint.upper().unwrap_or(hint.lower()) as usize
+    }
+
     pub(crate) fn partial(first: Bytes, rest: Incoming, source: Option<Source>) -> Self {
         Self::Partial {
             first: Some(first),
@@ -165,7 +171,9 @@
     if body.is_end_stream() {
         return Taken::Whole(Bytes::new());
     }
-    let mut buffer = BytesMut::new();
+    // Growing step by step leaves a buffer of up to twice the size.
+    let declared = body.size_hint().exact().unwrap_or(0);
+    let mut buffer = BytesMut::with_capacity(declared.min(MAX_WHOLE_BYTES as u64) as usize);
     let mut held = memory.hold();
     loop {
         match body.frame().await {
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -216,6 +216,7 @@
 
 async fn run<P: Platform>(node: &Rc<Node<P>>, mut job: Job, version: u64) -> Response<Payload> {
     let done = attempt(node, &mut job).await;
+    node.pass_answer(&job.route.name, done.response.body().known_bytes());
     let elapsed = clock::now() - job.work.arrived;
     node.metrics
         .request(&job.route.name, &job.service, done.outcome, elapsed);
@@ -289,6 +290,7 @@
     started: Instant,
 ) -> Next {
     node.metrics.sent(&job.service, job.work.arrived, started);
+    node.expect_answer(&job.route.name);
     let first = Sending::new(node, &job.service, job.work.key, upstream, started);
     let Race {
         end,
@@ -333,7 +335,7 @@
         }
         Exchange::None(report) => {
             sending.report = report;
-            job.work.is_repeat |= report != Report::Unreachable;
+            job.work.is_repeat |= !matches!(report, Report::Unreachable | Report::NotSent);
             let may_repeat = report.proves_not_run() || is_safe;
             if !report.proves_not_run() {
                 job.work.runs += 1;
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -20,6 +20,8 @@
     pub size: u32,
     /// Memory of the VM, in bytes.
     pub memory: u64,
+    /// Rate of the VM's link in each direction, in Mbit/s.
+    pub link_mbit_per_s: f64,
     /// Address for callers.
     pub front: SocketAddr,
     /// Address at which the platform asks whether the router is ready.
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -81,6 +81,7 @@
         data_centre: "dc-a".into(),
         size: 200,
         memory: 256_000_000,
+        link_mbit_per_s: 1_000.0,
         front: free_address(),
         readiness: free_address(),
         peer: free_address(),
--- a/crates/soak/src/ledger/check.rs
+++ b/crates/soak/src/ledger/check.rs
@@ -10,6 +10,9 @@
 
 /// Time from the store's acceptance of a configuration until it applies.
 const APPLY: Duration = Duration::from_secs(2);
+/// Time before the end of a request's time in which a router may end an answer, so that
+/// its caller hears of it.
+const RETURN_SLACK: Duration = Duration::from_millis(20);
 /// Time from a request's timeout until it must have an answer.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 
@@ -190,7 +193,7 @@
     }
 
     /// A request that a router took must not be lost because it was told to
-    /// stop.
+    /// stop. One whose time is over is lost for another reason.
     pub(super) fn lost_in_stop(
         &self,
         id: &str,
@@ -207,6 +210,7 @@
             && !self.is_disturbed(&self.upstream_subjects(request), request.at, now);
         let is_lost = is_stopping
             && is_calm
+            && now - request.at < request.asked.timeout.saturating_sub(RETURN_SLACK)
             && matches!(request.end, Some((_, Ending::Broken)))
             && !request.runs.is_empty();
         let what = || format!("{id} was lost {:?} after it was sent", now - request.at);
