--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -158,7 +158,11 @@
     let _ = writeln!(story, "  {}", meaning(&request.outcome));
     let related: Vec<&Line> = all
         .iter()
-        .filter(|other| other.time <= line.time && other.time + WINDOW_MS >= arrived)
+        .filter(|other| {
+            // The line of a request is written with the beginning of its answer.
+            let is_before = other.time <= line.time || other.event == "answer cut";
+            is_before && other.time + WINDOW_MS >= arrived
+        })
         .filter(|other| is_related(other, line, request))
         .collect();
     if !related.is_empty() {
@@ -198,7 +202,11 @@
             same_service && request.key.is_some() && is_near
         }
         "keeper" => same_service && request.key.is_some(),
-        "upstream paused" | "upstream trusted again" => same_router && is_sent_to,
+        "upstream paused" | "upstream trusted again" | "upstream deferred" => {
+            same_router && is_sent_to
+        }
+        "answer cut" => other.fields["id"] == line.fields["id"],
+        "store restored" | "link full" => same_router,
         "upstream learnt" | "upstream leaving" | "upstream lapsed" => same_router && is_sent_to,
         "store lost" | "store reached" | "configuration in force" | "stopping" => same_router,
         "start" | "lines left out" => same_router,
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -9,8 +9,14 @@
 router-2 {"time":5100,"level":"info","event":"upstream paused","service":"sheets","upstream":"up-1","failures":2,"pause_ms":250}
 router-2 {"time":5200,"level":"info","event":"release","service":"sheets","upstream":"up-1","from":0,"to":99,"fence":4,"outcome":"done"}
 router-2 {"time":5250,"level":"info","event":"release","service":"sheets","upstream":"up-1","from":100,"to":199,"fence":5,"outcome":"done"}
+router-1 {"time":5300,"level":"warn","event":"store restored","before":1,"after":2,"duties":["sheets"]}
+router-2 {"time":5300,"level":"warn","event":"store restored","before":1,"after":2,"duties":[]}
+router-1 {"time":5400,"level":"info","event":"upstream deferred","service":"sheets","upstream":"up-1","pause_ms":700}
+router-1 {"time":5450,"level":"info","event":"upstream deferred","service":"sheets","upstream":"up-2","pause_ms":700}
 not a line
 router-1 {"time":6000,"level":"info","event":"request","id":"abc","route":"read","service":"sheets","key":42,"outcome":"unknown","status":502,"upstream":"up-1","runs":1,"sends":[{"upstream":"up-1","at_ms":3,"elapsed_ms":40,"end":"broken","map":17}],"elapsed_ms":45,"allowed_ms":900,"configuration":7}
+router-1 {"time":6900,"level":"info","event":"answer cut","id":"abc","service":"sheets","upstream":"up-1","reason":"the answer did not end in time"}
+router-1 {"time":6900,"level":"info","event":"answer cut","id":"other","service":"sheets","upstream":"up-1","reason":"broke off"}
 "#;
 
 async fn explain(id: &str) -> eelgrassrock_cli::answer::Answer {
@@ -30,6 +36,9 @@
         "whether it has run isn't known",
         "router-1 upstream paused",
         "router-2 release",
+        "router-1 store restored",
+        "router-1 upstream deferred",
+        "router-1 answer cut",
     ] {
         assert!(
             answer.out.contains(part),
@@ -41,6 +50,9 @@
     assert!(!answer.out.contains("router-2 upstream paused"));
     assert!(!answer.out.contains("from=100"));
     assert!(!answer.out.contains("up-9"));
+    assert!(!answer.out.contains("router-2 store restored"));
+    assert!(!answer.out.contains("up-2"));
+    assert!(!answer.out.contains("broke off"));
 }
 
 #[tokio::test]
--- a/crates/edge/src/duty/stand.rs
+++ b/crates/edge/src/duty/stand.rs
@@ -71,11 +71,11 @@
             seat.standing |= due.is_some();
             due
         });
-        if let Some(Some((duty, version))) = due {
+        if let Some(Some(_)) = due {
             let node = Rc::clone(self);
             let service = Arc::clone(service);
             tokio::task::spawn_local(async move {
-                node.stand(&service, duty, version).await;
+                node.stand(&service).await;
                 node.seat(&service, |seat| seat.standing = false);
                 node.wake(&service);
             });
@@ -83,8 +83,14 @@
     }
 
     /// Tries to take the duty.
-    pub(super) async fn stand(self: &Rc<Self>, service: &Arc<str>, duty: Duty, version: Revision) {
+    pub(super) async fn stand(self: &Rc<Self>, service: &Arc<str>) {
         let era = self.era.get();
+        // The era may have changed since this router was due to stand.
+        let address = self.settings.peer;
+        let claim = self.seat(service, |seat| seat.election.claim(address));
+        let Some((duty, version)) = claim else {
+            return;
+        };
         let key = duty_row(era, service);
         let asked = clock::now();
         let Ok(value) = postcard::to_allocvec(&duty) else {
