Large answers are turned away from a full link, and unused connections are kept longer

Cause: on the grown order gateway two thirds of the bytes of a small router's link belong to a tenth of its requests; once the link is full everything on it is late, and upstreams were blamed for it. Half of the requests go to 95 upstreams, so connections of 4 s were mostly new. Change: dispatch/uplink.rs counts both directions at the rate of the settings; a route with large answers is refused on arrival while the wait is 0.15 of the time to its target, with the wait as the time to come back. Connections are kept for 0.8 of what the upstream names, 8 s at most, 0.6 of that for requests that run once. State of the link in a file of its own in edge. Tests: dispatch/tests/uplink.rs plays the load; a fast link turns nothing away.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -241,6 +241,7 @@
         "no-holder" => "Not served: no upstream held the key, or its holder had lost it.",
         "no-upstream" => "Not served: the service had no upstream that could be used.",
         "attempts" => "Not served: sent to as many upstreams as its route allows.",
+        "link-full" => "Not served: its answer is large, and the router's own link was full.",
         "deferred" => "Not served: the upstreams that could take it asked for no requests.",
         "budget" => "Not served: all routers together may not send more repeats.",
         "timeout" => "Sent, but not answered in time; whether it has run isn't known.",
--- a/crates/dispatch/src/uplink.rs
+++ b/crates/dispatch/src/uplink.rs
@@ -16,6 +16,11 @@
 /// any message between machines of a region takes.
 const BUSY_WAIT: Duration = Duration::from_millis(30);
 
+/// Mean size from which on answers are large: a dozen packets.
+const LARGE_BYTES: usize = 16 << 10;
+/// Share of the time until its target for which a large answer may find the link busy.
+const MAX_WAIT_SHARE: f64 = 0.15;
+
 /// What a link can bear at the moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
@@ -113,6 +118,17 @@
         }
     }
 
+    /// Returns how long a request with such answers should stay away, if it would only
+    /// make all others late: a large answer that has `left` until it is worth less.
+    ///
+    /// Load answered: more than the link bears, two thirds of it for a tenth of the
+    /// requests. The caller's next try reaches another router.
+    pub fn turns_away(&self, size: Size, left: Duration, now: Instant) -> Option<Duration> {
+        let wait = self.wait_out(now).max(self.wait_in(now));
+        let is_too_long = wait >= left.mul_f64(MAX_WAIT_SHARE);
+        (size.bytes() >= LARGE_BYTES && is_too_long).then_some(wait)
+    }
+
     /// Bytes that are owed to others.
     pub fn owed_bytes(&self, now: Instant) -> u64 {
         (self.wait_out(now).as_secs_f64() * self.bytes_per_s) as u64
--- a/crates/dispatch/tests/uplink.rs
+++ b/crates/dispatch/tests/uplink.rs
@@ -81,3 +81,52 @@
     }
     assert!(Report::NotSent.proves_not_run());
 }
+
+/// The load of a small VM whose link is asked for more than it bears: 80 requests a
+/// second, a tenth of which have answers of 110 KB. Large ones are turned away, the others
+/// find a link that isn't full.
+#[test]
+fn large_answers_are_turned_away_from_a_full_link_and_small_ones_pass() {
+    const TARGET: Duration = Duration::from_millis(1_000);
+    let (mut small, mut large) = (Size::default(), Size::default());
+    small.record(3_000);
+    large.record(110_000);
+    let mut link = Uplink::new(SMALL_MBIT_PER_S);
+    let (mut turned_away, mut served) = (0, 0);
+    let mut longest = Duration::ZERO;
+    for n in 0..800_u64 {
+        let now = at(n * 1_000 / 80);
+        let size = if n % 8 == 0 { large } else { small };
+        match link.turns_away(size, TARGET, now) {
+            Some(wait) => {
+                assert_eq!(size, large);
+                assert!(wait >= Duration::from_millis(150));
+                turned_away += 1;
+            }
+            None => {
+                served += usize::from(size == large);
+                link.send(size.bytes(), now);
+                longest = longest.max(link.wait_out(now));
+            }
+        }
+    }
+    assert!(
+        turned_away > 0 && served > 50,
+        "{turned_away} and {served} of 100"
+    );
+    assert!(longest < Duration::from_millis(300), "{longest:?}");
+}
+
+#[test]
+fn a_fast_link_turns_nothing_away() {
+    let mut link = Uplink::new(1_000.0);
+    let mut large = Size::default();
+    large.record(540_000);
+    for n in 0..100 {
+        assert_eq!(
+            link.turns_away(large, Duration::from_millis(300), at(n * 10)),
+            None
+        );
+        link.send(large.bytes(), at(n * 10));
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,6 +25,7 @@
 mod request;
 pub mod seam;
 pub mod settings;
+mod uplink;
 mod watch;
 
 pub use process::{Fault, run, serve};
--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -25,10 +25,15 @@
 /// first packet is repeated only after a second, which is too late.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which an unused connection is trusted if the upstream names none.
-const IDLE_LIMIT: Duration = Duration::from_secs(4);
-/// Share of the idle time named by an upstream that is used, so that its close
-/// doesn't cross a request.
-const IDLE_SHARE: f64 = 0.5;
+const DEFAULT_IDLE: Duration = Duration::from_secs(4);
+/// Longest time for which an unused connection is kept.
+const MAX_IDLE: Duration = Duration::from_secs(8);
+/// Share of the idle time named by an upstream that is used, so that its close doesn't
+/// cross a request.
+const IDLE_SHARE: f64 = 0.8;
+/// Share of what is left for requests that run once: if a close crosses one, whether it
+/// has run isn't known.
+const IDLE_SHARE_ONCE: f64 = 0.6;
 /// Time for which the connections of an upstream aren't reused after one
 /// carried bytes that belong to no request.
 const DISTRUST: Duration = Duration::from_secs(5);
@@ -95,7 +100,9 @@
             return None;
         }
         while let Some(link) = shelf.idle.pop() {
-            if is_cautious && now - link.idle_since > CAUTIOUS_IDLE {
+            let idle = now - link.idle_since;
+            let most = (link.good_until - link.idle_since).mul_f64(IDLE_SHARE_ONCE);
+            if is_cautious && idle > CAUTIOUS_IDLE || repeat == Repeat::Once && idle > most {
                 continue;
             }
             if now < link.good_until && !link.sender.is_closed() && link.sender.is_ready() {
@@ -212,7 +219,7 @@
     match seconds {
         Some(seconds) => Duration::from_secs(u64::from(seconds))
             .mul_f64(IDLE_SHARE)
-            .min(IDLE_LIMIT),
-        None => IDLE_LIMIT,
+            .min(MAX_IDLE),
+        None => DEFAULT_IDLE,
     }
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -11,7 +11,7 @@
 use eelgrassrock_dispatch::directory::{Directory, Route};
 use eelgrassrock_dispatch::place::{self, Place};
 use eelgrassrock_dispatch::service::{Service, Span, Step};
-use eelgrassrock_dispatch::uplink::{self, Size, Uplink};
+use eelgrassrock_dispatch::uplink::{Size, Uplink};
 use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_ranges::edition::{Delta, Edition};
@@ -367,24 +367,6 @@
         ((all as f64 * IDLE_CONNECTIONS_SHARE) as usize / routers).max(1)
     }
 
-    /// Whether messages wait for others on the router's own link.
-    pub(crate) fn is_link_busy(&self) -> bool {
-        self.uplink.borrow().state(clock::now()) == uplink::State::Busy
-    }
-
-    /// Counts that a request of a route is sent, and its answer will come.
-    pub(crate) fn expect_answer(&self, route: &str) {
-        let bytes = self.sizes.borrow().get(route).map_or(0, Size::bytes);
-        self.uplink.borrow_mut().expect(bytes, clock::now());
-    }
-
-    /// Counts an answer that is passed on.
-    pub(crate) fn pass_answer(&self, route: &Arc<str>, bytes: usize) {
-        self.uplink.borrow_mut().send(bytes, clock::now());
-        let mut sizes = self.sizes.borrow_mut();
-        sizes.entry(Arc::clone(route)).or_default().record(bytes);
-    }
-
     /// How long a request may take at an upstream before another is asked, `None` if none
     /// is to be asked: on a busy link a second answer would only make all wait longer.
     pub(crate) fn hedge_delay(&self, service: &str, upstream: &str) -> Option<Duration> {
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
-use eelgrassrock_model::time::Instant;
 use eelgrassrock_telemetry::log::Logger;
 use serde::Serialize;
 use tokio::net::{TcpListener, UdpSocket};
@@ -25,8 +24,6 @@
 
 /// Time between two clean-ups.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
-/// Wait for the VM's own link that gets a line.
-const LONG_LINK_WAIT: Duration = Duration::from_millis(200);
 /// Time that a start waits for the row of this router: some calls to the store.
 const REGISTER_WAIT: Duration = Duration::from_millis(300);
 /// Pause after a failure to write the row of this router.
@@ -85,14 +82,6 @@
     elapsed_ms: u64,
 }
 
-#[derive(Serialize)]
-struct LinkLine {
-    wait_in_ms: u64,
-    wait_out_ms: u64,
-    /// Bytes that have to leave before the next answer does.
-    owed_bytes: u64,
-}
-
 /// Runs a router until the process gets SIGTERM.
 ///
 /// # Errors
@@ -180,7 +169,8 @@
     while node.relay.after(Table::Routers).is_none() {
         node.relay.role.notified().await;
     }
-    if node.relay_to_follow().is_none() {
+    // A store that never came back from a copy shows nothing that is over.
+    if node.era.get() > 0 && node.relay_to_follow().is_none() {
         node.consult().await;
     }
     for table in TABLES.into_iter().filter(|table| *table != Table::Routers) {
@@ -228,7 +218,7 @@
     loop {
         sleep(SWEEP_INTERVAL).await;
         let now = clock::now();
-        note_link(&node, now);
+        node.note_link(now);
         let mut guard = node.state.borrow_mut();
         let state = &mut *guard;
         state
@@ -239,20 +229,6 @@
     }
 }
 
-/// Notes that messages wait long for the VM's own link.
-fn note_link<P: Platform>(node: &Node<P>, now: Instant) {
-    let link = node.uplink.borrow();
-    let (wait_in, wait_out) = (link.wait_in(now), link.wait_out(now));
-    if wait_in.max(wait_out) >= LONG_LINK_WAIT {
-        let line = LinkLine {
-            wait_in_ms: wait_in.as_millis() as u64,
-            wait_out_ms: wait_out.as_millis() as u64,
-            owed_bytes: link.owed_bytes(now),
-        };
-        node.log.note("link full", &line);
-    }
-}
-
 /// Leaves in an orderly way: no new callers, what is open gets its answer, and
 /// duties go to another router first.
 async fn leave<P: Platform>(node: &Rc<Node<P>>) {
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -248,6 +248,14 @@
     if let Some(key) = job.work.key {
         node.duties.record(&job.service, key);
     }
+    let left = job.work.target - job.work.arrived;
+    if let Some(wait) = node.link_turns_away(&job.route.name, left) {
+        return Final {
+            response: refusal(StatusCode::SERVICE_UNAVAILABLE, "link-full", wait),
+            outcome: "link-full",
+            upstream: None,
+        };
+    }
     let work = job.work.clone();
     let mut step = node.with(&job.service, |service, now| service.admit(work, now));
     let mut failed: Option<Final> = None;
