Absurd rates and pauses are bounded; plain names for what is learnt from answers and routers

Cause: read again as a newcomer: a link of rate 0, or a pause of u64::MAX ms from another router, could overflow an instant; an upstream whose sequence is 0 counted as outdated once it had said that it leaves; heed and hearsay are no terms of the field. Measured: uplink.rs with a rate of 0; behaviour else unchanged.

--- a/crates/dispatch/src/uplink.rs
+++ b/crates/dispatch/src/uplink.rs
@@ -21,6 +21,9 @@
 /// Share of the time until its target for which a large answer may find the link busy.
 const MAX_WAIT_SHARE: f64 = 0.15;
 
+/// Longest time that one message is taken to need, whatever the settings say.
+const MAX_TIME: Duration = Duration::from_secs(60);
+
 /// What a link can bear at the moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
@@ -86,7 +89,7 @@
     /// Time that a message of so many bytes takes.
     pub fn time_of(&self, bytes: usize) -> Duration {
         let seconds = (bytes + HEAD_BYTES) as f64 / self.bytes_per_s;
-        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+        Duration::try_from_secs_f64(seconds).map_or(MAX_TIME, |time| time.min(MAX_TIME))
     }
 
     /// Counts a message that goes out.
--- a/crates/dispatch/tests/uplink.rs
+++ b/crates/dispatch/tests/uplink.rs
@@ -15,6 +15,7 @@
 #[rstest]
 #[case::small(SMALL_MBIT_PER_S, 100_000, 80..=81)]
 #[case::large(1_000.0, 100_000, 0..=1)]
+#[case::no_rate(0.0, 100_000, 60_000..=60_000)]
 #[case::head_only(SMALL_MBIT_PER_S, 0, 0..=1)]
 fn a_message_takes_its_bytes_at_the_rate_of_the_link(
     #[case] rate: f64,
--- a/crates/edge/src/book.rs
+++ b/crates/edge/src/book.rs
@@ -77,8 +77,8 @@
         let is_later = |entry: &Entry| (entry.upstream.incarnation, entry.upstream.sequence) > said;
         let departure = self.departures.get(&upstream.id);
         let is_over = departure.is_some_and(|(departure, _)| {
-            let last = departure.dropped_after.unwrap_or(0);
-            departure.incarnation > said.0 || (departure.incarnation == said.0 && last >= said.1)
+            let is_dropped = departure.dropped_after.is_some_and(|last| last >= said.1);
+            departure.incarnation > said.0 || (departure.incarnation == said.0 && is_dropped)
         });
         is_over || self.entries.get(&upstream.id).is_some_and(is_later)
     }
--- a/crates/edge/src/era.rs
+++ b/crates/edge/src/era.rs
@@ -45,20 +45,20 @@
     /// Reads a row of the store.
     pub(crate) async fn read_row(self: &Rc<Self>, name: &Name) -> Result<Option<Row>, Fault> {
         let row = self.platform.row(name).await;
-        self.heed_era(self.platform.era());
+        self.observe_era(self.platform.era());
         row
     }
 
     /// Writes rows of the store.
     pub(crate) async fn write_rows(self: &Rc<Self>, transaction: &Transaction) -> Commit {
         let commit = self.platform.commit(transaction).await;
-        self.heed_era(self.platform.era());
+        self.observe_era(self.platform.era());
         commit
     }
 
     /// Goes on in an era of the store, unless it is known already. The first one that is
     /// seen is that in which this process started.
-    pub(crate) fn heed_era(self: &Rc<Self>, era: u64) {
+    pub(crate) fn observe_era(self: &Rc<Self>, era: u64) {
         let before = self.era.get();
         if era <= before {
             return;
@@ -186,7 +186,7 @@
     }
 
     /// Takes what another router knows, before the store is believed.
-    pub(crate) fn take_hearsay(self: &Rc<Self>, table: Table, rows: &[Row]) {
+    pub(crate) fn merge_remote(self: &Rc<Self>, table: Table, rows: &[Row]) {
         for row in rows {
             match table {
                 Table::Configuration => {
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -159,7 +159,7 @@
         .judge(head, &upstream.id, parts.status, &parts.headers);
     if !matches!(verdict, Verdict::Foreign | Verdict::Replaced) {
         let notice = node.platform.notice(parts.status, &parts.headers);
-        node.heed(upstream, notice);
+        node.apply_notice(upstream, notice);
     }
     match verdict {
         Verdict::Foreign => {
--- a/crates/edge/src/notice.rs
+++ b/crates/edge/src/notice.rs
@@ -22,6 +22,8 @@
 
 /// Shortest pause because of which keys are moved: moving them takes a part of it.
 const MIN_MOVING_PAUSE: Duration = Duration::from_millis(1_000);
+/// Longest pause that is believed of another router's word.
+const MAX_PAUSE: Duration = Duration::from_secs(24 * 60 * 60);
 /// Share of the routers that an upstream must have turned away for its keys to move.
 const MOVING_SHARE: f64 = 0.5;
 
@@ -67,7 +69,7 @@
     fn hear(&self, deferrals: Vec<Deferral>, now: Instant) {
         let mut heard = self.heard.borrow_mut();
         for deferral in deferrals {
-            let until = now + Duration::from_millis(deferral.left_ms);
+            let until = now + Duration::from_millis(deferral.left_ms).min(MAX_PAUSE);
             let routers = heard.entry(deferral.upstream).or_default();
             routers.insert(deferral.router, until);
         }
@@ -106,7 +108,7 @@
 
 impl<P: Platform> Node<P> {
     /// Takes what an upstream said of itself with an answer.
-    pub(crate) fn heed(self: &Rc<Self>, upstream: &Arc<Upstream>, notice: Notice) {
+    pub(crate) fn apply_notice(self: &Rc<Self>, upstream: &Arc<Upstream>, notice: Notice) {
         if notice.is_leaving {
             let change = self.state.borrow_mut().book.leave(upstream, clock::now());
             self.take_departure(&change);
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -389,7 +389,7 @@
         for part in answer.tables {
             if let Some(table) = TABLES.get(usize::from(part.table)) {
                 let rows: Vec<Row> = part.rows.into_iter().map(Row::from).collect();
-                self.take_hearsay(*table, &rows);
+                self.merge_remote(*table, &rows);
             }
         }
     }
@@ -407,7 +407,7 @@
                 rows: part.rows.into_iter().map(Row::from).collect(),
                 version: part.version,
             };
-            self.heed_era(rows.version.era);
+            self.observe_era(rows.version.era);
             if rows.version.era < self.era.get() {
                 // The relay hasn't noticed yet that the store has lost this.
                 continue;
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -120,7 +120,7 @@
 async fn step<P: Platform>(node: &Rc<Node<P>>, table: Table) -> Result<(), Fault> {
     let Some(after) = node.relay.after(table) else {
         let rows = node.platform.rows(table).await;
-        node.heed_era(node.platform.era());
+        node.observe_era(node.platform.era());
         let rows = rows?;
         note_contact(node, table, None);
         take_whole(node, table, &rows);
@@ -132,7 +132,7 @@
         QUIET_WAIT
     };
     let changes = node.platform.changes(table, after, wait).await;
-    node.heed_era(node.platform.era());
+    node.observe_era(node.platform.era());
     match changes? {
         Changes::Forgotten => node.relay.forget(table),
         Changes::Rows(rows) => {
