Refusals don't count as small answers of their route

Cause: found by reading: the mean size of a route's answers took in the router's own refusals of a few bytes, so after some twenty of them in a row a route of large answers counted as one of small ones. Change: only answers that upstreams made are counted as sizes.

--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -216,7 +216,8 @@
 
 async fn run<P: Platform>(node: &Rc<Node<P>>, mut job: Job, version: u64) -> Response<Payload> {
     let done = attempt(node, &mut job).await;
-    node.pass_answer(&job.route.name, done.response.body().known_bytes());
+    let bytes = done.response.body().known_bytes();
+    node.pass_answer(&job.route.name, bytes, done.outcome != "answered");
     let elapsed = clock::now() - job.work.arrived;
     node.metrics
         .request(&job.route.name, &job.service, done.outcome, elapsed);
--- a/crates/edge/src/uplink.rs
+++ b/crates/edge/src/uplink.rs
@@ -41,11 +41,14 @@
         self.uplink.borrow_mut().expect(bytes, clock::now());
     }
 
-    /// Counts an answer that is passed on.
-    pub(crate) fn pass_answer(&self, route: &Arc<str>, bytes: usize) {
+    /// Counts an answer to a caller. Only those that upstreams made say how large the
+    /// answers of a route are.
+    pub(crate) fn pass_answer(&self, route: &Arc<str>, bytes: usize, is_own: bool) {
         self.uplink.borrow_mut().send(bytes, clock::now());
-        let mut sizes = self.sizes.borrow_mut();
-        sizes.entry(Arc::clone(route)).or_default().record(bytes);
+        if !is_own {
+            let mut sizes = self.sizes.borrow_mut();
+            sizes.entry(Arc::clone(route)).or_default().record(bytes);
+        }
     }
 
     /// Writes a line if messages wait long for the link.
