One step into a new era for a keeper; tables of a store without eras aren't decoded twice

Cause: read once more: retake and resume repeated the same four calls; each whole table was decoded once to look for what is outdated and once to be taken, on every start, also from a store that counts no eras and so never came back from a copy. Change: go_on serves both; correct passes rows of era 0 as they are. Left, seen and not mended: rows of a store with eras are still decoded twice when a table is read whole.

--- a/crates/edge/src/duty/retake.rs
+++ b/crates/edge/src/duty/retake.rs
@@ -5,6 +5,7 @@
 
 use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
+use eelgrassrock_ranges::map::Map;
 
 use super::{duty_row, map_row};
 use crate::clock;
@@ -53,18 +54,12 @@
         let Commit::Done(version) = self.write_rows(&transaction).await else {
             return false;
         };
-        let now = clock::now();
         let term = duty.term;
         self.seat(service, |seat| {
-            seat.election.learn(Some((duty, version)), 0, now);
-            if let Some(keeper) = &mut seat.keeper {
-                keeper.enter_era(era, map.clone(), asked, now);
-            }
+            seat.election.learn(Some((duty, version)), 0, clock::now());
         });
         self.note_history(service, era);
-        let before = self.map_version(service);
-        self.learn_map(service, map, version);
-        self.publish_map(service, before);
+        self.go_on(service, map, version, asked);
         self.note_term(service, term, &self.settings.router, "taken again");
         true
     }
@@ -81,14 +76,20 @@
         let Some(Some((map, version))) = self.read_map(service).await else {
             return false;
         };
+        self.go_on(service, map, version, asked);
+        true
+    }
+
+    /// Lets the keeper act in the era of a map that is in the store, and tells the others.
+    /// The store was asked for the duty at `asked`.
+    fn go_on(self: &Rc<Self>, service: &Arc<str>, map: Map, version: Revision, asked: Instant) {
         let now = clock::now();
         self.keeper(service, |keeper| {
-            keeper.enter_era(era, map.clone(), asked, now)
+            keeper.enter_era(version.era, map.clone(), asked, now);
         });
         let before = self.map_version(service);
         self.learn_map(service, map, version);
         self.publish_map(service, before);
-        true
     }
 
     /// Writes that no keeper can act any more which the store has forgotten, once that is
--- a/crates/edge/src/era.rs
+++ b/crates/edge/src/era.rs
@@ -147,8 +147,11 @@
     }
 
     /// Returns the rows of a whole table with what this router knows better than a copy
-    /// from which the store came back.
+    /// from which the store came back. A store that counts no eras never did.
     pub(crate) fn correct(&self, table: Table, rows: &Rows) -> Rows {
+        if rows.version.era == 0 {
+            return rows.clone();
+        }
         let corrected = rows.rows.iter().filter_map(|row| {
             if !self.is_outdated(table, row) {
                 return Some(row.clone());
