Routers log and measure the limits that upstreams name

Callers saw nothing: an upstream in need named a limit to the requests from all routers, and got as many as before. Cause of the gap: no line and no metric says that a router has read a limit, how many requests it sends to such an upstream, or that a limit has ended, so the hypotheses of the incident can't be told apart. Change: the platform adapter decodes the field once, as requests a second; a value that is no such number is logged with what is expected, and left out. Each router remembers the limit of a process of an upstream until a success names none, writes `upstream limit` when it changes, and serves `eelgrassrock_limited_upstreams` and `eelgrassrock_limited_sends`. Nothing decides by it.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod budget;
 pub mod directory;
+pub mod limit;
 mod member;
 pub mod place;
 pub mod service;
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -10,6 +10,7 @@
 mod block;
 mod choice;
 mod deferral;
+mod limit;
 mod queue;
 
 use std::sync::Arc;
@@ -20,6 +21,7 @@
 
 use self::block::{Block, MAX_BLOCK};
 use self::deferral::Deferral;
+use self::limit::Named;
 use crate::budget::{self, Budget};
 use crate::directory::Repeat;
 use crate::member::Member;
@@ -218,6 +220,8 @@
     reported: IndexMap<Arc<str>, Vec<Arc<str>>>,
     /// Upstreams that asked for no requests for a while.
     deferrals: IndexMap<Arc<str>, Deferral>,
+    /// Limits that upstreams have set to the requests from all routers.
+    limits: IndexMap<Arc<str>, Named>,
     /// Time after which a leaving upstream may get no more requests.
     drain: Duration,
 }
@@ -253,6 +257,7 @@
             credit: INITIAL_CREDIT,
             reported: IndexMap::new(),
             deferrals: IndexMap::new(),
+            limits: IndexMap::new(),
             drain: DEFAULT_DRAIN,
         }
     }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -10,6 +10,7 @@
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::time::Instant;
 use http::{HeaderMap, Request, Response, StatusCode, request};
+use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use crate::clock;
@@ -111,11 +112,19 @@
                 Report::Unreachable
             });
         };
-        let left = until - clock::now();
+        let sent_at = clock::now();
+        let left = until - sent_at;
         let sent = timeout(left, link.sender.try_send_request(request)).await;
         match sent {
             Err(_) => return Exchange::None(Report::TimedOut),
-            Ok(Ok(response)) => return receive(node, upstream, link, response, head, until).await,
+            Ok(Ok(response)) => {
+                let answer = Answer {
+                    link,
+                    response,
+                    sent_at,
+                };
+                return receive(node, upstream, answer, head, until).await;
+            }
             Ok(Err(mut error)) => match error.take_message() {
                 // The request is returned only if no byte of it was sent.
                 Some(unsent) if was_pooled => request = unsent,
@@ -146,20 +155,31 @@
     }
 }
 
+/// Answer whose body is still arriving.
+struct Answer {
+    link: Link,
+    response: Response<Incoming>,
+    /// When its request was sent.
+    sent_at: Instant,
+}
+
 async fn receive<P: Platform>(
     node: &Rc<Node<P>>,
     upstream: &Arc<Upstream>,
-    link: Link,
-    response: Response<hyper::body::Incoming>,
+    answer: Answer,
     head: &Head,
     until: Instant,
 ) -> Exchange {
-    let (parts, body) = response.into_parts();
+    let link = answer.link;
+    let (parts, body) = answer.response.into_parts();
     let verdict = node
         .platform
         .classify_answer(head, &upstream.id, parts.status, &parts.headers);
     if !matches!(verdict, Verdict::Foreign | Verdict::Replaced) {
         let notice = node.platform.notice(parts.status, &parts.headers);
+        if notice.limit.is_none() && verdict == Verdict::Own && parts.status.is_success() {
+            node.lift_limit(upstream, answer.sent_at);
+        }
         node.apply_notice(upstream, notice);
     }
     match verdict {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -87,6 +87,8 @@
     sends: Family<Send, Counter>,
     suppressed_lines: Counter,
     deferred: Counter,
+    limited: Family<Service, Gauge>,
+    limited_sends: Family<Service, Counter>,
     restored: Counter,
     store_era: Gauge,
     open: Gauge,
@@ -113,6 +115,8 @@
             sends: Family::default(),
             suppressed_lines: Counter::default(),
             deferred: Counter::default(),
+            limited: Family::default(),
+            limited_sends: Family::default(),
             restored: Counter::default(),
             store_era: Gauge::default(),
             open: Gauge::default(),
@@ -159,6 +163,10 @@
         all.register("store_era", help, self.store_era.clone());
         let help = "Pauses requested by upstreams";
         all.register("deferrals", help, self.deferred.clone());
+        let help = "Upstreams with a limit to the requests from all routers";
+        all.register("limited_upstreams", help, self.limited.clone());
+        let help = "Sends to upstreams with a limit";
+        all.register("limited_sends", help, self.limited_sends.clone());
         all.register(
             "open_requests",
             "Requests that have no answer yet",
@@ -230,6 +238,14 @@
         self.deferred.inc();
     }
 
+    /// Counts a send to an upstream that has set a limit.
+    pub(crate) fn sent_to_limited(&self, service: &Arc<str>) {
+        let labels = Service {
+            service: Arc::clone(service),
+        };
+        self.limited_sends.get_or_create(&labels).inc();
+    }
+
     /// Returns the counter of log lines beyond the rate limit.
     pub(crate) fn suppressed_lines(&self) -> Counter {
         self.suppressed_lines.clone()
@@ -275,6 +291,11 @@
             self.waiting
                 .get_or_create(&labels)
                 .set(service.waiting() as i64);
+            self.limited
+                .get_or_create(&labels)
+                .set(service.limited() as i64);
+            // Shows the counter from the start, so that its rate is known from the first send on.
+            drop(self.limited_sends.get_or_create(&labels));
             self.repeats_left
                 .get_or_create(&labels)
                 .set(service.repeats_left(now));
--- a/crates/edge/src/notice.rs
+++ b/crates/edge/src/notice.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrassrock_dispatch::limit::Limit;
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::time::Instant;
 use indexmap::IndexMap;
@@ -16,7 +17,7 @@
 
 use crate::clock;
 use crate::node::Node;
-use crate::platform::{Notice, Platform};
+use crate::platform::{Notice, Platform, Unreadable};
 use crate::registry::{Change, Departure};
 use crate::watch;
 
@@ -58,6 +59,15 @@
     pause_ms: u64,
 }
 
+#[derive(Serialize)]
+struct LimitLine<'a> {
+    service: &'a str,
+    upstream: &'a str,
+    /// Requests per second from all routers together; none if the limit has ended.
+    limit_per_s: Option<f64>,
+    routers: usize,
+}
+
 #[derive(Serialize)]
 struct InvalidFieldLine<'a> {
     upstream: &'a str,
@@ -121,17 +131,69 @@
         match notice.pause {
             None => {}
             Some(Ok(pause)) => self.defer(upstream, pause),
-            Some(Err(unreadable)) => self.log.request(
-                "field unreadable",
-                &InvalidFieldLine {
-                    upstream: &upstream.id,
-                    field: &unreadable.field,
-                    reason: &unreadable.reason,
-                },
-            ),
+            Some(Err(unreadable)) => self.log_unreadable(upstream, &unreadable),
+        }
+        match notice.limit {
+            None => {}
+            Some(Ok(limit)) => self.limit(upstream, limit),
+            Some(Err(unreadable)) => self.log_unreadable(upstream, &unreadable),
+        }
+    }
+
+    fn log_unreadable(&self, upstream: &Upstream, unreadable: &Unreadable) {
+        let line = InvalidFieldLine {
+            upstream: &upstream.id,
+            field: &unreadable.field,
+            reason: &unreadable.reason,
+        };
+        self.log.request("field unreadable", &line);
+    }
+
+    fn limit(self: &Rc<Self>, upstream: &Arc<Upstream>, limit: Limit) {
+        let has_changed = self.with_service(&upstream.service, |service, now| {
+            service.limit(upstream, limit, now)
+        });
+        if has_changed == Some(true) {
+            self.log_limit(upstream, Some(limit));
+        }
+    }
+
+    /// Records a success without a limit, for a request that was sent at `sent_at`.
+    pub(crate) fn lift_limit(self: &Rc<Self>, upstream: &Arc<Upstream>, sent_at: Instant) {
+        if !self.is_limited(upstream) {
+            return;
+        }
+        let is_lifted = self.with_service(&upstream.service, |service, _| {
+            service.lift_limit(upstream, sent_at)
+        });
+        if is_lifted == Some(true) {
+            self.log_limit(upstream, None);
         }
     }
 
+    /// Counts a send if its upstream has set a limit.
+    pub(crate) fn count_limited_send(&self, upstream: &Upstream) {
+        if self.is_limited(upstream) {
+            self.metrics.sent_to_limited(&upstream.service);
+        }
+    }
+
+    fn is_limited(&self, upstream: &Upstream) -> bool {
+        let state = self.state.borrow();
+        let service = state.services.get(&upstream.service);
+        service.is_some_and(|service| service.limit_of(upstream).is_some())
+    }
+
+    fn log_limit(&self, upstream: &Upstream, limit: Option<Limit>) {
+        let line = LimitLine {
+            service: &upstream.service,
+            upstream: &upstream.id,
+            limit_per_s: limit.map(Limit::as_per_s),
+            routers: self.state.borrow().routers.len(),
+        };
+        self.log.request("upstream limit", &line);
+    }
+
     fn defer(self: &Rc<Self>, upstream: &Arc<Upstream>, pause: Duration) {
         let line = PauseLine {
             service: &upstream.service,
--- a/crates/edge/src/platform.rs
+++ b/crates/edge/src/platform.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use derive_more::Display;
 use eelgrassrock_dispatch::directory::Directory;
+use eelgrassrock_dispatch::limit::Limit;
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::Revision;
 use eelgrassrock_ranges::leader::{Order, Outcome};
@@ -135,13 +136,16 @@
 }
 
 /// Notice of an upstream about its own state, attached to an answer.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Notice {
     /// Whether the upstream is about to leave.
     pub is_leaving: bool,
     /// Time for which the upstream wants no requests from this router, or why the field can't be
     /// decoded.
     pub pause: Option<Result<Duration, Unreadable>>,
+    /// Requests that the upstream takes from all routers together, or why the field can't be
+    /// decoded.
+    pub limit: Option<Result<Limit, Unreadable>>,
 }
 
 /// Error for a row or field that can't be decoded.
--- a/crates/edge/src/request/race.rs
+++ b/crates/edge/src/request/race.rs
@@ -153,6 +153,7 @@
         started: Instant,
     ) -> Self {
         node.counts_changed.notify_one();
+        node.count_limited_send(upstream);
         Self {
             node: Rc::clone(node),
             service: Arc::clone(service),
--- a/crates/edge/tests/control.rs
+++ b/crates/edge/tests/control.rs
@@ -8,7 +8,7 @@
 use eelgrassrock_edge::platform::Table;
 use support::platform::{Store, route};
 use support::upstream::{Behaviour, Server};
-use support::{GRACE, Router, eventually, get, send, serving};
+use support::{GRACE, Router, eventually, get, sample, send, serving};
 
 const HOST: &str = "sheets.example";
 
@@ -447,16 +447,6 @@
     assert!(!router.is_running());
 }
 
-/// Reads one sample from the metrics page.
-async fn sample(router: &Router, name: &str) -> Option<f64> {
-    let page = send(router.settings.metrics, get("/metrics", "x", "m", 500))
-        .await
-        .unwrap();
-    let page = String::from_utf8(page.into_body().to_vec()).unwrap();
-    let value = page.lines().find_map(|line| line.strip_prefix(name))?;
-    Some(value.trim().parse().unwrap())
-}
-
 #[tokio::test]
 async fn the_metrics_page_shows_the_age_of_the_inputs() {
     let (store, _server) = serving("/read/").await;
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -234,6 +234,16 @@
     ))
 }
 
+/// Reads one sample from the metrics page.
+pub(crate) async fn sample(router: &Router, name: &str) -> Option<f64> {
+    let page = send(router.settings.metrics, get("/metrics", "x", "m", 500))
+        .await
+        .unwrap();
+    let page = String::from_utf8(page.into_body().to_vec()).unwrap();
+    let value = page.lines().find_map(|line| line.strip_prefix(name))?;
+    Some(value.trim().parse().unwrap())
+}
+
 /// Connects to an address, and retries for up to 2 s while nothing listens there.
 async fn connect(address: SocketAddr) -> TcpStream {
     let give_up = Instant::now() + Duration::from_secs(2);
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use eelgrassrock_dispatch::directory::{Directory, Keyed, Limits, Part, Repeat, Route, Service};
+use eelgrassrock_dispatch::limit::Limit;
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_edge::platform::{
     Changes, Commit, Head, Name, Notice, Platform, Row, Rows, Table, Transaction, Unreadable,
@@ -521,9 +522,15 @@
             let pause = text.parse().map(Duration::from_millis);
             Some(pause.map_err(|_| unreadable(&format!("is {text}, expected ms"))))
         });
+        let limit = headers.get("x-limit").map(|value| {
+            let number = value.to_str().ok().and_then(|text| text.parse().ok());
+            let limit = number.and_then(Limit::per_s);
+            limit.ok_or_else(|| unreadable(&format!("is {value:?}, expected requests per second")))
+        });
         Notice {
             is_leaving: headers.contains_key("x-leaving"),
             pause: pause.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE),
+            limit,
         }
     }
 
--- a/crates/edge/tests/support/upstream.rs
+++ b/crates/edge/tests/support/upstream.rs
@@ -62,6 +62,8 @@
     connections: usize,
     /// Whether each answer announces that the upstream is leaving.
     is_leaving: bool,
+    /// Limit that each answer names, in requests per second.
+    limit: Option<String>,
     /// Arrival times of all requests, also of those that were not run.
     arrivals: Vec<Instant>,
 }
@@ -129,6 +131,11 @@
         self.state.lock().unwrap().is_leaving = true;
     }
 
+    /// Names a limit from now on with each answer, or none.
+    pub(crate) fn limit(&self, per_s: Option<&str>) {
+        self.state.lock().unwrap().limit = per_s.map(str::to_owned);
+    }
+
     /// Counts the requests that have arrived since an instant, also those that were not run.
     pub(crate) fn arrivals_since(&self, since: Instant) -> usize {
         self.arrivals_between(since, Instant::now())
@@ -248,12 +255,15 @@
         self.state.lock().unwrap().arrivals.push(Instant::now());
         let answer = |status: u16, id: &str| {
             let builder = Response::builder().status(status).header("x-id", id);
-            let builder = builder.header("x-from", &self.id);
-            if self.state.lock().unwrap().is_leaving {
-                builder.header("x-leaving", "1")
-            } else {
-                builder
+            let mut builder = builder.header("x-from", &self.id);
+            let state = self.state.lock().unwrap();
+            if let Some(limit) = &state.limit {
+                builder = builder.header("x-limit", limit);
+            }
+            if state.is_leaving {
+                builder = builder.header("x-leaving", "1");
             }
+            builder
         };
         let is_keyed = self.state.lock().unwrap().is_keyed;
         if is_keyed && !key.is_some_and(|key| self.holds(key)) {
