Failing test: routers together send an upstream more requests than its limit

Callers saw nothing; the upstream in need is not relieved. Evidence: four routers, three upstreams on loopback, one of which names a limit of 2 requests a second. Counted at the upstream: 48 in 4 s if any upstream serves any request, 64 if upstreams hold keys; 17 allowed (one and a half times the limit, and 5).

--- a/crates/edge/tests/support/upstream.rs
+++ b/crates/edge/tests/support/upstream.rs
@@ -147,6 +147,13 @@
         state.arrivals.iter().filter(between).count()
     }
 
+    /// Returns the arrival times of the requests since an instant, also of those that were not run.
+    pub(crate) fn arrivals_after(&self, since: Instant) -> Vec<Instant> {
+        let state = self.state.lock().unwrap();
+        let arrivals = state.arrivals.iter().filter(|at| **at >= since);
+        arrivals.copied().collect()
+    }
+
     /// Appends behaviours, one for each of the next requests. Later requests are answered at once.
     pub(crate) fn enqueue(&self, behaviours: &[Behaviour]) {
         self.state.lock().unwrap().behaviours.extend(behaviours);
