Routers together keep to the limit that an upstream in need has set

Cause: a bound on what all routers together do was neither read nor divided among them. No router sends an upstream as much as its limit by itself, and the leader left the keys where they were, so requests for them had nowhere else to go. Change: each router keeps to an equal part of the limit, which it works out from the number of routers alone; requests beyond it go to other upstreams, wait, or are refused at once with the time until they fit. Routers report the limits to the leader, which assigns such an upstream keys for half of its limit at most.

--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -6,6 +6,7 @@
 use eelgrassrock_model::time::Instant;
 use indexmap::IndexMap;
 
+use crate::limit::Allowance;
 use crate::service::{HealthChange, Report};
 use crate::service_time::ServiceTime;
 use crate::upstream::Upstream;
@@ -68,6 +69,8 @@
     full_pause: Duration,
     /// Time until which it asked for no requests.
     deferred_until: Instant,
+    /// This router's part of the limit that it has set to the requests from all routers.
+    pub(crate) allowance: Option<Allowance>,
 }
 
 impl Member {
@@ -89,6 +92,7 @@
             full_until: now,
             full_pause: MIN_FULL_PAUSE,
             deferred_until: now,
+            allowance: None,
         }
     }
 
@@ -117,6 +121,13 @@
         self.deferred_until - now
     }
 
+    /// Returns the time until its deferral has ended and its limit allows a request.
+    pub(crate) fn unavailable_for(&self, now: Instant) -> Duration {
+        let allowance = self.allowance.as_ref();
+        let delay = allowance.map_or(Duration::ZERO, |allowance| allowance.delay(now));
+        self.deferral(now).max(delay)
+    }
+
     pub(crate) fn service_time_ms(&self) -> f64 {
         self.service_time.mean_ms()
     }
@@ -183,6 +194,13 @@
         if self.is_paused(now) || now < self.full_until || now < self.deferred_until {
             return false;
         }
+        if self
+            .allowance
+            .as_ref()
+            .is_some_and(|allowance| !allowance.is_ready(now))
+        {
+            return false;
+        }
         if self.failures_in_row >= FAILURES_TO_PAUSE && self.in_flight() > 0 {
             return false;
         }
@@ -219,6 +237,9 @@
 
     pub(crate) fn begin(&mut self, now: Instant) {
         self.starts.push(now);
+        if let Some(allowance) = &mut self.allowance {
+            allowance.take(now);
+        }
     }
 
     /// Records that an answer broke off or never ended. An endless answer pauses the upstream,
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -12,6 +12,7 @@
 mod deferral;
 mod limit;
 mod queue;
+mod unavailable;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -164,6 +165,8 @@
     Budget,
     /// The upstreams that could take it asked for no requests for a while.
     Deferred,
+    /// The upstreams that could take it have set a limit, and this router has used its part.
+    Limited,
 }
 
 impl Reason {
@@ -177,6 +180,7 @@
             Self::Attempts => "attempts",
             Self::Budget => "budget",
             Self::Deferred => "deferred",
+            Self::Limited => "limited",
         }
     }
 }
@@ -207,6 +211,8 @@
     queue: Vec<Request>,
     budget: Budget,
     routers: usize,
+    /// Position of this router among all routers.
+    rank: usize,
     answers: Vec<Instant>,
     blocks: Vec<Block>,
     health_changes: Vec<HealthChange>,
@@ -250,6 +256,7 @@
             queue: Vec::new(),
             budget: Budget::new(limits),
             routers: 1,
+            rank: 0,
             answers: Vec::new(),
             blocks: Vec::new(),
             health_changes: Vec::new(),
@@ -291,6 +298,7 @@
                 if let Some(until) = self.deferred_until(&upstream) {
                     member.defer(until);
                 }
+                member.allowance = self.allowance(&upstream, now);
                 member
             });
             member.update(upstream, now);
@@ -316,9 +324,16 @@
         self.budget.remaining(now, self.routers)
     }
 
-    /// Sets how many routers share the budget.
-    pub fn set_routers(&mut self, routers: usize) {
+    /// Sets how many routers share the budget and the limits of upstreams, and the position of this
+    /// one among them.
+    pub fn set_routers(&mut self, routers: usize, rank: usize, now: Instant) {
         self.routers = routers.max(1);
+        self.rank = rank;
+        for member in self.members.values_mut() {
+            if let Some(allowance) = &mut member.allowance {
+                allowance.update(allowance.limit(), self.routers, now);
+            }
+        }
     }
 
     /// Records the requests that another router has under way. Upstreams that `counts` doesn't name
@@ -469,6 +484,9 @@
     pub fn sweep(&mut self, now: Instant) {
         self.answers.retain(|at| now - *at < RATE_WINDOW);
         self.deferrals.retain(|_, deferral| now < deferral.until);
+        let members = &self.members;
+        self.limits
+            .retain(|id, named| members.contains_key(id) || !named.is_outdated(now));
         self.members
             .values_mut()
             .for_each(|member| member.sweep(now));
--- a/crates/dispatch/src/service/limit.rs
+++ b/crates/dispatch/src/service/limit.rs
@@ -1,13 +1,18 @@
 //! Upstreams that have set a limit to the requests from all routers together.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use eelgrassrock_model::time::Instant;
 
 use super::Service;
-use crate::limit::Limit;
+use crate::limit::{self, Allowance, Limit};
 use crate::upstream::Upstream;
 
+/// Time after which the limit of an upstream that is no longer listed is dropped. It is longer than
+/// outages in which the entries of running upstreams are missing.
+const UNLISTED_TIME: Duration = Duration::from_secs(600);
+
 /// Limit that one process of an upstream has set.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Named {
@@ -17,6 +22,12 @@
     at: Instant,
 }
 
+impl Named {
+    pub(super) fn is_outdated(&self, now: Instant) -> bool {
+        now - self.at >= UNLISTED_TIME
+    }
+}
+
 impl Service {
     /// Records the limit that an answer names. Returns whether the limit has changed.
     pub fn limit(&mut self, upstream: &Upstream, limit: Limit, now: Instant) -> bool {
@@ -26,9 +37,19 @@
             at: now,
         };
         let before = self.limits.insert(Arc::clone(&upstream.id), named);
-        before.is_none_or(|before| {
+        let has_changed = before.is_none_or(|before| {
             before.incarnation != upstream.incarnation || before.limit != limit
-        })
+        });
+        let new = self.allowance(upstream, now);
+        if let Some(member) = self.members.get_mut(&upstream.id)
+            && member.upstream.incarnation == upstream.incarnation
+        {
+            match &mut member.allowance {
+                Some(allowance) => allowance.update(limit, self.routers, now),
+                allowance @ None => *allowance = new,
+            }
+        }
+        has_changed
     }
 
     /// Records a success of an upstream that names no limit, for a request that was sent at
@@ -41,6 +62,9 @@
             .is_some_and(|named| named.incarnation != upstream.incarnation || named.at < sent_at);
         if is_lifted {
             self.limits.swap_remove(&upstream.id);
+            if let Some(member) = self.members.get_mut(&upstream.id) {
+                member.allowance = None;
+            }
         }
         is_lifted
     }
@@ -51,11 +75,21 @@
         (named.incarnation == upstream.incarnation).then_some(named.limit)
     }
 
-    /// Returns the number of upstreams with a limit.
-    pub fn limited(&self) -> usize {
+    /// Returns the upstreams that have set a limit and are listed, with the limit and the time since
+    /// an answer named it last.
+    pub fn limits(&self, now: Instant) -> impl Iterator<Item = (&Arc<Upstream>, Limit, Duration)> {
         let members = self.members.values();
-        members
-            .filter(|member| self.limit_of(&member.upstream).is_some())
-            .count()
+        members.filter_map(move |member| {
+            let named = self.limits.get(&member.upstream.id)?;
+            let is_same = named.incarnation == member.upstream.incarnation;
+            is_same.then(|| (&member.upstream, named.limit, now - named.at))
+        })
+    }
+
+    /// Returns this router's part of the limit of an upstream, if none of it was used yet.
+    pub(super) fn allowance(&self, upstream: &Upstream, now: Instant) -> Option<Allowance> {
+        let limit = self.limit_of(upstream)?;
+        let phase = limit::phase(self.rank, self.routers, &upstream.id);
+        Some(Allowance::new(limit, self.routers, phase, now))
     }
 }
--- a/crates/dispatch/src/service/queue.rs
+++ b/crates/dispatch/src/service/queue.rs
@@ -65,8 +65,8 @@
                     let refusal = self.refuse(Reason::NoHolder, &request, now);
                     done.push((request.ticket, refusal));
                 }
-                Choice::Full if self.is_deferred_too_long(&request, now) => {
-                    let refusal = self.refuse(Reason::Deferred, &request, now);
+                Choice::Full if self.is_unavailable_too_long(&request, now) => {
+                    let refusal = self.refuse_unavailable(&request, now);
                     done.push((request.ticket, refusal));
                 }
                 _ if self.cannot_meet_deadline(&request, now) => {
@@ -92,18 +92,15 @@
     pub(super) fn dispatch(&mut self, request: Request, now: Instant) -> Step {
         match self.choose(&request, now) {
             Choice::Take(upstream) => self.begin(upstream, request.key, now),
-            Choice::NoUpstream if self.deferral_for(&request, now).is_zero() => {
-                self.refuse(Reason::NoUpstream, &request, now)
-            }
-            Choice::NoUpstream => self.refuse(Reason::Deferred, &request, now),
+            Choice::NoUpstream => self.refuse_unavailable(&request, now),
             Choice::NoHolder
                 if self.can_wait(&request, now) && !Self::has_waited_for_holder(&request, now) =>
             {
                 self.enqueue(request)
             }
             Choice::NoHolder => self.refuse(Reason::NoHolder, &request, now),
-            Choice::Full if self.is_deferred_too_long(&request, now) => {
-                self.refuse(Reason::Deferred, &request, now)
+            Choice::Full if self.is_unavailable_too_long(&request, now) => {
+                self.refuse_unavailable(&request, now)
             }
             Choice::Full if self.can_wait(&request, now) => self.enqueue(request),
             Choice::Full => self.refuse(Reason::Busy, &request, now),
@@ -148,10 +145,7 @@
     /// Returns the expected time until a request behind the present queue is sent.
     pub(super) fn wait(&self, request: &Request, now: Instant) -> Duration {
         let holder = self.holder(request.key);
-        let same_queue = |other: &&Request| {
-            other.priority <= request.priority && self.holder(other.key) == holder
-        };
-        let ahead = self.queue.iter().filter(same_queue).count() + 1;
+        let ahead = self.ahead(request) + 1;
         let rate = match holder.and_then(|id| self.members.get(id)) {
             Some(member) => {
                 let share =
@@ -164,6 +158,15 @@
         Duration::from_secs_f64((ahead as f64 / rate.max(0.1)).min(60.0))
     }
 
+    /// Returns the number of requests that wait ahead of another one.
+    pub(super) fn ahead(&self, request: &Request) -> usize {
+        let holder = self.holder(request.key);
+        let same_queue = |other: &&Request| {
+            other.priority <= request.priority && self.holder(other.key) == holder
+        };
+        self.queue.iter().filter(same_queue).count()
+    }
+
     /// Returns the recent answers per second, at least the rate of one slot.
     pub(super) fn answer_rate(&self, now: Instant) -> f64 {
         let recent = self
@@ -185,12 +188,24 @@
         service_times.iter().sum::<f64>() / service_times.len() as f64
     }
 
+    /// Refuses a request because no upstream accepts it.
+    fn refuse_unavailable(&mut self, request: &Request, now: Instant) -> Step {
+        let unavailable = self.unavailable(request, now);
+        let reason = unavailable.map_or(Reason::NoUpstream, |unavailable| unavailable.reason);
+        self.refuse(reason, request, now)
+    }
+
     pub(super) fn refuse(&mut self, reason: Reason, request: &Request, now: Instant) -> Step {
         let wait = match reason {
             Reason::NoHolder | Reason::NoUpstream => NO_HOLDER_RETRY_AFTER,
             Reason::Overload => OVERLOAD_RETRY_AFTER,
             Reason::Busy | Reason::Attempts | Reason::Budget => self.wait(request, now),
-            Reason::Deferred => self.deferral_for(request, now),
+            Reason::Deferred => self.unavailable_for(request, now),
+            // The keys of an upstream in need move to others.
+            Reason::Limited if self.spans.is_some() => {
+                self.unavailable_for(request, now).min(OVERLOAD_RETRY_AFTER)
+            }
+            Reason::Limited => self.unavailable_for(request, now),
         };
         // Spreads the retries of callers that are refused together.
         let spread = wait.mul_f64(f64::from((request.ticket % 8) as u32) / 16.0);
--- a/crates/edge/src/leadership/lead.rs
+++ b/crates/edge/src/leadership/lead.rs
@@ -20,6 +20,7 @@
 };
 use crate::clock;
 use crate::node::Node;
+use crate::notice::NamedLimit;
 use crate::platform::{Commit, Platform, Transaction};
 
 #[derive(Serialize)]
@@ -75,7 +76,9 @@
     }
 
     pub(super) fn upstreams(&self, service: &Arc<str>) -> Vec<leader::Upstream> {
+        let limits = self.named_limits();
         let upstream = |upstream: Arc<Upstream>| leader::Upstream {
+            limit_per_s: NamedLimit::newest(&limits, &upstream),
             instance: Instance {
                 upstream: Arc::clone(&upstream.id),
                 incarnation: upstream.incarnation,
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -27,7 +27,7 @@
 use crate::link::Links;
 use crate::log::Log;
 use crate::metrics::Metrics;
-use crate::notice::Pauses;
+use crate::notice::{Limits, Pauses};
 use crate::payload::Memory;
 use crate::peer::Peers;
 use crate::platform::{Platform, Table};
@@ -84,6 +84,7 @@
     pub(crate) relay: Relay,
     pub(crate) peers: Peers,
     pub(crate) pauses: Pauses,
+    pub(crate) limits: Limits,
     pub(crate) memory: Memory,
     pub(crate) uplink: RefCell<Uplink>,
     /// Mean size of the answers to each route.
@@ -139,6 +140,14 @@
         }
     }
 
+    /// Returns the number of routers, and the position of `own` among them by name. Its own row may
+    /// not have been read yet.
+    fn count_routers(&self, own: &Arc<str>) -> (usize, usize) {
+        let is_listed = self.routers.contains_key(own);
+        let rank = self.routers.keys().filter(|name| *name < own).count();
+        (self.routers.len() + usize::from(!is_listed), rank)
+    }
+
     /// Returns the router with this IP address.
     pub(crate) fn router_from(&self, address: IpAddr) -> Option<&Router> {
         let mut routers = self.routers.values();
@@ -186,6 +195,7 @@
             relay: Relay::default(),
             peers,
             pauses: Pauses::default(),
+            limits: Limits::default(),
             memory,
             uplink,
             sizes: RefCell::default(),
@@ -322,6 +332,7 @@
             state
                 .services
                 .retain(|name, _| directory.services.contains_key(name));
+            let (routers, rank) = state.count_routers(&self.settings.router);
             for (name, declared) in &directory.services {
                 let data_centre = &self.settings.data_centre;
                 let service = state.services.entry(Arc::clone(name)).or_insert_with(|| {
@@ -330,7 +341,7 @@
                 service.set_place(place);
                 service.set_drain(self.settings.drain);
                 service.set_upstreams(state.registry.of_service(name), now);
-                service.set_routers(state.routers.len());
+                service.set_routers(routers, rank, now);
                 let map = state.maps.get(name).map(VersionedMap::map);
                 service.set_spans(declared.keyed.map(|_| map.map(spans).unwrap_or_default()));
             }
--- a/crates/edge/src/notice.rs
+++ b/crates/edge/src/notice.rs
@@ -25,14 +25,18 @@
 const MIN_MOVING_PAUSE: Duration = Duration::from_millis(1_000);
 /// Maximum pause accepted from another router.
 const MAX_PAUSE: Duration = Duration::from_secs(24 * 60 * 60);
+/// Time after which a limit that no answer has named again no longer decides how many keys an
+/// upstream is assigned.
+const LIMIT_AGE: Duration = Duration::from_secs(10);
 /// Share of the routers that an upstream must have paused for its keys to be moved.
 const MOVING_SHARE: f64 = 0.5;
 
 /// Notices that one router passes to another.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Notices {
     pub(crate) departures: Vec<Departure>,
     pub(crate) deferrals: Vec<Deferral>,
+    pub(crate) limits: Vec<NamedLimit>,
 }
 
 /// Pause that an upstream requested from a router.
@@ -43,6 +47,61 @@
     left_ms: u64,
 }
 
+/// Limit that an upstream set, as one router saw it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct NamedLimit {
+    upstream: Arc<str>,
+    incarnation: u64,
+    limit_per_s: f64,
+    /// Time since an answer named the limit last.
+    age_ms: u64,
+}
+
+/// Limits that upstreams set in answers to other routers: the one that was named last, by upstream.
+#[derive(Debug, Default)]
+pub(crate) struct Limits {
+    by_upstream: RefCell<IndexMap<Arc<str>, (NamedLimit, Instant)>>,
+}
+
+impl NamedLimit {
+    /// Returns the limit of an upstream that was named last, in requests per second.
+    pub(crate) fn newest(limits: &[Self], upstream: &Upstream) -> Option<f64> {
+        let is_of = |limit: &&Self| {
+            limit.upstream == upstream.id && limit.incarnation == upstream.incarnation
+        };
+        let newest = limits.iter().filter(is_of).min_by_key(|limit| limit.age_ms);
+        newest.map(|limit| limit.limit_per_s)
+    }
+}
+
+impl Limits {
+    fn record(&self, limits: Vec<NamedLimit>, now: Instant) {
+        let mut by_upstream = self.by_upstream.borrow_mut();
+        for limit in limits {
+            let at = Instant::from_micros(
+                now.as_micros()
+                    .saturating_sub(limit.age_ms.saturating_mul(1_000)),
+            );
+            let newest = by_upstream.get(&limit.upstream);
+            if newest.is_none_or(|(_, newest_at)| *newest_at < at) {
+                by_upstream.insert(Arc::clone(&limit.upstream), (limit, at));
+            }
+        }
+        by_upstream.retain(|_, (_, at)| now - *at < LIMIT_AGE);
+    }
+
+    fn all(&self, now: Instant) -> Vec<NamedLimit> {
+        let by_upstream = self.by_upstream.borrow();
+        let limits = by_upstream.values().map(|(limit, at)| NamedLimit {
+            age_ms: (now - *at).as_millis() as u64,
+            ..limit.clone()
+        });
+        limits
+            .filter(|limit| u128::from(limit.age_ms) < LIMIT_AGE.as_millis())
+            .collect()
+    }
+}
+
 /// Ends of the pauses that one upstream requested, by router.
 type Ends = IndexMap<Arc<str>, Instant>;
 
@@ -211,6 +270,7 @@
         let now = clock::now();
         self.merge_departures(notices.departures);
         self.pauses.record(notices.deferrals, now);
+        self.limits.record(notices.limits, now);
     }
 
     /// Merges ends of incarnations that another router knows.
@@ -244,8 +304,19 @@
             upstream: Arc::clone(upstream),
             left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         };
+        let limit = |(upstream, limit, age): (&Arc<Upstream>, Limit, Duration)| NamedLimit {
+            upstream: Arc::clone(&upstream.id),
+            incarnation: upstream.incarnation,
+            limit_per_s: limit.as_per_s(),
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        };
         let services = state.services.values();
+        let limits = services.clone().flat_map(|service| service.limits(now));
         Notices {
+            limits: limits
+                .filter(|(_, _, age)| *age < LIMIT_AGE)
+                .map(limit)
+                .collect(),
             departures: state.registry.recently_leaving(now),
             deferrals: services
                 .flat_map(|service| service.deferrals(now).map(deferral))
@@ -256,7 +327,9 @@
     /// Returns the notices that a relay sends to the leader, including those of its followers.
     pub(crate) fn relayed_notices(&self) -> Notices {
         let mut notices = self.own_notices();
-        notices.deferrals.extend(self.pauses.all(clock::now()));
+        let now = clock::now();
+        notices.deferrals.extend(self.pauses.all(now));
+        notices.limits.extend(self.limits.all(now));
         notices
     }
 
@@ -285,4 +358,9 @@
         let routers = state.routers.len().max(1);
         (others + usize::from(own)) as f64 >= MOVING_SHARE * routers as f64
     }
+
+    /// Returns the limits that answers to any router have named lately.
+    pub(crate) fn named_limits(&self) -> Vec<NamedLimit> {
+        self.relayed_notices().limits
+    }
 }
--- a/crates/ranges/src/leader.rs
+++ b/crates/ranges/src/leader.rs
@@ -93,7 +93,7 @@
 }
 
 /// Upstream of the service, as the registry lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Upstream {
     /// Its running instance.
     pub instance: Instance,
@@ -101,6 +101,8 @@
     pub slots: u32,
     /// Whether it is about to leave.
     pub leaving: bool,
+    /// Requests per second that it takes from all routers together, if it has set a limit.
+    pub limit_per_s: Option<f64>,
 }
 
 /// Call that a leader wants its caller to make.
--- a/crates/ranges/src/leader/planning.rs
+++ b/crates/ranges/src/leader/planning.rs
@@ -28,6 +28,9 @@
 /// shares.
 const MIN_SHARE: f64 = 0.2;
 const SHARE_STEP: f64 = 0.05;
+/// Share of its limit for which an upstream in need is assigned keys. Each router keeps to its own
+/// part of the limit, and the parts suffice for uneven traffic only if there is room in them.
+const PLANNED_LIMIT_SHARE: f64 = 0.5;
 /// Time between two plans.
 const PLAN_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -40,7 +43,7 @@
         let listed = self.upstreams.len();
         let unresponsive = self.unresponsive(now);
         let typical = self.service_times.typical_ms();
-        let usable: Vec<Candidate> = self
+        let mut usable: Vec<Candidate> = self
             .upstreams
             .values()
             .filter(|upstream| !unresponsive.contains(&upstream.instance))
@@ -57,6 +60,7 @@
         let demand = demand(&self.map, &load);
         self.shares = shares(&demand, &load, &usable);
         self.busy = busy(&demand, &usable);
+        self.apply_limits(&mut usable);
         let map = &self.map;
         let fences: HashSet<u64> = map.ranges.iter().map(|range| range.fence).collect();
         self.granted_at.retain(|fence, _| fences.contains(fence));
@@ -86,6 +90,17 @@
         plan::rebalance(&self.map, &load, &usable, is_fixed, moves)
     }
 
+    /// Lowers the capacity of upstreams that have set a limit.
+    fn apply_limits(&self, candidates: &mut [Candidate]) {
+        for candidate in candidates {
+            let upstream = self.upstreams.get(&candidate.instance.upstream);
+            if let Some(limit_per_s) = upstream.and_then(|upstream| upstream.limit_per_s) {
+                let planned_per_s = PLANNED_LIMIT_SHARE * limit_per_s;
+                candidate.capacity_per_s = candidate.capacity_per_s.min(planned_per_s);
+            }
+        }
+    }
+
     /// Returns the map in which every range has a fencing token of this leader, unless all have one
     /// already. This is due after a change of leadership.
     pub(super) fn replace_inherited_fences(&self) -> Option<Map> {
--- a/crates/ranges/tests/hot.rs
+++ b/crates/ranges/tests/hot.rs
@@ -1,5 +1,5 @@
-//! Runs of hot keys on hundreds of upstreams are spread quickly enough for their requests to be
-//! served.
+//! Runs of hot keys on hundreds of upstreams, and the keys of upstreams that have set a limit, are
+//! spread quickly enough for their requests to be served.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -30,6 +30,7 @@
 }
 
 struct World {
+    upstreams: u32,
     random: ChaCha8Rng,
     leader: Leader,
     now: u64,
@@ -41,30 +42,41 @@
     Instant::from_millis(1_000 + ms)
 }
 
+fn name(upstream: u32) -> Arc<str> {
+    format!("i-{:08x}", upstream.wrapping_mul(2_654_435_761)).into()
+}
+
 impl World {
-    fn new(seed: u64) -> Self {
+    fn new(upstreams: u32, seed: u64) -> Self {
         let settings = Settings {
             hold: Duration::from_secs(3),
             authority: Duration::from_secs(600),
             response_timeout: Duration::from_millis(1_200),
         };
-        let mut leader = Leader::first(settings, 0, at(0), at(0));
-        let upstreams = (0..UPSTREAMS).map(|n| Upstream {
+        let mut world = Self {
+            upstreams,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            leader: Leader::first(settings, 0, at(0), at(0)),
+            now: 0,
+            events: BTreeMap::new(),
+            next: 0,
+        };
+        world.limit(0, 0.0);
+        world
+    }
+
+    /// Lists the upstreams, of which the first `count` have set a limit.
+    fn limit(&mut self, count: u32, limit_per_s: f64) {
+        let upstreams = (0..self.upstreams).map(|n| Upstream {
             instance: Instance {
-                upstream: format!("i-{:08x}", n.wrapping_mul(2_654_435_761)).into(),
+                upstream: name(n),
                 incarnation: 1,
             },
             slots: SLOTS,
             leaving: false,
+            limit_per_s: (n < count).then_some(limit_per_s),
         });
-        leader.set_upstreams(upstreams.collect());
-        Self {
-            random: ChaCha8Rng::seed_from_u64(seed),
-            leader,
-            now: 0,
-            events: BTreeMap::new(),
-            next: 0,
-        }
+        self.leader.set_upstreams(upstreams.collect());
     }
 
     fn push(&mut self, after_ms: u64, event: Event) {
@@ -116,8 +128,8 @@
     }
 }
 
-/// Share of the requests that their holders have the capacity to serve in `ms`.
-fn servable(map: &Map, keys: &[u16], ms: u64) -> f64 {
+/// Returns the requests for each holder.
+fn demand<'a>(map: &'a Map, keys: &[u16]) -> HashMap<&'a Arc<str>, f64> {
     let mut demand: HashMap<&Arc<str>, f64> = HashMap::new();
     for key in keys {
         let range = map.range(*key);
@@ -125,17 +137,26 @@
             *demand.entry(&holder.upstream).or_default() += 1.0;
         }
     }
+    demand
+}
+
+/// Share of the requests that their holders have the capacity to serve in `ms`.
+fn servable(map: &Map, keys: &[u16], ms: u64) -> f64 {
+    let demand = demand(map, keys);
     let room = f64::from(SLOTS) * ms as f64 / WORK_MS;
     let served: f64 = demand.values().map(|demand| demand.min(room + 1.0)).sum();
     served / keys.len().max(1) as f64
 }
 
-/// Simulates a run of hot keys, and returns the servable share in each half second of it.
-fn play(traffic: &Traffic, seed: u64) -> Vec<f64> {
-    let mut world = World::new(seed);
+/// Plays traffic, and calls `observe` with the requests of each half second.
+fn play(
+    world: &mut World,
+    traffic: &Traffic,
+    seed: u64,
+    mut observe: impl FnMut(&mut World, &[u16]),
+) {
     let mut traffic_random = ChaCha8Rng::seed_from_u64(seed + 1);
     let (mut reported, mut recent) = (Vec::new(), Vec::new());
-    let mut shares = Vec::new();
     while world.now < END_MS {
         let is_hot = world.now >= HOT_FROM_MS;
         let due = traffic.per_s * STEP_MS as f64 / 1e3;
@@ -148,20 +169,16 @@
         world.step();
         if world.now.is_multiple_of(REPORT_MS) {
             world.leader.record(reported.drain(..));
-            for upstream in 0..UPSTREAMS {
-                let name = format!("i-{:08x}", upstream.wrapping_mul(2_654_435_761)).into();
+            for upstream in 0..world.upstreams {
                 let span = Duration::from_millis(WORK_MS as u64);
-                world.leader.record_answers(&name, 1, span);
+                world.leader.record_answers(&name(upstream), 1, span);
             }
         }
         if world.now.is_multiple_of(500) {
-            if world.now > HOT_FROM_MS {
-                shares.push(servable(world.leader.map(), &recent, 500));
-            }
+            observe(world, &recent);
             recent.clear();
         }
     }
-    shares
 }
 
 /// Two fifths of the requests go to a run of 60 or 200 neighbouring keys for 5 s.
@@ -174,7 +191,49 @@
         hot_share: 0.4,
         hot_keys,
     };
-    let shares = play(&traffic, 5);
+    let mut shares = Vec::new();
+    let mut world = World::new(UPSTREAMS, 5);
+    play(&mut world, &traffic, 5, |world, requests| {
+        if world.now > HOT_FROM_MS {
+            shares.push(servable(world.leader.map(), requests, 500));
+        }
+    });
     let after: f64 = shares[4..].iter().sum::<f64>() / (shares.len() - 4) as f64;
     assert!(after >= 0.9, "{shares:.2?}");
 }
+
+/// Some upstreams set a limit of a quarter of what they get.
+#[rstest]
+#[case::fourteen(14, 2, 25.0)]
+#[case::hundreds(UPSTREAMS, 30, 517.0)]
+fn the_keys_of_upstreams_with_a_limit_move_to_others(
+    #[case] upstreams: u32,
+    #[case] limited: u32,
+    #[case] per_s: f64,
+) {
+    let traffic = Traffic {
+        per_s,
+        hot_share: 0.0,
+        hot_keys: 1,
+    };
+    let limit_per_s = 0.25 * per_s / f64::from(upstreams);
+    let names: Vec<Arc<str>> = (0..limited).map(name).collect();
+    let (mut before, mut after) = (0.0, 0.0);
+    let mut world = World::new(upstreams, 7);
+    play(&mut world, &traffic, 7, |world, requests| {
+        let demand = demand(world.leader.map(), requests);
+        let of_limited: f64 = names.iter().filter_map(|name| demand.get(name)).sum();
+        match world.now {
+            3_000..6_000 => before += of_limited / 3.0,
+            6_000 => world.limit(limited, limit_per_s),
+            8_000.. => after += of_limited / 3.0,
+            _ => {}
+        }
+    });
+    let limit = limit_per_s * f64::from(limited);
+    assert!(
+        before > 2.0 * limit,
+        "{before}/s before the limit of {limit}/s"
+    );
+    assert!(after <= limit, "{after}/s with a limit of {limit}/s");
+}
--- a/crates/ranges/tests/world/mod.rs
+++ b/crates/ranges/tests/world/mod.rs
@@ -288,6 +288,7 @@
             .iter()
             .filter(|upstream| upstream.is_listed)
             .map(|upstream| leader::Upstream {
+                limit_per_s: None,
                 instance: upstream.instance.clone(),
                 slots: 2,
                 leaving: upstream.leaving,
