Small fleets use nine tenths of a limit, and hold an allowance until it is needed

Callers of keyed reads were refused while upstreams with a limit got less than that limit. Cause: seven tenths of it were given out and unused allowances lapsed, whatever the number of routers, and the leader assigned keys for half of it. Both are needed only if many routers may send their requests at the same time. Change: if an upstream tolerates one request of each router at the same time, the fleet uses nine tenths, and allowances don't lapse; the leader assigns keys for seven tenths. Measured: dispatch/tests/limit.rs green for the same bounds.

--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -10,15 +10,25 @@
 
 use eelgrassrock_model::time::Instant;
 
-/// Share of a limit that is used. The rest covers routers that assume a smaller number of routers,
-/// and requests of many routers that happen to coincide.
-const USED_SHARE: f64 = 0.7;
+/// Time in seconds over which an upstream counts the requests that arrive.
+const WINDOW_S: f64 = 4.0;
+/// Requests that an upstream tolerates in a window, as a multiple of its limit, and in addition to
+/// it.
+const TOLERATED_FACTOR: f64 = 1.5;
+const TOLERATED_EXTRA: f64 = 5.0;
+/// Share of a limit that a small fleet uses. The rest covers routers that assume a smaller number of
+/// routers.
+const USED_SHARE: f64 = 0.9;
+/// Share of a limit that a large fleet uses. The rest also covers requests of many routers that
+/// happen to coincide.
+const LARGE_USED_SHARE: f64 = 0.7;
+/// Share of what is tolerated beyond the used share that the routers of a small fleet may hold.
+const HELD_SHARE: f64 = 0.8;
+/// Requests that the routers of a large fleet may hold in addition to those of one second.
+const LARGE_HELD_EXTRA: f64 = 1.0;
 /// Smallest limit that is kept, in requests per second. Without any request nobody would notice
 /// that the limit has ended.
 const MIN_LIMIT_PER_S: f64 = 0.1;
-/// Requests that all routers may send at once after a time without any, in addition to those of one
-/// second.
-const BURST: f64 = 1.0;
 /// Longest delay until a request is allowed.
 const MAX_DELAY: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -53,8 +63,9 @@
 
 /// One router's part of a limit: an equal part of it, in whole requests.
 ///
-/// A part is often less than one request per second. Requests are allowed one by one, and an unused
-/// one lapses after a while, so that a large number of idle routers doesn't send many at once.
+/// A part is often less than one request per second, so requests are allowed one by one. The routers
+/// of a small fleet hold an allowed request until they need it. In a large fleet it lapses after a
+/// while, so that many idle routers don't send one each at the same time.
 ///
 /// ```
 /// use std::time::Duration;
@@ -63,7 +74,7 @@
 ///
 /// let now = Instant::from_millis(0);
 /// let limit = Limit::per_s(20.0).expect("a limit");
-/// let mut allowance = Allowance::new(limit, 7, 1.0, now);
+/// let mut allowance = Allowance::new(limit, 9, 1.0, now);
 /// assert!(allowance.is_ready(now));
 /// allowance.take(now);
 /// assert_eq!(allowance.delay(now), Duration::from_millis(500));
@@ -106,7 +117,18 @@
 
     /// Returns the requests per second that this router may send.
     pub fn rate_per_s(&self) -> f64 {
-        USED_SHARE * self.limit.0.max(MIN_LIMIT_PER_S) / self.routers as f64
+        let used_share = if self.is_small() {
+            USED_SHARE
+        } else {
+            LARGE_USED_SHARE
+        };
+        used_share * self.limit.0.max(MIN_LIMIT_PER_S) / self.routers as f64
+    }
+
+    /// Whether the upstream tolerates it if each router sends one request at the same time.
+    fn is_small(&self) -> bool {
+        let tolerated = (TOLERATED_FACTOR - USED_SHARE) * self.limit.0 * WINDOW_S + TOLERATED_EXTRA;
+        self.routers as f64 <= HELD_SHARE * tolerated
     }
 
     /// Whether a request may be sent.
@@ -129,13 +151,12 @@
 
     fn credit(&self, now: Instant) -> f64 {
         let credit = self.credit + self.rate_per_s() * (now - self.at).as_secs_f64();
-        // Share of the time in which an idle router may send a request.
-        let ready_share = (self.limit.0 + BURST) / self.routers as f64;
-        if ready_share >= 1.0 {
-            credit.min(1.0)
-        } else {
-            credit % (1.0 / (1.0 - ready_share))
+        if self.is_small() {
+            return credit.min(1.0);
         }
+        // Share of the time in which an idle router holds a request.
+        let held_share = (self.limit.0 + LARGE_HELD_EXTRA) / self.routers as f64;
+        credit % (1.0 / (1.0 - held_share))
     }
 }
 
--- a/crates/ranges/src/leader/planning.rs
+++ b/crates/ranges/src/leader/planning.rs
@@ -30,7 +30,7 @@
 const SHARE_STEP: f64 = 0.05;
 /// Share of its limit for which an upstream in need is assigned keys. Each router keeps to its own
 /// part of the limit, and the parts suffice for uneven traffic only if there is room in them.
-const PLANNED_LIMIT_SHARE: f64 = 0.5;
+const PLANNED_LIMIT_SHARE: f64 = 0.7;
 /// Time between two plans.
 const PLAN_INTERVAL: Duration = Duration::from_millis(300);
 
