Routers tell each other of limits that begin and end

Callers of keyed reads were refused for up to ten seconds after a limit had ended, and an upstream in need went on getting the full traffic of each router that it had not yet answered. Cause: each router learned of a limit and of its end from its own answers alone, which are rare at an upstream that gets little. The leader got reports of limits, not of their ends, and kept the keys away until the reports were old. Change: an observation says that a limit was named or has ended, goes to relay, leader and followers with the messages that they exchange anyway, and the newest counts. Test: routers_keep_to_a_limit_that_another_has_seen_and_no_longer_once_it_has_ended; its second case fails if followers don't take what the relay tells.

--- a/crates/edge/src/leadership/lead.rs
+++ b/crates/edge/src/leadership/lead.rs
@@ -20,7 +20,6 @@
 };
 use crate::clock;
 use crate::node::Node;
-use crate::notice::NamedLimit;
 use crate::platform::{Commit, Platform, Transaction};
 
 #[derive(Serialize)]
@@ -76,9 +75,9 @@
     }
 
     pub(super) fn upstreams(&self, service: &Arc<str>) -> Vec<leader::Upstream> {
-        let limits = self.named_limits();
+        let now = clock::now();
         let upstream = |upstream: Arc<Upstream>| leader::Upstream {
-            limit_per_s: NamedLimit::newest(&limits, &upstream),
+            limit_per_s: self.limits.of(&upstream, now),
             instance: Instance {
                 upstream: Arc::clone(&upstream.id),
                 incarnation: upstream.incarnation,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 mod front;
 mod gossip;
 mod leadership;
+mod limit;
 mod link;
 mod log;
 mod metrics;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -24,10 +24,11 @@
 
 use crate::clock;
 use crate::leadership::Leaderships;
+use crate::limit::Limits;
 use crate::link::Links;
 use crate::log::Log;
 use crate::metrics::Metrics;
-use crate::notice::{Limits, Pauses};
+use crate::notice::Pauses;
 use crate::payload::Memory;
 use crate::peer::Peers;
 use crate::platform::{Platform, Table};
@@ -170,6 +171,7 @@
         let registry = Registry::new(settings.return_time);
         let peers = Peers::new(settings.peer.ip());
         let memory = Memory::of(settings.memory);
+        let incarnation = settings.incarnation;
         let uplink = RefCell::new(Uplink::new(settings.link_mbit_per_s));
         Self {
             platform,
@@ -195,7 +197,7 @@
             relay: Relay::default(),
             peers,
             pauses: Pauses::default(),
-            limits: Limits::default(),
+            limits: Limits::new(incarnation),
             memory,
             uplink,
             sizes: RefCell::default(),
--- a/crates/edge/src/notice.rs
+++ b/crates/edge/src/notice.rs
@@ -9,13 +9,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrassrock_dispatch::limit::Limit;
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::time::Instant;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use crate::clock;
+use crate::limit::Observation;
 use crate::node::Node;
 use crate::platform::{Notice, Platform, Unreadable};
 use crate::registry::{Change, Departure};
@@ -25,9 +25,6 @@
 const MIN_MOVING_PAUSE: Duration = Duration::from_millis(1_000);
 /// Maximum pause accepted from another router.
 const MAX_PAUSE: Duration = Duration::from_secs(24 * 60 * 60);
-/// Time after which a limit that no answer has named again no longer decides how many keys an
-/// upstream is assigned.
-const LIMIT_AGE: Duration = Duration::from_secs(10);
 /// Share of the routers that an upstream must have paused for its keys to be moved.
 const MOVING_SHARE: f64 = 0.5;
 
@@ -36,7 +33,7 @@
 pub(crate) struct Notices {
     pub(crate) departures: Vec<Departure>,
     pub(crate) deferrals: Vec<Deferral>,
-    pub(crate) limits: Vec<NamedLimit>,
+    pub(crate) limits: Vec<Observation>,
 }
 
 /// Pause that an upstream requested from a router.
@@ -47,61 +44,6 @@
     left_ms: u64,
 }
 
-/// Limit that an upstream set, as one router saw it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct NamedLimit {
-    upstream: Arc<str>,
-    incarnation: u64,
-    limit_per_s: f64,
-    /// Time since an answer named the limit last.
-    age_ms: u64,
-}
-
-/// Limits that upstreams set in answers to other routers: the one that was named last, by upstream.
-#[derive(Debug, Default)]
-pub(crate) struct Limits {
-    by_upstream: RefCell<IndexMap<Arc<str>, (NamedLimit, Instant)>>,
-}
-
-impl NamedLimit {
-    /// Returns the limit of an upstream that was named last, in requests per second.
-    pub(crate) fn newest(limits: &[Self], upstream: &Upstream) -> Option<f64> {
-        let is_of = |limit: &&Self| {
-            limit.upstream == upstream.id && limit.incarnation == upstream.incarnation
-        };
-        let newest = limits.iter().filter(is_of).min_by_key(|limit| limit.age_ms);
-        newest.map(|limit| limit.limit_per_s)
-    }
-}
-
-impl Limits {
-    fn record(&self, limits: Vec<NamedLimit>, now: Instant) {
-        let mut by_upstream = self.by_upstream.borrow_mut();
-        for limit in limits {
-            let at = Instant::from_micros(
-                now.as_micros()
-                    .saturating_sub(limit.age_ms.saturating_mul(1_000)),
-            );
-            let newest = by_upstream.get(&limit.upstream);
-            if newest.is_none_or(|(_, newest_at)| *newest_at < at) {
-                by_upstream.insert(Arc::clone(&limit.upstream), (limit, at));
-            }
-        }
-        by_upstream.retain(|_, (_, at)| now - *at < LIMIT_AGE);
-    }
-
-    fn all(&self, now: Instant) -> Vec<NamedLimit> {
-        let by_upstream = self.by_upstream.borrow();
-        let limits = by_upstream.values().map(|(limit, at)| NamedLimit {
-            age_ms: (now - *at).as_millis() as u64,
-            ..limit.clone()
-        });
-        limits
-            .filter(|limit| u128::from(limit.age_ms) < LIMIT_AGE.as_millis())
-            .collect()
-    }
-}
-
 /// Ends of the pauses that one upstream requested, by router.
 type Ends = IndexMap<Arc<str>, Instant>;
 
@@ -118,15 +60,6 @@
     pause_ms: u64,
 }
 
-#[derive(Serialize)]
-struct LimitLine<'a> {
-    service: &'a str,
-    upstream: &'a str,
-    /// Requests per second from all routers together; none if the limit has ended.
-    limit_per_s: Option<f64>,
-    routers: usize,
-}
-
 #[derive(Serialize)]
 struct InvalidFieldLine<'a> {
     upstream: &'a str,
@@ -194,7 +127,7 @@
         }
         match notice.limit {
             None => {}
-            Some(Ok(limit)) => self.limit(upstream, limit),
+            Some(Ok(limit)) => self.observe_limit(upstream, limit),
             Some(Err(unreadable)) => self.log_unreadable(upstream, &unreadable),
         }
     }
@@ -208,51 +141,6 @@
         self.log.request("field unreadable", &line);
     }
 
-    fn limit(self: &Rc<Self>, upstream: &Arc<Upstream>, limit: Limit) {
-        let has_changed = self.with_service(&upstream.service, |service, now| {
-            service.limit(upstream, limit, now)
-        });
-        if has_changed == Some(true) {
-            self.log_limit(upstream, Some(limit));
-        }
-    }
-
-    /// Records a success without a limit, for a request that was sent at `sent_at`.
-    pub(crate) fn lift_limit(self: &Rc<Self>, upstream: &Arc<Upstream>, sent_at: Instant) {
-        if !self.is_limited(upstream) {
-            return;
-        }
-        let is_lifted = self.with_service(&upstream.service, |service, _| {
-            service.lift_limit(upstream, sent_at)
-        });
-        if is_lifted == Some(true) {
-            self.log_limit(upstream, None);
-        }
-    }
-
-    /// Counts a send if its upstream has set a limit.
-    pub(crate) fn count_limited_send(&self, upstream: &Upstream) {
-        if self.is_limited(upstream) {
-            self.metrics.sent_to_limited(&upstream.service);
-        }
-    }
-
-    fn is_limited(&self, upstream: &Upstream) -> bool {
-        let state = self.state.borrow();
-        let service = state.services.get(&upstream.service);
-        service.is_some_and(|service| service.limit_of(upstream).is_some())
-    }
-
-    fn log_limit(&self, upstream: &Upstream, limit: Option<Limit>) {
-        let line = LimitLine {
-            service: &upstream.service,
-            upstream: &upstream.id,
-            limit_per_s: limit.map(Limit::as_per_s),
-            routers: self.state.borrow().routers.len(),
-        };
-        self.log.request("upstream limit", &line);
-    }
-
     fn defer(self: &Rc<Self>, upstream: &Arc<Upstream>, pause: Duration) {
         let line = PauseLine {
             service: &upstream.service,
@@ -270,7 +158,7 @@
         let now = clock::now();
         self.merge_departures(notices.departures);
         self.pauses.record(notices.deferrals, now);
-        self.limits.record(notices.limits, now);
+        self.merge_limits(notices.limits);
     }
 
     /// Merges ends of incarnations that another router knows.
@@ -304,23 +192,13 @@
             upstream: Arc::clone(upstream),
             left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         };
-        let limit = |(upstream, limit, age): (&Arc<Upstream>, Limit, Duration)| NamedLimit {
-            upstream: Arc::clone(&upstream.id),
-            incarnation: upstream.incarnation,
-            limit_per_s: limit.as_per_s(),
-            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-        };
         let services = state.services.values();
-        let limits = services.clone().flat_map(|service| service.limits(now));
         Notices {
-            limits: limits
-                .filter(|(_, _, age)| *age < LIMIT_AGE)
-                .map(limit)
-                .collect(),
             departures: state.registry.recently_leaving(now),
             deferrals: services
                 .flat_map(|service| service.deferrals(now).map(deferral))
                 .collect(),
+            limits: self.limits.seen_by(&self.settings.router, now),
         }
     }
 
@@ -329,7 +207,7 @@
         let mut notices = self.own_notices();
         let now = clock::now();
         notices.deferrals.extend(self.pauses.all(now));
-        notices.limits.extend(self.limits.all(now));
+        notices.limits = self.limits.all(now);
         notices
     }
 
@@ -358,9 +236,4 @@
         let routers = state.routers.len().max(1);
         (others + usize::from(own)) as f64 >= MOVING_SHARE * routers as f64
     }
-
-    /// Returns the limits that answers to any router have named lately.
-    pub(crate) fn named_limits(&self) -> Vec<NamedLimit> {
-        self.relayed_notices().limits
-    }
 }
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -27,8 +27,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
+use crate::clock;
 use crate::front;
 use crate::leadership::ServiceTime;
+use crate::limit::Observation;
 use crate::node::{Node, Shares};
 use crate::notice::Notices;
 use crate::payload::{self, Payload, Taken};
@@ -61,6 +63,7 @@
     pub(crate) changes: Option<Delta>,
     pub(crate) admitted: Shares,
     pub(crate) departures: Vec<Departure>,
+    pub(crate) limits: Vec<Observation>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -73,6 +76,7 @@
     /// Overloaded holders with the share of requests that they can serve.
     admitted: Shares,
     departures: Vec<Departure>,
+    limits: Vec<Observation>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -171,6 +175,7 @@
             changes: reply.changes,
             admitted: reply.admitted,
             departures: reply.departures,
+            limits: reply.limits,
         };
         (contact, response)
     }
@@ -331,6 +336,7 @@
         changes: newer.map(|versioned| versioned.since(report.map_version)),
         admitted,
         departures,
+        limits: node.limits.all(clock::now()),
     }
 }
 
--- a/crates/edge/tests/limits.rs
+++ b/crates/edge/tests/limits.rs
@@ -153,3 +153,54 @@
     assert!(most <= allowed, "{most} of {allowed}\n{log}");
     assert!(served * 10 >= sent * 9, "{served} of {sent} served\n{log}");
 }
+
+/// Returns two routers, the first of which relays to the second.
+async fn relay_and_follower(store: &Store) -> [Router; 2] {
+    let start = |last: u8, size: u32| {
+        Router::start_with(&format!("router-{last}"), store, |settings| {
+            settings.peer.set_ip([127, 0, 0, last].into());
+            settings.size = size;
+        })
+    };
+    let relay = start(2, 500);
+    relay.ready().await;
+    sleep(Duration::from_millis(1_000)).await;
+    let follower = start(3, 100);
+    follower.ready().await;
+    sleep(Duration::from_millis(500)).await;
+    [relay, follower]
+}
+
+/// Sends requests one after the other, and returns how many were answered with success.
+async fn served(router: &Router, count: usize) -> usize {
+    let mut served = 0;
+    for n in 0..count {
+        served += usize::from(status(router, &format!("r{n}")).await == 200);
+    }
+    served
+}
+
+#[rstest]
+#[case::seen_by_the_follower(1, 0)]
+#[case::seen_by_the_relay(0, 1)]
+#[tokio::test]
+async fn routers_keep_to_a_limit_that_another_has_seen_and_no_longer_once_it_has_ended(
+    #[case] seeing: usize,
+    #[case] told: usize,
+) {
+    let (store, server) = serving("/v1/").await;
+    let routers = relay_and_follower(&store).await;
+    server.limit(Some("0.3"));
+    assert_eq!(status(&routers[seeing], "first").await, 200);
+    sleep(Duration::from_millis(1_500)).await;
+    let log = || routers[told].lines.text();
+    assert_eq!(served(&routers[told], 20).await, 0, "{}", log());
+    server.limit(None);
+    let is_over = || routers[told].lines.text().contains("\"limit_per_s\":null");
+    let begun = Instant::now();
+    while !is_over() && begun.elapsed() < Duration::from_secs(12) {
+        status(&routers[seeing], "again").await;
+        sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(served(&routers[told], 20).await, 20, "{}", log());
+}
