Soak: upstreams that name limits, and links between routers

Cause: the soak played neither, so it could not see that all routers together send too much, nor what happens while they can't reach each other. Change: an upstream may name a limit for one to twelve seconds; the checker counts what arrives in four seconds from the routers that were told, and excuses only processes that were killed, stopped or paused. With even seeds the links between routers lead through proxies that are cut, delayed, reset and silenced; the store stand-in replaces the addresses in the routers' rows. Both are drawn apart, so the other faults of a seed stay as they were.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -1,6 +1,7 @@
 //! Records what callers and upstreams observe, and checks the guarantees against it.
 
 mod checks;
+mod limit;
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -10,6 +11,7 @@
 use http::StatusCode;
 use tokio::time::Instant;
 
+use self::limit::Limit;
 use crate::guarantee::{Guarantee, Violation};
 
 /// Time from the end of a fault until its subject must keep all guarantees again.
@@ -31,6 +33,8 @@
 pub enum Subject {
     /// Router, or its links to callers and the store.
     Router(usize),
+    /// Process of a router. Its links may be impaired.
+    Process(usize),
     /// Incarnation of an upstream, or the links to it.
     Upstream(usize),
     /// The store.
@@ -130,6 +134,8 @@
     announced_leaving: HashMap<(usize, usize), Instant>,
     /// Pauses by upstream and router.
     pauses: HashMap<(usize, usize), Pause>,
+    /// Limits that upstreams name.
+    limits: HashMap<usize, Limit>,
     /// Ends of pauses and cuts, after which delayed orders may arrive.
     resumes: Vec<Instant>,
     violations: Vec<Violation>,
@@ -346,12 +352,27 @@
         }
     }
 
+    /// Records that an upstream named a limit in an answer.
+    pub fn limit(&self, id: Option<&str>, upstream: usize, per_s: f64) {
+        let mut state = self.state();
+        if let Some(router) = state.router_of(id) {
+            let limit = state.limits.entry(upstream);
+            limit.or_insert_with(|| Limit::new(per_s)).tell(router);
+        }
+    }
+
+    /// Records that an upstream no longer names a limit.
+    pub fn lift_limit(&self, upstream: usize) {
+        self.state().limits.remove(&upstream);
+    }
+
     /// Records that a request reached an upstream, whether it ran or not.
     pub fn arrive(&self, id: Option<&str>, upstream: usize) {
         let at = self.started.elapsed();
         let now = Instant::now();
         let mut state = self.state();
         state.check_announcements(at, id, upstream);
+        state.check_limit(at, id, upstream);
         let Some(left) = state.left.get(&upstream).copied() else {
             return;
         };
--- a/crates/soak/src/guarantee.rs
+++ b/crates/soak/src/guarantee.rs
@@ -34,6 +34,9 @@
     /// An upstream that asks for a pause gets no requests during it.
     #[display("pause")]
     Pause,
+    /// All routers together send an upstream that names a limit no more than it tolerates.
+    #[display("limit")]
+    Limit,
     /// A new configuration applies in time, and an old one doesn't come back.
     #[display("configuration")]
     Configuration,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod checker;
 pub mod flags;
 pub mod guarantee;
+mod mesh;
 pub mod plan;
 mod proxy;
 mod router;
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{Shutdown, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -14,69 +15,85 @@
 
 /// How a proxy treats its connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Mode {
-    delay: Duration,
+pub(crate) struct Mode {
+    pub(crate) delay: Duration,
     /// Whether bytes towards the server, and towards the client, are held back.
-    is_cut: [bool; 2],
+    pub(crate) is_cut: [bool; 2],
     /// Number of resets so far. A connection with a lower initial count is reset.
     resets: u32,
     /// Number of silences so far. A connection with a lower initial count passes no bytes.
     silences: u32,
 }
 
+/// Control of the connections of a link.
+#[derive(Debug, Default)]
+pub(crate) struct Control(watch::Sender<Mode>);
+
+impl Control {
+    pub(crate) fn subscribe(&self) -> watch::Receiver<Mode> {
+        self.0.subscribe()
+    }
+
+    /// Delays each chunk by `delay`.
+    pub(crate) fn delay(&self, delay: Duration) {
+        self.0.send_modify(|mode| mode.delay = delay);
+    }
+
+    /// Sets whether bytes towards the server, and towards the client, are held back.
+    pub(crate) fn cut(&self, is_cut: [bool; 2]) {
+        self.0.send_modify(|mode| mode.is_cut = is_cut);
+    }
+
+    /// Resets the open connections.
+    pub(crate) fn reset(&self) {
+        self.0.send_modify(|mode| mode.resets += 1);
+    }
+
+    /// Keeps the open connections open, but forwards no more bytes on them.
+    pub(crate) fn silence(&self) {
+        self.0.send_modify(|mode| mode.silences += 1);
+    }
+}
+
 /// Listening port that forwards connections to a target. It runs until its runtime ends.
 #[derive(Debug)]
 pub(crate) struct Proxy {
     address: SocketAddr,
-    mode: watch::Sender<Mode>,
+    pub(crate) control: Arc<Control>,
 }
 
 impl Proxy {
     pub(crate) async fn start(target: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
-        let mode = watch::Sender::new(Mode::default());
-        let modes = mode.subscribe();
+        let control = Arc::new(Control::default());
+        let modes = control.subscribe();
         tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
-                tokio::spawn(relay(client, target, modes.clone()));
+                let server = TcpStream::connect(target);
+                tokio::spawn(relay(client, server, modes.clone()));
             }
         });
-        Ok(Self { address, mode })
+        Ok(Self { address, control })
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
         self.address
     }
-
-    /// Delays each chunk by `delay`.
-    pub(crate) fn delay(&self, delay: Duration) {
-        self.mode.send_modify(|mode| mode.delay = delay);
-    }
-
-    /// Sets whether bytes towards the server, and towards the client, are held back.
-    pub(crate) fn cut(&self, is_cut: [bool; 2]) {
-        self.mode.send_modify(|mode| mode.is_cut = is_cut);
-    }
-
-    /// Resets the open connections.
-    pub(crate) fn reset(&self) {
-        self.mode.send_modify(|mode| mode.resets += 1);
-    }
-
-    /// Keeps the open connections open, but forwards no more bytes on them.
-    pub(crate) fn silence(&self) {
-        self.mode.send_modify(|mode| mode.silences += 1);
-    }
 }
 
-async fn relay(client: TcpStream, target: SocketAddr, mut modes: watch::Receiver<Mode>) {
+/// Forwards bytes between a client and a server until both have closed.
+pub(crate) async fn relay(
+    client: TcpStream,
+    server: impl Future<Output = io::Result<TcpStream>>,
+    mut modes: watch::Receiver<Mode>,
+) {
     let initial = *modes.borrow();
     // An error means that the run and its proxy have ended.
     if wait_until_open(&mut modes, 0).await.is_err() {
         return;
     }
-    let Ok(server) = TcpStream::connect(target).await else {
+    let Ok(server) = server.await else {
         reset(&client);
         return;
     };
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{IpAddr, Ipv4Addr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -21,10 +21,11 @@
 use crate::caller::{Caller, Served};
 use crate::checker::{Checker, STABLE, Subject};
 use crate::guarantee::{Guarantee, Violation};
+use crate::mesh::{self, Mesh};
 use crate::plan::{self, Plan};
 use crate::proxy::Proxy;
 use crate::router::Router;
-use crate::schedule::Event;
+use crate::schedule::{Event, has_peer_links};
 use crate::upstream::{SLOTS, Server};
 
 /// Time from SIGTERM to SIGKILL.
@@ -78,6 +79,8 @@
     checker: Arc<Checker>,
     store: Store,
     store_proxies: Vec<Proxy>,
+    /// Links between routers, if they lead through proxies.
+    mesh: Option<Arc<Mesh>>,
     front_proxies: Vec<Proxy>,
     routers: Vec<Arc<Router>>,
     slots: Vec<Slot>,
@@ -175,6 +178,7 @@
             checker,
             store,
             store_proxies: Vec::new(),
+            mesh: None,
             front_proxies: Vec::new(),
             routers: Vec::new(),
             slots: Vec::new(),
@@ -198,7 +202,7 @@
             let to_store = Proxy::start(cluster.store.address()).await?;
             let settings = settings::Router {
                 name: format!("router-{number}"),
-                address: IpAddr::V4(Ipv4Addr::new(127, high, low, 1 + number as u8)),
+                address: IpAddr::V4(router_address(high, low, number)),
                 data_centre: data_centre(number),
                 store: to_store.address(),
                 grace: GRACE_PERIOD,
@@ -215,6 +219,14 @@
             cluster.store_proxies.push(to_store);
             cluster.front_proxies.push(front);
         }
+        if has_peer_links(seed, plan.routers) {
+            let peers = cluster.routers.iter().map(|router| router.settings.peer());
+            let peers: Vec<SocketAddr> = peers.collect();
+            cluster.mesh = Some(Mesh::start(&peers).await?);
+            let addresses = (0..plan.routers).map(|number| router_address(high, low, number));
+            let aliases = addresses.map(|address| (address, mesh::alias(address)));
+            cluster.store.set_aliases(aliases.collect());
+        }
         Ok(cluster)
     }
 
@@ -326,6 +338,10 @@
 /// Incarnation of an upstream, and the proxy through which routers reach it.
 type Current = (Arc<Server>, Arc<Proxy>);
 
+fn router_address(high: u8, low: u8, number: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, high, low, 1 + number as u8)
+}
+
 fn data_centre(number: usize) -> String {
     format!("dc-{}", ["a", "b"][number % 2])
 }
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -1,5 +1,6 @@
 //! Injection of faults into a running deployment.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrassrock_platform_standin::store::Faults;
@@ -8,6 +9,7 @@
 
 use super::{Cluster, GRACE_PERIOD};
 use crate::checker::Subject;
+use crate::proxy::{Control, Proxy};
 use crate::router::RESTART_PAUSE;
 use crate::schedule::{Degradation, Event, Failure, Fault, Impairment, Link};
 
@@ -38,6 +40,8 @@
                 self.checker.plan_stop(router, GRACE_PERIOD);
                 self.routers[router].terminate().await;
                 self.checker.disturb(Subject::Router(router), RESTART_PAUSE);
+                self.checker
+                    .disturb(Subject::Process(router), RESTART_PAUSE);
             }
             Fault::Reload(router) => self.routers[router].signal(Signal::HUP),
             Fault::Link(link, impairment) => self.impair(link, impairment, span).await,
@@ -54,11 +58,14 @@
 
     fn kill(&self, router: usize) {
         self.checker.disturb(Subject::Router(router), RESTART_PAUSE);
+        self.checker
+            .disturb(Subject::Process(router), RESTART_PAUSE);
         self.routers[router].signal(Signal::KILL);
     }
 
     async fn pause(&self, router: usize, span: Duration) {
         self.checker.disturb(Subject::Router(router), span);
+        self.checker.disturb(Subject::Process(router), span);
         self.routers[router].signal(Signal::STOP);
         sleep(span).await;
         self.routers[router].signal(Signal::CONT);
@@ -68,31 +75,47 @@
     }
 
     async fn impair(&self, link: Link, impairment: Impairment, span: Duration) {
-        let current;
-        let (proxy, subject) = match link {
-            Link::Front(router) => (&self.front_proxies[router], Subject::Router(router)),
-            Link::Store(router) => (&self.store_proxies[router], Subject::Router(router)),
-            Link::Upstream(slot) => {
-                current = self.slot(slot).clone();
-                (&*current.1, Subject::Upstream(current.0.incarnation))
-            }
-        };
+        let (controls, subject) = self.controls(link);
         self.checker.disturb(subject, span);
-        match impairment {
-            Impairment::Delay(delay) => proxy.delay(delay),
-            Impairment::CutForward => proxy.cut([true, false]),
-            Impairment::CutBackward => proxy.cut([false, true]),
-            Impairment::Cut => proxy.cut([true, true]),
-            Impairment::Reset => return proxy.reset(),
-            Impairment::Silence => return proxy.silence(),
+        for control in &controls {
+            match impairment {
+                Impairment::Delay(delay) => control.delay(delay),
+                Impairment::CutForward => control.cut([true, false]),
+                Impairment::CutBackward => control.cut([false, true]),
+                Impairment::Cut => control.cut([true, true]),
+                Impairment::Reset => control.reset(),
+                Impairment::Silence => control.silence(),
+            }
+        }
+        if matches!(impairment, Impairment::Reset | Impairment::Silence) {
+            return;
         }
         sleep(span).await;
-        proxy.delay(Duration::ZERO);
-        proxy.cut([false, false]);
+        for control in &controls {
+            control.delay(Duration::ZERO);
+            control.cut([false, false]);
+        }
         self.checker.resume();
         self.checker.disturb(subject, Duration::ZERO);
     }
 
+    /// Returns the controls of a link, and what its impairment affects.
+    fn controls(&self, link: Link) -> (Vec<Arc<Control>>, Subject) {
+        let of = |proxy: &Proxy| vec![Arc::clone(&proxy.control)];
+        match link {
+            Link::Front(router) => (of(&self.front_proxies[router]), Subject::Router(router)),
+            Link::Store(router) => (of(&self.store_proxies[router]), Subject::Router(router)),
+            Link::Peers(router) => {
+                let links = self.mesh.as_ref().map(|mesh| mesh.links(router));
+                (links.unwrap_or_default(), Subject::Router(router))
+            }
+            Link::Upstream(slot) => {
+                let (server, proxy) = self.slot(slot).clone();
+                (of(&proxy), Subject::Upstream(server.incarnation))
+            }
+        }
+    }
+
     async fn degrade(&self, degradation: Degradation, span: Duration) {
         self.checker.disturb(Subject::Store, span);
         let mut faults = Faults::default();
@@ -136,7 +159,11 @@
         // Routers must keep all guarantees under these failures.
         let excuses = !matches!(
             failure,
-            Failure::Leaves | Failure::AnnouncesLeaving | Failure::Defers | Failure::EndlessAnswers
+            Failure::Leaves
+                | Failure::AnnouncesLeaving
+                | Failure::Defers
+                | Failure::EndlessAnswers
+                | Failure::Limits
         );
         if excuses {
             self.checker.disturb(subject, span);
@@ -177,6 +204,12 @@
                     .misbehave_for(span, |behaviour| &mut behaviour.defers)
                     .await;
             }
+            Failure::Limits => {
+                server
+                    .misbehave_for(span, |behaviour| &mut behaviour.limits)
+                    .await;
+                self.checker.lift_limit(server.incarnation);
+            }
             Failure::EndlessAnswers => {
                 server
                     .misbehave_for(span, |behaviour| &mut behaviour.is_endless)
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -1,5 +1,6 @@
 //! Schedule of faults, drawn from a seed.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -15,6 +16,16 @@
 const MAX_SNAPSHOT_AGE_MS: u64 = 6_000;
 /// Mean time between the starts of two faults.
 const MEAN_GAP: Duration = Duration::from_millis(600);
+/// Mean time between the starts of two faults of a kind that is drawn apart from the others.
+const SERIES_GAP: Duration = Duration::from_millis(2_500);
+/// Shortest and longest time for which an upstream names a limit. Routers have to keep to it some
+/// seconds after its begin.
+const MIN_LIMIT: Duration = Duration::from_millis(1_000);
+const MAX_LIMIT: Duration = Duration::from_millis(12_000);
+/// Maximum number of routers whose addresses can have aliases.
+const MAX_PROXIED_ROUTERS: usize = 120;
+/// Part of the seed from which the faults are drawn that are drawn apart.
+const APART: u64 = 0x6c69_6d69_7473;
 /// Probability that a fault repeats the previous one, on the same subject.
 const SERIES_SHARE: f64 = 0.2;
 
@@ -30,6 +41,9 @@
     /// From all routers to an upstream.
     #[display("routers to upstream {_0}")]
     Upstream(usize),
+    /// Between a router and all other routers.
+    #[display("router {_0} to other routers")]
+    Peers(usize),
 }
 
 /// Impairment of a link.
@@ -112,6 +126,9 @@
     /// The upstream starts some answers and never ends them.
     #[display("sends endless answers")]
     EndlessAnswers,
+    /// The upstream names a limit to the requests from all routers.
+    #[display("names a limit")]
+    Limits,
 }
 
 /// Fault to inject.
@@ -176,6 +193,54 @@
 /// assert!(events.iter().all(|event| event.at + event.span <= Duration::from_secs(20)));
 /// ```
 pub fn draw(seed: u64, length: Duration, routers: usize, upstreams: usize) -> Vec<Event> {
+    let mut events = draw_mixed(seed, length, routers, upstreams);
+    // Drawn apart, so that the other faults of a seed stay as they were.
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ APART);
+    let limits = draw_series(&mut random, length, MIN_LIMIT..MAX_LIMIT, |random| {
+        Fault::Upstream(random.random_range(0..upstreams), Failure::Limits)
+    });
+    events.extend(limits);
+    if has_peer_links(seed, routers) {
+        let cuts = draw_series(&mut random, length, MIN_FAULT..MAX_FAULT, |random| {
+            Fault::Link(
+                Link::Peers(random.random_range(0..routers)),
+                impairment(random),
+            )
+        });
+        events.extend(cuts);
+    }
+    events.sort_by_key(|event| event.at);
+    events
+}
+
+/// Whether the links between routers can be impaired in the run of a seed. They lead through
+/// proxies then, which hide whether the process at the other end has ended.
+pub(crate) fn has_peer_links(seed: u64, routers: usize) -> bool {
+    seed.is_multiple_of(2) && routers <= MAX_PROXIED_ROUTERS
+}
+
+/// Draws faults of one kind.
+fn draw_series(
+    random: &mut ChaCha8Rng,
+    length: Duration,
+    spans: Range<Duration>,
+    fault: impl Fn(&mut ChaCha8Rng) -> Fault,
+) -> Vec<Event> {
+    let mut events = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += SERIES_GAP.mul_f64(random.random_range(0.0..2.0));
+        let longest = spans.end.min(length.saturating_sub(at));
+        if longest <= spans.start {
+            return events;
+        }
+        let span = random.random_range(spans.start..longest);
+        let fault = fault(random);
+        events.push(Event { at, span, fault });
+    }
+}
+
+fn draw_mixed(seed: u64, length: Duration, routers: usize, upstreams: usize) -> Vec<Event> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut events = Vec::new();
     let mut at = Duration::ZERO;
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use eelgrassrock_platform_standin::framing::{
-    Call, Keys, Reply, RequestHead, decode_call, encode_reply, mark_leaving,
+    Call, Keys, Reply, RequestHead, decode_call, encode_reply, mark_leaving, mark_limit,
 };
 use http::{Request, Response};
 use http_body_util::{BodyExt, Either, Full};
@@ -48,6 +48,9 @@
 /// Pause that an upstream asks for with a deferred request.
 const DEFERRAL: Duration = Duration::from_millis(1_400);
 
+/// Requests per second that an upstream takes from all routers while it names a limit.
+const LIMIT_PER_S: f64 = 2.0;
+
 /// Interval between two chunks of an endless answer.
 const CHUNK_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -66,6 +69,7 @@
     pub(crate) announces_leaving: bool,
     pub(crate) defers: bool,
     pub(crate) is_endless: bool,
+    pub(crate) limits: bool,
     /// Whether the upstream has ended.
     pub(crate) is_gone: bool,
 }
@@ -260,9 +264,14 @@
             Outcome::Lost => return None,
         };
         let mut response = encode_reply(reply, &self.id, named);
+        let is_own = named == id.as_deref();
+        if self.behaviour.borrow().limits && is_own {
+            mark_limit(&mut response, LIMIT_PER_S);
+            self.checker.limit(named, self.incarnation, LIMIT_PER_S);
+        }
         if self.behaviour.borrow().announces_leaving {
             mark_leaving(&mut response);
-            if named == id.as_deref() {
+            if is_own {
                 self.checker.announce_leaving(named, self.incarnation);
             }
         }
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -304,3 +304,48 @@
     checker.close();
     assert_eq!(violated(&checker), expected);
 }
+
+/// An upstream names a limit of 2 requests a second, so 17 in 4 s are allowed.
+#[rstest]
+#[case::within(17, false, Subject::Store, &[])]
+#[case::beyond(18, false, Subject::Store, &[Guarantee::Limit])]
+#[case::after_its_end(18, true, Subject::Store, &[])]
+#[case::routers_cannot_reach_each_other(18, false, Subject::Router(ROUTER), &[Guarantee::Limit])]
+#[case::router_paused(18, false, Subject::Process(ROUTER), &[])]
+#[case::upstream_paused(18, false, Subject::Upstream(1), &[])]
+#[tokio::test(start_paused = true)]
+async fn a_limit_bounds_the_requests_that_arrive_from_routers_that_were_told(
+    #[case] requests: usize,
+    #[case] is_over: bool,
+    #[case] disturbed: Subject,
+    #[case] expected: &[Guarantee],
+) {
+    let checker = Checker::new();
+    send(&checker, "a", true);
+    checker.limit(Some("a"), 1, 2.0);
+    advance_ms(3_000).await;
+    checker.disturb(disturbed, Duration::from_millis(100));
+    if is_over {
+        checker.lift_limit(1);
+    }
+    for _ in 0..requests {
+        checker.arrive(Some("a"), 1);
+        advance_ms(50).await;
+    }
+    assert_eq!(violated(&checker), expected);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_limit_is_not_checked_until_routers_had_time_to_keep_to_it() {
+    let checker = Checker::new();
+    send(&checker, "a", true);
+    checker.limit(Some("a"), 1, 2.0);
+    for _ in 0..40 {
+        checker.arrive(Some("a"), 1);
+        advance_ms(50).await;
+    }
+    assert_eq!(violated(&checker), []);
+    advance_ms(1_000).await;
+    checker.arrive(Some("a"), 1);
+    assert_eq!(violated(&checker), [Guarantee::Limit]);
+}
