Limits: names by what they hold, one start of a relay and a follower in the tests

No behaviour changes: set_limit beside limit_of, an entry in place of a named, no unused age; a wait behind others saturates instead of overflowing.

--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -22,7 +22,7 @@
 
 use self::block::{Block, MAX_BLOCK};
 use self::deferral::Deferral;
-use self::limit::Named;
+use self::limit::Entry;
 use crate::budget::{self, Budget};
 use crate::directory::Repeat;
 use crate::member::Member;
@@ -227,7 +227,7 @@
     /// Upstreams that asked for no requests for a while.
     deferrals: IndexMap<Arc<str>, Deferral>,
     /// Limits that upstreams have set to the requests from all routers.
-    limits: IndexMap<Arc<str>, Named>,
+    limits: IndexMap<Arc<str>, Entry>,
     /// Time after which a leaving upstream may get no more requests.
     drain: Duration,
 }
@@ -486,7 +486,7 @@
         self.deferrals.retain(|_, deferral| now < deferral.until);
         let members = &self.members;
         self.limits
-            .retain(|id, named| members.contains_key(id) || !named.is_outdated(now));
+            .retain(|id, entry| members.contains_key(id) || !entry.is_outdated(now));
         self.members
             .values_mut()
             .for_each(|member| member.sweep(now));
--- a/crates/dispatch/src/service/limit.rs
+++ b/crates/dispatch/src/service/limit.rs
@@ -15,14 +15,14 @@
 
 /// Limit that one process of an upstream has set.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Named {
+pub(super) struct Entry {
     incarnation: u64,
     limit: Limit,
     /// When an answer named the limit last.
     at: Instant,
 }
 
-impl Named {
+impl Entry {
     pub(super) fn is_outdated(&self, now: Instant) -> bool {
         now - self.at >= UNLISTED_TIME
     }
@@ -30,13 +30,13 @@
 
 impl Service {
     /// Records the limit that an answer names. Returns whether the limit has changed.
-    pub fn limit(&mut self, upstream: &Upstream, limit: Limit, now: Instant) -> bool {
-        let named = Named {
+    pub fn set_limit(&mut self, upstream: &Upstream, limit: Limit, now: Instant) -> bool {
+        let entry = Entry {
             incarnation: upstream.incarnation,
             limit,
             at: now,
         };
-        let before = self.limits.insert(Arc::clone(&upstream.id), named);
+        let before = self.limits.insert(Arc::clone(&upstream.id), entry);
         let has_changed = before.is_none_or(|before| {
             before.incarnation != upstream.incarnation || before.limit != limit
         });
@@ -59,7 +59,7 @@
         let is_lifted = self
             .limits
             .get(&upstream.id)
-            .is_some_and(|named| named.incarnation != upstream.incarnation || named.at < sent_at);
+            .is_some_and(|entry| entry.incarnation != upstream.incarnation || entry.at < sent_at);
         if is_lifted {
             self.limits.swap_remove(&upstream.id);
             if let Some(member) = self.members.get_mut(&upstream.id) {
@@ -71,19 +71,16 @@
 
     /// Returns the limit of an upstream.
     pub fn limit_of(&self, upstream: &Upstream) -> Option<Limit> {
-        let named = self.limits.get(&upstream.id)?;
-        (named.incarnation == upstream.incarnation).then_some(named.limit)
+        let entry = self.limits.get(&upstream.id)?;
+        (entry.incarnation == upstream.incarnation).then_some(entry.limit)
     }
 
-    /// Returns the upstreams that have set a limit and are listed, with the limit and the time since
-    /// an answer named it last.
-    pub fn limits(&self, now: Instant) -> impl Iterator<Item = (&Arc<Upstream>, Limit, Duration)> {
+    /// Returns the number of upstreams with a limit.
+    pub fn limited(&self) -> usize {
         let members = self.members.values();
-        members.filter_map(move |member| {
-            let named = self.limits.get(&member.upstream.id)?;
-            let is_same = named.incarnation == member.upstream.incarnation;
-            is_same.then(|| (&member.upstream, named.limit, now - named.at))
-        })
+        members
+            .filter(|member| self.limit_of(&member.upstream).is_some())
+            .count()
     }
 
     /// Returns this router's part of the limit of an upstream, if none of it was used yet.
--- a/crates/dispatch/src/service/unavailable.rs
+++ b/crates/dispatch/src/service/unavailable.rs
@@ -62,7 +62,7 @@
         let unavailable = match &member.allowance {
             Some(allowance) if deferral < left || left.is_zero() => Unavailable {
                 reason: Reason::Limited,
-                left: left + self.wait_for_limit(allowance, request),
+                left: left.saturating_add(self.wait_for_limit(allowance, request)),
             },
             _ => Unavailable {
                 reason: Reason::Deferred,
--- a/crates/dispatch/tests/limit.rs
+++ b/crates/dispatch/tests/limit.rs
@@ -210,7 +210,7 @@
     let one = upstream("one", NEAR, 4);
     let mut service = service(&[one.clone(), upstream("two", FAR, 4)]);
     service.set_routers(4, 0, at(0));
-    assert!(service.limit(&one, limit(5.0), at(0)));
+    assert!(service.set_limit(&one, limit(5.0), at(0)));
     assert!(sent_to_one(&mut service, 0, 10_000) <= 12);
     assert!(service.lift_limit(&one, at(10_000)));
     assert!(sent_to_one(&mut service, 10_000, 11_000) >= 90);
@@ -220,7 +220,7 @@
 fn a_request_waits_if_the_limit_allows_it_soon_and_is_refused_at_once_otherwise() {
     let one = upstream("one", NEAR, 2);
     let mut service = keyed();
-    service.limit(&one, limit(2.5), at(0));
+    service.set_limit(&one, limit(2.5), at(0));
     assert_eq!(service.admit(request(1, Some(7), 0), at(0)), Step::Wait);
     let next = refusal(&service.admit(request(2, Some(7), 0), at(0)));
     assert_eq!(next.reason, Reason::Limited);
@@ -235,7 +235,7 @@
 fn a_request_that_no_upstream_accepts_is_refused_with_the_time_until_the_first_does() {
     let (one, two) = (upstream("one", NEAR, 2), upstream("two", NEAR, 2));
     let mut service = service(&[one.clone(), two.clone()]);
-    service.limit(&one, limit(0.2), at(0));
+    service.set_limit(&one, limit(0.2), at(0));
     service.defer(&two, Duration::from_millis(1_500), at(0));
     let deferred = refusal(&service.admit(request(8, None, 0), at(0)));
     assert_eq!(deferred.reason, Reason::Deferred);
@@ -251,7 +251,7 @@
     let one = upstream("one", NEAR, 2);
     let mut service = service(std::slice::from_ref(&one));
     service.set_routers(100, 0, at(0));
-    service.limit(&one, limit(1.0), at(0));
+    service.set_limit(&one, limit(1.0), at(0));
     service.set_upstreams(Vec::new(), at(100));
     service.sweep(at(5_000));
     service.set_upstreams(vec![one.clone()], at(10_000));
@@ -269,8 +269,8 @@
 fn an_answer_to_a_request_from_before_the_limit_does_not_end_it() {
     let one = upstream("one", NEAR, 2);
     let mut service = service(std::slice::from_ref(&one));
-    assert!(service.limit(&one, limit(1.0), at(100)));
-    assert!(!service.limit(&one, limit(1.0), at(200)));
+    assert!(service.set_limit(&one, limit(1.0), at(100)));
+    assert!(!service.set_limit(&one, limit(1.0), at(200)));
     assert!(!service.lift_limit(&one, at(150)));
     assert_eq!(service.limit_of(&one), Some(limit(1.0)));
     assert!(service.lift_limit(&one, at(201)));
@@ -282,7 +282,7 @@
     let two = upstream("two", NEAR, 2);
     let mut service = service(&[upstream("one", NEAR, 2), two.clone()]);
     service.set_routers(100, 0, at(0));
-    service.limit(&two, limit(1.0), at(0));
+    service.set_limit(&two, limit(1.0), at(0));
     let mut hedged = request(1, None, 0);
     assert_eq!(sent_to(&service.admit(hedged.clone(), at(0))), Some("one"));
     hedged.tried.push("one".into());
--- a/crates/edge/src/limit.rs
+++ b/crates/edge/src/limit.rs
@@ -125,7 +125,7 @@
     /// Records the limit that an answer named.
     pub(crate) fn observe_limit(self: &Rc<Self>, upstream: &Arc<Upstream>, limit: Limit) {
         let has_changed = self.with_service(&upstream.service, |service, now| {
-            service.limit(upstream, limit, now)
+            service.set_limit(upstream, limit, now)
         });
         self.record_own(upstream, Some(limit));
         if has_changed == Some(true) {
@@ -185,7 +185,7 @@
         };
         let limit = observation.limit_per_s.and_then(Limit::per_s);
         let has_changed = self.with_service(&upstream.service, |service, _| match limit {
-            Some(limit) => service.limit(&upstream, limit, at),
+            Some(limit) => service.set_limit(&upstream, limit, at),
             None => service.lift_limit(&upstream, at),
         });
         if has_changed == Some(true) {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -293,7 +293,7 @@
                 .set(service.waiting() as i64);
             self.limited
                 .get_or_create(&labels)
-                .set(service.limits(now).count() as i64);
+                .set(service.limited() as i64);
             // Shows the counter from the start, so that its rate is known from the first send on.
             drop(self.limited_sends.get_or_create(&labels));
             self.repeats_left
--- a/crates/edge/tests/limits.rs
+++ b/crates/edge/tests/limits.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 use support::platform::{Store, route};
 use support::upstream::Server;
-use support::{Router, eventually, get, sample, send, serving};
+use support::{Router, eventually, get, relay_and_follower, sample, send, serving};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -134,11 +134,7 @@
         vec![route("/v1/", Repeat::Idempotent, "sheets")],
         sharded,
     );
-    let start = |last: u8| {
-        Router::start_with(&format!("router-{last}"), &store, |settings| {
-            settings.peer.set_ip([127, 0, 0, last].into());
-        })
-    };
+    let start = |last| Router::start_at(last, 200, &store);
     let routers: Vec<Router> = (2..6).map(start).collect();
     for router in &routers {
         router.ready().await;
@@ -154,23 +150,6 @@
     assert!(served * 10 >= sent * 9, "{served} of {sent} served\n{log}");
 }
 
-/// Returns two routers, the first of which relays to the second.
-async fn relay_and_follower(store: &Store) -> [Router; 2] {
-    let start = |last: u8, size: u32| {
-        Router::start_with(&format!("router-{last}"), store, |settings| {
-            settings.peer.set_ip([127, 0, 0, last].into());
-            settings.size = size;
-        })
-    };
-    let relay = start(2, 500);
-    relay.ready().await;
-    sleep(Duration::from_millis(1_000)).await;
-    let follower = start(3, 100);
-    follower.ready().await;
-    sleep(Duration::from_millis(500)).await;
-    [relay, follower]
-}
-
 /// Sends requests one after the other, and returns how many were answered with success.
 async fn served(router: &Router, count: usize) -> usize {
     let mut served = 0;
--- a/crates/edge/tests/notices.rs
+++ b/crates/edge/tests/notices.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use support::platform::{Store, route};
 use support::upstream::{Behaviour, Server};
-use support::{Router, eventually, get, send, serving};
+use support::{Router, eventually, get, relay_and_follower, send, serving};
 use tokio::time::sleep;
 
 const HOST: &str = "sheets.example";
@@ -91,22 +91,11 @@
 #[tokio::test]
 async fn routers_report_a_leaving_upstream_to_each_other() {
     let (store, leaving) = serving("/v1/").await;
-    let start = |last: u8, size: u32| {
-        Router::start_with(&format!("router-{last}"), &store, |settings| {
-            settings.peer.set_ip([127, 0, 0, last].into());
-            settings.size = size;
-        })
-    };
-    let relay = start(2, 500);
-    relay.ready().await;
-    sleep(Duration::from_millis(1_000)).await;
-    let follower = start(3, 100);
-    follower.ready().await;
-    sleep(Duration::from_millis(500)).await;
+    let [relay, follower] = relay_and_follower(&store).await;
     leaving.leave();
     assert_eq!(status(&follower, "first").await, 200);
     sleep(Duration::from_millis(1_000)).await;
-    let late = start(4, 100);
+    let late = Router::start_at(4, 100, &store);
     late.ready().await;
     sleep(Duration::from_millis(700)).await;
     let informed = Instant::now();
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -149,6 +149,14 @@
         }
     }
 
+    /// Starts a router of this size at an IP address of its own, which ends with `last`.
+    pub(crate) fn start_at(last: u8, size: u32, store: &Store) -> Self {
+        Self::start_with(&format!("router-{last}"), store, |settings| {
+            settings.peer.set_ip([127, 0, 0, last].into());
+            settings.size = size;
+        })
+    }
+
     /// Waits until the readiness check of the router succeeds.
     pub(crate) async fn ready(&self) {
         let request = || get("/ready", "router", "ready", 1_000);
@@ -195,6 +203,17 @@
     }
 }
 
+/// Returns two routers, the first of which relays to the second.
+pub(crate) async fn relay_and_follower(store: &Store) -> [Router; 2] {
+    let relay = Router::start_at(2, 500, store);
+    relay.ready().await;
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    let follower = Router::start_at(3, 100, store);
+    follower.ready().await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    [relay, follower]
+}
+
 /// Returns a GET request with an identifier and the time that its caller waits.
 pub(crate) fn get(path: &str, host: &str, id: &str, timeout_ms: u64) -> Request<Full<Bytes>> {
     Request::builder()
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -206,7 +206,7 @@
             }
             Failure::Limits => {
                 server
-                    .misbehave_for(span, |behaviour| &mut behaviour.limits)
+                    .misbehave_for(span, |behaviour| &mut behaviour.names_limit)
                     .await;
                 self.checker.lift_limit(server.incarnation);
             }
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -69,7 +69,7 @@
     pub(crate) announces_leaving: bool,
     pub(crate) defers: bool,
     pub(crate) is_endless: bool,
-    pub(crate) limits: bool,
+    pub(crate) names_limit: bool,
     /// Whether the upstream has ended.
     pub(crate) is_gone: bool,
 }
@@ -265,7 +265,7 @@
         };
         let mut response = encode_reply(reply, &self.id, named);
         let is_own = named == id.as_deref();
-        if self.behaviour.borrow().limits && is_own {
+        if self.behaviour.borrow().names_limit && is_own {
             mark_limit(&mut response, LIMIT_PER_S);
             self.checker.limit(named, self.incarnation, LIMIT_PER_S);
         }
