A message that was held up can't lift a limit that was set again

Callers saw nothing; an upstream in need could have got a request from every router at once. Cause: routers compared observations of a limit and of its end by their age, which leaves out the time that the message took. One that a link or a frozen router had held up seemed newer than it was, and lifted the limit at every router that it reached. Found when the change was read again. Change: an end names the last observation that it ends, and counts only for routers that know of no later one; the decision moved to dispatch, where it needs no network. A limit of an earlier process under the same name no longer binds the listed one.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod directory;
 pub mod limit;
 mod member;
+pub mod observation;
 pub mod place;
 pub mod service;
 mod service_time;
--- a/crates/dispatch/src/service/limit.rs
+++ b/crates/dispatch/src/service/limit.rs
@@ -29,8 +29,13 @@
 }
 
 impl Service {
-    /// Records the limit that an answer names. Returns whether the limit has changed.
+    /// Records the limit that an answer names. Returns whether the limit has changed. A limit of
+    /// another process than the listed one changes nothing.
     pub fn set_limit(&mut self, upstream: &Upstream, limit: Limit, now: Instant) -> bool {
+        let listed = self.members.get(&upstream.id);
+        if listed.is_some_and(|member| member.upstream.incarnation != upstream.incarnation) {
+            return false;
+        }
         let entry = Entry {
             incarnation: upstream.incarnation,
             limit,
@@ -41,9 +46,7 @@
             before.incarnation != upstream.incarnation || before.limit != limit
         });
         let new = self.allowance(upstream, now);
-        if let Some(member) = self.members.get_mut(&upstream.id)
-            && member.upstream.incarnation == upstream.incarnation
-        {
+        if let Some(member) = self.members.get_mut(&upstream.id) {
             match &mut member.allowance {
                 Some(allowance) => allowance.update(limit, self.routers, now),
                 allowance @ None => *allowance = new,
--- a/crates/dispatch/tests/limit.rs
+++ b/crates/dispatch/tests/limit.rs
@@ -288,3 +288,15 @@
     hedged.tried.push("one".into());
     assert_eq!(service.hedge(&hedged, at(200)), None);
 }
+
+/// The answer was on its way while the upstream restarted under its name.
+#[test]
+fn a_limit_of_an_earlier_process_does_not_bind_the_listed_one() {
+    let mut earlier = (*upstream("one", NEAR, 2)).clone();
+    let listed = upstream("one", NEAR, 2);
+    earlier.incarnation = 0;
+    let mut service = service(std::slice::from_ref(&listed));
+    service.set_limit(&listed, limit(5.0), at(0));
+    assert!(!service.set_limit(&earlier, limit(1.0), at(100)));
+    assert_eq!(service.limit_of(&listed), Some(limit(5.0)));
+}
--- a/crates/edge/src/leadership.rs
+++ b/crates/edge/src/leadership.rs
@@ -467,7 +467,7 @@
             self.set_admitted_shares(&service, response.admitted);
         }
         self.merge_departures(response.departures);
-        self.merge_limits(response.limits);
+        self.merge_observations(&response.observations);
         let rank = self.rank(&service);
         self.participant(&service, |participant| {
             let is_same_term = participant
--- a/crates/edge/src/leadership/lead.rs
+++ b/crates/edge/src/leadership/lead.rs
@@ -77,7 +77,7 @@
     pub(super) fn upstreams(&self, service: &Arc<str>) -> Vec<leader::Upstream> {
         let now = clock::now();
         let upstream = |upstream: Arc<Upstream>| leader::Upstream {
-            limit_per_s: self.limits.of(&upstream, now),
+            limit_per_s: self.observations.borrow().limit_per_s(&upstream, now),
             instance: Instance {
                 upstream: Arc::clone(&upstream.id),
                 incarnation: upstream.incarnation,
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -9,6 +9,7 @@
 
 use eelgrassrock_dispatch::Split;
 use eelgrassrock_dispatch::directory::{Directory, Route};
+use eelgrassrock_dispatch::observation::Observations;
 use eelgrassrock_dispatch::place::{self, Place};
 use eelgrassrock_dispatch::service::{Service, Span, Step};
 use eelgrassrock_dispatch::uplink::{Size, Uplink};
@@ -24,7 +25,6 @@
 
 use crate::clock;
 use crate::leadership::Leaderships;
-use crate::limit::Limits;
 use crate::link::Links;
 use crate::log::Log;
 use crate::metrics::Metrics;
@@ -85,7 +85,8 @@
     pub(crate) relay: Relay,
     pub(crate) peers: Peers,
     pub(crate) pauses: Pauses,
-    pub(crate) limits: Limits,
+    /// What this and other routers have seen of the limits of upstreams.
+    pub(crate) observations: RefCell<Observations>,
     pub(crate) memory: Memory,
     pub(crate) uplink: RefCell<Uplink>,
     /// Mean size of the answers to each route.
@@ -171,7 +172,8 @@
         let registry = Registry::new(settings.return_time);
         let peers = Peers::new(settings.peer.ip());
         let memory = Memory::of(settings.memory);
-        let incarnation = settings.incarnation;
+        let router = Arc::clone(&settings.router);
+        let observations = Observations::new(router, settings.incarnation);
         let uplink = RefCell::new(Uplink::new(settings.link_mbit_per_s));
         Self {
             platform,
@@ -197,7 +199,7 @@
             relay: Relay::default(),
             peers,
             pauses: Pauses::default(),
-            limits: Limits::new(incarnation),
+            observations: RefCell::new(observations),
             memory,
             uplink,
             sizes: RefCell::default(),
--- a/crates/edge/src/notice.rs
+++ b/crates/edge/src/notice.rs
@@ -9,13 +9,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrassrock_dispatch::observation::Observation;
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::time::Instant;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use crate::clock;
-use crate::limit::Observation;
 use crate::node::Node;
 use crate::platform::{Notice, Platform, Unreadable};
 use crate::registry::{Change, Departure};
@@ -33,7 +33,7 @@
 pub(crate) struct Notices {
     pub(crate) departures: Vec<Departure>,
     pub(crate) deferrals: Vec<Deferral>,
-    pub(crate) limits: Vec<Observation>,
+    pub(crate) observations: Vec<Observation>,
 }
 
 /// Pause that an upstream requested from a router.
@@ -158,7 +158,7 @@
         let now = clock::now();
         self.merge_departures(notices.departures);
         self.pauses.record(notices.deferrals, now);
-        self.merge_limits(notices.limits);
+        self.merge_observations(&notices.observations);
     }
 
     /// Merges ends of incarnations that another router knows.
@@ -198,7 +198,7 @@
             deferrals: services
                 .flat_map(|service| service.deferrals(now).map(deferral))
                 .collect(),
-            limits: self.limits.seen_by(&self.settings.router, now),
+            observations: self.observations.borrow().own(now),
         }
     }
 
@@ -207,7 +207,7 @@
         let mut notices = self.own_notices();
         let now = clock::now();
         notices.deferrals.extend(self.pauses.all(now));
-        notices.limits = self.limits.all(now);
+        notices.observations = self.observations.borrow().all(now);
         notices
     }
 
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use eelgrassrock_dispatch::observation::Observation;
 use eelgrassrock_model::Revision;
 use eelgrassrock_ranges::election::{Contact, Leadership, Predecessor};
 use eelgrassrock_ranges::versioned::Delta;
@@ -30,7 +31,6 @@
 use crate::clock;
 use crate::front;
 use crate::leadership::ServiceTime;
-use crate::limit::Observation;
 use crate::node::{Node, Shares};
 use crate::notice::Notices;
 use crate::payload::{self, Payload, Taken};
@@ -63,7 +63,7 @@
     pub(crate) changes: Option<Delta>,
     pub(crate) admitted: Shares,
     pub(crate) departures: Vec<Departure>,
-    pub(crate) limits: Vec<Observation>,
+    pub(crate) observations: Vec<Observation>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -76,7 +76,7 @@
     /// Overloaded holders with the share of requests that they can serve.
     admitted: Shares,
     departures: Vec<Departure>,
-    limits: Vec<Observation>,
+    observations: Vec<Observation>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -175,7 +175,7 @@
             changes: reply.changes,
             admitted: reply.admitted,
             departures: reply.departures,
-            limits: reply.limits,
+            observations: reply.observations,
         };
         (contact, response)
     }
@@ -336,7 +336,7 @@
         changes: newer.map(|versioned| versioned.since(report.map_version)),
         admitted,
         departures,
-        limits: node.limits.all(clock::now()),
+        observations: node.observations.borrow().all(clock::now()),
     }
 }
 
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -22,6 +22,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrassrock_dispatch::observation::Observation;
 use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_ranges::election::Contact;
@@ -33,7 +34,6 @@
 use self::journal::{Journal, Part};
 use crate::clock;
 use crate::leadership::ServiceTime;
-use crate::limit::Observation;
 use crate::node::{Node, Router, Shares};
 use crate::notice::Notices;
 use crate::peer;
@@ -106,7 +106,7 @@
     /// Overloaded holders of each service, with the share of requests that they can serve.
     admitted: Vec<(Arc<str>, Shares)>,
     departures: Vec<Departure>,
-    limits: Vec<Observation>,
+    observations: Vec<Observation>,
     /// Services that have had a leader, and the era of the store in which the last one took
     /// leadership. Only sent to a new follower.
     history: Vec<(Arc<str>, u64)>,
@@ -301,7 +301,7 @@
                 .map(|(name, shares)| (Arc::clone(name), shares.clone()))
                 .collect(),
             departures: self.departures(is_new),
-            limits: self.limits.all(clock::now()),
+            observations: self.observations.borrow().all(clock::now()),
             history: if is_new {
                 self.leaderships.history()
             } else {
@@ -399,7 +399,7 @@
 
     fn apply_consultation(self: &Rc<Self>, response: FollowResponse) {
         self.merge_departures(response.departures);
-        self.merge_limits(response.limits);
+        self.merge_observations(&response.observations);
         for (service, era) in response.history {
             self.record_history(&service, era);
         }
@@ -416,7 +416,7 @@
             self.record_history(&service, era);
         }
         self.merge_departures(response.departures);
-        self.merge_limits(response.limits);
+        self.merge_observations(&response.observations);
         for part in response.tables {
             let Some(table) = TABLES.get(usize::from(part.table)).copied() else {
                 continue;
