A leader tells why it counts an earlier holder as clear

Now a line `source cleared` names the holder, its incarnation, the keys, the next token and the proof (released, expired, restarted), a counter eelgrassrock_cleared_sources counts them by proof, and order lines bear the incarnation. No decision is changed; the schedules of the ranges pass as before.

--- a/crates/edge/src/leadership/lead.rs
+++ b/crates/edge/src/leadership/lead.rs
@@ -9,7 +9,7 @@
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
-use eelgrassrock_ranges::leader::{self, Action, Leader, Order, Outcome};
+use eelgrassrock_ranges::leader::{self, Action, Clearance, Leader, Order, Outcome};
 use eelgrassrock_ranges::map::{Instance, Map};
 use serde::Serialize;
 use tokio::time::sleep;
@@ -26,6 +26,8 @@
 struct OrderLine<'a> {
     service: &'a str,
     upstream: &'a str,
+    /// Start of the process that the order is meant for.
+    incarnation: u64,
     from: u16,
     to: u16,
     fence: u64,
@@ -33,6 +35,19 @@
     elapsed_ms: u64,
 }
 
+/// Upstream that held keys and can't hold them any more, so that the next holder gets them.
+#[derive(Serialize)]
+struct ClearanceLine<'a> {
+    service: &'a str,
+    upstream: &'a str,
+    incarnation: u64,
+    from: u16,
+    to: u16,
+    /// Fencing token of the next holder.
+    fence: u64,
+    reason: String,
+}
+
 impl<P: Platform> Node<P> {
     /// Carries out the due actions of the leader.
     pub(super) fn lead(self: &Rc<Self>, service: &Arc<str>, now: Instant) {
@@ -46,11 +61,16 @@
                 leader.record_answers(&service_time.upstream, service_time.answers, span);
             }
             leader.set_upstreams(upstreams);
-            (leader.poll(now), leader.admitted_shares().to_vec())
+            let actions = leader.poll(now);
+            let shares = leader.admitted_shares().to_vec();
+            (actions, shares, leader.take_clearances())
         });
-        let Some((actions, shares)) = done else {
+        let Some((actions, shares, clearances)) = done else {
             return;
         };
+        for clearance in &clearances {
+            self.log_clearance(service, clearance);
+        }
         self.set_admitted_shares(service, shares);
         for action in actions {
             self.execute(service, action);
@@ -143,6 +163,21 @@
         (upstream.incarnation == instance.incarnation).then_some(upstream.address)
     }
 
+    fn log_clearance(&self, service: &Arc<str>, clearance: &Clearance) {
+        let order = &clearance.order;
+        self.metrics.source_cleared(service, clearance.reason);
+        let line = ClearanceLine {
+            service,
+            upstream: &order.instance.upstream,
+            incarnation: order.instance.incarnation,
+            from: order.from,
+            to: order.to,
+            fence: order.fence,
+            reason: clearance.reason.to_string(),
+        };
+        self.log.info("source cleared", &line);
+    }
+
     /// Logs releases and failures. Successful grants are not logged.
     pub(super) fn log_order(
         &self,
@@ -162,6 +197,7 @@
         let line = OrderLine {
             service,
             upstream: &order.instance.upstream,
+            incarnation: order.instance.incarnation,
             from: order.from,
             to: order.to,
             fence: order.fence,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use eelgrassrock_model::time::Instant;
+use eelgrassrock_ranges::leader::Reason;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response};
 use hyper::server::conn::http1;
@@ -48,6 +49,12 @@
     service: Arc<str>,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Cleared {
+    service: Arc<str>,
+    reason: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Send {
     service: Arc<str>,
@@ -89,6 +96,7 @@
     deferred: Counter,
     limited: Family<Service, Gauge>,
     limited_sends: Family<Service, Counter>,
+    cleared_sources: Family<Cleared, Counter>,
     restored: Counter,
     store_era: Gauge,
     open: Gauge,
@@ -117,6 +125,7 @@
             deferred: Counter::default(),
             limited: Family::default(),
             limited_sends: Family::default(),
+            cleared_sources: Family::default(),
             restored: Counter::default(),
             store_era: Gauge::default(),
             open: Gauge::default(),
@@ -167,6 +176,8 @@
         all.register("limited_upstreams", help, self.limited.clone());
         let help = "Sends to upstreams with a limit";
         all.register("limited_sends", help, self.limited_sends.clone());
+        let help = "Earlier holders found not to hold their keys any more, by the proof";
+        all.register("cleared_sources", help, self.cleared_sources.clone());
         all.register(
             "open_requests",
             "Requests that have no answer yet",
@@ -246,6 +257,15 @@
         self.limited_sends.get_or_create(&labels).inc();
     }
 
+    /// Counts an earlier holder that can't hold its keys any more.
+    pub(crate) fn source_cleared(&self, service: &Arc<str>, reason: Reason) {
+        let labels = Cleared {
+            service: Arc::clone(service),
+            reason: reason.to_string(),
+        };
+        self.cleared_sources.get_or_create(&labels).inc();
+    }
+
     /// Returns the counter of log lines beyond the rate limit.
     pub(crate) fn suppressed_lines(&self) -> Counter {
         self.suppressed_lines.clone()
--- a/crates/ranges/src/leader.rs
+++ b/crates/ranges/src/leader.rs
@@ -30,6 +30,7 @@
 
 use self::probe::Probe;
 use self::transfer::Transfer;
+pub use self::transfer::{Clearance, Reason};
 use crate::lease::Lease;
 pub use crate::lease::Outcome;
 use crate::load::Counts;
@@ -146,6 +147,8 @@
     pending_map: Option<Map>,
     leases: IndexMap<Order, Lease>,
     transfers: Vec<Transfer>,
+    /// Earlier holders that can't hold their keys any more, since the last report of them.
+    clearances: Vec<Clearance>,
     probes: Vec<Probe>,
     upstreams: IndexMap<Arc<str>, Upstream>,
     service_times: ServiceTimes,
@@ -263,6 +266,7 @@
             pending_map: None,
             leases: IndexMap::new(),
             transfers: Vec::new(),
+            clearances: Vec::new(),
             probes: Vec::new(),
             upstreams: IndexMap::new(),
             service_times: ServiceTimes::default(),
@@ -366,6 +370,11 @@
         actions
     }
 
+    /// Takes the earlier holders that were found not to hold their keys any more since the last call.
+    pub fn take_clearances(&mut self) -> Vec<Clearance> {
+        std::mem::take(&mut self.clearances)
+    }
+
     /// Records the end of a grant. Returns whether actions may be due because of it, which is not
     /// the case after a successful renewal.
     pub fn granted(&mut self, order: &Order, outcome: &Outcome, now: Instant) -> bool {
--- a/crates/ranges/src/leader/transfer.rs
+++ b/crates/ranges/src/leader/transfer.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use derive_more::Display;
 use eelgrassrock_model::time::Instant;
 
 use super::planning::is_accepted;
@@ -14,6 +15,29 @@
 /// stopped. It is less than the time by which a predecessor's grants outlast its authority.
 const FRESH_CONTACT: Duration = Duration::from_secs(3);
 
+/// Why an earlier holder can't hold keys any more.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum Reason {
+    /// It released them.
+    #[display("released")]
+    Released,
+    /// Every grant to it has expired.
+    #[display("expired")]
+    Expired,
+    /// The registry lists a later process of the upstream.
+    #[display("restarted")]
+    Restarted,
+}
+
+/// Keys that an earlier holder can't hold any more.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Clearance {
+    /// Earlier holder, keys, and fencing token of the next holder.
+    pub order: Order,
+    /// Why it can't hold them.
+    pub reason: Reason,
+}
+
 /// Release of a range by one earlier holder.
 #[derive(Clone, Debug)]
 pub(super) struct Transfer {
@@ -72,15 +96,21 @@
             if transfer.is_cleared {
                 continue;
             }
-            let is_over = transfer.is_released
-                || self.has_restarted(source)
-                || (!transfer.is_in_flight && self.has_run_out(range, source, now));
+            let reason = if transfer.is_released {
+                Some(Reason::Released)
+            } else if self.has_restarted(source) {
+                Some(Reason::Restarted)
+            } else {
+                let has_expired = !transfer.is_in_flight && self.has_run_out(range, source, now);
+                has_expired.then_some(Reason::Expired)
+            };
             // A range under a token of an earlier leader is about to get a token of this leader.
             let is_own = range.fence >= self.first_fence;
             let is_due = !transfer.is_in_flight && is_own && now >= transfer.due;
             let transfer = &mut self.transfers[index];
-            if is_over {
+            if let Some(reason) = reason {
                 transfer.is_cleared = true;
+                self.clearances.push(Clearance { order, reason });
             } else if is_due {
                 transfer.is_in_flight = true;
                 actions.push(Action::Release(order));
