Failing schedules: a restarted upstream takes keys under the token of its earlier process

Callers: while an upstream's next process holds keys by a renewal that was meant for the process before, the leader gives the keys to another upstream, and both work on them.

--- a/crates/ranges/tests/world/mod.rs
+++ b/crates/ranges/tests/world/mod.rs
@@ -19,6 +19,8 @@
 const STEP_MS: u64 = 10;
 /// Age of the oldest backup from which the store is restored.
 const MAX_BACKUP_AGE_MS: u64 = 6_000;
+/// Time after which an upstream carries out an order that it left unanswered.
+const LATE_ORDER_MS: std::ops::Range<u64> = 2_000..12_000;
 /// Rate of the slowest upstream clock against that of the routers.
 const SLOWEST_CLOCK: f64 = 1.02;
 
@@ -74,6 +76,15 @@
         order: Order,
         hold: Option<Duration>,
         answered: bool,
+        /// Delay after which the process that it reaches carries it out.
+        lateness_ms: u64,
+    },
+    /// A process carries out an order that it left unanswered.
+    CarryOut {
+        process: Instance,
+        order: Order,
+        /// End of the grant, which counts from the arrival of the order; `None` for a release.
+        until: Option<Instant>,
     },
     Answer {
         router: usize,
@@ -364,12 +375,19 @@
             // Carried out late, or never; the grant's time counts from the arrival.
             if self.chance(0.5) {
                 let delay = self.random.random_range(1..250);
+                let is_late = self.chance(0.5);
+                let lateness_ms = if is_late {
+                    self.random.random_range(LATE_ORDER_MS)
+                } else {
+                    0
+                };
                 let event = Event::Arrive {
                     term,
                     router,
                     order: order.clone(),
                     hold,
                     answered: false,
+                    lateness_ms,
                 };
                 self.schedule(delay, event);
             }
@@ -395,6 +413,7 @@
                     order,
                     hold,
                     answered: true,
+                    lateness_ms: 0,
                 },
             );
         }
@@ -408,7 +427,12 @@
                 order,
                 hold,
                 answered,
+                lateness_ms,
             } => {
+                if lateness_ms > 0 {
+                    self.postpone(order, hold, lateness_ms);
+                    return;
+                }
                 let outcome = self.arrive(&order, hold);
                 if answered {
                     let is_grant = hold.is_some();
@@ -425,6 +449,19 @@
                     );
                 }
             }
+            Event::CarryOut {
+                process,
+                order,
+                until,
+            } => {
+                let is_same =
+                    |upstream: &Upstream| upstream.is_running && upstream.instance == process;
+                let found = self.upstreams.iter().position(is_same);
+                let is_over = until.is_some_and(|until| until <= self.now);
+                if let Some(index) = found.filter(|_| !is_over) {
+                    self.carry_out(index, &order, until);
+                }
+            }
             Event::Answer {
                 router,
                 term,
@@ -480,53 +517,76 @@
         }
     }
 
-    /// An upstream carries out an order.
+    /// The process that runs under the upstream's name at the moment. An order names no process.
+    fn reached(&self, order: &Order) -> Option<usize> {
+        let is_named = |upstream: &Upstream| {
+            upstream.is_running && upstream.instance.upstream == order.instance.upstream
+        };
+        self.upstreams.iter().position(is_named)
+    }
+
+    /// Returns when a grant that arrives now ends by the clock of an upstream.
+    fn end_of(&self, upstream: usize, hold: Duration) -> Instant {
+        self.now + hold.mul_f64(self.upstreams[upstream].clock)
+    }
+
+    /// An order reaches a process, which carries it out later.
+    fn postpone(&mut self, order: Order, hold: Option<Duration>, lateness_ms: u64) {
+        let Some(index) = self.reached(&order) else {
+            return;
+        };
+        let event = Event::CarryOut {
+            process: self.upstreams[index].instance.clone(),
+            until: hold.map(|hold| self.end_of(index, hold)),
+            order,
+        };
+        self.schedule(lateness_ms, event);
+    }
+
+    /// An order reaches a process, which carries it out.
     fn arrive(&mut self, order: &Order, hold: Option<Duration>) -> Outcome {
-        let now = self.now;
-        let found = self
-            .upstreams
-            .iter_mut()
-            .find(|upstream| upstream.instance == order.instance);
-        let Some(upstream) = found.filter(|upstream| upstream.is_running) else {
+        let Some(index) = self.reached(order) else {
             return Outcome::NotSent;
         };
+        let until = hold.map(|hold| self.end_of(index, hold));
+        self.carry_out(index, order, until)
+    }
+
+    /// An upstream carries out a grant that ends at `until`, or a release.
+    fn carry_out(&mut self, index: usize, order: &Order, until: Option<Instant>) -> Outcome {
+        let upstream = &mut self.upstreams[index];
         let keys: Vec<usize> = (0..SAMPLES)
             .filter(|index| (order.from..=order.to).contains(&sample(*index)))
             .collect();
-        match hold {
-            Some(hold) => {
-                if keys.iter().any(|key| upstream.seen[*key] > order.fence) {
-                    return Outcome::Fenced;
-                }
-                let until = now + hold.mul_f64(upstream.clock);
-                for key in keys {
-                    upstream.seen[key] = order.fence;
-                    upstream.holds[key] = Some((order.fence, until));
-                    let (highest, by) = &mut self.accepted[key];
-                    let is_other = by.as_ref().is_some_and(|by| *by != order.instance);
-                    assert!(
-                        order.fence > *highest || !is_other,
-                        "key {} accepted by {:?} under {} after {by:?} under {highest}",
-                        sample(key),
-                        order.instance,
-                        order.fence
-                    );
-                    if order.fence >= *highest {
-                        (*highest, *by) = (order.fence, Some(order.instance.clone()));
-                    }
-                }
-                Outcome::Done { handover: None }
+        let Some(until) = until else {
+            for key in keys {
+                upstream.seen[key] = upstream.seen[key].max(order.fence);
+                upstream.holds[key] = None;
             }
-            None => {
-                for key in keys {
-                    upstream.seen[key] = upstream.seen[key].max(order.fence);
-                    upstream.holds[key] = None;
-                }
-                Outcome::Done {
-                    handover: Some(Arc::from("token")),
-                }
+            return Outcome::Done {
+                handover: Some(Arc::from("token")),
+            };
+        };
+        if keys.iter().any(|key| upstream.seen[*key] > order.fence) {
+            return Outcome::Fenced;
+        }
+        for key in keys {
+            upstream.seen[key] = order.fence;
+            upstream.holds[key] = Some((order.fence, until));
+            let (highest, by) = &mut self.accepted[key];
+            let is_other = by.as_ref().is_some_and(|by| *by != upstream.instance);
+            assert!(
+                order.fence > *highest || !is_other,
+                "key {} accepted by {:?} under {} after {by:?} under {highest}",
+                sample(key),
+                upstream.instance,
+                order.fence
+            );
+            if order.fence >= *highest {
+                (*highest, *by) = (order.fence, Some(upstream.instance.clone()));
             }
         }
+        Outcome::Done { handover: None }
     }
 
     /// Checks that no sampled key is held by two running upstreams.
