--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -4,6 +4,7 @@
 //! with histograms, so it uses `prometheus-client`.
 
 use std::convert::Infallible;
+use std::ops::Deref;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -259,11 +260,15 @@
 
     /// Counts an earlier holder that can't hold its keys any more.
     pub(crate) fn source_cleared(&self, service: &Arc<str>, reason: Reason) {
+        self.cleared(service, reason).inc();
+    }
+
+    fn cleared(&self, service: &Arc<str>, reason: Reason) -> impl Deref<Target = Counter> {
         let labels = Cleared {
             service: Arc::clone(service),
             reason: reason.to_string(),
         };
-        self.cleared_sources.get_or_create(&labels).inc();
+        self.cleared_sources.get_or_create(&labels)
     }
 
     /// Returns the counter of log lines beyond the rate limit.
@@ -314,8 +319,11 @@
             self.limited
                 .get_or_create(&labels)
                 .set(service.limited() as i64);
-            // Shows the counter from the start, so that its rate is known from the first send on.
+            // Shows the counters from the start, so that their rates are known from the first event on.
             drop(self.limited_sends.get_or_create(&labels));
+            for reason in [Reason::Released, Reason::Expired] {
+                drop(self.cleared(name, reason));
+            }
             self.repeats_left
                 .get_or_create(&labels)
                 .set(service.repeats_left(now));
