A fencing token is granted to one process of an upstream, by its connections

What callers saw: two upstreams worked on the same keys. Cause: a grant is meant for a process, but names an upstream, and the next process under the name takes it, for it has seen no token. The leader then took the restart in the registry for proof that the upstream held nothing, and gave the keys to another one at once. A predecessor that is cut off from the store could do the same to its successor's keys. Change: a token goes only over connections to the process that was there before the map with the token was written (store/custody.rs decides, store/session.rs sends). Without one left the grant isn't sent and the leader takes a new token. A restart listed in the registry proves nothing any more: the source releases or its grants expire. A leader connects to the holders before it takes their tokens, and grants nothing under a predecessor's. The time up to which a grant may be sent is checked when it is sent. Orders that only a later process could get are never sent again. The model of the schedules has connections now, and registry entries that come up to 6 s late.

--- a/crates/edge/src/leadership/lead.rs
+++ b/crates/edge/src/leadership/lead.rs
@@ -113,31 +113,30 @@
         let node = Rc::clone(self);
         let name = Arc::clone(service);
         let task = match action {
-            Action::Grant {
-                order,
-                hold,
-                handover,
-            } => tokio::task::spawn_local(async move {
+            Action::Connect(instance) => tokio::task::spawn_local(async move {
+                if let Some(address) = node.address(&instance) {
+                    node.platform.connect(address, &instance.upstream).await;
+                }
+                node.leader(&name, |leader| leader.connected(&instance));
+                node.wake(&name);
+            }),
+            Action::Grant(grant) => tokio::task::spawn_local(async move {
                 let started = clock::now();
+                let order = &grant.order;
                 let outcome = match node.address(&order.instance) {
-                    Some(address) => {
-                        node.platform
-                            .grant(address, &order, hold, handover.as_deref())
-                            .await
-                    }
+                    Some(address) => node.platform.grant(address, &grant).await,
                     None => Outcome::NotSent,
                 };
                 let now = clock::now();
-                node.log_order("grant", &name, &order, &outcome, now - started);
-                let has_changed =
-                    node.leader(&name, |leader| leader.granted(&order, &outcome, now));
+                node.log_order("grant", &name, order, &outcome, now - started);
+                let has_changed = node.leader(&name, |leader| leader.granted(order, &outcome, now));
                 if has_changed == Some(true) {
                     node.wake(&name);
                 }
             }),
             Action::Release(order) => tokio::task::spawn_local(async move {
                 let started = clock::now();
-                let outcome = match node.address(&order.instance) {
+                let outcome = match node.address_of(&order.instance.upstream) {
                     Some(address) => node.platform.release(address, &order).await,
                     None => Outcome::NotSent,
                 };
@@ -157,6 +156,16 @@
         });
     }
 
+    /// Returns the address of the process that runs under an upstream's name. A release by any of
+    /// them is a release by all earlier ones.
+    fn address_of(&self, upstream: &str) -> Option<SocketAddr> {
+        let state = self.state.borrow();
+        state
+            .registry
+            .get(upstream)
+            .map(|upstream| upstream.address)
+    }
+
     pub(super) fn address(&self, instance: &Instance) -> Option<SocketAddr> {
         let state = self.state.borrow();
         let upstream = state.registry.get(&instance.upstream)?;
@@ -191,6 +200,7 @@
             Outcome::Done { .. } if event == "grant" => return,
             Outcome::Done { .. } => "done",
             Outcome::Fenced => "fenced",
+            Outcome::Detached => "detached",
             Outcome::NotSent => "not sent",
             Outcome::Unknown => "unknown",
         };
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! Everything runs on one thread, since the VMs have only a fraction of a core.
 
-mod clock;
+pub mod clock;
 mod exchange;
 mod front;
 mod gossip;
--- a/crates/edge/src/platform.rs
+++ b/crates/edge/src/platform.rs
@@ -11,7 +11,7 @@
 use eelgrassrock_dispatch::limit::Limit;
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::Revision;
-use eelgrassrock_ranges::leader::{Order, Outcome};
+use eelgrassrock_ranges::leader::{Grant, Order, Outcome};
 use eelgrassrock_store::Fault;
 use http::{HeaderMap, Method, StatusCode};
 
@@ -196,17 +196,14 @@
     /// Returns the invalid field and the reason.
     fn upstream(&self, row: &Row) -> Result<Upstream, Unreadable>;
 
-    /// Grants a range of keys to an upstream for `hold`. `handover` identifies the handover from
-    /// the previous holder, if any.
-    fn grant(
-        &self,
-        address: SocketAddr,
-        order: &Order,
-        hold: Duration,
-        handover: Option<&str>,
-    ) -> impl Future<Output = Outcome>;
+    /// Opens a connection for grants to an upstream, unless there is one.
+    fn connect(&self, address: SocketAddr, upstream: &str) -> impl Future<Output = ()>;
+
+    /// Grants a range of keys to an upstream, over a connection to the process that it's for. Returns
+    /// [`Outcome::Detached`] if the connections to that process are closed.
+    fn grant(&self, address: SocketAddr, grant: &Grant) -> impl Future<Output = Outcome>;
 
-    /// Asks an upstream to release a range of keys.
+    /// Asks the process that runs under the upstream's name to release a range of keys.
     fn release(&self, address: SocketAddr, order: &Order) -> impl Future<Output = Outcome>;
 
     /// Reads the fields of [`Head`] from the headers of a request.
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -15,7 +15,7 @@
     Verdict,
 };
 use eelgrassrock_model::Revision;
-use eelgrassrock_ranges::leader::{Order, Outcome};
+use eelgrassrock_ranges::leader::{Grant, Order, Outcome};
 use eelgrassrock_store::{Fault, Kind};
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 
@@ -463,16 +463,14 @@
         Ok(self.store.0.lock().unwrap().upstreams[index].clone())
     }
 
-    async fn grant(
-        &self,
-        address: SocketAddr,
-        order: &Order,
-        hold: Duration,
-        _handover: Option<&str>,
-    ) -> Outcome {
+    async fn connect(&self, _address: SocketAddr, _upstream: &str) {}
+
+    async fn grant(&self, address: SocketAddr, grant: &Grant) -> Outcome {
         let servers = self.store.0.lock().unwrap().servers.clone();
         let server = servers.into_iter().find(|server| server.address == address);
-        server.map_or(Outcome::NotSent, |server| server.grant(order, hold))
+        server.map_or(Outcome::NotSent, |server| {
+            server.grant(&grant.order, grant.hold)
+        })
     }
 
     async fn release(&self, address: SocketAddr, order: &Order) -> Outcome {
--- a/crates/ranges/src/leader.rs
+++ b/crates/ranges/src/leader.rs
@@ -6,13 +6,17 @@
 //!    all its grants have expired even by the slowest clock allowed, or its process has ended. A
 //!    release carries the fencing token of the new holder. The earlier holder therefore refuses
 //!    every grant that was sent before, by any leader, and arrives late.
-//! 3. A leader sends grants only while it has *authority*. Authority lasts for a bounded time from
+//! 3. A fencing token is granted only over connections to one process of its upstream: connections
+//!    that were opened before the token was taken, and lead to the same process as those still in
+//!    use. The next process under the upstream's name knows no token and would accept any, so it is
+//!    granted a new one, which needs a map in the store.
+//! 4. A leader sends grants only while it has *authority*. Authority lasts for a bounded time from
 //!    the moment at which the leader sent the last query that the store answered by confirming its
 //!    leadership. A successor renews the grants of the map at once, under new fencing tokens: a
 //!    holder that accepted one refuses everything that the predecessor may still send. Only keys
 //!    whose holder can't be reached wait until the predecessor has provably stopped or its
 //!    authority has expired.
-//! 4. A store that is restored from a backup has lost the last leadership and the grants of that
+//! 5. A store that is restored from a backup has lost the last leadership and the grants of that
 //!    leader. In a new era of the store no map is written until no leader that the store has
 //!    forgotten can act any more and all its grants have expired. Until then a recent leader keeps
 //!    renewing its grants under the tokens of the earlier era, and any other leader waits.
@@ -47,6 +51,9 @@
 /// Time for which completed transfers are gathered before a map is written, per range of the map.
 /// Hundreds of ranges may be in transfer, and each map is written whole and sent to every router.
 const COMPLETION_DELAY_PER_RANGE: Duration = Duration::from_micros(100);
+/// Time for which the first map of a leader waits for connections to the holders. Tokens that are
+/// taken before a connection is opened can't be granted over it.
+const CONNECT_TIME: Duration = Duration::from_millis(100);
 /// Delay after a call that failed.
 const RETRY_BACKOFF: Duration = Duration::from_millis(60);
 /// Delay after a call to an upstream that couldn't be reached.
@@ -106,18 +113,28 @@
     pub limit_per_s: Option<f64>,
 }
 
+/// Grant of a range to an upstream, or its renewal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Receiver, range and fencing token of the grant.
+    pub order: Order,
+    /// Time for which the grant is in force.
+    pub hold: Duration,
+    /// Handover token of the previous holder.
+    pub handover: Option<Arc<str>>,
+    /// Latest time at which the connections to the process that the grant is for were opened.
+    pub connected_by: Instant,
+    /// Time after which the grant must not be sent any more.
+    pub send_by: Instant,
+}
+
 /// Call that a leader wants its caller to make.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
+    /// Open a connection to an upstream, and report the end with [`Leader::connected`].
+    Connect(Instance),
     /// Send a grant, and report its end with [`Leader::granted`].
-    Grant {
-        /// Receiver, range and fencing token of the grant.
-        order: Order,
-        /// Time for which the grant is in force.
-        hold: Duration,
-        /// Handover token of the previous holder.
-        handover: Option<Arc<str>>,
-    },
+    Grant(Grant),
     /// Take keys back, and report the end with [`Leader::released`].
     Release(Order),
     /// Write the map if neither leadership nor the map has changed in the store. Report the end
@@ -146,6 +163,12 @@
     map: Map,
     pending_map: Option<Map>,
     leases: IndexMap<Order, Lease>,
+    /// When the map with each fencing token of this leader was last on its way to the store.
+    taken_at: HashMap<u64, Instant>,
+    /// Upstreams to which a connection was asked for, and whether the attempt has ended.
+    connections: HashMap<Instance, bool>,
+    /// Time until which the first map of this leader waits for connections.
+    connect_until: Instant,
     transfers: Vec<Transfer>,
     /// Earlier holders that can't hold their keys any more, since the last report of them.
     clearances: Vec<Clearance>,
@@ -169,6 +192,9 @@
     completion_due: Instant,
     /// Order that a holder refused because it has seen a higher fencing token.
     fenced_order: Option<Order>,
+    /// Orders that can't be sent any more, because no connection to the process that they are for is
+    /// left.
+    detached_orders: Vec<Order>,
     /// Era of the store in which this leader leads.
     era: u64,
     /// Time from which no leader that the store has forgotten can act and none of its grants can be
@@ -265,6 +291,9 @@
             map,
             pending_map: None,
             leases: IndexMap::new(),
+            taken_at: HashMap::new(),
+            connections: HashMap::new(),
+            connect_until: now + CONNECT_TIME,
             transfers: Vec::new(),
             clearances: Vec::new(),
             probes: Vec::new(),
@@ -279,6 +308,7 @@
             plan_due: now,
             completion_due: now,
             fenced_order: None,
+            detached_orders: Vec::new(),
         }
     }
 
@@ -351,6 +381,7 @@
         }
         self.expire_predecessor(now);
         self.drop_old_leases(now);
+        self.connect(&mut actions);
         self.release_sources(now, &mut actions);
         self.renew(now, &mut actions);
         self.send_probes(now, &mut actions);
@@ -359,10 +390,11 @@
             let _ = self.plan(now);
         } else if self.pending_map.is_none() {
             let next = self
-                .replace_inherited_fences()
+                .replace_inherited_fences(now)
                 .or_else(|| self.complete_transfers(now))
                 .or_else(|| self.refence());
             if let Some(map) = next.or_else(|| self.plan(now)) {
+                self.record_tokens(&map, now);
                 self.pending_map = Some(map.clone());
                 actions.push(Action::Commit(map));
             }
@@ -399,13 +431,16 @@
             }
         }
         lease.due = match outcome {
-            Outcome::Done { .. } => now + renewal,
-            Outcome::Fenced => now + renewal,
-            Outcome::NotSent => now + UNREACHABLE_BACKOFF,
+            Outcome::Done { .. } | Outcome::Fenced => now + renewal,
+            Outcome::Detached | Outcome::NotSent => now + UNREACHABLE_BACKOFF,
             Outcome::Unknown => now + RETRY_BACKOFF,
         };
-        if *outcome == Outcome::Fenced {
-            self.fenced_order = Some(order.clone());
+        match outcome {
+            Outcome::Fenced => self.fenced_order = Some(order.clone()),
+            Outcome::Detached if !self.detached_orders.contains(order) => {
+                self.detached_orders.push(order.clone());
+            }
+            _ => {}
         }
         !(is_done && is_renewal)
     }
@@ -428,7 +463,9 @@
                 transfer.handover.clone_from(handover);
             }
             Outcome::NotSent => transfer.due = now + UNREACHABLE_BACKOFF,
-            Outcome::Fenced | Outcome::Unknown => transfer.due = now + RETRY_BACKOFF,
+            Outcome::Fenced | Outcome::Detached | Outcome::Unknown => {
+                transfer.due = now + RETRY_BACKOFF;
+            }
         }
     }
 
@@ -451,11 +488,46 @@
         self.forget_transfers();
     }
 
+    /// Records that an attempt to connect to an upstream has ended.
+    pub fn connected(&mut self, instance: &Instance) {
+        if let Some(has_ended) = self.connections.get_mut(instance) {
+            *has_ended = true;
+        }
+    }
+
     /// Discards a commit that certainly had no effect.
     pub fn not_committed(&mut self) {
         self.pending_map = None;
     }
 
+    /// Asks for a connection to each upstream that was listed since the last call, so that it's open
+    /// before a token for the upstream is taken.
+    fn connect(&mut self, actions: &mut Vec<Action>) {
+        let upstreams = &self.upstreams;
+        let is_listed = |instance: &Instance| {
+            let listed = upstreams.get(&instance.upstream);
+            listed.is_some_and(|upstream| upstream.instance == *instance)
+        };
+        self.connections.retain(|instance, _| is_listed(instance));
+        for upstream in upstreams.values() {
+            if !self.connections.contains_key(&upstream.instance) {
+                self.connections.insert(upstream.instance.clone(), false);
+                actions.push(Action::Connect(upstream.instance.clone()));
+            }
+        }
+    }
+
+    /// Records the fencing tokens that a map takes, which is about to be written.
+    fn record_tokens(&mut self, map: &Map, now: Instant) {
+        let known: HashSet<u64> = self.map.ranges.iter().map(|range| range.fence).collect();
+        let taken = map.ranges.iter().map(|range| range.fence);
+        self.taken_at.extend(
+            taken
+                .filter(|fence| !known.contains(fence))
+                .map(|fence| (fence, now)),
+        );
+    }
+
     /// Returns the longest time for which a grant that arrives now is in force.
     fn max_hold(&self) -> Duration {
         self.settings.hold.mul_f64(1.0 + CLOCK_DRIFT) + SLACK
--- a/crates/ranges/src/leader/planning.rs
+++ b/crates/ranges/src/leader/planning.rs
@@ -6,7 +6,7 @@
 
 use eelgrassrock_model::time::Instant;
 
-use super::Leader;
+use super::{Leader, Order};
 use crate::load::Load;
 use crate::map::{Instance, Map, Range};
 use crate::plan::{self, Candidate};
@@ -64,6 +64,9 @@
         let map = &self.map;
         let fences: HashSet<u64> = map.ranges.iter().map(|range| range.fence).collect();
         self.granted_at.retain(|fence, _| fences.contains(fence));
+        if self.pending_map.is_none() {
+            self.taken_at.retain(|fence, _| fences.contains(fence));
+        }
         let leaving: HashMap<&Instance, bool> = usable
             .iter()
             .map(|candidate| (&candidate.instance, candidate.leaving))
@@ -102,9 +105,9 @@
     }
 
     /// Returns the map in which every range has a fencing token of this leader, unless all have one
-    /// already. This is due after a change of leadership.
-    pub(super) fn replace_inherited_fences(&self) -> Option<Map> {
-        if !self.has_inherited_fences() {
+    /// already. This is due after a change of leadership, once the holders are connected.
+    pub(super) fn replace_inherited_fences(&self, now: Instant) -> Option<Map> {
+        if !self.has_inherited_fences() || (now < self.connect_until && self.is_connecting()) {
             return None;
         }
         let mut map = self.map.clone();
@@ -118,20 +121,37 @@
 
     /// Whether a range has a fencing token of an earlier leader.
     fn has_inherited_fences(&self) -> bool {
-        let inherited = |range: &Range| range.holder.is_some() && range.fence < self.first_fence;
+        let inherited =
+            |range: &Range| range.holder.is_some() && !self.taken_at.contains_key(&range.fence);
         self.map.ranges.iter().any(inherited)
     }
 
-    /// Returns the map with a new fencing token for the range whose holder has seen a higher one.
+    /// Whether a holder is listed and an attempt to connect to it hasn't ended.
+    fn is_connecting(&self) -> bool {
+        let mut holders = self
+            .map
+            .ranges
+            .iter()
+            .filter_map(|range| range.holder.as_ref());
+        holders.any(|holder| self.connections.get(holder) == Some(&false))
+    }
+
+    /// Returns the map with new fencing tokens for the ranges whose holder has seen a higher one, or
+    /// whose token belongs to connections that are closed.
     pub(super) fn refence(&mut self) -> Option<Map> {
-        let order = self.fenced_order.take()?;
-        let range = self.map.range(order.from);
-        if !order.is_of(range) || !range.sources.is_empty() {
+        let fenced = self.fenced_order.take();
+        let is_settled = |order: &Order| self.map.range(order.from).sources.is_empty();
+        let mut orders = std::mem::take(&mut self.detached_orders);
+        orders.extend(fenced.filter(is_settled));
+        orders.retain(|order| order.is_of(self.map.range(order.from)));
+        if orders.is_empty() {
             return None;
         }
         let mut map = self.map.clone();
-        let index = map.ranges.partition_point(|range| range.to < order.from);
-        map.ranges[index].fence = map.take_fence();
+        for order in orders {
+            let index = map.ranges.partition_point(|range| range.to < order.from);
+            map.ranges[index].fence = map.take_fence();
+        }
         Some(map)
     }
 }
--- a/crates/ranges/src/leader/transfer.rs
+++ b/crates/ranges/src/leader/transfer.rs
@@ -7,7 +7,7 @@
 use eelgrassrock_model::time::Instant;
 
 use super::planning::is_accepted;
-use super::{Action, Inherited, Leader, Order};
+use super::{Action, Grant, Inherited, Leader, Order};
 use crate::lease::Lease;
 use crate::map::{Instance, Map, Range};
 
@@ -24,9 +24,6 @@
     /// Every grant to it has expired.
     #[display("expired")]
     Expired,
-    /// The registry lists a later process of the upstream.
-    #[display("restarted")]
-    Restarted,
 }
 
 /// Keys that an earlier holder can't hold any more.
@@ -98,8 +95,6 @@
             }
             let reason = if transfer.is_released {
                 Some(Reason::Released)
-            } else if self.has_restarted(source) {
-                Some(Reason::Restarted)
             } else {
                 let has_expired = !transfer.is_in_flight && self.has_run_out(range, source, now);
                 has_expired.then_some(Reason::Expired)
@@ -118,12 +113,6 @@
         }
     }
 
-    /// Whether the registry lists another instance of this upstream.
-    fn has_restarted(&self, instance: &Instance) -> bool {
-        let listed = self.upstreams.get(&instance.upstream);
-        listed.is_some_and(|upstream| upstream.instance.incarnation != instance.incarnation)
-    }
-
     /// Whether every grant of these keys to `source` has expired.
     fn has_run_out(&self, range: &Range, source: &Instance, now: Instant) -> bool {
         let own = |lease: &&Lease| lease.order.instance == *source && lease.overlaps(range);
@@ -165,6 +154,10 @@
                 // A renewal would only keep the keys away from other upstreams.
                 continue;
             }
+            let Some(connected_by) = self.taken_at.get(&range.fence).copied() else {
+                // The token is an earlier leader's, and so are the connections that it belongs to.
+                continue;
+            };
             let order = Order::new(holder, range);
             let lease = self.leases.entry(order.clone()).or_insert_with(|| {
                 let mut own = self
@@ -178,11 +171,13 @@
                 continue;
             }
             lease.is_in_flight = true;
-            actions.push(Action::Grant {
+            actions.push(Action::Grant(Grant {
                 order: lease.order.clone(),
                 hold: self.settings.hold,
                 handover: lease.handover.clone(),
-            });
+                connected_by,
+                send_by: self.authority_until,
+            }));
         }
     }
 
--- a/crates/ranges/src/lease.rs
+++ b/crates/ranges/src/lease.rs
@@ -33,6 +33,8 @@
     },
     /// The upstream refused the order because it has seen a higher fencing token.
     Fenced,
+    /// Nothing was sent, because no connection to the process that the order is for is left.
+    Detached,
     /// Nothing was sent.
     NotSent,
     /// The order may have been carried out, or may be carried out later.
@@ -76,7 +78,7 @@
                 self.failures += 1;
             }
             Outcome::NotSent => self.failures += 1,
-            Outcome::Fenced => {}
+            Outcome::Fenced | Outcome::Detached => {}
         }
     }
 
--- a/crates/ranges/tests/hot.rs
+++ b/crates/ranges/tests/hot.rs
@@ -99,7 +99,8 @@
         }
         for action in self.leader.poll(at(self.now)) {
             match action {
-                Action::Grant { order, .. } => self.push(CALL_MS, Event::Granted(order)),
+                Action::Connect(instance) => self.leader.connected(&instance),
+                Action::Grant(grant) => self.push(CALL_MS, Event::Granted(grant.order)),
                 Action::Release(order) => {
                     // Requests that run on the keys end first.
                     let running = self.random.random_range(0..WORK_MS as u64);
--- a/crates/ranges/tests/world/mod.rs
+++ b/crates/ranges/tests/world/mod.rs
@@ -21,6 +21,8 @@
 const MAX_BACKUP_AGE_MS: u64 = 6_000;
 /// Time after which an upstream carries out an order that it left unanswered.
 const LATE_ORDER_MS: std::ops::Range<u64> = 2_000..12_000;
+/// Time by which an upstream that starts again writes its entry in the registry.
+const MAX_REGISTRY_LAG_MS: u64 = 6_000;
 /// Rate of the slowest upstream clock against that of the routers.
 const SLOWEST_CLOCK: f64 = 1.02;
 
@@ -52,6 +54,8 @@
     instance: Instance,
     is_running: bool,
     is_listed: bool,
+    /// Incarnation that the registry lists.
+    listed_incarnation: u64,
     leaving: bool,
     clock: f64,
     /// For each sampled key: fencing token and end of the grant.
@@ -69,12 +73,27 @@
     confirm_due: Instant,
 }
 
+/// Connection of a router to a process, over which it sends grants.
+struct Connection {
+    incarnation: u64,
+    opened_at: Instant,
+}
+
 enum Event {
+    Connected {
+        router: usize,
+        term: u64,
+        instance: Instance,
+    },
+    /// An upstream writes its entry in the registry.
+    Registered(Arc<str>),
     Arrive {
         term: u64,
         router: usize,
         order: Order,
         hold: Option<Duration>,
+        /// Incarnation that the connection of a grant leads to.
+        incarnation: Option<u64>,
         answered: bool,
         /// Delay after which the process that it reaches carries it out.
         lateness_ms: u64,
@@ -122,6 +141,7 @@
     upstreams: Vec<Upstream>,
     /// Routers and upstreams that can't reach each other, and until when.
     lost_paths: BTreeMap<(usize, Arc<str>), Instant>,
+    connections: BTreeMap<(usize, Arc<str>), Connection>,
     events: BTreeMap<(Instant, u64), Event>,
     next_event: u64,
     store: Store,
@@ -158,6 +178,7 @@
                 },
                 is_running: true,
                 is_listed: true,
+                listed_incarnation: 1,
                 leaving: false,
                 clock: random.random_range(1.0..SLOWEST_CLOCK),
                 holds: vec![None; SAMPLES],
@@ -178,6 +199,7 @@
             routers: (0..3).map(router).collect(),
             upstreams,
             lost_paths: BTreeMap::new(),
+            connections: BTreeMap::new(),
             events: BTreeMap::new(),
             next_event: 0,
             store: Store::default(),
@@ -281,6 +303,10 @@
                     upstream.is_running = true;
                     upstream.holds = vec![None; SAMPLES];
                     upstream.seen = vec![0; SAMPLES];
+                    let name = Arc::clone(&upstream.instance.upstream);
+                    self.reset_connections(&name);
+                    let lag_ms = self.random.random_range(0..MAX_REGISTRY_LAG_MS);
+                    self.schedule(lag_ms, Event::Registered(name));
                 }
             }
         }
@@ -300,7 +326,10 @@
             .filter(|upstream| upstream.is_listed)
             .map(|upstream| leader::Upstream {
                 limit_per_s: None,
-                instance: upstream.instance.clone(),
+                instance: Instance {
+                    incarnation: upstream.listed_incarnation,
+                    ..upstream.instance.clone()
+                },
                 slots: 2,
                 leaving: upstream.leaving,
             })
@@ -321,7 +350,31 @@
     fn perform(&mut self, router: usize, action: Action) {
         let term = self.routers[router].term;
         match action {
-            Action::Grant { order, hold, .. } => self.send(router, term, order, Some(hold)),
+            Action::Connect(instance) => {
+                self.connect(router, &instance.upstream);
+                let connected = Event::Connected {
+                    router,
+                    term,
+                    instance,
+                };
+                self.schedule(2, connected);
+            }
+            Action::Grant(grant) => {
+                let path = self.connect(router, &grant.order.instance.upstream);
+                let is_attached = path.is_some_and(|opened_at| opened_at <= grant.connected_by);
+                if path.is_some() && !is_attached {
+                    let detached = Event::Answer {
+                        router,
+                        term,
+                        order: grant.order,
+                        is_grant: true,
+                        outcome: Outcome::Detached,
+                    };
+                    self.schedule(1, detached);
+                } else {
+                    self.send(router, term, grant.order, Some(grant.hold));
+                }
+            }
             Action::Release(order) => self.send(router, term, order, None),
             Action::Commit(map) => {
                 let queried_at = self.now;
@@ -349,29 +402,66 @@
         }
     }
 
+    /// Opens a connection to the process that runs under an upstream's name, unless the router has
+    /// one. Returns when it was opened, or `None` if that fails.
+    fn connect(&mut self, router: usize, name: &Arc<str>) -> Option<Instant> {
+        let path = (router, Arc::clone(name));
+        if let Some(connection) = self.connections.get(&path) {
+            return Some(connection.opened_at);
+        }
+        let is_lost = self
+            .lost_paths
+            .get(&path)
+            .is_some_and(|until| self.now < *until);
+        let is_named =
+            |upstream: &&Upstream| upstream.is_running && upstream.instance.upstream == *name;
+        let process = self.upstreams.iter().find(is_named).filter(|_| !is_lost)?;
+        let connection = Connection {
+            incarnation: process.instance.incarnation,
+            opened_at: self.now,
+        };
+        self.connections.insert(path, connection);
+        Some(self.now)
+    }
+
+    /// Closes the connections of all routers to a process that ends.
+    fn reset_connections(&mut self, name: &Arc<str>) {
+        self.connections.retain(|(_, upstream), _| upstream != name);
+    }
+
     fn send(&mut self, router: usize, term: u64, order: Order, hold: Option<Duration>) {
         if hold.is_none() {
             self.releases += 1;
         }
         let path = (router, Arc::clone(&order.instance.upstream));
-        if self
+        let is_lost = self
             .lost_paths
             .get(&path)
-            .is_some_and(|until| self.now < *until)
-        {
-            let outcome = Outcome::NotSent;
-            let is_grant = hold.is_some();
+            .is_some_and(|until| self.now < *until);
+        let connection = self.connections.get(&path).filter(|_| hold.is_some());
+        let incarnation = connection.map(|connection| connection.incarnation);
+        if is_lost || (hold.is_some() && incarnation.is_none()) {
+            // What was written to an open connection is discarded with it.
+            let is_written = self.connections.remove(&path).is_some() && hold.is_some();
             let event = Event::Answer {
                 router,
                 term,
                 order,
-                is_grant,
-                outcome,
+                is_grant: hold.is_some(),
+                outcome: if is_written {
+                    Outcome::Unknown
+                } else {
+                    Outcome::NotSent
+                },
             };
             self.schedule(300, event);
             return;
         }
         if self.chance(self.faults.call_lost) {
+            if hold.is_some() && self.chance(0.5) {
+                // Otherwise a second connection to the process is left.
+                self.connections.remove(&path);
+            }
             // Carried out late, or never; the grant's time counts from the arrival.
             if self.chance(0.5) {
                 let delay = self.random.random_range(1..250);
@@ -386,6 +476,7 @@
                     router,
                     order: order.clone(),
                     hold,
+                    incarnation,
                     answered: false,
                     lateness_ms,
                 };
@@ -412,6 +503,7 @@
                     router,
                     order,
                     hold,
+                    incarnation,
                     answered: true,
                     lateness_ms: 0,
                 },
@@ -426,9 +518,29 @@
                 router,
                 order,
                 hold,
+                incarnation,
                 answered,
                 lateness_ms,
             } => {
+                let is_reset = |incarnation| {
+                    let reached = self.reached(&order).map(|index| &self.upstreams[index]);
+                    reached.is_some_and(|upstream| upstream.instance.incarnation != incarnation)
+                };
+                if incarnation.is_some_and(is_reset) {
+                    if answered {
+                        let is_grant = hold.is_some();
+                        let outcome = Outcome::Unknown;
+                        let event = Event::Answer {
+                            router,
+                            term,
+                            order,
+                            is_grant,
+                            outcome,
+                        };
+                        self.schedule(1, event);
+                    }
+                    return;
+                }
                 if lateness_ms > 0 {
                     self.postpone(order, hold, lateness_ms);
                     return;
@@ -449,6 +561,22 @@
                     );
                 }
             }
+            Event::Connected {
+                router,
+                term,
+                instance,
+            } => {
+                let router = &mut self.routers[router];
+                if let Some(leader) = router.leader.as_mut().filter(|_| router.term == term) {
+                    leader.connected(&instance);
+                }
+            }
+            Event::Registered(name) => {
+                let is_named = |upstream: &&mut Upstream| upstream.instance.upstream == name;
+                if let Some(upstream) = self.upstreams.iter_mut().find(is_named) {
+                    upstream.listed_incarnation = upstream.instance.incarnation;
+                }
+            }
             Event::CarryOut {
                 process,
                 order,
--- a/crates/store/src/endpoint.rs
+++ b/crates/store/src/endpoint.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 use crate::settings::Settings;
@@ -22,7 +23,24 @@
 /// Longest delay that a `Retry-After` header can ask for; longer ones are cut to it.
 const MAX_RETRY_AFTER_SECONDS: u64 = 60;
 
-type Connection = http1::SendRequest<Full<Bytes>>;
+/// Connection to the address. Dropping it closes it at once.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Connection {
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
 
 /// HTTP client of one address of the platform.
 ///
@@ -135,7 +153,7 @@
         Ok(answer)
     }
 
-    async fn send_and_collect(
+    pub(crate) async fn send_and_collect(
         &self,
         connection: &mut Connection,
         call: &Call,
@@ -155,7 +173,8 @@
         }))
     }
 
-    async fn connect(&self) -> Result<Connection, Kind> {
+    /// Opens a connection outside the pool.
+    pub(crate) async fn connect(&self) -> Result<Connection, Kind> {
         let limit = self.settings.connect_timeout;
         timeout(limit, self.establish())
             .await
@@ -175,8 +194,8 @@
             .await
             .map_err(|error| Kind::Unreachable(error.to_string().into()))?;
         // The error is ignored here: the exchange on this connection reports it.
-        tokio::spawn(async move { driver.await.unwrap_or_default() });
-        Ok(sender)
+        let driver = tokio::spawn(async move { driver.await.unwrap_or_default() });
+        Ok(Connection { sender, driver })
     }
 
     async fn open(&self) -> io::Result<TcpStream> {
@@ -292,10 +311,11 @@
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
 ) -> Result<Option<Response<Incoming>>, Kind> {
-    if connection.ready().await.is_err() {
+    let sender = &mut connection.sender;
+    if sender.ready().await.is_err() {
         return Ok(None);
     }
-    match connection.try_send_request(request).await {
+    match sender.try_send_request(request).await {
         Ok(response) => Ok(Some(response)),
         // hyper returns the request only if no byte of it was sent.
         Err(mut error) => match error.take_message() {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,9 +6,11 @@
 //! lost is `Outcome::Unknown`, and [`table::Client::resolve`] reads back whether
 //! it took effect.
 
+pub mod custody;
 pub mod endpoint;
 mod fault;
 pub mod objects;
+pub mod session;
 pub mod settings;
 pub mod table;
 pub mod vms;
--- /dev/null
+++ b/crates/store/tests/session.rs
@@ -0,0 +1,135 @@
+//! Calls of a session reach one process.
+
+use std::net::SocketAddr;
+use std::sync::LazyLock;
+use std::time::Duration;
+
+use eelgrassrock_model::time::Instant;
+use eelgrassrock_store::Kind;
+use eelgrassrock_store::endpoint::Call;
+use eelgrassrock_store::session::{Outcome, Session, Window};
+use eelgrassrock_store::settings::Settings;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+const TIMEOUT: Duration = Duration::from_millis(300);
+
+static START: LazyLock<std::time::Instant> = LazyLock::new(std::time::Instant::now);
+
+fn now() -> Instant {
+    Instant::from_micros(START.elapsed().as_micros() as u64 + 1)
+}
+
+fn window(connected_by: Instant) -> Window {
+    Window {
+        connected_by,
+        send_by: now() + Duration::from_secs(60),
+    }
+}
+
+fn session(address: SocketAddr) -> Session {
+    let settings = Settings::builder().timeout(TIMEOUT).build();
+    Session::new(address, settings, now)
+}
+
+fn call() -> Call {
+    Call::post("/order", "{}")
+}
+
+/// Answers every request on a connection; the last of `closes_after` closes it.
+async fn answer(mut stream: TcpStream, closes_after: usize) {
+    for number in 1..=closes_after {
+        let mut received = Vec::new();
+        while !received.ends_with(b"{}") {
+            if stream.read_buf(&mut received).await.unwrap_or(0) == 0 {
+                return;
+            }
+        }
+        let close = if number == closes_after {
+            "connection: close\r\n"
+        } else {
+            ""
+        };
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n{close}\r\n");
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Process whose first connection serves `closes_after` requests.
+fn process(listener: TcpListener, closes_after: usize) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        let mut connections = tokio::task::JoinSet::new();
+        let mut requests = closes_after;
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            connections.spawn(answer(stream, requests));
+            requests = usize::MAX;
+        }
+    })
+}
+
+async fn is_answered(session: &Session, window: Window) -> bool {
+    matches!(session.call(&call(), window).await, Outcome::Answered(_))
+}
+
+#[tokio::test]
+async fn nothing_is_sent_to_a_later_process_at_the_address() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let first = process(listener, usize::MAX);
+    let session = session(address);
+    assert!(session.connect().await);
+    let connected_by = now();
+    assert!(is_answered(&session, window(connected_by)).await);
+    first.abort();
+    let _ = first.await;
+    let listener = TcpListener::bind(address).await.unwrap();
+    let later = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut received = [0; 16];
+        stream.read(&mut received).await
+    });
+    let outcome = session.call(&call(), window(connected_by)).await;
+    assert!(matches!(outcome, Outcome::Detached), "{outcome:?}");
+    sleep(Duration::from_millis(50)).await;
+    assert!(!later.is_finished(), "the later process received something");
+}
+
+#[tokio::test]
+async fn calls_to_a_process_go_on_when_it_closes_a_connection() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let _process = process(listener, 4);
+    let session = session(address);
+    assert!(session.connect().await);
+    let connected_by = now();
+    for number in 0..12 {
+        assert!(
+            is_answered(&session, window(connected_by)).await,
+            "call {number}"
+        );
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test]
+async fn nothing_is_sent_after_the_time_to_send() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let _process = process(listener, usize::MAX);
+    let session = session(address);
+    assert!(session.connect().await);
+    let late = Window {
+        connected_by: now(),
+        send_by: Instant::from_micros(now().as_micros() - 1),
+    };
+    match session.call(&call(), late).await {
+        Outcome::Failed(fault) => assert!(matches!(fault.kind, Kind::Unreachable(_)), "{fault}"),
+        outcome => panic!("{outcome:?}"),
+    }
+    assert!(is_answered(&session, window(now())).await);
+}
