A grant that is given up is discarded with its connection

Suspected, not seen in an incident: a grant that the leader has given up after 350 ms still arrives, when a partition heals or a lossy link gets its bytes through, and holds the keys for 3 s from then, which is longer than the leader waits. Cause: the connection was closed, and the kernel goes on delivering what was written before; it does so even for a router that was killed. With the connection only closed, the test a_call_that_is_given_up_resets_its_connection reads the end of the stream, not a reset (run before the change: left None, right Some(ConnectionReset)). Change: connections for grants are opened so that closing them resets them.

--- a/crates/store/src/endpoint.rs
+++ b/crates/store/src/endpoint.rs
@@ -42,6 +42,15 @@
     }
 }
 
+/// How a connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Close {
+    /// Bytes that were written are still delivered.
+    Graceful,
+    /// Bytes that haven't arrived are discarded, also if the process is killed.
+    Reset,
+}
+
 /// HTTP client of one address of the platform.
 ///
 /// A connection returns to the pool only after a complete answer. If a call
@@ -131,7 +140,7 @@
                 return Ok(answer);
             }
         }
-        let connection = self.connect().await?;
+        let connection = self.connect(Close::Graceful).await?;
         let answer = self.exchange(connection, call).await?;
         answer.ok_or_else(|| Kind::Unreachable("closed before the request was sent".into()))
     }
@@ -173,19 +182,28 @@
         }))
     }
 
-    /// Opens a connection outside the pool.
-    pub(crate) async fn connect(&self) -> Result<Connection, Kind> {
+    /// Opens a connection outside the pool that is reset when it is dropped.
+    pub(crate) async fn connect_resetting(&self) -> Result<Connection, Kind> {
+        self.connect(Close::Reset).await
+    }
+
+    async fn connect(&self, close: Close) -> Result<Connection, Kind> {
         let limit = self.settings.connect_timeout;
-        timeout(limit, self.establish())
+        timeout(limit, self.establish(close))
             .await
             .unwrap_or(Err(Kind::Unreachable("connecting timed out".into())))
     }
 
-    async fn establish(&self) -> Result<Connection, Kind> {
+    async fn establish(&self, close: Close) -> Result<Connection, Kind> {
         let stream = self
             .open()
             .await
             .map_err(|error| Kind::Unreachable(error.to_string().into()))?;
+        if close == Close::Reset {
+            SockRef::from(&stream)
+                .set_linger(Some(Duration::ZERO))
+                .map_err(|error| Kind::Unreachable(error.to_string().into()))?;
+        }
         // A failure to set either option is ignored: calls may take longer without them, but
         // their results stay correct.
         let _ = stream.set_nodelay(true);
--- a/crates/store/src/session.rs
+++ b/crates/store/src/session.rs
@@ -19,6 +19,8 @@
 
 /// Calls to the processes at one address, by connections that are told apart.
 ///
+/// A connection whose call failed is reset, so that nothing of the call arrives later.
+///
 /// ```
 /// use eelgrassrock_model::time::Instant;
 /// use eelgrassrock_store::endpoint::Call;
@@ -182,7 +184,7 @@
         if self.state().open >= wanted {
             return Ok(());
         }
-        let connection = self.endpoint.connect().await?;
+        let connection = self.endpoint.connect_resetting().await?;
         let opened_at = (self.now)();
         let mut state = self.state();
         let number = state.next_connection;
@@ -229,7 +231,7 @@
     }
 }
 
-/// Connection that a call uses. If it's dropped without [`Lent::keep`], the connection is closed.
+/// Connection that a call uses. If it's dropped without [`Lent::keep`], the connection is reset.
 struct Lent<'a> {
     shared: &'a Shared,
     number: u64,
--- a/crates/store/tests/session.rs
+++ b/crates/store/tests/session.rs
@@ -1,5 +1,6 @@
-//! Calls of a session reach one process.
+//! Calls of a session reach one process, and leave nothing behind when they are given up.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::LazyLock;
 use std::time::Duration;
@@ -133,3 +134,26 @@
     }
     assert!(is_answered(&session, window(now())).await);
 }
+
+/// A connection that is only closed still delivers what a cut link has held up.
+#[tokio::test]
+async fn a_call_that_is_given_up_resets_its_connection() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let session = session(listener.local_addr().unwrap());
+    let peer = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        sleep(2 * TIMEOUT).await;
+        let mut received = Vec::new();
+        loop {
+            match stream.read_buf(&mut received).await {
+                Ok(0) => return None,
+                Ok(_) => {}
+                Err(error) => return Some(error.kind()),
+            }
+        }
+    });
+    assert!(session.connect().await);
+    let outcome = session.call(&call(), window(now())).await;
+    assert!(matches!(outcome, Outcome::Failed(_)), "{outcome:?}");
+    assert_eq!(peer.await.unwrap(), Some(ErrorKind::ConnectionReset));
+}
