A restarted router assumes a leader that a restored store has forgotten

All routers had been killed and the store had come back from a copy that was older than the first leadership, so the next leader took itself for the first one and granted all keys while the grants of the forgotten one were in force. Evidence: the new test in edge/tests/restore.rs fails if the restarted router takes its start for the first of the system, as it did before (highest_token() <= highest), and passes with this change. Change: the settings say whether the whole system starts for the first time. A router that starts later, or that saw the era of the store rise, waits before its first grant until nothing of a forgotten leader can be in force. A store that counts no eras is never restored, so nothing changes there.

--- a/crates/edge/src/leadership.rs
+++ b/crates/edge/src/leadership.rs
@@ -27,6 +27,7 @@
 use crate::node::Node;
 use crate::peer::Report;
 use crate::platform::{Name, Platform, Row, Table};
+use crate::settings::Settings;
 
 /// Prefix of the keys of leadership rows.
 const LEADERSHIP_PREFIX: &str = "duty/";
@@ -253,9 +254,11 @@
 }
 
 impl Participant {
-    fn new(router: Arc<str>, incarnation: u64, now: Instant) -> Self {
+    fn new(settings: &Settings, now: Instant) -> Self {
+        let router = Arc::clone(&settings.router);
+        let is_first_start = settings.is_first_start;
         Self {
-            election: Election::new(router, incarnation, now),
+            election: Election::new(router, settings.incarnation, is_first_start, now),
             leader: None,
             calls: Vec::new(),
             keys: Vec::new(),
@@ -291,10 +294,7 @@
         if services.contains_key(service) {
             return;
         }
-        let settings = &self.settings;
-        let now = clock::now();
-        let mut participant =
-            Participant::new(Arc::clone(&settings.router), settings.incarnation, now);
+        let mut participant = Participant::new(&self.settings, clock::now());
         participant.election.enter_era(self.era.get());
         if let Some(era) = self.leaderships.history.borrow().get(service) {
             participant.election.record_history(*era);
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -15,6 +15,8 @@
     /// Incarnation of the process, derived from its start time. It distinguishes this process from
     /// earlier ones of the same router.
     pub incarnation: u64,
+    /// Whether the whole system starts for the first time, so that no router has led yet.
+    pub is_first_start: bool,
     /// Data centre in which the VM runs.
     pub data_centre: Arc<str>,
     /// Size of the VM relative to others, in thousandths of a core.
--- a/crates/edge/tests/restore.rs
+++ b/crates/edge/tests/restore.rs
@@ -188,6 +188,31 @@
     assert_eq!(keyed_status(&other, 7).await, 200);
 }
 
+/// All routers are killed, and the store comes back from a backup that is older than the first
+/// leadership, so nobody remembers the grants that are still in force.
+#[tokio::test]
+async fn no_key_has_two_holders_if_neither_store_nor_router_remembers_a_leader() {
+    let cluster = Cluster::new().await;
+    let mut leader = start(&cluster.store, 2, 500);
+    leader.ready().await;
+    let backup = cluster.store.back_up();
+    cluster.until_all_keys_are_held().await;
+    leader.kill();
+    cluster.store.restore(backup);
+    let highest = cluster.highest_token();
+    let restarted = Router::start_with("router-3", &cluster.store, |settings| {
+        settings.peer.set_ip([127, 0, 0, 3].into());
+        settings.is_first_start = false;
+    });
+    restarted.ready().await;
+    cluster
+        .watch(RECOVERY_TIME - Duration::from_millis(500))
+        .await;
+    assert!(cluster.highest_token() <= highest);
+    eventually("new grants", || cluster.highest_token() > highest).await;
+    cluster.until_all_keys_are_held().await;
+}
+
 /// If the store has counted eras from the beginning, a new service gets its leader without a delay.
 #[tokio::test]
 async fn the_first_leader_of_a_service_grants_keys_at_once() {
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -80,6 +80,7 @@
     Settings {
         router: name.into(),
         incarnation: INCARNATION.fetch_add(1, Ordering::Relaxed),
+        is_first_start: true,
         data_centre: "dc-a".into(),
         size: 200,
         memory: 256_000_000,
--- a/crates/ranges/src/election.rs
+++ b/crates/ranges/src/election.rs
@@ -93,30 +93,41 @@
     leadership: Option<(Leadership, Revision)>,
     last_heartbeat: Instant,
     campaign_at: Option<Instant>,
-    /// Present era of the store.
-    era: u64,
+    /// Present era of the store, once it is known.
+    era: Option<u64>,
     /// Latest era of the store in which a router is known to have led.
     last_led_era: Option<u64>,
 }
 
 impl Election {
     /// Creates the election state of a router that doesn't know the present leader yet.
-    pub fn new(router: Arc<str>, incarnation: u64, now: Instant) -> Self {
+    ///
+    /// `is_first_start` tells whether the whole system starts for the first time. Otherwise there may
+    /// have been a leader that the store has forgotten, unless the store never had another era.
+    pub fn new(router: Arc<str>, incarnation: u64, is_first_start: bool, now: Instant) -> Self {
         Self {
             router,
             incarnation,
             leadership: None,
             last_heartbeat: now,
             campaign_at: None,
-            era: 0,
-            last_led_era: None,
+            era: None,
+            last_led_era: (!is_first_start).then_some(0),
         }
     }
 
     /// Records that the store was restored from a backup. The leader continues for as long as it
     /// has authority, and takes leadership again by itself.
     pub fn enter_era(&mut self, era: u64) {
-        self.era = self.era.max(era);
+        if let Some(before) = self.era.filter(|before| *before < era) {
+            // Some router may have led in the part of that era that the backup doesn't contain.
+            self.record_history(before);
+        }
+        self.era = self.era.max(Some(era));
+    }
+
+    fn present_era(&self) -> u64 {
+        self.era.unwrap_or_default()
     }
 
     /// Records that some router led in an era.
@@ -127,7 +138,7 @@
     /// Whether the known leadership was taken in an earlier era of the store.
     pub fn is_outdated(&self) -> bool {
         let version = self.leadership.as_ref().map(|(_, version)| version);
-        version.is_some_and(|version| version.era < self.era)
+        version.is_some_and(|version| version.era < self.present_era())
     }
 
     /// Returns the known leadership and the version of its row.
@@ -229,8 +240,10 @@
     /// that its row must have: `Revision::default()` if nobody has led in this era yet.
     pub fn claim(&self, address: SocketAddr) -> (Leadership, Revision) {
         let known = self.leadership.as_ref();
-        let current = known.filter(|(_, version)| version.era == self.era);
-        let has_history = self.is_outdated() || self.last_led_era.is_some_and(|era| era < self.era);
+        let present_era = self.present_era();
+        let current = known.filter(|(_, version)| version.era == present_era);
+        let has_history =
+            self.is_outdated() || self.last_led_era.is_some_and(|era| era < present_era);
         let is_recovering = current.map_or(has_history, |(leadership, _)| leadership.is_recovering);
         let leadership = Leadership {
             term: known.map_or(1, |(leadership, _)| leadership.term + 1),
--- a/crates/ranges/tests/election.rs
+++ b/crates/ranges/tests/election.rs
@@ -11,7 +11,7 @@
 
 /// A router that has just learnt that another one leads.
 fn election() -> Election {
-    let mut election = Election::new("router-2".into(), 2, at(0));
+    let mut election = Election::new("router-2".into(), 2, true, at(0));
     let leadership = Leadership {
         term: 1,
         router: "router-1".into(),
@@ -62,3 +62,22 @@
     election.record_contact(Contact::Unrecognized, 0, at(7_100));
     assert_eq!(election.campaign_at(), None);
 }
+
+/// The store may come back from a backup that is older than the first leadership, and the routers
+/// that remember the leader may all have been killed.
+#[rstest]
+#[case::restarted(false, &[2], true)]
+#[case::restarted_without_eras(false, &[0], false)]
+#[case::first_start(true, &[1], false)]
+#[case::running_during_the_restore(true, &[1, 2], true)]
+#[case::running_during_the_first_restore(true, &[0, 1], true)]
+fn no_router_takes_itself_for_the_first_leader_of_a_restored_store(
+    #[case] is_first_start: bool,
+    #[case] eras: &[u64],
+    #[case] waits: bool,
+) {
+    let mut election = Election::new("router-2".into(), 2, is_first_start, at(0));
+    eras.iter().for_each(|era| election.enter_era(*era));
+    let (leadership, _) = election.claim("127.0.0.2:7540".parse().unwrap());
+    assert_eq!(leadership.is_recovering, waits);
+}
