Soak: bootstrap is set only at the first start of a router

Routers of a run read a settings file without `bootstrap`, at every start. DEPLOY.md says that it is true only when the whole system starts for the first time. The file is now written at each start: with `bootstrap` set to true for the first start of each router in a run, to false for later ones.

No router code reads the field today, so no run changes; a router that takes a later start for the first one would now be seen.

--- a/crates/soak/src/router.rs
+++ b/crates/soak/src/router.rs
@@ -42,15 +42,9 @@
 }
 
 impl Router {
-    pub(crate) fn new(
-        number: usize,
-        settings: Settings,
-        program: &Path,
-        folder: &Path,
-    ) -> io::Result<Self> {
+    pub(crate) fn new(number: usize, settings: Settings, program: &Path, folder: &Path) -> Self {
         let file = folder.join(format!("router-{number}.json"));
-        fs::write(&file, settings.file())?;
-        Ok(Self {
+        Self {
             number,
             settings,
             program: program.to_owned(),
@@ -60,7 +54,7 @@
             is_ending: AtomicBool::new(false),
             is_finished: AtomicBool::new(false),
             starts: AtomicU32::new(0),
-        })
+        }
     }
 
     /// Starts the process, and restarts it whenever it exits, until [`Self::finish`].
@@ -81,6 +75,13 @@
     }
 
     fn start(&self) -> io::Result<()> {
+        let is_first = self.starts.load(Ordering::Relaxed) == 0;
+        let settings = if is_first {
+            self.settings.first_file()
+        } else {
+            self.settings.file()
+        };
+        fs::write(&self.file, settings)?;
         let output: File = OpenOptions::new()
             .create(true)
             .append(true)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -214,7 +214,7 @@
                 },
             };
             let front = Proxy::start(settings.front()).await?;
-            let router = Router::new(number, settings, &plan.program, &plan.logs)?;
+            let router = Router::new(number, settings, &plan.program, &plan.logs);
             cluster.routers.push(Arc::new(router));
             cluster.store_proxies.push(to_store);
             cluster.front_proxies.push(front);
