Soak: upstreams restart at their address, with entries that come late

An upstream that restarted had a new address and its registry entry at once, so that no order for one life could reach the next one.

All connections of the ended process are reset. An order that names another id gets 421 and does nothing; one that names this id is taken by whichever life runs.

The proxies hold back resets during a cut, as they hold back bytes. Bytes that are held back when their sender resets its connection are lost.

--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -34,6 +34,12 @@
         self.0.subscribe()
     }
 
+    /// Whether bytes are delayed or held back.
+    pub(crate) fn is_impaired(&self) -> bool {
+        let mode = *self.0.borrow();
+        mode.delay > Duration::ZERO || mode.is_cut.contains(&true)
+    }
+
     /// Delays each chunk by `delay`.
     pub(crate) fn delay(&self, delay: Duration) {
         self.0.send_modify(|mode| mode.delay = delay);
@@ -59,6 +65,7 @@
 #[derive(Debug)]
 pub(crate) struct Proxy {
     address: SocketAddr,
+    target: watch::Sender<SocketAddr>,
     pub(crate) control: Arc<Control>,
 }
 
@@ -68,13 +75,27 @@
         let address = listener.local_addr()?;
         let control = Arc::new(Control::default());
         let modes = control.subscribe();
+        let (target, targets) = watch::channel(target);
         tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
-                let server = TcpStream::connect(target);
+                let targets = targets.clone();
+                let server = async move {
+                    let target = *targets.borrow();
+                    TcpStream::connect(target).await
+                };
                 tokio::spawn(relay(client, server, modes.clone()));
             }
         });
-        Ok(Self { address, control })
+        Ok(Self {
+            address,
+            target,
+            control,
+        })
+    }
+
+    /// Forwards new connections to another target.
+    pub(crate) fn retarget(&self, target: SocketAddr) {
+        self.target.send_replace(target);
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
@@ -139,8 +160,14 @@
 ) -> Result<(), Broken> {
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
-        let read = read(from, &mut chunk).await.map_err(|_| Broken)?;
+        let read = read(from, &mut chunk).await;
+        // A cut also holds back resets.
         let mode = wait_until_open(&mut modes, direction).await?;
+        let read = read.map_err(|_| Broken)?;
+        // Bytes that were held back are lost if their sender has reset the connection.
+        if !matches!(SockRef::from(from).take_error(), Ok(None)) {
+            return Err(Broken);
+        }
         let is_silent = mode.silences != silences;
         if !is_silent {
             sleep(mode.delay).await;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,7 @@
 //! Execution of one run: a deployment, its callers, and the faults of a seed.
 
 mod inject;
+mod restart;
 
 use std::collections::BTreeMap;
 use std::io;
@@ -191,7 +192,11 @@
         for slot in 0..plan.upstreams {
             let (service, is_keyed) = plan::service_of(slot);
             let service = service.into();
-            let current = Mutex::new(cluster.start_upstream(&service, is_keyed, None).await?);
+            let current = cluster
+                .start_upstream(&service, is_keyed, None, None)
+                .await?;
+            cluster.register(&current.0, &current.1, false);
+            let current = Mutex::new(current);
             cluster.slots.push(Slot {
                 service,
                 is_keyed,
@@ -230,20 +235,26 @@
         Ok(cluster)
     }
 
-    /// Starts an incarnation of an upstream and registers it, under a new name unless
-    /// `name` is given.
+    /// Starts an incarnation of an upstream, under a new name unless `name` is given, and at
+    /// a new address unless `proxy` is given.
     async fn start_upstream(
         &self,
         service: &Arc<str>,
         is_keyed: bool,
         name: Option<String>,
+        proxy: Option<Arc<Proxy>>,
     ) -> io::Result<Current> {
         let life = self.next_incarnation.fetch_add(1, Ordering::Relaxed) as usize;
         let id = name.unwrap_or_else(|| format!("upstream-{life}"));
         let server = Server::start(life, id, service, is_keyed, self.seed, &self.checker).await?;
-        let proxy = Proxy::start(server.address).await?;
-        self.register(&server, &proxy, false);
-        Ok((server, Arc::new(proxy)))
+        let proxy = match proxy {
+            Some(proxy) => {
+                proxy.retarget(server.address);
+                proxy
+            }
+            None => Arc::new(Proxy::start(server.address).await?),
+        };
+        Ok((server, proxy))
     }
 
     /// Writes an upstream's entry to the registry, with the next sequence number.
@@ -253,23 +264,47 @@
             .register(&entry(server, proxy, sequence, leaving));
     }
 
+    /// Removes an upstream's entry from the registry, unless a running upstream has its name.
+    fn remove_entry(&self, id: &str) {
+        let is_used = (0..self.slots.len()).any(|slot| self.slot(slot).0.id == id);
+        if !is_used {
+            self.store.unregister(id);
+        }
+    }
+
     fn slot(&self, slot: usize) -> MutexGuard<'_, Current> {
         let current = self.slots[slot].current.lock();
         current.unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Starts the next incarnation of an upstream, unless another fault has done so already.
-    async fn replace(&self, slot: usize, ended: &Server, name: Option<String>) {
+    async fn succeed(
+        &self,
+        slot: usize,
+        ended: &Server,
+        name: Option<String>,
+        proxy: Option<Arc<Proxy>>,
+    ) -> Option<Current> {
         if self.slot(slot).0.incarnation != ended.incarnation {
-            return;
+            return None;
         }
         let (service, is_keyed) = (&self.slots[slot].service, self.slots[slot].is_keyed);
-        match self.start_upstream(service, is_keyed, name).await {
-            Ok(current) => *self.slot(slot) = current,
+        match self.start_upstream(service, is_keyed, name, proxy).await {
+            Ok(current) => {
+                self.slot(slot).clone_from(&current);
+                Some(current)
+            }
             Err(error) => panic!("failed to start an upstream: {error}"),
         }
     }
 
+    /// Replaces an upstream by another one, unless another fault has done so already.
+    async fn replace(&self, slot: usize, ended: &Server) {
+        if let Some((server, proxy)) = self.succeed(slot, ended, None, None).await {
+            self.register(&server, &proxy, false);
+        }
+    }
+
     fn configure(&self) {
         self.version.fetch_add(1, Ordering::Relaxed);
         self.write_configuration();
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -14,15 +14,13 @@
 use crate::schedule::{Degradation, Event, Failure, Fault, Impairment, Link};
 
 /// Time after which the store removes the entry of an upstream without heartbeats.
-const ENTRY_TIMEOUT: Duration = Duration::from_millis(2_600);
+pub(super) const ENTRY_TIMEOUT: Duration = Duration::from_millis(2_600);
 /// Time for which an upstream still serves after it announced that it leaves. It is
 /// longer than routers may still send requests to it.
 const DRAIN_TIME: Duration = Duration::from_millis(5_000);
 /// Time after which the operator and the upstreams have rewritten their rows in a store
 /// that was restored from a snapshot.
 const REWRITE_PAUSE: Duration = Duration::from_millis(700);
-/// Delay before an upstream that crashed is replaced or restarted.
-const REPLACE_PAUSE: Duration = Duration::from_millis(800);
 /// Share of the calls whose answer the store loses, or of the writes that take effect
 /// late.
 const LOST_SHARE: f64 = 0.3;
@@ -95,8 +93,17 @@
             control.delay(Duration::ZERO);
             control.cut([false, false]);
         }
-        self.checker.resume();
-        self.checker.disturb(subject, Duration::ZERO);
+        // An upstream that restarted at its address is behind the same link.
+        let (current, successor) = self.controls(link);
+        let is_kept = current
+            .iter()
+            .zip(&controls)
+            .all(|(one, other)| Arc::ptr_eq(one, other));
+        let successor = (is_kept && successor != subject).then_some(successor);
+        for subject in [Some(subject), successor].into_iter().flatten() {
+            self.checker.resume();
+            self.checker.disturb(subject, Duration::ZERO);
+        }
     }
 
     /// Returns the controls of a link, and what its impairment affects.
@@ -169,35 +176,24 @@
             self.checker.disturb(subject, span);
         }
         match failure {
-            Failure::Crashes => {
-                server.end();
-                sleep(REPLACE_PAUSE).await;
-                self.replace(slot, &server, None).await;
-                sleep(ENTRY_TIMEOUT - REPLACE_PAUSE).await;
-                self.store.unregister(&server.id);
-                self.checker.leave(server.incarnation);
-            }
-            Failure::Restarts => {
-                server.end();
-                sleep(REPLACE_PAUSE).await;
-                self.replace(slot, &server, Some(server.id.clone())).await;
-            }
+            Failure::Crashes => self.restart(slot, &server, &proxy, false).await,
+            Failure::Restarts => self.restart(slot, &server, &proxy, true).await,
             Failure::Leaves => {
                 self.register(&server, &proxy, true);
                 self.checker.leave(server.incarnation);
-                self.replace(slot, &server, None).await;
+                self.replace(slot, &server).await;
                 sleep(DRAIN_TIME).await;
                 server.end();
-                self.store.unregister(&server.id);
+                self.remove_entry(&server.id);
             }
             Failure::AnnouncesLeaving => {
                 let announcing =
                     server.misbehave_for(DRAIN_TIME, |behaviour| &mut behaviour.announces_leaving);
                 announcing.await;
-                self.replace(slot, &server, None).await;
+                self.replace(slot, &server).await;
                 server.end();
                 sleep(ENTRY_TIMEOUT).await;
-                self.store.unregister(&server.id);
+                self.remove_entry(&server.id);
             }
             Failure::Defers => {
                 server
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -11,7 +11,8 @@
 
 use bytes::Bytes;
 use eelgrassrock_platform_standin::framing::{
-    Call, Keys, Reply, RequestHead, decode_call, encode_reply, mark_leaving, mark_limit,
+    Call, Keys, Reply, RequestHead, decode_call, decode_target, encode_reply, mark_leaving,
+    mark_limit,
 };
 use http::{Request, Response};
 use http_body_util::{BodyExt, Either, Full};
@@ -21,6 +22,7 @@
 use hyper_util::rt::TokioIo;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio::time::{Instant, Interval, interval, sleep, timeout};
@@ -216,6 +218,7 @@
     async fn serve(self: Arc<Self>, stream: TcpStream) {
         // Without TCP_NODELAY only the latency is higher, so a failure is harmless.
         let _ = stream.set_nodelay(true);
+        let socket = SockRef::from(&stream).try_clone();
         let mut behaviour = self.behaviour.subscribe();
         let server = Arc::clone(&self);
         let service = service_fn(move |request| {
@@ -226,7 +229,10 @@
         tokio::select! {
             // The router notices a broken connection itself.
             _ = connection => {}
-            _ = behaviour.wait_for(|behaviour| behaviour.is_gone) => {}
+            _ = behaviour.wait_for(|behaviour| behaviour.is_gone) => {
+                // This fails only for a connection that is already closed.
+                let _ = socket.map(|socket| socket.set_linger(Some(Duration::ZERO)));
+            }
         }
     }
 
@@ -247,7 +253,9 @@
             Call::Request(head) => head.id.clone(),
             _ => None,
         };
+        let is_other = decode_target(&parts).is_some_and(|target| target != self.id);
         let outcome = match call {
+            _ if is_other => Outcome::Answered(Reply::Misdirected),
             Call::Grant { keys, hold, .. } => self.grant(keys, hold, arrived).await,
             Call::Release(keys) => self.release(keys).await,
             Call::Request(head) => self.request(parts.uri.path(), &head).await,
@@ -345,13 +353,6 @@
 
     async fn request(&self, path: &str, head: &RequestHead) -> Outcome {
         let id = head.id.as_deref();
-        if head
-            .target
-            .as_ref()
-            .is_some_and(|target| *target != self.id)
-        {
-            return Outcome::Answered(Reply::Misdirected);
-        }
         self.checker.arrive(id, self.incarnation);
         if self.behaviour.borrow().defers && self.draw() < DEFER_SHARE {
             self.checker.defer(id, self.incarnation, DEFERRAL);
