--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -1,6 +1,7 @@
 //! Records what callers and upstreams observe, and checks the guarantees against it.
 
 mod checks;
+mod holds;
 mod limit;
 
 use std::collections::{BTreeMap, HashMap};
@@ -11,6 +12,7 @@
 use http::StatusCode;
 use tokio::time::Instant;
 
+use self::holds::Holds;
 use self::limit::Limit;
 use crate::guarantee::{Guarantee, Violation};
 
@@ -101,14 +103,6 @@
     is_planned: bool,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Hold {
-    token: u64,
-    until: Instant,
-    /// Whether a fault may have delayed the order that granted the key.
-    is_excused: bool,
-}
-
 /// Pause that an upstream asked a router for.
 #[derive(Clone, Copy, Debug)]
 struct Pause {
@@ -121,10 +115,7 @@
 struct State {
     requests: HashMap<Arc<str>, Request>,
     disturbances: Vec<Disturbance>,
-    /// Holds by key, for each running upstream.
-    holds: HashMap<usize, BTreeMap<u16, Hold>>,
-    /// Highest fencing token of each key, and the upstream that got it.
-    tokens: HashMap<u16, (u64, usize)>,
+    holds: Holds,
     /// Services of each path prefix, oldest first, with the time at which each was
     /// configured.
     services: HashMap<Arc<str>, Vec<(Instant, Arc<str>)>>,
@@ -137,7 +128,7 @@
     /// Limits that upstreams name.
     limits: HashMap<usize, Limit>,
     /// Ends of pauses and cuts, after which delayed orders may arrive.
-    resumes: Vec<Instant>,
+    resumes: Vec<(Subject, Instant)>,
     violations: Vec<Violation>,
 }
 
@@ -198,9 +189,10 @@
         });
     }
 
-    /// Records the end of a pause or cut that may have delayed orders.
-    pub fn resume(&self) {
-        self.state().resumes.push(Instant::now());
+    /// Records that a router's process continues after a pause, or that the links to an
+    /// upstream work again. Orders that this may have delayed are excused.
+    pub fn resume(&self, subject: Subject) {
+        self.state().resumes.push((subject, Instant::now()));
     }
 
     /// Records which service runs the requests of a path prefix from now on.
@@ -220,53 +212,27 @@
 
     /// Records that an upstream has ended and holds no keys.
     pub fn end(&self, upstream: usize) {
-        self.state().holds.remove(&upstream);
+        let at = self.started.elapsed();
+        self.state().end_holds(at, upstream);
     }
 
     /// Records that keys were granted until `until`, by the upstream's clock. `is_late` says
     /// whether the upstream carried the order out late.
     pub fn grant(&self, upstream: usize, keys: Keys, until: Instant, is_late: bool) {
-        let Keys { from, to, token } = keys;
         let at = self.started.elapsed();
-        let now = Instant::now();
         let mut state = self.state();
-        let is_resumed = state
-            .resumes
-            .iter()
-            .any(|resume| now - *resume < RESUME_SLACK);
-        let is_excused = is_late || is_resumed;
-        let mut wrong = None;
-        for key in from..=to {
-            match state.tokens.get(&key) {
-                Some((highest, other)) if *other != upstream && *highest >= token => {
-                    wrong.get_or_insert((key, *highest, *other));
-                }
-                Some((highest, _)) if *highest > token => {}
-                _ => {
-                    state.tokens.insert(key, (token, upstream));
-                }
-            }
-            let hold = Hold {
-                token,
-                until,
-                is_excused,
-            };
-            state.holds.entry(upstream).or_default().insert(key, hold);
-        }
-        if let Some((key, highest, other)) = wrong.filter(|_| !is_excused) {
-            let details = format!(
-                "upstream {upstream} got key {key} with token {token}, upstream {other} had {highest}"
-            );
-            state.report(at, Guarantee::FencingToken, details);
-        }
+        state.grant(at, upstream, keys, until, is_late);
     }
 
-    /// Records that an upstream released keys.
+    /// Records that an upstream was told to release keys, and starts no more work on them.
     pub fn release(&self, upstream: usize, keys: Keys) {
-        let Keys { from, to, token } = keys;
-        if let Some(holds) = self.state().holds.get_mut(&upstream) {
-            holds.retain(|key, hold| !(from..=to).contains(key) || hold.token > token);
-        }
+        let at = self.started.elapsed();
+        self.state().release(at, upstream, keys);
+    }
+
+    /// Records that an upstream no longer works on a request for a key.
+    pub fn end_work(&self, upstream: usize, key: u16) {
+        self.state().holds.end_work(upstream, key);
     }
 
     /// Records that an upstream starts to run a request, and checks whether it may.
@@ -283,7 +249,7 @@
         let mut guard = self.state();
         let state = &mut *guard;
         if let Some(key) = key {
-            state.check_holder(at, now, key, upstream);
+            state.begin_work(at, now, key, upstream);
         }
         let Some(id) = id.filter(|id| state.requests.contains_key(*id)) else {
             let details = format!("upstream {upstream} ran {id:?}, which no caller sent");
@@ -433,6 +399,7 @@
     pub fn close(&self) {
         let at = self.started.elapsed();
         let mut state = self.state();
+        state.close_holds(at);
         let too_many: Vec<String> = state
             .requests
             .iter()
--- a/crates/soak/src/checker/checks.rs
+++ b/crates/soak/src/checker/checks.rs
@@ -1,11 +1,10 @@
 //! Checks of single guarantees against the recorded observations.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use super::{DRAIN, Disturbance, Ending, Hold, PAUSE_ARRIVALS, Request, State, Subject};
+use super::{DRAIN, Disturbance, Ending, PAUSE_ARRIVALS, Request, State, Subject};
 use crate::guarantee::{Guarantee, Violation};
 
 /// Maximum time from the store's acceptance of a configuration until it applies.
@@ -129,26 +128,6 @@
         }
     }
 
-    pub(super) fn check_holder(&mut self, at: Duration, now: Instant, key: u16, upstream: usize) {
-        let own = self.holds.get(&upstream).and_then(|holds| holds.get(&key));
-        let is_excused = own.is_none_or(|own| own.is_excused);
-        let others = self.holds.iter().filter(|(other, _)| **other != upstream);
-        let valid = |(other, holds): (&usize, &BTreeMap<u16, Hold>)| {
-            let hold = holds.get(&key)?;
-            (hold.until > now && !hold.is_excused).then_some((*other, *hold))
-        };
-        let found = others.filter_map(valid).next().filter(|_| !is_excused);
-        if let Some((other, hold)) = found {
-            let details = format!(
-                "upstream {upstream} begins a request for key {key}, which upstream {other} holds \
-                 with token {} for {:?}",
-                hold.token,
-                hold.until - now
-            );
-            self.report(at, Guarantee::OneHolder, details);
-        }
-    }
-
     /// Checks whether some configuration routes the path to the service, and whether that
     /// configuration isn't outdated.
     pub(super) fn check_route(
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -67,7 +67,7 @@
         self.routers[router].signal(Signal::STOP);
         sleep(span).await;
         self.routers[router].signal(Signal::CONT);
-        self.checker.resume();
+        self.checker.resume(Subject::Process(router));
         self.checker
             .disturb(Subject::Router(router), Duration::ZERO);
     }
@@ -101,7 +101,7 @@
             .all(|(one, other)| Arc::ptr_eq(one, other));
         let successor = (is_kept && successor != subject).then_some(successor);
         for subject in [Some(subject), successor].into_iter().flatten() {
-            self.checker.resume();
+            self.checker.resume(subject);
             self.checker.disturb(subject, Duration::ZERO);
         }
     }
@@ -215,7 +215,6 @@
                 server
                     .misbehave_for(span, |behaviour| &mut behaviour.is_paused)
                     .await;
-                self.checker.resume();
             }
             Failure::Slows => {
                 server
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -42,8 +42,15 @@
 const FAIL_SHARE: f64 = 0.4;
 /// Rate of an upstream's clock: grants last slightly longer than the router stated.
 const CLOCK_RATE: f64 = 1.02;
-/// Delay of late orders.
-const LATE_ORDER_DELAY: Duration = Duration::from_millis(1_500);
+/// Share of the orders that an upstream carries out late while it misbehaves in that way.
+const LATE_SHARE: f64 = 0.4;
+/// Shortest and longest delay of late orders.
+const MIN_ORDER_DELAY: Duration = Duration::from_secs(2);
+const MAX_ORDER_DELAY: Duration = Duration::from_secs(12);
+/// Share of the late orders whose connection is closed at once.
+const CLOSED_SHARE: f64 = 0.5;
+/// Time from its arrival after which an order counts as carried out late.
+const PROMPT_LIMIT: Duration = Duration::from_millis(100);
 
 /// Share of the requests that an upstream defers while it asks for pauses.
 const DEFER_SHARE: f64 = 0.2;
@@ -107,6 +114,7 @@
 impl Drop for Running<'_> {
     fn drop(&mut self) {
         self.0.holds()[usize::from(self.1)].running -= 1;
+        self.0.checker.end_work(self.0.incarnation, self.1);
     }
 }
 
@@ -243,11 +251,10 @@
         let _ = behaviour.wait_for(|behaviour| !behaviour.is_paused).await;
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Option<Answer> {
-        self.wait_while_paused().await;
-        let arrived = Instant::now();
+    async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Option<Answer> {
         let (parts, body) = request.into_parts();
         let body = body.collect().await.ok()?.to_bytes();
+        let arrived = Instant::now();
         let call = decode_call(&parts, &body);
         let id = match &call {
             Call::Request(head) => head.id.clone(),
@@ -256,9 +263,12 @@
         let is_other = decode_target(&parts).is_some_and(|target| target != self.id);
         let outcome = match call {
             _ if is_other => Outcome::Answered(Reply::Misdirected),
-            Call::Grant { keys, hold, .. } => self.grant(keys, hold, arrived).await,
-            Call::Release(keys) => self.release(keys).await,
-            Call::Request(head) => self.request(parts.uri.path(), &head).await,
+            Call::Grant { keys, hold, .. } => self.order(keys, Some(hold), arrived).await,
+            Call::Release(keys) => self.order(keys, None, arrived).await,
+            Call::Request(head) => {
+                self.wait_while_paused().await;
+                self.request(parts.uri.path(), &head).await
+            }
             Call::Unreadable => Outcome::Answered(Reply::Unreadable),
         };
         self.wait_while_paused().await;
@@ -286,11 +296,51 @@
         Some(response.map(Either::Left))
     }
 
-    async fn grant(&self, keys: Keys, hold: Duration, arrived: Instant) -> Outcome {
-        let is_late = self.behaviour.borrow().is_late_with_orders;
-        if is_late {
-            sleep(LATE_ORDER_DELAY).await;
+    /// Carries out an order: a grant for the duration `hold`, or a release. An order is carried
+    /// out even if its sender closes the connection meanwhile.
+    async fn order(
+        self: &Arc<Self>,
+        keys: Keys,
+        hold: Option<Duration>,
+        arrived: Instant,
+    ) -> Outcome {
+        let is_late = self.behaviour.borrow().is_late_with_orders && self.draw() < LATE_SHARE;
+        let delay = if is_late {
+            MIN_ORDER_DELAY + (MAX_ORDER_DELAY - MIN_ORDER_DELAY).mul_f64(self.draw())
+        } else {
+            Duration::ZERO
+        };
+        let server = Arc::clone(self);
+        let done = tokio::spawn(async move {
+            let mut behaviour = server.behaviour.subscribe();
+            tokio::select! {
+                outcome = server.carry_out(keys, hold, arrived, delay) => outcome,
+                _ = behaviour.wait_for(|behaviour| behaviour.is_gone) => Outcome::Lost,
+            }
+        });
+        if is_late && self.draw() < CLOSED_SHARE {
+            return Outcome::Lost;
+        }
+        let outcome = done.await.unwrap_or(Outcome::Lost);
+        if is_late { Outcome::Lost } else { outcome }
+    }
+
+    async fn carry_out(
+        &self,
+        keys: Keys,
+        hold: Option<Duration>,
+        arrived: Instant,
+        delay: Duration,
+    ) -> Outcome {
+        sleep(delay).await;
+        self.wait_while_paused().await;
+        match hold {
+            Some(hold) => self.grant(keys, arrived, hold),
+            None => self.release(keys).await,
         }
+    }
+
+    fn grant(&self, keys: Keys, arrived: Instant, hold: Duration) -> Outcome {
         let until = arrived + hold.mul_f64(CLOCK_RATE);
         let range = usize::from(keys.from)..=usize::from(keys.to);
         {
@@ -307,37 +357,33 @@
             }
         }
         if !self.behaviour.borrow().is_gone {
+            let is_late = arrived.elapsed() > PROMPT_LIMIT;
             self.checker.grant(self.incarnation, keys, until, is_late);
         }
-        if is_late {
-            return Outcome::Lost;
-        }
         Outcome::Answered(Reply::Granted)
     }
 
+    /// Stops new work on keys at once, whatever their tokens, and waits for the work that runs.
     async fn release(&self, keys: Keys) -> Outcome {
         let range = usize::from(keys.from)..=usize::from(keys.to);
-        loop {
-            let is_running = {
-                let mut holds = self.holds();
-                let Some(holds) = holds.get_mut(range.clone()) else {
-                    return Outcome::Answered(Reply::Unreadable);
-                };
-                let own = holds.iter_mut().filter(|held| held.token <= keys.token);
-                let mut running = 0;
-                for held in own {
-                    held.token = keys.token;
-                    held.until = None;
-                    running += held.running;
-                }
-                running > 0
+        {
+            let mut holds = self.holds();
+            let Some(holds) = holds.get_mut(range.clone()) else {
+                return Outcome::Answered(Reply::Unreadable);
             };
-            if !is_running {
-                self.checker.release(self.incarnation, keys);
-                return Outcome::Answered(Reply::Released(format!("{}-{}", self.id, keys.token)));
+            for held in holds {
+                held.token = held.token.max(keys.token);
+                held.until = None;
             }
+        }
+        self.checker.release(self.incarnation, keys);
+        while self.holds()[range.clone()]
+            .iter()
+            .any(|held| held.running > 0)
+        {
             sleep(Duration::from_millis(5)).await;
         }
+        Outcome::Answered(Reply::Released(format!("{}-{}", self.id, keys.token)))
     }
 
     /// Starts a request on a key. Returns `None` without a key or if the key isn't held.
