Soak: faults that meet within a few seconds, on a third of the seeds

The faults of a seed began one after another, 0.6 s apart on average, each drawn for itself, so that those that concern the holders of keys seldom met.

Seeds that leave 1 when divided by 3 now also draw clusters of faults, three or four within 2.5 s, every 8 s on average: all routers killed beside a restore of the store, restores in series each shorter than the wait after the one before, a router frozen while the store is slow, the link to an upstream cut for 1 to 6 s, late orders and restarts, most of them at the same upstream. The other faults of a seed stay as they were.

--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -1,5 +1,7 @@
 //! Schedule of faults, drawn from a seed.
 
+mod cluster;
+
 use std::ops::Range;
 use std::time::Duration;
 
@@ -209,6 +211,9 @@
         });
         events.extend(cuts);
     }
+    if has_clusters(seed) {
+        events.extend(cluster::draw(&mut random, length, routers, upstreams));
+    }
     events.sort_by_key(|event| event.at);
     events
 }
@@ -219,6 +224,11 @@
     seed.is_multiple_of(2) && routers <= MAX_PROXIED_ROUTERS
 }
 
+/// Whether faults that concern the holders of keys meet in the run of a seed.
+fn has_clusters(seed: u64) -> bool {
+    seed % 3 == 1
+}
+
 /// Draws faults of one kind.
 fn draw_series(
     random: &mut ChaCha8Rng,
