Soak: the checker learns of orders in the order in which they are carried out

An upstream changed its holds and told the checker afterwards, so that a renewal and a release that ran at the same time could reach the checker the other way round; the checker then kept a hold that the upstream had no longer. An upstream that ended between the two left such a hold as well.

The checker is now told while the holds are locked.

--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -193,6 +193,7 @@
 
     /// Ends the upstream: its port closes, and it holds no keys.
     pub(crate) fn end(&self) {
+        let _holds = self.holds();
         self.behaviour
             .send_modify(|behaviour| behaviour.is_gone = true);
         self.checker.end(self.incarnation);
--- a/crates/soak/src/upstream/orders.rs
+++ b/crates/soak/src/upstream/orders.rs
@@ -68,23 +68,23 @@
     fn grant(&self, keys: Keys, arrived: Instant, hold: Duration) -> Outcome {
         let until = arrived + hold.mul_f64(CLOCK_RATE);
         let range = usize::from(keys.from)..=usize::from(keys.to);
-        {
-            let mut holds = self.holds();
-            let Some(holds) = holds.get_mut(range) else {
-                return Outcome::Answered(Reply::Unreadable);
-            };
-            if holds.iter().any(|held| held.token > keys.token) {
-                return Outcome::Answered(Reply::Fenced);
-            }
-            for held in holds {
-                held.token = keys.token;
-                held.until = Some(until);
-            }
+        // The checker must learn of orders in the order in which they are carried out.
+        let mut holds = self.holds();
+        if self.behaviour.borrow().is_gone {
+            return Outcome::Lost;
+        }
+        let Some(holds) = holds.get_mut(range) else {
+            return Outcome::Answered(Reply::Unreadable);
+        };
+        if holds.iter().any(|held| held.token > keys.token) {
+            return Outcome::Answered(Reply::Fenced);
         }
-        if !self.behaviour.borrow().is_gone {
-            let is_late = arrived.elapsed() > PROMPT_LIMIT;
-            self.checker.grant(self.incarnation, keys, until, is_late);
+        for held in holds {
+            held.token = keys.token;
+            held.until = Some(until);
         }
+        let is_late = arrived.elapsed() > PROMPT_LIMIT;
+        self.checker.grant(self.incarnation, keys, until, is_late);
         Outcome::Answered(Reply::Granted)
     }
 
@@ -100,8 +100,8 @@
                 held.token = held.token.max(keys.token);
                 held.until = None;
             }
+            self.checker.release(self.incarnation, keys);
         }
-        self.checker.release(self.incarnation, keys);
         while self.holds()[range.clone()]
             .iter()
             .any(|held| held.running > 0)
