Soak: runs of different processes don't share loopback addresses

Two soaks at one time took the same addresses if their process ids were equal modulo 128.

A run now reserves its network by a port in it, and takes the next network if another run has it.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,7 @@
 //! Execution of one run: a deployment, its callers, and the faults of a seed.
 
 mod inject;
+mod network;
 mod restart;
 
 use std::collections::BTreeMap;
@@ -19,6 +20,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use self::network::Network;
 use crate::caller::{Caller, Served};
 use crate::checker::{Checker, STABLE, Subject};
 use crate::guarantee::{Guarantee, Violation};
@@ -77,6 +79,7 @@
 /// Everything that is deployed in a run.
 struct Cluster {
     seed: u64,
+    _network: Network,
     checker: Arc<Checker>,
     store: Store,
     store_proxies: Vec<Proxy>,
@@ -160,22 +163,15 @@
     })
 }
 
-/// Returns the second and third byte of the loopback addresses of a run, so that
-/// concurrent runs don't share addresses.
-fn network() -> (u8, u8) {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let run = NEXT.fetch_add(1, Ordering::Relaxed);
-    let process = std::process::id();
-    ((64 + process % 128) as u8, (run % 250) as u8)
-}
-
 impl Cluster {
     async fn start(plan: &Plan, seed: u64) -> io::Result<Self> {
         let checker = Arc::new(Checker::new());
         let store = Store::start(seed).await?;
-        let (high, low) = network();
+        let network = Network::reserve()?;
+        let (high, low) = (network.high, network.low);
         let mut cluster = Self {
             seed,
+            _network: network,
             checker,
             store,
             store_proxies: Vec::new(),
