Soak: the address of an ended upstream refuses connections

The proxy in front of an upstream accepted connections and reset them while no process ran behind it. A host on which nothing listens refuses them, as PROTOCOL.md has it, and a router may tell the two apart. The proxy now closes its port when its upstream ends, and opens it again with the next process; behind a cut nobody learns of it, and connections hang.

How an upstream starts again is one value, so that the delay until then can be another one; the entry of an ended process expires three heartbeats after its end, whether or not the next one runs by then.

--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,17 +1,19 @@
 //! Loopback proxy whose connections can be delayed, cut, reset or silenced.
 
 use std::io;
-use std::net::{Shutdown, SocketAddr};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use socket2::SockRef;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 /// Maximum number of bytes that are forwarded at once.
 const CHUNK_BYTES: usize = 16 << 10;
+/// Maximum number of connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
 
 /// How a proxy treats its connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -21,6 +23,8 @@
     pub(crate) is_cut: [bool; 2],
     /// Number of resets so far. A connection with a lower initial count is reset.
     resets: u32,
+    /// Whether new connections are refused, as by a host on which no process listens.
+    is_refusing: bool,
     /// Number of silences so far. A connection with a lower initial count passes no bytes.
     silences: u32,
 }
@@ -45,6 +49,10 @@
         self.0.send_modify(|mode| mode.delay = delay);
     }
 
+    fn refuse(&self, is_refusing: bool) {
+        self.0.send_modify(|mode| mode.is_refusing = is_refusing);
+    }
+
     /// Sets whether bytes towards the server, and towards the client, are held back.
     pub(crate) fn cut(&self, is_cut: [bool; 2]) {
         self.0.send_modify(|mode| mode.is_cut = is_cut);
@@ -65,29 +73,23 @@
 #[derive(Debug)]
 pub(crate) struct Proxy {
     address: SocketAddr,
+    /// Keeps the port while connections are refused.
+    _reserved: TcpSocket,
     target: watch::Sender<SocketAddr>,
     pub(crate) control: Arc<Control>,
 }
 
 impl Proxy {
     pub(crate) async fn start(target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
-        let address = listener.local_addr()?;
+        let reserved = bind((Ipv4Addr::LOCALHOST, 0).into())?;
+        let address = reserved.local_addr()?;
         let control = Arc::new(Control::default());
-        let modes = control.subscribe();
         let (target, targets) = watch::channel(target);
-        tokio::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                let targets = targets.clone();
-                let server = async move {
-                    let target = *targets.borrow();
-                    TcpStream::connect(target).await
-                };
-                tokio::spawn(relay(client, server, modes.clone()));
-            }
-        });
+        let listener = bind(address)?.listen(BACKLOG)?;
+        tokio::spawn(accept(listener, control.subscribe(), targets));
         Ok(Self {
             address,
+            _reserved: reserved,
             target,
             control,
         })
@@ -96,6 +98,14 @@
     /// Forwards new connections to another target.
     pub(crate) fn retarget(&self, target: SocketAddr) {
         self.target.send_replace(target);
+        self.control.refuse(false);
+    }
+
+    /// Refuses new connections if they lead to `ended`, which has closed its port.
+    pub(crate) fn refuse(&self, ended: SocketAddr) {
+        if *self.target.borrow() == ended {
+            self.control.refuse(true);
+        }
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
@@ -103,6 +113,50 @@
     }
 }
 
+/// Creates a socket whose address others may have bound, but don't listen on.
+fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+/// Accepts connections and forwards them to the current target, except while they are refused.
+async fn accept(
+    mut listener: TcpListener,
+    modes: watch::Receiver<Mode>,
+    targets: watch::Receiver<SocketAddr>,
+) -> io::Result<()> {
+    let address = listener.local_addr()?;
+    let mut refusals = modes.clone();
+    loop {
+        // Behind a cut, nobody learns that no process listens.
+        let refused = async {
+            let refused =
+                refusals.wait_for(|mode| mode.is_refusing && !mode.is_cut.contains(&true));
+            refused.await.is_ok()
+        };
+        let is_running = tokio::select! {
+            accepted = listener.accept() => {
+                let targets = targets.clone();
+                let server = async move {
+                    let target = *targets.borrow();
+                    TcpStream::connect(target).await
+                };
+                tokio::spawn(relay(accepted?.0, server, modes.clone()));
+                continue;
+            }
+            is_running = refused => is_running,
+        };
+        drop(listener);
+        let reopened = refusals.wait_for(|mode| !mode.is_refusing).await;
+        if !is_running || reopened.map(|_| ()).is_err() {
+            return Ok(());
+        }
+        listener = bind(address)?.listen(BACKLOG)?;
+    }
+}
+
 /// Forwards bytes between a client and a server until both have closed.
 pub(crate) async fn relay(
     client: TcpStream,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -260,10 +260,16 @@
             .register(&entry(server, proxy, sequence, leaving));
     }
 
+    /// Ends an upstream, whose address refuses connections from now on.
+    fn end(&self, server: &Server, proxy: &Proxy) {
+        server.end();
+        proxy.refuse(server.address);
+    }
+
     /// Removes an upstream's entry from the registry, unless a running upstream has its name.
     fn remove_entry(&self, id: &str) {
-        let is_used = (0..self.slots.len()).any(|slot| self.slot(slot).0.id == id);
-        if !is_used {
+        let is_used = |(server, _): &Current| server.id == id && server.is_running();
+        if !(0..self.slots.len()).any(|slot| is_used(&self.slot(slot))) {
             self.store.unregister(id);
         }
     }
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -7,6 +7,7 @@
 use rustix::process::Signal;
 use tokio::time::sleep;
 
+use super::restart::{RESTART_DELAY, Restart};
 use super::{Cluster, GRACE_PERIOD};
 use crate::checker::Subject;
 use crate::proxy::{Control, Proxy};
@@ -176,14 +177,21 @@
             self.checker.disturb(subject, span);
         }
         match failure {
-            Failure::Crashes => self.restart(slot, &server, &proxy, false).await,
-            Failure::Restarts => self.restart(slot, &server, &proxy, true).await,
+            Failure::Crashes | Failure::Restarts => {
+                let restart = Restart {
+                    keeps_id: failure == Failure::Restarts,
+                    delay: RESTART_DELAY,
+                    ..Restart::draw(self.seed, server.incarnation)
+                };
+                self.end(&server, &proxy);
+                self.restart(slot, &server, &proxy, restart).await;
+            }
             Failure::Leaves => {
                 self.register(&server, &proxy, true);
                 self.checker.leave(server.incarnation);
                 self.replace(slot, &server).await;
                 sleep(DRAIN_TIME).await;
-                server.end();
+                self.end(&server, &proxy);
                 self.remove_entry(&server.id);
             }
             Failure::AnnouncesLeaving => {
@@ -191,7 +199,7 @@
                     server.misbehave_for(DRAIN_TIME, |behaviour| &mut behaviour.announces_leaving);
                 announcing.await;
                 self.replace(slot, &server).await;
-                server.end();
+                self.end(&server, &proxy);
                 sleep(ENTRY_TIMEOUT).await;
                 self.remove_entry(&server.id);
             }
--- a/crates/soak/src/run/restart.rs
+++ b/crates/soak/src/run/restart.rs
@@ -1,6 +1,7 @@
 //! Upstreams that end without notice and start again.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
@@ -15,7 +16,7 @@
 use crate::upstream::Server;
 
 /// Delay before an upstream that ended starts again.
-const RESTART_DELAY: Duration = Duration::from_millis(800);
+pub(super) const RESTART_DELAY: Duration = Duration::from_millis(800);
 /// Maximum time from the start of an upstream until its registry entry is written, if the
 /// entry is late.
 const MAX_ENTRY_DELAY: Duration = Duration::from_secs(6);
@@ -24,68 +25,77 @@
 
 /// How an upstream starts again.
 #[derive(Clone, Copy, Debug)]
-struct Restart {
-    keeps_address: bool,
+pub(super) struct Restart {
+    pub(super) keeps_id: bool,
+    pub(super) keeps_address: bool,
+    /// Time from the end until the start.
+    pub(super) delay: Duration,
     /// Time from the start until the registry entry is written.
-    entry_delay: Duration,
+    pub(super) entry_delay: Duration,
     /// Whether the entry of the ended process expires if the new one is late.
-    expires: bool,
+    pub(super) expires: bool,
 }
 
 impl Restart {
-    fn draw(seed: u64, incarnation: usize) -> Self {
+    pub(super) fn draw(seed: u64, incarnation: usize) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed ^ RESTARTS ^ ((incarnation as u64) << 32));
-        let delay = MAX_ENTRY_DELAY.mul_f64(random.random_range(0.0..1.0));
+        let entry_delay = MAX_ENTRY_DELAY.mul_f64(random.random_range(0.0..1.0));
         Self {
             keeps_address: random.random_bool(0.7),
             entry_delay: if random.random_bool(0.6) {
-                delay
+                entry_delay
             } else {
                 Duration::ZERO
             },
             expires: random.random_bool(0.5),
+            keeps_id: true,
+            delay: RESTART_DELAY,
         }
     }
 }
 
 impl Cluster {
-    /// Ends an upstream without notice, and starts it again, under the same name if `keeps_id`.
+    /// Starts an upstream again that has ended without notice.
     pub(super) async fn restart(
         &self,
         slot: usize,
         ended: &Arc<Server>,
         proxy: &Arc<Proxy>,
-        keeps_id: bool,
+        restart: Restart,
     ) {
-        let restart = Restart::draw(self.seed, ended.incarnation);
-        ended.end();
-        sleep(RESTART_DELAY).await;
-        let name = keeps_id.then(|| ended.id.clone());
-        let kept = restart.keeps_address.then(|| Arc::clone(proxy));
-        let Some((server, proxy)) = self.succeed(slot, ended, name, kept).await else {
-            return;
+        let incarnation = AtomicUsize::new(ended.incarnation);
+        let has_entry = AtomicBool::new(false);
+        let is_current = || {
+            let current = self.slot(slot).0.incarnation;
+            current == incarnation.load(Ordering::Relaxed)
         };
-        if proxy.control.is_impaired() {
-            self.checker
-                .disturb(Subject::Upstream(server.incarnation), Duration::ZERO);
-        }
-        let is_current = || self.slot(slot).0.incarnation == server.incarnation;
-        let remaining = ENTRY_TIMEOUT - RESTART_DELAY;
-        let register = async {
+        let start = async {
+            sleep(restart.delay).await;
+            let name = restart.keeps_id.then(|| ended.id.clone());
+            let kept = restart.keeps_address.then(|| Arc::clone(proxy));
+            let Some((server, proxy)) = self.succeed(slot, ended, name, kept).await else {
+                return;
+            };
+            incarnation.store(server.incarnation, Ordering::Relaxed);
+            if proxy.control.is_impaired() {
+                self.checker
+                    .disturb(Subject::Upstream(server.incarnation), Duration::ZERO);
+            }
             sleep(restart.entry_delay).await;
             if is_current() {
+                has_entry.store(true, Ordering::Relaxed);
                 self.register(&server, &proxy, false);
             }
         };
         let expire = async {
-            sleep(remaining).await;
-            if !keeps_id {
+            sleep(ENTRY_TIMEOUT).await;
+            if !restart.keeps_id {
                 self.remove_entry(&ended.id);
                 self.checker.leave(ended.incarnation);
-            } else if restart.expires && restart.entry_delay > remaining && is_current() {
+            } else if restart.expires && !has_entry.load(Ordering::Relaxed) && is_current() {
                 self.store.unregister(&ended.id);
             }
         };
-        join!(register, expire);
+        join!(start, expire);
     }
 }
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -199,6 +199,10 @@
         self.checker.end(self.incarnation);
     }
 
+    pub(crate) fn is_running(&self) -> bool {
+        !self.behaviour.borrow().is_gone
+    }
+
     fn holds(&self) -> MutexGuard<'_, Vec<Hold>> {
         self.holds.lock().unwrap_or_else(PoisonError::into_inner)
     }
