Soak: a request that ends each upstream that begins to run it

The upstream that begins to run it ends at once, with all its connections, and starts again 2 to 5 s later under its id or a new one.

The checker reports the fourth request that a router in touch sends to an upstream later than 3 s after the third upstream has ended, and a refusal as `quarantined` of any other request. In touch is defined once: the router's process, its links and connections, and the store have been without faults for 3 s.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -114,29 +114,42 @@
         Some(sender)
     }
 
+    /// Sends the request that ends upstreams, once.
+    pub(crate) async fn send_deadly(mut self, kind: Kind, key: Option<u16>) {
+        if let Some(mut connection) = self.connect().await {
+            let head = head(key);
+            let path = kind.deadly_path().into();
+            self.send_one(&mut connection, kind, path, head).await;
+        }
+    }
+
     fn draw(&mut self) -> (Kind, Arc<str>, RequestHead) {
-        static NEXT: AtomicU64 = AtomicU64::new(1);
         let kind = Kind::ALL[self.random.random_range(0..Kind::ALL.len())];
-        let id = format!("r-{}", NEXT.fetch_add(1, Ordering::Relaxed));
         let key = if self.random.random_bool(HOT_SHARE) {
             self.random.random_range(HOT_KEYS)
         } else {
             self.random.random()
         };
-        let head = RequestHead {
-            id: Some(id.clone()),
-            target: None,
-            remaining: Some(TIMEOUT),
-            key: kind.is_keyed().then_some(key),
-        };
-        (kind, id.into(), head)
+        let head = head(kind.is_keyed().then_some(key));
+        let id = head.id.as_deref().unwrap_or_default();
+        (kind, format!("{}{id}", kind.prefix()).into(), head)
     }
 
     /// Sends one request and reports how it ended. Returns whether the connection can be
     /// used again.
     async fn send(&mut self, connection: &mut SendRequest<Full<Bytes>>) -> bool {
-        let (kind, id, head) = self.draw();
-        let path: Arc<str> = format!("{}{id}", kind.prefix()).into();
+        let (kind, path, head) = self.draw();
+        self.send_one(connection, kind, path, head).await
+    }
+
+    async fn send_one(
+        &mut self,
+        connection: &mut SendRequest<Full<Bytes>>,
+        kind: Kind,
+        path: Arc<str>,
+        head: RequestHead,
+    ) -> bool {
+        let id: Arc<str> = head.id.as_deref().unwrap_or_default().into();
         let method = if kind.is_idempotent() {
             Method::GET
         } else {
@@ -175,6 +188,17 @@
     }
 }
 
+/// Returns the headers of a new request.
+fn head(key: Option<u16>) -> RequestHead {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    RequestHead {
+        id: Some(format!("r-{}", NEXT.fetch_add(1, Ordering::Relaxed))),
+        target: None,
+        remaining: Some(TIMEOUT),
+        key,
+    }
+}
+
 async fn exchange(
     connection: &mut SendRequest<Full<Bytes>>,
     request: http::Request<Full<Bytes>>,
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -1,6 +1,7 @@
 //! Records what callers and upstreams observe, and checks the guarantees against it.
 
 mod checks;
+mod deadly;
 mod holds;
 mod limit;
 
@@ -12,6 +13,7 @@
 use http::StatusCode;
 use tokio::time::Instant;
 
+use self::deadly::Deadly;
 use self::holds::Holds;
 use self::limit::Limit;
 use crate::guarantee::{Guarantee, Violation};
@@ -39,6 +41,8 @@
     Process(usize),
     /// Incarnation of an upstream, or the links to it.
     Upstream(usize),
+    /// Open connections of all routers.
+    Connections,
     /// The store.
     Store,
 }
@@ -125,6 +129,8 @@
     announced_leaving: HashMap<(usize, usize), Instant>,
     /// Pauses by upstream and router.
     pauses: HashMap<(usize, usize), Pause>,
+    /// Requests that end the upstreams that run them, by path.
+    deadly: HashMap<Arc<str>, Deadly>,
     /// Limits that upstreams name.
     limits: HashMap<usize, Limit>,
     /// Ends of pauses and cuts, after which delayed orders may arrive.
@@ -327,6 +333,13 @@
         }
     }
 
+    /// Records that a request has ended an upstream that began to run it.
+    pub fn crash(&self, path: &str, upstream: usize) {
+        self.disturb(Subject::Upstream(upstream), Duration::ZERO);
+        let mut state = self.state();
+        state.deadly.entry(path.into()).or_default().crash();
+    }
+
     /// Records that an upstream no longer names a limit.
     pub fn lift_limit(&self, upstream: usize) {
         self.state().limits.remove(&upstream);
@@ -339,6 +352,7 @@
         let mut state = self.state();
         state.check_announcements(at, id, upstream);
         state.check_limit(at, id, upstream);
+        state.check_deadly(at, id, upstream);
         let Some(left) = state.left.get(&upstream).copied() else {
             return;
         };
@@ -384,6 +398,7 @@
         let found: Vec<(Guarantee, String)> = [
             request.wrong_answer(id),
             request.false_refusal(id),
+            request.wrong_quarantine(id),
             state.late_answer(id, request, now),
             state.lost_in_shutdown(id, request, now),
         ]
--- a/crates/soak/src/checker/holds.rs
+++ b/crates/soak/src/checker/holds.rs
@@ -159,7 +159,7 @@
             let is_on_its_way = match subject {
                 Subject::Process(_) => true,
                 Subject::Upstream(other) => *other == upstream,
-                Subject::Router(_) | Subject::Store => false,
+                Subject::Router(_) | Subject::Connections | Subject::Store => false,
             };
             is_on_its_way && now - *at < RESUME_SLACK
         })
--- a/crates/soak/src/guarantee.rs
+++ b/crates/soak/src/guarantee.rs
@@ -37,6 +37,10 @@
     /// All routers together send an upstream that names a limit no more than it tolerates.
     #[display("limit")]
     Limit,
+    /// A request that ends the upstreams that run it is sent to few more of them, and no other
+    /// request is refused for that reason.
+    #[display("quarantine")]
+    Quarantine,
     /// A new configuration applies in time, and an old one doesn't come back.
     #[display("configuration")]
     Configuration,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -14,6 +14,8 @@
 const TARGET_LATENCY: Duration = Duration::from_millis(600);
 /// Maximum number of upstreams that one request may be sent to.
 pub(crate) const MAX_ATTEMPTS: u32 = 3;
+/// Last part of the path of the request that ends the upstreams that begin to run it.
+const DEADLY: &str = "deadly";
 /// Maximum number of connections to an upstream.
 const MAX_CONNECTIONS: u32 = 110;
 /// Time for which a new holder of a key is slow if it got no handover token from the
@@ -59,6 +61,15 @@
     pub(crate) fn is_idempotent(self) -> bool {
         self != Self::Issue
     }
+
+    pub(crate) fn deadly_path(self) -> String {
+        format!("{}{DEADLY}", self.prefix())
+    }
+}
+
+/// Whether the request of a path ends the upstreams that begin to run it.
+pub(crate) fn is_deadly(path: &str) -> bool {
+    path.ends_with(DEADLY)
 }
 
 /// Returns all services, and whether their keys are divided among their upstreams.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,5 +1,6 @@
 //! Execution of one run: a deployment, its callers, and the faults of a seed.
 
+mod deadly;
 mod inject;
 mod network;
 mod restart;
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -29,7 +29,7 @@
 
 impl Cluster {
     /// Injects a fault, and returns when it is over.
-    pub(super) async fn inject(&self, event: Event) {
+    pub(super) async fn inject(self: &Arc<Self>, event: Event) {
         let span = event.span;
         match event.fault {
             Fault::Kill(router) => self.kill(router),
@@ -52,6 +52,7 @@
             Fault::Restore(age) => self.restore(age).await,
             Fault::Upstream(slot, failure) => self.fail(slot, failure, span).await,
             Fault::Configure => self.configure(),
+            Fault::Deadly { prefix, per_s } => self.send_deadly(prefix, per_s, span).await,
         }
     }
 
@@ -87,6 +88,7 @@
             }
         }
         if matches!(impairment, Impairment::Reset | Impairment::Silence) {
+            self.checker.disturb(Subject::Connections, Duration::ZERO);
             return;
         }
         sleep(span).await;
--- a/crates/soak/src/run/restart.rs
+++ b/crates/soak/src/run/restart.rs
@@ -17,6 +17,9 @@
 
 /// Delay before an upstream that ended starts again.
 pub(super) const RESTART_DELAY: Duration = Duration::from_millis(800);
+/// Shortest and longest delay before an upstream that a request ended starts again.
+const MIN_DELAY: Duration = Duration::from_secs(2);
+const MAX_DELAY: Duration = Duration::from_secs(5);
 /// Maximum time from the start of an upstream until its registry entry is written, if the
 /// entry is late.
 const MAX_ENTRY_DELAY: Duration = Duration::from_secs(6);
@@ -48,8 +51,8 @@
                 Duration::ZERO
             },
             expires: random.random_bool(0.5),
-            keeps_id: true,
-            delay: RESTART_DELAY,
+            keeps_id: random.random_bool(0.5),
+            delay: random.random_range(MIN_DELAY..MAX_DELAY),
         }
     }
 }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -10,6 +10,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::plan::Kind;
+
 /// Maximum duration of a fault, which exceeds the duration of grants.
 const MAX_FAULT: Duration = Duration::from_millis(5_000);
 /// Minimum duration of a fault.
@@ -24,6 +26,9 @@
 /// seconds after its begin.
 const MIN_LIMIT: Duration = Duration::from_millis(1_000);
 const MAX_LIMIT: Duration = Duration::from_millis(12_000);
+/// Longest time for which callers send a request that ends upstreams, and the highest rate.
+const MAX_DEADLY: Duration = Duration::from_secs(20);
+const MAX_DEADLY_PER_S: u32 = 20;
 /// Maximum number of routers whose addresses can have aliases.
 const MAX_PROXIED_ROUTERS: usize = 120;
 /// Part of the seed from which the faults are drawn that are drawn apart.
@@ -166,6 +171,14 @@
     /// An upstream fails in some way.
     #[display("upstream {_0}: {_1}")]
     Upstream(usize, Failure),
+    /// Callers send a request again and again that ends each upstream that begins to run it.
+    #[display("a request of {prefix} ends upstreams, sent {per_s} times a second")]
+    Deadly {
+        /// Prefix of the request's path.
+        prefix: &'static str,
+        /// Mean number of requests a second.
+        per_s: u32,
+    },
     /// The operator changes the configuration.
     #[display("configuration changed")]
     Configure,
@@ -211,7 +224,13 @@
         });
         events.extend(cuts);
     }
-    if has_clusters(seed) {
+    if has_deadly(seed) {
+        if is_calm(seed) {
+            events.retain(|event| matches!(event.fault, Fault::Upstream(..) | Fault::Configure));
+        }
+        events.extend(draw_deadly(&mut random, length));
+    }
+    if has_clusters(seed) && !is_calm(seed) {
         events.extend(cluster::draw(&mut random, length, routers, upstreams));
     }
     events.sort_by_key(|event| event.at);
@@ -229,6 +248,28 @@
     seed % 3 == 1
 }
 
+/// Whether a request ends upstreams in the run of a seed.
+fn has_deadly(seed: u64) -> bool {
+    seed % 5 == 4
+}
+
+/// Whether only upstreams fail in the run of a seed, so that its routers stay in touch.
+fn is_calm(seed: u64) -> bool {
+    seed % 10 == 4
+}
+
+fn draw_deadly(random: &mut ChaCha8Rng, length: Duration) -> Option<Event> {
+    let at = Duration::from_millis(random.random_range(0..2_000));
+    let longest = MAX_DEADLY.min(length.checked_sub(at)?);
+    let kind = Kind::ALL[random.random_range(0..Kind::ALL.len())];
+    let fault = Fault::Deadly {
+        prefix: kind.prefix(),
+        per_s: random.random_range(1..=MAX_DEADLY_PER_S),
+    };
+    let span = longest.mul_f64(random.random_range(0.6..1.0));
+    Some(Event { at, span, fault })
+}
+
 /// Draws faults of one kind.
 fn draw_series(
     random: &mut ChaCha8Rng,
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -4,6 +4,7 @@
 mod orders;
 
 use std::convert::Infallible;
+use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -29,6 +30,7 @@
 use tokio::time::{Instant, Interval, interval, sleep, timeout};
 
 use crate::checker::Checker;
+use crate::plan::is_deadly;
 
 /// Number of requests that an upstream runs at the same time.
 pub(crate) const SLOTS: usize = 4;
@@ -70,6 +72,8 @@
     pub(crate) names_limit: bool,
     /// Whether the upstream has ended.
     pub(crate) is_gone: bool,
+    /// Whether a request has ended the upstream.
+    has_crashed: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -203,6 +207,11 @@
         !self.behaviour.borrow().is_gone
     }
 
+    /// Whether a request has ended the upstream.
+    pub(crate) fn has_crashed(&self) -> bool {
+        self.behaviour.borrow().has_crashed
+    }
+
     fn holds(&self) -> MutexGuard<'_, Vec<Hold>> {
         self.holds.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -334,6 +343,14 @@
             &self.service,
             head.key.filter(|_| self.is_keyed),
         );
+        if is_deadly(path) {
+            self.checker.crash(path, self.incarnation);
+            self.behaviour
+                .send_modify(|behaviour| behaviour.has_crashed = true);
+            self.end();
+            // The end resets the connection.
+            return pending().await;
+        }
         let behaviour = *self.behaviour.borrow();
         let work = if behaviour.is_slow {
             WORK_TIME + SLOW_EXTRA_TIME
