--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod guarantee;
 mod mesh;
 pub mod plan;
-mod proxy;
+pub mod proxy;
 mod router;
 pub mod run;
 pub mod schedule;
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -16,7 +16,7 @@
 const BACKLOG: u32 = 1_024;
 
 /// How a proxy treats its connections.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Mode {
     pub(crate) delay: Duration,
     /// Whether bytes towards the server, and towards the client, are held back.
@@ -31,7 +31,7 @@
 
 /// Control of the connections of a link.
 #[derive(Debug, Default)]
-pub(crate) struct Control(watch::Sender<Mode>);
+pub struct Control(watch::Sender<Mode>);
 
 impl Control {
     pub(crate) fn subscribe(&self) -> watch::Receiver<Mode> {
@@ -54,7 +54,7 @@
     }
 
     /// Sets whether bytes towards the server, and towards the client, are held back.
-    pub(crate) fn cut(&self, is_cut: [bool; 2]) {
+    pub fn cut(&self, is_cut: [bool; 2]) {
         self.0.send_modify(|mode| mode.is_cut = is_cut);
     }
 
@@ -71,16 +71,22 @@
 
 /// Listening port that forwards connections to a target. It runs until its runtime ends.
 #[derive(Debug)]
-pub(crate) struct Proxy {
+pub struct Proxy {
     address: SocketAddr,
     /// Keeps the port while connections are refused.
     _reserved: TcpSocket,
     target: watch::Sender<SocketAddr>,
-    pub(crate) control: Arc<Control>,
+    /// Control of the proxy's connections.
+    pub control: Arc<Control>,
 }
 
 impl Proxy {
-    pub(crate) async fn start(target: SocketAddr) -> io::Result<Self> {
+    /// Starts a proxy to `target`, at a port of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be opened.
+    pub async fn start(target: SocketAddr) -> io::Result<Self> {
         let reserved = bind((Ipv4Addr::LOCALHOST, 0).into())?;
         let address = reserved.local_addr()?;
         let control = Arc::new(Control::default());
@@ -96,19 +102,20 @@
     }
 
     /// Forwards new connections to another target.
-    pub(crate) fn retarget(&self, target: SocketAddr) {
+    pub fn retarget(&self, target: SocketAddr) {
         self.target.send_replace(target);
         self.control.refuse(false);
     }
 
     /// Refuses new connections if they lead to `ended`, which has closed its port.
-    pub(crate) fn refuse(&self, ended: SocketAddr) {
+    pub fn refuse(&self, ended: SocketAddr) {
         if *self.target.borrow() == ended {
             self.control.refuse(true);
         }
     }
 
-    pub(crate) fn address(&self) -> SocketAddr {
+    /// Returns the address at which the proxy listens.
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 }
