Soak: an upstream that ends doesn't block the whole run

The behaviour is unlocked before connections are dropped, the end of an upstream changes it without the lock of the holds, and orders read a flag that changes under that lock.

--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -1,16 +1,14 @@
 //! Upstreams that hold keys through grants, misbehave on demand, and report to the
 //! checker what they run.
 
+mod endless;
 mod orders;
 
-use std::convert::Infallible;
 use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,7 +17,7 @@
 };
 use http::{Request, Response};
 use http_body_util::{BodyExt, Either, Full};
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -28,8 +26,9 @@
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
-use tokio::time::{Instant, Interval, interval, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
+use self::endless::EndlessBody;
 use crate::checker::Checker;
 use crate::plan::is_deadly;
 
@@ -52,9 +51,6 @@
 /// Requests per second that an upstream takes from all routers while it names a limit.
 const LIMIT_PER_S: f64 = 2.0;
 
-/// Interval between two chunks of an endless answer.
-const CHUNK_INTERVAL: Duration = Duration::from_millis(2);
-
 /// Request identifier in swapped answers.
 const OTHER_REQUEST_ID: &str = "r-0";
 
@@ -96,6 +92,8 @@
     /// Sequence number of the last registry entry of this process.
     sequence: AtomicU64,
     behaviour: watch::Sender<Behaviour>,
+    /// Whether the upstream has ended. It changes while the holds are locked.
+    has_ended: AtomicBool,
     holds: Mutex<Vec<Hold>>,
     random: Mutex<ChaCha8Rng>,
     slots: Semaphore,
@@ -134,27 +132,10 @@
     Lost,
 }
 
-/// Endless body, sent slowly enough that callers can buffer what arrives.
-#[derive(Debug)]
-pub(crate) struct EndlessBody(Interval);
-
-impl EndlessBody {
-    fn new() -> Self {
-        Self(interval(CHUNK_INTERVAL))
-    }
-}
-
-impl Body for EndlessBody {
-    type Data = Bytes;
-    type Error = Infallible;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let frame = |_| Some(Ok(Frame::data(Bytes::from_static(&[b'x'; 4_096]))));
-        self.get_mut().0.poll_tick(context).map(frame)
-    }
+/// Waits until the upstream has ended, and unlocks its behaviour again.
+async fn wait_until_gone(behaviour: &mut watch::Receiver<Behaviour>) {
+    // The sender exists as long as its server, so this can't fail.
+    let _ = behaviour.wait_for(|behaviour| behaviour.is_gone).await;
 }
 
 type Answer = Response<Either<Full<Bytes>, EndlessBody>>;
@@ -178,6 +159,7 @@
             is_keyed,
             sequence: AtomicU64::new(0),
             behaviour: watch::Sender::new(Behaviour::default()),
+            has_ended: AtomicBool::new(false),
             holds: Mutex::new(vec![Hold::default(); if is_keyed { keys } else { 0 }]),
             random: Mutex::new(ChaCha8Rng::seed_from_u64(seed ^ incarnation as u64)),
             slots: Semaphore::new(SLOTS),
@@ -201,10 +183,13 @@
 
     /// Ends the upstream: its port closes, and it holds no keys.
     pub(crate) fn end(&self) {
-        let _holds = self.holds();
+        {
+            let _holds = self.holds();
+            self.has_ended.store(true, Ordering::Relaxed);
+            self.checker.end(self.incarnation);
+        }
         self.behaviour
             .send_modify(|behaviour| behaviour.is_gone = true);
-        self.checker.end(self.incarnation);
     }
 
     /// Returns the sequence number of the next registry entry of this process.
@@ -238,7 +223,7 @@
                     Ok((stream, _)) => drop(tokio::spawn(Arc::clone(&self).serve(stream))),
                     Err(error) => panic!("an upstream failed to accept a connection: {error}"),
                 },
-                _ = behaviour.wait_for(|behaviour| behaviour.is_gone) => return,
+                () = wait_until_gone(&mut behaviour) => return,
             }
         }
     }
@@ -257,7 +242,7 @@
         tokio::select! {
             // The router notices a broken connection itself.
             _ = connection => {}
-            _ = behaviour.wait_for(|behaviour| behaviour.is_gone) => {
+            () = wait_until_gone(&mut behaviour) => {
                 // This fails only for a connection that is already closed.
                 let _ = socket.map(|socket| socket.set_linger(Some(Duration::ZERO)));
             }
--- a/crates/soak/src/upstream/orders.rs
+++ b/crates/soak/src/upstream/orders.rs
@@ -1,12 +1,13 @@
 //! Grants and releases of keys, some of which are carried out late.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use eelgrassrock_platform_standin::framing::{Keys, Reply};
 use tokio::time::{Instant, sleep};
 
-use super::{Outcome, Server};
+use super::{Outcome, Server, wait_until_gone};
 use crate::run::MAX_HOLD;
 
 /// Rate of an upstream's clock: grants last slightly longer than the router stated.
@@ -41,7 +42,7 @@
             let mut behaviour = server.behaviour.subscribe();
             tokio::select! {
                 outcome = server.carry_out(keys, hold, arrived, delay) => outcome,
-                _ = behaviour.wait_for(|behaviour| behaviour.is_gone) => Outcome::Lost,
+                () = wait_until_gone(&mut behaviour) => Outcome::Lost,
             }
         });
         if is_late && self.draw() < CLOSED_SHARE {
@@ -74,7 +75,7 @@
         let range = usize::from(keys.from)..=usize::from(keys.to);
         // The checker must learn of orders in the order in which they are carried out.
         let mut holds = self.holds();
-        if self.behaviour.borrow().is_gone {
+        if self.has_ended.load(Ordering::Relaxed) {
             return Outcome::Lost;
         }
         let Some(holds) = holds.get_mut(range) else {
