--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,46 +1,60 @@
 //! Loopback proxy whose connections can be delayed, cut, reset or silenced.
 
 use std::io;
-use std::net::{Shutdown, SocketAddr};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use socket2::SockRef;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 /// Maximum number of bytes that are forwarded at once.
 const CHUNK_BYTES: usize = 16 << 10;
+/// Maximum number of connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
 
 /// How a proxy treats its connections.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Mode {
     pub(crate) delay: Duration,
     /// Whether bytes towards the server, and towards the client, are held back.
     pub(crate) is_cut: [bool; 2],
     /// Number of resets so far. A connection with a lower initial count is reset.
     resets: u32,
+    /// Whether new connections are refused, as by a host on which no process listens.
+    is_refusing: bool,
     /// Number of silences so far. A connection with a lower initial count passes no bytes.
     silences: u32,
 }
 
 /// Control of the connections of a link.
 #[derive(Debug, Default)]
-pub(crate) struct Control(watch::Sender<Mode>);
+pub struct Control(watch::Sender<Mode>);
 
 impl Control {
     pub(crate) fn subscribe(&self) -> watch::Receiver<Mode> {
         self.0.subscribe()
     }
 
+    /// Whether bytes are delayed or held back.
+    pub(crate) fn is_impaired(&self) -> bool {
+        let mode = *self.0.borrow();
+        mode.delay > Duration::ZERO || mode.is_cut.contains(&true)
+    }
+
     /// Delays each chunk by `delay`.
     pub(crate) fn delay(&self, delay: Duration) {
         self.0.send_modify(|mode| mode.delay = delay);
     }
 
+    fn refuse(&self, is_refusing: bool) {
+        self.0.send_modify(|mode| mode.is_refusing = is_refusing);
+    }
+
     /// Sets whether bytes towards the server, and towards the client, are held back.
-    pub(crate) fn cut(&self, is_cut: [bool; 2]) {
+    pub fn cut(&self, is_cut: [bool; 2]) {
         self.0.send_modify(|mode| mode.is_cut = is_cut);
     }
 
@@ -57,31 +71,99 @@
 
 /// Listening port that forwards connections to a target. It runs until its runtime ends.
 #[derive(Debug)]
-pub(crate) struct Proxy {
+pub struct Proxy {
     address: SocketAddr,
-    pub(crate) control: Arc<Control>,
+    /// Keeps the port while connections are refused.
+    _reserved: TcpSocket,
+    target: watch::Sender<SocketAddr>,
+    /// Control of the proxy's connections.
+    pub control: Arc<Control>,
 }
 
 impl Proxy {
-    pub(crate) async fn start(target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
-        let address = listener.local_addr()?;
+    /// Starts a proxy to `target`, at a port of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be opened.
+    pub async fn start(target: SocketAddr) -> io::Result<Self> {
+        let reserved = bind((Ipv4Addr::LOCALHOST, 0).into())?;
+        let address = reserved.local_addr()?;
         let control = Arc::new(Control::default());
-        let modes = control.subscribe();
-        tokio::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                let server = TcpStream::connect(target);
-                tokio::spawn(relay(client, server, modes.clone()));
-            }
-        });
-        Ok(Self { address, control })
+        let (target, targets) = watch::channel(target);
+        let listener = bind(address)?.listen(BACKLOG)?;
+        tokio::spawn(accept(listener, control.subscribe(), targets));
+        Ok(Self {
+            address,
+            _reserved: reserved,
+            target,
+            control,
+        })
+    }
+
+    /// Forwards new connections to another target.
+    pub fn retarget(&self, target: SocketAddr) {
+        self.target.send_replace(target);
+        self.control.refuse(false);
+    }
+
+    /// Refuses new connections if they lead to `ended`, which has closed its port.
+    pub fn refuse(&self, ended: SocketAddr) {
+        if *self.target.borrow() == ended {
+            self.control.refuse(true);
+        }
     }
 
-    pub(crate) fn address(&self) -> SocketAddr {
+    /// Returns the address at which the proxy listens.
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 }
 
+/// Creates a socket whose address others may have bound, but don't listen on.
+fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+/// Accepts connections and forwards them to the current target, except while they are refused.
+async fn accept(
+    mut listener: TcpListener,
+    modes: watch::Receiver<Mode>,
+    targets: watch::Receiver<SocketAddr>,
+) -> io::Result<()> {
+    let address = listener.local_addr()?;
+    let mut refusals = modes.clone();
+    loop {
+        // Behind a cut, nobody learns that no process listens.
+        let refused = async {
+            let refused =
+                refusals.wait_for(|mode| mode.is_refusing && !mode.is_cut.contains(&true));
+            refused.await.is_ok()
+        };
+        let is_running = tokio::select! {
+            accepted = listener.accept() => {
+                let targets = targets.clone();
+                let server = async move {
+                    let target = *targets.borrow();
+                    TcpStream::connect(target).await
+                };
+                tokio::spawn(relay(accepted?.0, server, modes.clone()));
+                continue;
+            }
+            is_running = refused => is_running,
+        };
+        drop(listener);
+        let reopened = refusals.wait_for(|mode| !mode.is_refusing).await;
+        if !is_running || reopened.map(|_| ()).is_err() {
+            return Ok(());
+        }
+        listener = bind(address)?.listen(BACKLOG)?;
+    }
+}
+
 /// Forwards bytes between a client and a server until both have closed.
 pub(crate) async fn relay(
     client: TcpStream,
@@ -139,8 +221,14 @@
 ) -> Result<(), Broken> {
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
-        let read = read(from, &mut chunk).await.map_err(|_| Broken)?;
+        let read = read(from, &mut chunk).await;
+        // A cut also holds back resets.
         let mode = wait_until_open(&mut modes, direction).await?;
+        let read = read.map_err(|_| Broken)?;
+        // Bytes that were held back are lost if their sender has reset the connection.
+        if !matches!(SockRef::from(from).take_error(), Ok(None)) {
+            return Err(Broken);
+        }
         let is_silent = mode.silences != silences;
         if !is_silent {
             sleep(mode.delay).await;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,9 @@
 //! Execution of one run: a deployment, its callers, and the faults of a seed.
 
+mod deadly;
 mod inject;
+mod network;
+mod restart;
 
 use std::collections::BTreeMap;
 use std::io;
@@ -18,6 +21,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use self::network::Network;
 use crate::caller::{Caller, Served};
 use crate::checker::{Checker, STABLE, Subject};
 use crate::guarantee::{Guarantee, Violation};
@@ -31,7 +35,7 @@
 /// Time from SIGTERM to SIGKILL.
 const GRACE_PERIOD: Duration = Duration::from_secs(6);
 /// Maximum duration of a grant of keys.
-const MAX_HOLD: Duration = Duration::from_secs(10);
+pub(crate) const MAX_HOLD: Duration = Duration::from_secs(10);
 /// Maximum time from the end of the faults until all requests are served again.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
 /// Time without faults at the start of a run.
@@ -76,6 +80,7 @@
 /// Everything that is deployed in a run.
 struct Cluster {
     seed: u64,
+    _network: Network,
     checker: Arc<Checker>,
     store: Store,
     store_proxies: Vec<Proxy>,
@@ -86,8 +91,6 @@
     slots: Vec<Slot>,
     /// Number of the next incarnation of an upstream.
     next_incarnation: AtomicU64,
-    /// Number of registry entries that upstreams have written.
-    registrations: AtomicU64,
     version: AtomicU64,
     lags: AtomicU32,
 }
@@ -159,22 +162,15 @@
     })
 }
 
-/// Returns the second and third byte of the loopback addresses of a run, so that
-/// concurrent runs don't share addresses.
-fn network() -> (u8, u8) {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let run = NEXT.fetch_add(1, Ordering::Relaxed);
-    let process = std::process::id();
-    ((64 + process % 128) as u8, (run % 250) as u8)
-}
-
 impl Cluster {
     async fn start(plan: &Plan, seed: u64) -> io::Result<Self> {
         let checker = Arc::new(Checker::new());
         let store = Store::start(seed).await?;
-        let (high, low) = network();
+        let network = Network::reserve()?;
+        let (high, low) = (network.high, network.low);
         let mut cluster = Self {
             seed,
+            _network: network,
             checker,
             store,
             store_proxies: Vec::new(),
@@ -183,7 +179,6 @@
             routers: Vec::new(),
             slots: Vec::new(),
             next_incarnation: AtomicU64::new(0),
-            registrations: AtomicU64::new(0),
             version: AtomicU64::new(0),
             lags: AtomicU32::new(0),
         };
@@ -191,7 +186,11 @@
         for slot in 0..plan.upstreams {
             let (service, is_keyed) = plan::service_of(slot);
             let service = service.into();
-            let current = Mutex::new(cluster.start_upstream(&service, is_keyed, None).await?);
+            let current = cluster
+                .start_upstream(&service, is_keyed, None, None)
+                .await?;
+            cluster.register(&current.0, &current.1, false);
+            let current = Mutex::new(current);
             cluster.slots.push(Slot {
                 service,
                 is_keyed,
@@ -214,7 +213,7 @@
                 },
             };
             let front = Proxy::start(settings.front()).await?;
-            let router = Router::new(number, settings, &plan.program, &plan.logs)?;
+            let router = Router::new(number, settings, &plan.program, &plan.logs);
             cluster.routers.push(Arc::new(router));
             cluster.store_proxies.push(to_store);
             cluster.front_proxies.push(front);
@@ -230,27 +229,46 @@
         Ok(cluster)
     }
 
-    /// Starts an incarnation of an upstream and registers it, under a new name unless
-    /// `name` is given.
+    /// Starts an incarnation of an upstream, under a new name unless `name` is given, and at
+    /// a new address unless `proxy` is given.
     async fn start_upstream(
         &self,
         service: &Arc<str>,
         is_keyed: bool,
         name: Option<String>,
+        proxy: Option<Arc<Proxy>>,
     ) -> io::Result<Current> {
         let life = self.next_incarnation.fetch_add(1, Ordering::Relaxed) as usize;
         let id = name.unwrap_or_else(|| format!("upstream-{life}"));
         let server = Server::start(life, id, service, is_keyed, self.seed, &self.checker).await?;
-        let proxy = Proxy::start(server.address).await?;
-        self.register(&server, &proxy, false);
-        Ok((server, Arc::new(proxy)))
+        let proxy = match proxy {
+            Some(proxy) => {
+                proxy.retarget(server.address);
+                proxy
+            }
+            None => Arc::new(Proxy::start(server.address).await?),
+        };
+        Ok((server, proxy))
     }
 
-    /// Writes an upstream's entry to the registry, with the next sequence number.
+    /// Writes an upstream's entry to the registry, with the next sequence number of its process.
     fn register(&self, server: &Server, proxy: &Proxy, leaving: bool) {
-        let sequence = self.registrations.fetch_add(1, Ordering::Relaxed) + 1;
         self.store
-            .register(&entry(server, proxy, sequence, leaving));
+            .register(&entry(server, proxy, server.next_sequence(), leaving));
+    }
+
+    /// Ends an upstream, whose address refuses connections from now on.
+    fn end(&self, server: &Server, proxy: &Proxy) {
+        server.end();
+        proxy.refuse(server.address);
+    }
+
+    /// Removes an upstream's entry from the registry, unless a running upstream has its name.
+    fn remove_entry(&self, id: &str) {
+        let is_used = |(server, _): &Current| server.id == id && server.is_running();
+        if !(0..self.slots.len()).any(|slot| is_used(&self.slot(slot))) {
+            self.store.unregister(id);
+        }
     }
 
     fn slot(&self, slot: usize) -> MutexGuard<'_, Current> {
@@ -259,17 +277,33 @@
     }
 
     /// Starts the next incarnation of an upstream, unless another fault has done so already.
-    async fn replace(&self, slot: usize, ended: &Server, name: Option<String>) {
+    async fn succeed(
+        &self,
+        slot: usize,
+        ended: &Server,
+        name: Option<String>,
+        proxy: Option<Arc<Proxy>>,
+    ) -> Option<Current> {
         if self.slot(slot).0.incarnation != ended.incarnation {
-            return;
+            return None;
         }
         let (service, is_keyed) = (&self.slots[slot].service, self.slots[slot].is_keyed);
-        match self.start_upstream(service, is_keyed, name).await {
-            Ok(current) => *self.slot(slot) = current,
+        match self.start_upstream(service, is_keyed, name, proxy).await {
+            Ok(current) => {
+                self.slot(slot).clone_from(&current);
+                Some(current)
+            }
             Err(error) => panic!("failed to start an upstream: {error}"),
         }
     }
 
+    /// Replaces an upstream by another one, unless another fault has done so already.
+    async fn replace(&self, slot: usize, ended: &Server) {
+        if let Some((server, proxy)) = self.succeed(slot, ended, None, None).await {
+            self.register(&server, &proxy, false);
+        }
+    }
+
     fn configure(&self) {
         self.version.fetch_add(1, Ordering::Relaxed);
         self.write_configuration();
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -4,9 +4,12 @@
 use std::time::Duration;
 
 use eelgrassrock_platform_standin::store::Faults;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 use tokio::time::sleep;
 
+use super::restart::{RESTART_DELAY, Restart};
 use super::{Cluster, GRACE_PERIOD};
 use crate::checker::Subject;
 use crate::proxy::{Control, Proxy};
@@ -14,23 +17,25 @@
 use crate::schedule::{Degradation, Event, Failure, Fault, Impairment, Link};
 
 /// Time after which the store removes the entry of an upstream without heartbeats.
-const ENTRY_TIMEOUT: Duration = Duration::from_millis(2_600);
+pub(super) const ENTRY_TIMEOUT: Duration = Duration::from_millis(2_600);
 /// Time for which an upstream still serves after it announced that it leaves. It is
 /// longer than routers may still send requests to it.
 const DRAIN_TIME: Duration = Duration::from_millis(5_000);
 /// Time after which the operator and the upstreams have rewritten their rows in a store
 /// that was restored from a snapshot.
 const REWRITE_PAUSE: Duration = Duration::from_millis(700);
-/// Delay before an upstream that crashed is replaced or restarted.
-const REPLACE_PAUSE: Duration = Duration::from_millis(800);
 /// Share of the calls whose answer the store loses, or of the writes that take effect
 /// late.
 const LOST_SHARE: f64 = 0.3;
-const LATE_WRITE_DELAY: Duration = Duration::from_millis(1_500);
+/// Shortest and longest delay of the writes that take effect late.
+const MIN_WRITE_DELAY: Duration = Duration::from_millis(500);
+const MAX_WRITE_DELAY: Duration = Duration::from_millis(8_000);
+/// Longest time from the return of the store until entries are back that expired meanwhile.
+const MAX_RETURN_DELAY: Duration = Duration::from_millis(2_000);
 
 impl Cluster {
     /// Injects a fault, and returns when it is over.
-    pub(super) async fn inject(&self, event: Event) {
+    pub(super) async fn inject(self: &Arc<Self>, event: Event) {
         let span = event.span;
         match event.fault {
             Fault::Kill(router) => self.kill(router),
@@ -53,6 +58,7 @@
             Fault::Restore(age) => self.restore(age).await,
             Fault::Upstream(slot, failure) => self.fail(slot, failure, span).await,
             Fault::Configure => self.configure(),
+            Fault::Deadly { prefix, per_s } => self.send_deadly(prefix, per_s, span).await,
         }
     }
 
@@ -69,7 +75,7 @@
         self.routers[router].signal(Signal::STOP);
         sleep(span).await;
         self.routers[router].signal(Signal::CONT);
-        self.checker.resume();
+        self.checker.resume(Subject::Process(router));
         self.checker
             .disturb(Subject::Router(router), Duration::ZERO);
     }
@@ -88,6 +94,7 @@
             }
         }
         if matches!(impairment, Impairment::Reset | Impairment::Silence) {
+            self.checker.disturb(Subject::Connections, Duration::ZERO);
             return;
         }
         sleep(span).await;
@@ -95,8 +102,17 @@
             control.delay(Duration::ZERO);
             control.cut([false, false]);
         }
-        self.checker.resume();
-        self.checker.disturb(subject, Duration::ZERO);
+        // An upstream that restarted at its address is behind the same link.
+        let (current, successor) = self.controls(link);
+        let is_kept = current
+            .iter()
+            .zip(&controls)
+            .all(|(one, other)| Arc::ptr_eq(one, other));
+        let successor = (is_kept && successor != subject).then_some(successor);
+        for subject in [Some(subject), successor].into_iter().flatten() {
+            self.checker.resume(subject);
+            self.checker.disturb(subject, Duration::ZERO);
+        }
     }
 
     /// Returns the controls of a link, and what its impairment affects.
@@ -118,6 +134,7 @@
 
     async fn degrade(&self, degradation: Degradation, span: Duration) {
         self.checker.disturb(Subject::Store, span);
+        let mut random = ChaCha8Rng::seed_from_u64(self.seed ^ span.as_nanos() as u64);
         let mut faults = Faults::default();
         match degradation {
             Degradation::Down => faults.is_down = true,
@@ -125,13 +142,33 @@
             Degradation::LosesAnswers => faults.lost = LOST_SHARE,
             Degradation::WritesLate => {
                 faults.late = LOST_SHARE;
-                faults.late_by = LATE_WRITE_DELAY;
+                faults.late_by = random.random_range(MIN_WRITE_DELAY..MAX_WRITE_DELAY);
             }
         }
         self.store.set_faults(faults);
         sleep(span).await;
         self.store.set_faults(Faults::default());
         self.checker.disturb(Subject::Store, Duration::ZERO);
+        if degradation == Degradation::Down && span > ENTRY_TIMEOUT && random.random_bool(0.5) {
+            self.expire_all(MAX_RETURN_DELAY.mul_f64(random.random()))
+                .await;
+        }
+    }
+
+    /// Removes the entries of all upstreams, which write them again after `delay`.
+    async fn expire_all(&self, delay: Duration) {
+        let slots = 0..self.slots.len();
+        let current: Vec<_> = slots.map(|slot| self.slot(slot).clone()).collect();
+        for (server, _) in &current {
+            self.store.unregister(&server.id);
+        }
+        sleep(delay).await;
+        for (slot, (server, proxy)) in current.iter().enumerate() {
+            let is_current = self.slot(slot).0.incarnation == server.incarnation;
+            if is_current && server.is_running() {
+                self.register(server, proxy, false);
+            }
+        }
     }
 
     /// Restores the store from a snapshot. The operator and the upstreams write their rows
@@ -169,35 +206,35 @@
             self.checker.disturb(subject, span);
         }
         match failure {
-            Failure::Crashes => {
-                server.end();
-                sleep(REPLACE_PAUSE).await;
-                self.replace(slot, &server, None).await;
-                sleep(ENTRY_TIMEOUT - REPLACE_PAUSE).await;
-                self.store.unregister(&server.id);
-                self.checker.leave(server.incarnation);
-            }
-            Failure::Restarts => {
-                server.end();
-                sleep(REPLACE_PAUSE).await;
-                self.replace(slot, &server, Some(server.id.clone())).await;
+            Failure::Crashes | Failure::Restarts => {
+                let restart = Restart {
+                    keeps_id: failure == Failure::Restarts,
+                    delay: RESTART_DELAY,
+                    ..Restart::draw(self.seed, server.incarnation)
+                };
+                self.end(&server, &proxy);
+                self.restart(slot, &server, &proxy, restart).await;
             }
             Failure::Leaves => {
-                self.register(&server, &proxy, true);
+                if Restart::draw(self.seed, server.incarnation).is_announced {
+                    self.register(&server, &proxy, true);
+                } else {
+                    self.store.unregister(&server.id);
+                }
                 self.checker.leave(server.incarnation);
-                self.replace(slot, &server, None).await;
+                self.replace(slot, &server).await;
                 sleep(DRAIN_TIME).await;
-                server.end();
-                self.store.unregister(&server.id);
+                self.end(&server, &proxy);
+                self.remove_entry(&server.id);
             }
             Failure::AnnouncesLeaving => {
                 let announcing =
                     server.misbehave_for(DRAIN_TIME, |behaviour| &mut behaviour.announces_leaving);
                 announcing.await;
-                self.replace(slot, &server, None).await;
-                server.end();
+                self.replace(slot, &server).await;
+                self.end(&server, &proxy);
                 sleep(ENTRY_TIMEOUT).await;
-                self.store.unregister(&server.id);
+                self.remove_entry(&server.id);
             }
             Failure::Defers => {
                 server
@@ -219,7 +256,6 @@
                 server
                     .misbehave_for(span, |behaviour| &mut behaviour.is_paused)
                     .await;
-                self.checker.resume();
             }
             Failure::Slows => {
                 server
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -1,31 +1,36 @@
 //! Upstreams that hold keys through grants, misbehave on demand, and report to the
 //! checker what they run.
 
-use std::convert::Infallible;
+mod endless;
+mod orders;
+
+use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use eelgrassrock_platform_standin::framing::{
-    Call, Keys, Reply, RequestHead, decode_call, encode_reply, mark_leaving, mark_limit,
+    Call, Reply, RequestHead, decode_call, decode_target, encode_reply, mark_leaving, mark_limit,
 };
 use http::{Request, Response};
 use http_body_util::{BodyExt, Either, Full};
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
-use tokio::time::{Instant, Interval, interval, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
+use self::endless::EndlessBody;
 use crate::checker::Checker;
+use crate::plan::is_deadly;
 
 /// Number of requests that an upstream runs at the same time.
 pub(crate) const SLOTS: usize = 4;
@@ -38,11 +43,6 @@
 /// Share of the requests that an upstream fails, or whose answers it loses, replaces or
 /// never ends, while it misbehaves in that way.
 const FAIL_SHARE: f64 = 0.4;
-/// Rate of an upstream's clock: grants last slightly longer than the router stated.
-const CLOCK_RATE: f64 = 1.02;
-/// Delay of late orders.
-const LATE_ORDER_DELAY: Duration = Duration::from_millis(1_500);
-
 /// Share of the requests that an upstream defers while it asks for pauses.
 const DEFER_SHARE: f64 = 0.2;
 /// Pause that an upstream asks for with a deferred request.
@@ -51,9 +51,6 @@
 /// Requests per second that an upstream takes from all routers while it names a limit.
 const LIMIT_PER_S: f64 = 2.0;
 
-/// Interval between two chunks of an endless answer.
-const CHUNK_INTERVAL: Duration = Duration::from_millis(2);
-
 /// Request identifier in swapped answers.
 const OTHER_REQUEST_ID: &str = "r-0";
 
@@ -72,6 +69,8 @@
     pub(crate) names_limit: bool,
     /// Whether the upstream has ended.
     pub(crate) is_gone: bool,
+    /// Whether a request has ended the upstream.
+    has_crashed: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -90,7 +89,11 @@
     pub(crate) service: Arc<str>,
     pub(crate) address: SocketAddr,
     is_keyed: bool,
+    /// Sequence number of the last registry entry of this process.
+    sequence: AtomicU64,
     behaviour: watch::Sender<Behaviour>,
+    /// Whether the upstream has ended. It changes while the holds are locked.
+    has_ended: AtomicBool,
     holds: Mutex<Vec<Hold>>,
     random: Mutex<ChaCha8Rng>,
     slots: Semaphore,
@@ -102,9 +105,18 @@
 /// Request that runs on a key. Dropping it decrements the key's count.
 struct Running<'a>(&'a Server, u16);
 
+impl Running<'_> {
+    /// Whether the upstream's hold of the key has expired.
+    fn has_lapsed(&self) -> bool {
+        let until = self.0.holds()[usize::from(self.1)].until;
+        until.is_some_and(|until| Instant::now() >= until)
+    }
+}
+
 impl Drop for Running<'_> {
     fn drop(&mut self) {
         self.0.holds()[usize::from(self.1)].running -= 1;
+        self.0.checker.end_work(self.0.incarnation, self.1);
     }
 }
 
@@ -120,27 +132,10 @@
     Lost,
 }
 
-/// Endless body, sent slowly enough that callers can buffer what arrives.
-#[derive(Debug)]
-pub(crate) struct EndlessBody(Interval);
-
-impl EndlessBody {
-    fn new() -> Self {
-        Self(interval(CHUNK_INTERVAL))
-    }
-}
-
-impl Body for EndlessBody {
-    type Data = Bytes;
-    type Error = Infallible;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let frame = |_| Some(Ok(Frame::data(Bytes::from_static(&[b'x'; 4_096]))));
-        self.get_mut().0.poll_tick(context).map(frame)
-    }
+/// Waits until the upstream has ended, and unlocks its behaviour again.
+async fn wait_until_gone(behaviour: &mut watch::Receiver<Behaviour>) {
+    // The sender exists as long as its server, so this can't fail.
+    let _ = behaviour.wait_for(|behaviour| behaviour.is_gone).await;
 }
 
 type Answer = Response<Either<Full<Bytes>, EndlessBody>>;
@@ -162,7 +157,9 @@
             service: Arc::clone(service),
             address: listener.local_addr()?,
             is_keyed,
+            sequence: AtomicU64::new(0),
             behaviour: watch::Sender::new(Behaviour::default()),
+            has_ended: AtomicBool::new(false),
             holds: Mutex::new(vec![Hold::default(); if is_keyed { keys } else { 0 }]),
             random: Mutex::new(ChaCha8Rng::seed_from_u64(seed ^ incarnation as u64)),
             slots: Semaphore::new(SLOTS),
@@ -186,9 +183,27 @@
 
     /// Ends the upstream: its port closes, and it holds no keys.
     pub(crate) fn end(&self) {
+        {
+            let _holds = self.holds();
+            self.has_ended.store(true, Ordering::Relaxed);
+            self.checker.end(self.incarnation);
+        }
         self.behaviour
             .send_modify(|behaviour| behaviour.is_gone = true);
-        self.checker.end(self.incarnation);
+    }
+
+    /// Returns the sequence number of the next registry entry of this process.
+    pub(crate) fn next_sequence(&self) -> u64 {
+        self.sequence.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    pub(crate) fn is_running(&self) -> bool {
+        !self.behaviour.borrow().is_gone
+    }
+
+    /// Whether a request has ended the upstream.
+    pub(crate) fn has_crashed(&self) -> bool {
+        self.behaviour.borrow().has_crashed
     }
 
     fn holds(&self) -> MutexGuard<'_, Vec<Hold>> {
@@ -208,7 +223,7 @@
                     Ok((stream, _)) => drop(tokio::spawn(Arc::clone(&self).serve(stream))),
                     Err(error) => panic!("an upstream failed to accept a connection: {error}"),
                 },
-                _ = behaviour.wait_for(|behaviour| behaviour.is_gone) => return,
+                () = wait_until_gone(&mut behaviour) => return,
             }
         }
     }
@@ -216,6 +231,7 @@
     async fn serve(self: Arc<Self>, stream: TcpStream) {
         // Without TCP_NODELAY only the latency is higher, so a failure is harmless.
         let _ = stream.set_nodelay(true);
+        let socket = SockRef::from(&stream).try_clone();
         let mut behaviour = self.behaviour.subscribe();
         let server = Arc::clone(&self);
         let service = service_fn(move |request| {
@@ -226,7 +242,10 @@
         tokio::select! {
             // The router notices a broken connection itself.
             _ = connection => {}
-            _ = behaviour.wait_for(|behaviour| behaviour.is_gone) => {}
+            () = wait_until_gone(&mut behaviour) => {
+                // This fails only for a connection that is already closed.
+                let _ = socket.map(|socket| socket.set_linger(Some(Duration::ZERO)));
+            }
         }
     }
 
@@ -237,20 +256,24 @@
         let _ = behaviour.wait_for(|behaviour| !behaviour.is_paused).await;
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Option<Answer> {
-        self.wait_while_paused().await;
-        let arrived = Instant::now();
+    async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Option<Answer> {
         let (parts, body) = request.into_parts();
         let body = body.collect().await.ok()?.to_bytes();
+        let arrived = Instant::now();
         let call = decode_call(&parts, &body);
         let id = match &call {
             Call::Request(head) => head.id.clone(),
             _ => None,
         };
+        let is_other = decode_target(&parts).is_some_and(|target| target != self.id);
         let outcome = match call {
-            Call::Grant { keys, hold, .. } => self.grant(keys, hold, arrived).await,
-            Call::Release(keys) => self.release(keys).await,
-            Call::Request(head) => self.request(parts.uri.path(), &head).await,
+            _ if is_other => Outcome::Answered(Reply::Misdirected),
+            Call::Grant { keys, hold, .. } => self.order(keys, Some(hold), arrived).await,
+            Call::Release(keys) => self.order(keys, None, arrived).await,
+            Call::Request(head) => {
+                self.wait_while_paused().await;
+                self.request(parts.uri.path(), &head).await
+            }
             Call::Unreadable => Outcome::Answered(Reply::Unreadable),
         };
         self.wait_while_paused().await;
@@ -278,60 +301,6 @@
         Some(response.map(Either::Left))
     }
 
-    async fn grant(&self, keys: Keys, hold: Duration, arrived: Instant) -> Outcome {
-        let is_late = self.behaviour.borrow().is_late_with_orders;
-        if is_late {
-            sleep(LATE_ORDER_DELAY).await;
-        }
-        let until = arrived + hold.mul_f64(CLOCK_RATE);
-        let range = usize::from(keys.from)..=usize::from(keys.to);
-        {
-            let mut holds = self.holds();
-            let Some(holds) = holds.get_mut(range) else {
-                return Outcome::Answered(Reply::Unreadable);
-            };
-            if holds.iter().any(|held| held.token > keys.token) {
-                return Outcome::Answered(Reply::Fenced);
-            }
-            for held in holds {
-                held.token = keys.token;
-                held.until = Some(until);
-            }
-        }
-        if !self.behaviour.borrow().is_gone {
-            self.checker.grant(self.incarnation, keys, until, is_late);
-        }
-        if is_late {
-            return Outcome::Lost;
-        }
-        Outcome::Answered(Reply::Granted)
-    }
-
-    async fn release(&self, keys: Keys) -> Outcome {
-        let range = usize::from(keys.from)..=usize::from(keys.to);
-        loop {
-            let is_running = {
-                let mut holds = self.holds();
-                let Some(holds) = holds.get_mut(range.clone()) else {
-                    return Outcome::Answered(Reply::Unreadable);
-                };
-                let own = holds.iter_mut().filter(|held| held.token <= keys.token);
-                let mut running = 0;
-                for held in own {
-                    held.token = keys.token;
-                    held.until = None;
-                    running += held.running;
-                }
-                running > 0
-            };
-            if !is_running {
-                self.checker.release(self.incarnation, keys);
-                return Outcome::Answered(Reply::Released(format!("{}-{}", self.id, keys.token)));
-            }
-            sleep(Duration::from_millis(5)).await;
-        }
-    }
-
     /// Starts a request on a key. Returns `None` without a key or if the key isn't held.
     fn start_on_key(&self, key: Option<u16>) -> Option<Running<'_>> {
         let key = key?;
@@ -345,13 +314,6 @@
 
     async fn request(&self, path: &str, head: &RequestHead) -> Outcome {
         let id = head.id.as_deref();
-        if head
-            .target
-            .as_ref()
-            .is_some_and(|target| *target != self.id)
-        {
-            return Outcome::Answered(Reply::Misdirected);
-        }
         self.checker.arrive(id, self.incarnation);
         if self.behaviour.borrow().defers && self.draw() < DEFER_SHARE {
             self.checker.defer(id, self.incarnation, DEFERRAL);
@@ -375,6 +337,14 @@
             &self.service,
             head.key.filter(|_| self.is_keyed),
         );
+        if is_deadly(path) {
+            self.checker.crash(path, self.incarnation);
+            self.behaviour
+                .send_modify(|behaviour| behaviour.has_crashed = true);
+            self.end();
+            // The end resets the connection.
+            return pending().await;
+        }
         let behaviour = *self.behaviour.borrow();
         let work = if behaviour.is_slow {
             WORK_TIME + SLOW_EXTRA_TIME
@@ -383,6 +353,9 @@
         };
         sleep(work).await;
         self.wait_while_paused().await;
+        if held.as_ref().is_some_and(Running::has_lapsed) {
+            return Outcome::Answered(Reply::Failed);
+        }
         let draw = self.draw();
         if behaviour.loses_answers && draw < FAIL_SHARE {
             return Outcome::Lost;
