A refusal on a kept connection counts only if it is this request's own

Callers could be told "not run, try again" (503 with retry-after) for a request that its upstream ran, or such a request could run a second time.

Cause: an answer with the not-run header, or a 421, that bore no request identifier counted as the refusal of the request under way. On a connection that carried a refusal before, it may be that one, sent once more. The identifier doesn't help either if a refused request goes to the same upstream again, as requests with a key do: the earlier refusal bears the same identifier.

A request that an upstream refused goes to it again only on a new connection. The platform adapter only says whether an answer bears an identifier. The platform of the edge tests now takes refusals without one, as the users' platform does; with that it rejects less, and no existing check changed.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -35,6 +35,8 @@
     pub(crate) parts: request::Parts,
     pub(crate) body: Content,
     pub(crate) repeat: Repeat,
+    /// Upstreams that refused it.
+    refused_by: Vec<Arc<str>>,
 }
 
 pub(crate) enum Content {
@@ -43,6 +45,15 @@
 }
 
 impl Message {
+    pub(crate) fn new(parts: request::Parts, body: Content, repeat: Repeat) -> Self {
+        Self {
+            parts,
+            body,
+            repeat,
+            refused_by: Vec::new(),
+        }
+    }
+
     /// Whether it can be sent once more.
     pub(crate) fn is_repeatable(&self) -> bool {
         match &self.body {
@@ -60,6 +71,7 @@
             parts: self.parts.clone(),
             body: Content::Whole(bytes.clone()),
             repeat: self.repeat,
+            refused_by: self.refused_by.clone(),
         })
     }
 
@@ -93,8 +105,12 @@
     node.platform
         .set_request_headers(&mut headers, upstream, allowed);
     let mut request = message.build(headers);
+    // On a connection in use before, a refusal that bears its identifier may be the earlier one.
+    let was_refused = message.refused_by.contains(&upstream.id);
     loop {
-        let pooled = node.links.take(upstream, message.repeat);
+        let pooled = (!was_refused)
+            .then(|| node.links.take(upstream, message.repeat))
+            .flatten();
         let was_pooled = pooled.is_some();
         let connecting_since = clock::now();
         let link = match pooled {
@@ -122,8 +138,15 @@
                     link,
                     response,
                     sent_at,
+                    was_pooled,
                 };
-                return receive(node, upstream, answer, head, until).await;
+                let exchange = receive(node, upstream, answer, head, until).await;
+                if let Exchange::None(report) = &exchange
+                    && report.proves_not_run()
+                {
+                    message.refused_by.push(Arc::clone(&upstream.id));
+                }
+                return exchange;
             }
             Ok(Err(mut error)) => match error.take_message() {
                 // The request is returned only if no byte of it was sent.
@@ -161,6 +184,8 @@
     response: Response<Incoming>,
     /// When its request was sent.
     sent_at: Instant,
+    /// Whether the connection carried other requests before.
+    was_pooled: bool,
 }
 
 async fn receive<P: Platform>(
@@ -175,6 +200,18 @@
     let verdict = node
         .platform
         .classify_answer(head, &upstream.id, parts.status, &parts.headers);
+    let is_refusal = matches!(
+        verdict,
+        Verdict::Refused | Verdict::Misdirected | Verdict::Replaced
+    );
+    // Without an identifier, it may be the refusal of an earlier request on the connection.
+    let is_doubtful =
+        is_refusal && answer.was_pooled && !node.platform.has_request_id(&parts.headers);
+    let verdict = if is_doubtful {
+        Verdict::Foreign
+    } else {
+        verdict
+    };
     if !matches!(verdict, Verdict::Foreign | Verdict::Replaced) {
         let notice = node.platform.notice(parts.status, &parts.headers);
         if notice.limit.is_none() && verdict == Verdict::Own && parts.status.is_success() {
--- a/crates/edge/src/platform.rs
+++ b/crates/edge/src/platform.rs
@@ -216,7 +216,8 @@
     /// left.
     fn set_request_headers(&self, headers: &mut HeaderMap, upstream: &Upstream, left: Duration);
 
-    /// Classifies an answer to a request that was sent to `upstream`.
+    /// Classifies an answer to a request that was sent to `upstream`. A refusal may lack the
+    /// identifier of its request; an answer with the identifier of another request is foreign.
     fn classify_answer(
         &self,
         request: &Head,
@@ -225,6 +226,9 @@
         headers: &HeaderMap,
     ) -> Verdict;
 
+    /// Whether an answer bears the identifier of a request.
+    fn has_request_id(&self, headers: &HeaderMap) -> bool;
+
     /// Reads the notice that an upstream attached to an answer.
     fn notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice;
 
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -144,11 +144,7 @@
     strip(&mut parts.headers);
     parts.headers.remove(EXPECT);
     parts.uri = origin_form(&parts.uri);
-    let message = Message {
-        parts,
-        body: content,
-        repeat: route.repeat,
-    };
+    let message = Message::new(parts, content, route.repeat);
     let job = job(node, route, head, message, arrived);
     if node.ends_at().is_some_and(|end| job.work.give_up > end) {
         return refusal(
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -505,7 +505,11 @@
         headers: &HeaderMap,
     ) -> Verdict {
         let id = headers.get("x-id").and_then(|value| value.to_str().ok());
-        if id != request.id.as_deref() {
+        let is_refusal =
+            status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key("x-not-run");
+        let is_other = id != request.id.as_deref();
+        // Like on the users' platform, a refusal may lack the identifier.
+        if is_other && (id.is_some() || !is_refusal) {
             Verdict::Foreign
         } else if status == StatusCode::MISDIRECTED_REQUEST {
             Verdict::Misdirected
@@ -516,6 +520,10 @@
         }
     }
 
+    fn has_request_id(&self, headers: &HeaderMap) -> bool {
+        headers.contains_key("x-id")
+    }
+
     fn notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice {
         let pause = headers.get("x-pause-ms").and_then(|value| {
             let text = value.to_str().ok()?;
