Soak: upstreams that a request ends are counted once each

Two deadly requests that an upstream began at the same moment counted as two ended upstreams, so that the third could be counted too early, and a request that came between the end of an upstream and the reset of its connections counted as a retry. The checker would have reported routers that had kept the rule.

The checker counts incarnations, and an upstream that has ended reports no arrivals. The new test in tests/deadly.rs reported a violation before.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -337,7 +337,7 @@
     pub fn crash(&self, path: &str, upstream: usize) {
         self.disturb(Subject::Upstream(upstream), Duration::ZERO);
         let mut state = self.state();
-        state.deadly.entry(path.into()).or_default().crash();
+        state.deadly.entry(path.into()).or_default().crash(upstream);
     }
 
     /// Records that an upstream no longer names a limit.
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -314,6 +314,10 @@
 
     async fn request(&self, path: &str, head: &RequestHead) -> Outcome {
         let id = head.id.as_deref();
+        if self.has_ended.load(Ordering::Relaxed) {
+            // The end resets the connection.
+            return pending().await;
+        }
         self.checker.arrive(id, self.incarnation);
         if self.behaviour.borrow().defers && self.draw() < DEFER_SHARE {
             self.checker.defer(id, self.incarnation, DEFERRAL);
--- a/crates/soak/tests/deadly.rs
+++ b/crates/soak/tests/deadly.rs
@@ -66,6 +66,21 @@
     assert_eq!(violated(&checker), expected);
 }
 
+#[tokio::test(start_paused = true)]
+async fn requests_that_end_an_upstream_together_count_once() {
+    let checker = Checker::new();
+    for upstream in [0, 1, 1, 1] {
+        checker.crash(DEADLY_PATH, upstream);
+    }
+    advance(Duration::from_millis(3_100)).await;
+    for n in 0..4 {
+        let id = format!("a{n}");
+        send(&checker, &id, DEADLY_PATH);
+        checker.arrive(Some(&id), 10);
+    }
+    assert_eq!(violated(&checker), []);
+}
+
 #[rstest]
 #[case::the_one_that_ends_upstreams(DEADLY_PATH, "quarantined", &[])]
 #[case::another("/read/a", "quarantined", &[Guarantee::Quarantine])]
