Routers tell an upstream process that ended from a connection that broke

Callers saw 502 (unknown) in both cases, and the routers' lines said only `broken`.

After a connection breaks before any byte of an answer, the router finds out whether the process is gone: its address refuses connections, or the registry shows another process in its place. Line `upstream ended` for each request in flight, counter `broken_connections` by cause. No decision depends on them.

--- /dev/null
+++ b/crates/edge/src/crash.rs
@@ -0,0 +1,140 @@
+//! Tells upstream processes that have ended from broken connections.
+//!
+//! A connection may break although the upstream still runs: answers are lost, links are cut, and
+//! upstreams reset connections beyond their limit. That its process has ended is proved by an
+//! address that refuses connections, or by a registration of another process in its place.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassrock_dispatch::upstream::Upstream;
+use eelgrassrock_model::time::Instant;
+use indexmap::IndexMap;
+use serde::Serialize;
+use tokio::time::sleep;
+
+use crate::link;
+use crate::node::Node;
+use crate::platform::Platform;
+
+/// Pauses before the connection attempts after a break. A process that ends may reset its
+/// connections shortly before its address refuses new ones.
+const ATTEMPT_PAUSES: [Duration; 3] = [
+    Duration::from_millis(5),
+    Duration::from_millis(80),
+    Duration::from_millis(300),
+];
+/// Pauses before the registry is checked for another process. A process that restarts at once
+/// registers within a few seconds.
+const REGISTRY_PAUSES: [Duration; 3] = [
+    Duration::from_millis(600),
+    Duration::from_millis(1_000),
+    Duration::from_millis(2_000),
+];
+
+/// Request whose connection broke before any byte of its answer.
+#[derive(Clone, Debug)]
+pub(crate) struct Break {
+    pub(crate) request: Option<Arc<str>>,
+    pub(crate) sent_at: Instant,
+    pub(crate) broken_at: Instant,
+}
+
+/// Proof that a process has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Proof {
+    /// Its address refuses connections.
+    Refused,
+    /// Another process is registered under its identifier or at its address.
+    Replaced,
+}
+
+impl Proof {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Replaced => "replaced",
+        }
+    }
+}
+
+/// Process of an upstream.
+type Process = (Arc<str>, u64);
+
+/// Breaks whose cause is being examined, by process.
+#[derive(Debug, Default)]
+pub(crate) struct Breaks(RefCell<IndexMap<Process, Vec<Break>>>);
+
+#[derive(Serialize)]
+struct EndLine<'a> {
+    service: &'a str,
+    upstream: &'a str,
+    incarnation: u64,
+    /// What proves the end.
+    proof: &'a str,
+    /// Request that was in flight.
+    id: Option<&'a str>,
+    /// Time from the send of the request to the break.
+    in_flight_ms: u64,
+}
+
+impl<P: Platform> Node<P> {
+    /// Records that a connection broke before any byte of an answer, and finds out whether the
+    /// process of the upstream has ended.
+    pub(crate) fn record_break(self: &Rc<Self>, upstream: &Arc<Upstream>, broken: Break) {
+        let process = (Arc::clone(&upstream.id), upstream.incarnation);
+        let mut examined = self.breaks.0.borrow_mut();
+        let breaks = examined.entry(process).or_default();
+        breaks.push(broken);
+        if breaks.len() == 1 {
+            let (node, upstream) = (Rc::clone(self), Arc::clone(upstream));
+            tokio::task::spawn_local(async move { node.examine_breaks(&upstream).await });
+        }
+    }
+
+    async fn examine_breaks(self: Rc<Self>, upstream: &Arc<Upstream>) {
+        let proof = self.prove_end(upstream).await;
+        let process = (Arc::clone(&upstream.id), upstream.incarnation);
+        let breaks = self.breaks.0.borrow_mut().swap_remove(&process);
+        for broken in breaks.unwrap_or_default() {
+            self.metrics
+                .connection_broken(&upstream.service, proof.is_some());
+            if let Some(proof) = proof {
+                let line = EndLine {
+                    service: &upstream.service,
+                    upstream: &upstream.id,
+                    incarnation: upstream.incarnation,
+                    proof: proof.as_str(),
+                    id: broken.request.as_deref(),
+                    in_flight_ms: (broken.broken_at - broken.sent_at).as_millis() as u64,
+                };
+                self.log.request("upstream ended", &line);
+            }
+        }
+    }
+
+    async fn prove_end(&self, upstream: &Upstream) -> Option<Proof> {
+        for pause in ATTEMPT_PAUSES {
+            sleep(pause).await;
+            if link::is_refused(upstream.address, link::CONNECT_TIMEOUT).await {
+                return Some(Proof::Refused);
+            }
+            if self.is_replaced(upstream) {
+                return Some(Proof::Replaced);
+            }
+        }
+        for pause in REGISTRY_PAUSES {
+            sleep(pause).await;
+            if self.is_replaced(upstream) {
+                return Some(Proof::Replaced);
+            }
+        }
+        None
+    }
+
+    fn is_replaced(&self, upstream: &Upstream) -> bool {
+        self.state.borrow().registry.is_replaced(upstream)
+    }
+}
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use crate::clock;
+use crate::crash::Break;
 use crate::link::{self, Link};
 use crate::node::Node;
 use crate::payload::{self, Origin, Payload, Source, Taken};
@@ -138,6 +139,13 @@
                     }
                     if error.into_error().is_parse() {
                         node.links.quarantine(upstream);
+                    } else {
+                        let broken = Break {
+                            request: head.id.clone(),
+                            sent_at,
+                            broken_at: clock::now(),
+                        };
+                        node.record_break(upstream, broken);
                     }
                     return Exchange::None(Report::Broken);
                 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,6 +7,7 @@
 //! Everything runs on one thread, since the VMs have only a fraction of a core.
 
 mod clock;
+mod crash;
 mod exchange;
 mod front;
 mod gossip;
--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -197,6 +198,14 @@
     })
 }
 
+/// Whether an address refuses connections, so that no process listens there.
+pub(crate) async fn is_refused(address: SocketAddr, limit: Duration) -> bool {
+    match timeout(limit, TcpStream::connect(address)).await {
+        Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
 /// Whether an error only means that the connection ended, and not that it carried unexpected bytes.
 fn is_disconnect(error: &hyper::Error) -> bool {
     let source = std::error::Error::source(error);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -54,6 +54,12 @@
     report: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Break {
+    service: Arc<str>,
+    cause: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Input {
     input: String,
@@ -69,6 +75,9 @@
     table: String,
 }
 
+/// Causes of broken connections, the second if the process of the upstream has ended.
+const BREAK_CAUSES: [&str; 2] = ["unproven", "ended"];
+
 /// Gauge with a fractional value.
 type Fraction = Gauge<f64, AtomicU64>;
 type Histograms = Family<Service, Histogram, fn() -> Histogram>;
@@ -85,6 +94,7 @@
     queued: Histograms,
     upstream: Histograms,
     sends: Family<Send, Counter>,
+    broken: Family<Break, Counter>,
     suppressed_lines: Counter,
     deferred: Counter,
     limited: Family<Service, Gauge>,
@@ -113,6 +123,7 @@
             queued: Family::new_with_constructor(histogram),
             upstream: Family::new_with_constructor(histogram),
             sends: Family::default(),
+            broken: Family::default(),
             suppressed_lines: Counter::default(),
             deferred: Counter::default(),
             limited: Family::default(),
@@ -155,6 +166,8 @@
             "Sends to upstreams by how they ended",
             self.sends.clone(),
         );
+        let help = "Connections to upstreams that broke before an answer, by cause";
+        all.register("broken_connections", help, self.broken.clone());
         let help = "Log lines about requests beyond the rate limit";
         all.register("log_lines_left_out", help, self.suppressed_lines.clone());
         let help = "Restores of the store from an older backup";
@@ -228,6 +241,16 @@
         observe(&self.upstream, service, span);
     }
 
+    /// Counts a connection that broke with a request in flight. `has_ended` tells whether the
+    /// process of the upstream is known to have ended.
+    pub(crate) fn connection_broken(&self, service: &Arc<str>, has_ended: bool) {
+        let labels = Break {
+            service: Arc::clone(service),
+            cause: BREAK_CAUSES[usize::from(has_ended)],
+        };
+        self.broken.get_or_create(&labels).inc();
+    }
+
     /// Counts a restore of the store from a backup.
     pub(crate) fn store_restored(&self) {
         self.restored.inc();
@@ -296,6 +319,10 @@
                 .set(service.limited() as i64);
             // Shows the counter from the start, so that its rate is known from the first send on.
             drop(self.limited_sends.get_or_create(&labels));
+            for cause in BREAK_CAUSES {
+                let service = Arc::clone(name);
+                drop(self.broken.get_or_create(&Break { service, cause }));
+            }
             self.repeats_left
                 .get_or_create(&labels)
                 .set(service.repeats_left(now));
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -24,6 +24,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::clock;
+use crate::crash::Breaks;
 use crate::leadership::Leaderships;
 use crate::link::Links;
 use crate::log::Log;
@@ -80,6 +81,7 @@
     pub(crate) log: Log,
     pub(crate) metrics: Metrics,
     pub(crate) links: Links,
+    pub(crate) breaks: Breaks,
     pub(crate) state: RefCell<State>,
     pub(crate) leaderships: Leaderships,
     pub(crate) relay: Relay,
@@ -181,6 +183,7 @@
             log,
             metrics,
             links: Links::default(),
+            breaks: Breaks::default(),
             state: RefCell::new(State {
                 directory: None,
                 registry,
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -4,7 +4,6 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::convert::Infallible;
-use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -25,12 +24,13 @@
 use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::time::timeout;
 
 use crate::clock;
 use crate::front;
 use crate::leadership::ServiceTime;
+use crate::link;
 use crate::node::{Node, Shares};
 use crate::notice::Notices;
 use crate::payload::{self, Payload, Taken};
@@ -142,7 +142,7 @@
         let response = match timeout(limit, endpoint.call(&call)).await {
             Ok(Ok(response)) => response,
             Ok(Err(fault)) if matches!(fault.kind, Kind::Unreachable(_)) => {
-                return Err(is_refused(address).await);
+                return Err(examine(address).await);
             }
             _ => return Err(Contact::Unresponsive),
         };
@@ -232,12 +232,11 @@
 
 /// Finds out why an address can't be reached. If it refuses connections, the process there has
 /// ended.
-async fn is_refused(address: SocketAddr) -> Contact {
-    match timeout(CALL_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            Contact::ConnectionRefused
-        }
-        _ => Contact::Unresponsive,
+async fn examine(address: SocketAddr) -> Contact {
+    if link::is_refused(address, CALL_TIMEOUT).await {
+        Contact::ConnectionRefused
+    } else {
+        Contact::Unresponsive
     }
 }
 
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -308,6 +308,16 @@
         self.entries.get(id).map(|entry| &entry.upstream)
     }
 
+    /// Whether another process is registered under the identifier or at the address of an upstream.
+    pub(crate) fn is_replaced(&self, upstream: &Upstream) -> bool {
+        self.entries.values().any(|entry| {
+            let other = &entry.upstream;
+            let is_process = other.id == upstream.id && other.incarnation == upstream.incarnation;
+            let is_place = other.id == upstream.id || other.address == upstream.address;
+            is_place && !is_process && other.incarnation > upstream.incarnation
+        })
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.entries.len()
     }
--- a/crates/edge/tests/support/upstream.rs
+++ b/crates/edge/tests/support/upstream.rs
@@ -126,6 +126,15 @@
         self
     }
 
+    pub(crate) fn is_keyed(&self) -> bool {
+        self.state.lock().unwrap().is_keyed
+    }
+
+    /// Forgets all grants, as a process does that starts again.
+    pub(crate) fn lose_grants(&self) {
+        self.state.lock().unwrap().grants.clear();
+    }
+
     /// Announces from now on, with each answer, that the upstream is leaving.
     pub(crate) fn leave(&self) {
         self.state.lock().unwrap().is_leaving = true;
@@ -242,7 +251,11 @@
         }
     }
 
-    async fn serve(&self, request: Request<Incoming>, close: &Notify) -> Response<Full<Bytes>> {
+    pub(crate) async fn serve(
+        &self,
+        request: Request<Incoming>,
+        close: &Notify,
+    ) -> Response<Full<Bytes>> {
         let text = |name: &str| {
             request
                 .headers()
