Failing test: a request that ends each process goes to one after another

A process ends when it begins to run one path and starts again after 1 s; requests for that path come every 60 ms to the routers in turn, each with an identifier of its own, beside as many others. The rule allows 3 sends later than 3 s after the third end.

--- a/crates/edge/tests/crashes.rs
+++ b/crates/edge/tests/crashes.rs
@@ -2,13 +2,16 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eelgrassrock_dispatch::directory::Repeat;
-use support::mortal::{DEADLY_PATH, Mortal};
+use rstest::rstest;
+use support::mortal::{DEADLY_PATH, History, Mortal};
 use support::platform::{Store, route};
 use support::upstream::Behaviour;
 use support::{Router, eventually, get, sample, send, serving};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 const HOST: &str = "sheets.example";
 /// Time until an upstream whose process has ended starts again.
@@ -45,8 +48,83 @@
     router.ready().await;
     server.enqueue(&[Behaviour::Close]);
     let _ = send(router.settings.front, get("/v1/1", HOST, "r1", 500)).await;
-    tokio::time::sleep(EXAMINATION_TIME).await;
+    sleep(EXAMINATION_TIME).await;
     assert_eq!(sample(&router, &broken("unproven")).await, Some(1.0));
     let text = router.lines.text();
     assert!(!text.contains("\"upstream ended\""), "{text}");
 }
+
+/// Time from the third end of a process to the last send of a request that is counted as a retry.
+const STABLE: Duration = Duration::from_secs(3);
+/// Interval between the sends of a request that ends processes.
+const DEADLY_INTERVAL: Duration = Duration::from_millis(60);
+/// Key of that request. The others have keys at random.
+const DEADLY_KEY: u16 = 2_150;
+const MAX_RETRIES: usize = 3;
+
+/// Returns a request with a key.
+fn keyed(path: &str, id: &str, key: u16) -> http::Request<http_body_util::Full<bytes::Bytes>> {
+    let mut request = get(path, HOST, id, 800);
+    request.headers_mut().insert("x-key", key.into());
+    request
+}
+
+#[rstest]
+#[case::interchangeable_upstreams(false)]
+#[case::upstreams_that_hold_keys(true)]
+#[tokio::test]
+async fn a_request_that_ends_each_process_is_not_sent_to_one_after_another(#[case] sharded: bool) {
+    let store = Store::default();
+    let mut upstreams = Vec::new();
+    for n in 0..6 {
+        upstreams.push(Mortal::start(&format!("up-{n}"), &store, sharded, RESTART_PAUSE).await);
+    }
+    let names: &[&str] = if sharded { &["sheets"] } else { &[] };
+    store.configure(1, vec![route("/v1/", Repeat::Idempotent, "sheets")], names);
+    let routers: Vec<Router> = (2..6)
+        .map(|last| Router::start_at(last, 200, &store))
+        .collect();
+    for router in &routers {
+        router.ready().await;
+    }
+    sleep(Duration::from_secs(2)).await;
+    let begun = Instant::now();
+    let mut others = JoinSet::new();
+    let mut n = 0_usize;
+    while begun.elapsed() < Duration::from_secs(14) {
+        let front = routers[n % routers.len()].settings.front;
+        let deadly = keyed(DEADLY_PATH, &format!("d{n}"), DEADLY_KEY);
+        tokio::spawn(send(front, deadly));
+        let key = (n * 7_919 % 65_536) as u16;
+        let other = keyed(&format!("/v1/{n}"), &format!("r{n}"), key);
+        others.spawn(async move {
+            send(front, other)
+                .await
+                .is_ok_and(|answer| answer.status() == 200)
+        });
+        n += 1;
+        sleep(DEADLY_INTERVAL).await;
+    }
+    let served = others
+        .join_all()
+        .await
+        .into_iter()
+        .filter(|served| *served)
+        .count();
+    let histories: Vec<History> = upstreams.iter().map(Mortal::history).collect();
+    let mut ends: Vec<Instant> = histories.iter().flat_map(|all| all.ends.clone()).collect();
+    ends.sort();
+    let third = *ends.get(2).unwrap_or(&Instant::now());
+    let deadly = histories.iter().flat_map(|all| &all.deadly);
+    let retries = deadly.filter(|at| **at > third + STABLE).count();
+    let ended: Vec<u128> = ends.iter().map(|end| (*end - begun).as_millis()).collect();
+    let log = routers[0].lines.text();
+    assert!(
+        retries <= MAX_RETRIES,
+        "{retries} retries, ends at {ended:?} ms\n{log}"
+    );
+    assert!(
+        served * 10 >= n * 8,
+        "{served} of {n} others served, ends at {ended:?} ms"
+    );
+}
