A request that ends process after process is recognized and refused

Cause: each attempt of its caller has an identifier of its own and comes in at any router, so no router knew that the request had ended a process before; and requests that waited for a holder of their key reached it all at once.

A request is now recognized by a digest of method, host, path, key and body (dispatch/suspect.rs, no I/O, clock or random source). Once a process has ended with it in flight it is suspected: routers share that as a row, by compare-and-swap, and only the one that has counted its send in the row sends it. When further processes have ended under such sends, in three rounds in all, all routers refuse it (503 on arrival and before each send, outcome quarantined). An answer from any upstream removes the row; a single trial follows after five minutes; an operator may remove the row. So at most two sends and one trial follow the first round, however many processes that round has ended. Processes that end together are one round, and a hot path is cleared by its first answer.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -220,6 +220,11 @@
         "upstream paused" | "upstream trusted again" | "upstream deferred" => {
             same_router && is_sent_to
         }
+        "upstream ended" => is_sent_to,
+        "request quarantined" | "quarantine trial" | "quarantine ended" => {
+            let fingerprint = &line.fields["fingerprint"];
+            !fingerprint.is_null() && other.fields["fingerprint"] == *fingerprint
+        }
         "answer cut" => other.fields["id"] == line.fields["id"],
         "store restored" | "link full" => same_router,
         "upstream learnt" | "upstream leaving" | "upstream lapsed" => same_router && is_sent_to,
@@ -259,6 +264,13 @@
         "link-full" => "Not served: its answer is large, and the router's own link was full.",
         "deferred" => "Not served: all usable upstreams asked for no further requests.",
         "budget" => "Not served: the retry budget of all routers together is exhausted.",
+        "suspected" => {
+            "Not served: a process of an upstream ended under it, and another router tries it."
+        }
+        "quarantined" => {
+            "Not served: processes of upstreams ended under it, one after another (see `request \
+             quarantined`)."
+        }
         "timeout" => "Sent, but not answered in time; it is unknown whether it has run.",
         "unknown" => "Sent, but the connection broke; it is unknown whether it has run.",
         "not-run" => "Not served: it was sent, but no upstream ran it.",
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod service;
 mod service_time;
 mod split;
+pub mod suspect;
 pub mod uplink;
 pub mod upstream;
 
--- a/crates/edge/src/crash.rs
+++ b/crates/edge/src/crash.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrassrock_dispatch::suspect::Fingerprint;
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::time::Instant;
 use indexmap::IndexMap;
@@ -38,6 +39,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Break {
     pub(crate) request: Option<Arc<str>>,
+    /// Fingerprint of the request, unless it was answered meanwhile.
+    pub(crate) fingerprint: Option<Fingerprint>,
     pub(crate) sent_at: Instant,
     pub(crate) broken_at: Instant,
 }
@@ -67,6 +70,28 @@
 #[derive(Debug, Default)]
 pub(crate) struct Breaks(RefCell<IndexMap<Process, Vec<Break>>>);
 
+impl Breaks {
+    /// Ends the examination of a process that has answered a request which was sent after a
+    /// connection broke. Returns whether any process is being examined.
+    pub(crate) fn disprove(&self, upstream: &Upstream, sent_at: Instant) -> bool {
+        let mut examined = self.0.borrow_mut();
+        let process = (Arc::clone(&upstream.id), upstream.incarnation);
+        if let Some(breaks) = examined.get_mut(&process) {
+            breaks.retain(|broken| broken.broken_at >= sent_at);
+        }
+        !examined.is_empty()
+    }
+
+    /// Forgets a request that was answered.
+    pub(crate) fn forget(&self, fingerprint: &Fingerprint) {
+        for broken in self.0.borrow_mut().values_mut().flatten() {
+            if broken.fingerprint.as_ref() == Some(fingerprint) {
+                broken.fingerprint = None;
+            }
+        }
+    }
+}
+
 #[derive(Serialize)]
 struct EndLine<'a> {
     service: &'a str,
@@ -76,6 +101,7 @@
     proof: &'a str,
     /// Request that was in flight.
     id: Option<&'a str>,
+    fingerprint: Option<String>,
     /// Time from the send of the request to the break.
     in_flight_ms: u64,
 }
@@ -86,9 +112,10 @@
     pub(crate) fn record_break(self: &Rc<Self>, upstream: &Arc<Upstream>, broken: Break) {
         let process = (Arc::clone(&upstream.id), upstream.incarnation);
         let mut examined = self.breaks.0.borrow_mut();
+        let is_first = !examined.contains_key(&process);
         let breaks = examined.entry(process).or_default();
         breaks.push(broken);
-        if breaks.len() == 1 {
+        if is_first {
             let (node, upstream) = (Rc::clone(self), Arc::clone(upstream));
             tokio::task::spawn_local(async move { node.examine_breaks(&upstream).await });
         }
@@ -108,9 +135,13 @@
                     incarnation: upstream.incarnation,
                     proof: proof.as_str(),
                     id: broken.request.as_deref(),
+                    fingerprint: broken.fingerprint.as_ref().map(Fingerprint::to_string),
                     in_flight_ms: (broken.broken_at - broken.sent_at).as_millis() as u64,
                 };
                 self.log.request("upstream ended", &line);
+                if let Some(fingerprint) = broken.fingerprint {
+                    self.record_crash(fingerprint, upstream, broken.sent_at);
+                }
             }
         }
     }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -124,7 +124,11 @@
                     response,
                     sent_at,
                 };
-                return receive(node, upstream, answer, head, until).await;
+                let end = receive(node, upstream, answer, head, until).await;
+                if matches!(end, Exchange::Answer(_)) {
+                    node.record_suspect_answer(message, head.key, upstream, sent_at);
+                }
+                return end;
             }
             Ok(Err(mut error)) => match error.take_message() {
                 // The request is returned only if no byte of it was sent.
@@ -142,6 +146,7 @@
                     } else {
                         let broken = Break {
                             request: head.id.clone(),
+                            fingerprint: message.fingerprint(head.key),
                             sent_at,
                             broken_at: clock::now(),
                         };
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,7 @@
 mod peer;
 pub mod platform;
 mod process;
+mod quarantine;
 mod registry;
 mod relay;
 mod request;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -95,6 +95,9 @@
     upstream: Histograms,
     sends: Family<Send, Counter>,
     broken: Family<Break, Counter>,
+    suspects: Gauge,
+    quarantines: Family<Service, Counter>,
+    quarantine_ends: Family<Service, Counter>,
     suppressed_lines: Counter,
     deferred: Counter,
     limited: Family<Service, Gauge>,
@@ -124,6 +127,9 @@
             upstream: Family::new_with_constructor(histogram),
             sends: Family::default(),
             broken: Family::default(),
+            suspects: Gauge::default(),
+            quarantines: Family::default(),
+            quarantine_ends: Family::default(),
             suppressed_lines: Counter::default(),
             deferred: Counter::default(),
             limited: Family::default(),
@@ -168,6 +174,12 @@
         );
         let help = "Connections to upstreams that broke before an answer, by cause";
         all.register("broken_connections", help, self.broken.clone());
+        let help = "Requests under which processes of upstreams have ended";
+        all.register("suspects", help, self.suspects.clone());
+        let help = "Requests that were quarantined";
+        all.register("quarantines", help, self.quarantines.clone());
+        let help = "Quarantines that have ended";
+        all.register("quarantine_ends", help, self.quarantine_ends.clone());
         let help = "Log lines about requests beyond the rate limit";
         all.register("log_lines_left_out", help, self.suppressed_lines.clone());
         let help = "Restores of the store from an older backup";
@@ -251,6 +263,20 @@
         self.broken.get_or_create(&labels).inc();
     }
 
+    /// Counts a request of a service that is refused from now on.
+    pub(crate) fn quarantine_began(&self, service: &Arc<str>) {
+        let service = Arc::clone(service);
+        self.quarantines.get_or_create(&Service { service }).inc();
+    }
+
+    /// Counts a quarantined request of a service that is no longer refused.
+    pub(crate) fn quarantine_ended(&self, service: &Arc<str>) {
+        let service = Arc::clone(service);
+        self.quarantine_ends
+            .get_or_create(&Service { service })
+            .inc();
+    }
+
     /// Counts a restore of the store from a backup.
     pub(crate) fn store_restored(&self) {
         self.restored.inc();
@@ -288,6 +314,8 @@
         let mut guard = node.state.borrow_mut();
         let state = &mut *guard;
         self.open.set(node.open_requests.get() as i64);
+        self.suspects
+            .set(node.suspects.borrow().records().count() as i64);
         self.store_era.set(node.era.get() as i64);
         {
             let link = node.uplink.borrow();
@@ -319,6 +347,8 @@
                 .set(service.limited() as i64);
             // Shows the counter from the start, so that its rate is known from the first send on.
             drop(self.limited_sends.get_or_create(&labels));
+            drop(self.quarantines.get_or_create(&labels));
+            drop(self.quarantine_ends.get_or_create(&labels));
             for cause in BREAK_CAUSES {
                 let service = Arc::clone(name);
                 drop(self.broken.get_or_create(&Break { service, cause }));
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -12,6 +12,7 @@
 use eelgrassrock_dispatch::observation::Observations;
 use eelgrassrock_dispatch::place::{self, Place};
 use eelgrassrock_dispatch::service::{Service, Span, Step};
+use eelgrassrock_dispatch::suspect::Suspects;
 use eelgrassrock_dispatch::uplink::{Size, Uplink};
 use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
@@ -82,6 +83,10 @@
     pub(crate) metrics: Metrics,
     pub(crate) links: Links,
     pub(crate) breaks: Breaks,
+    /// Requests under which processes of upstreams have ended.
+    pub(crate) suspects: RefCell<Suspects>,
+    /// Wakes the task that shares suspects with the other routers.
+    pub(crate) suspects_changed: Notify,
     pub(crate) state: RefCell<State>,
     pub(crate) leaderships: Leaderships,
     pub(crate) relay: Relay,
@@ -184,6 +189,8 @@
             metrics,
             links: Links::default(),
             breaks: Breaks::default(),
+            suspects: RefCell::default(),
+            suspects_changed: Notify::new(),
             state: RefCell::new(State {
                 directory: None,
                 registry,
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -150,6 +150,7 @@
     spawn_local(gossip::receive(Rc::clone(&node), socket));
     spawn_local(learn(Rc::clone(&node)));
     spawn_local(sweep(Rc::clone(&node)));
+    spawn_local(Rc::clone(&node).share_suspects());
     stop.await;
     leave(&node).await;
     Ok(())
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -9,6 +9,7 @@
 
 use eelgrassrock_dispatch::directory::{Repeat, Route};
 use eelgrassrock_dispatch::service::{self, Reason, Refusal, Report, Request as Work, Step};
+use eelgrassrock_dispatch::suspect::Fingerprint;
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::time::Instant;
 use http::header::{CONNECTION, EXPECT, HOST};
@@ -24,6 +25,7 @@
 use crate::node::Node;
 use crate::payload::{self, Payload, Taken};
 use crate::platform::{Head, Platform};
+use crate::quarantine::Admission;
 
 /// Timeout if neither the caller nor the route specifies one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -69,6 +71,8 @@
     elapsed_ms: u64,
     allowed_ms: u64,
     configuration: u64,
+    /// Fingerprint of a request that is suspected or quarantined.
+    fingerprint: Option<String>,
 }
 
 /// One send of a request, in the request's log line.
@@ -238,6 +242,7 @@
                 elapsed_ms: elapsed.as_millis() as u64,
                 allowed_ms: (job.work.give_up - job.work.arrived).as_millis() as u64,
                 configuration: version,
+                fingerprint: job.suspect(node).map(|suspect| suspect.to_string()),
             },
         );
     }
@@ -246,6 +251,13 @@
 
 /// Sends a request until it has an answer, or no further attempt is possible.
 async fn attempt<P: Platform>(node: &Rc<Node<P>>, job: &mut Job) -> FinalAnswer {
+    if let Admission::Refuse {
+        outcome,
+        retry_after,
+    } = node.admit(job.suspect(node))
+    {
+        return refused(job, outcome, retry_after);
+    }
     if let Some(key) = job.work.key {
         node.leaderships.record_key(&job.service, key);
     }
@@ -271,12 +283,25 @@
         };
         let (upstream, started) = match current {
             Step::Send { upstream, started } => (upstream, started),
-            Step::Refuse(refusal) => return failed.unwrap_or_else(|| refused(job, refusal)),
+            Step::Refuse(refusal) => {
+                return failed
+                    .unwrap_or_else(|| refused(job, refusal.reason.as_str(), refusal.retry_after));
+            }
             Step::Wait => {
                 step = Some(Step::Wait);
                 continue;
             }
         };
+        if let Admission::Refuse {
+            outcome,
+            retry_after,
+        } = node.admit_send(job.suspect(node)).await
+        {
+            node.with_service(&job.service, |service, now| {
+                service.end(&upstream.id, job.work.key, started, Report::NotSent, now);
+            });
+            return failed.unwrap_or_else(|| refused(job, outcome, retry_after));
+        }
         match send(node, job, &upstream, started).await {
             Next::Done(done) => return done,
             Next::Again(fallback) => failed = fallback.or(failed),
@@ -361,6 +386,11 @@
 }
 
 impl Job {
+    /// Returns the fingerprint of the request if a process has ended under it.
+    fn suspect<P: Platform>(&self, node: &Node<P>) -> Option<Fingerprint> {
+        node.suspect(&self.message, self.head.key)
+    }
+
     fn note_send<P: Platform>(&mut self, node: &Node<P>, sending: &Sending<P>, report: Report) {
         let elapsed = clock::now() - sending.started;
         node.metrics
@@ -429,14 +459,9 @@
 
 /// Builds the answer to a refused request. Only a request that has not run may get a status that
 /// says so.
-fn refused(job: &Job, refused: Refusal) -> FinalAnswer {
-    let outcome = refused.reason.as_str();
+fn refused(job: &Job, outcome: &'static str, retry_after: Duration) -> FinalAnswer {
     let response = if job.work.runs == 0 {
-        refusal(
-            StatusCode::SERVICE_UNAVAILABLE,
-            outcome,
-            refused.retry_after,
-        )
+        refusal(StatusCode::SERVICE_UNAVAILABLE, outcome, retry_after)
     } else {
         plain(StatusCode::BAD_GATEWAY, outcome)
     };
--- a/crates/edge/src/request/race.rs
+++ b/crates/edge/src/request/race.rs
@@ -36,6 +36,8 @@
     mut first: Sending<P>,
 ) -> Race<P> {
     let delay = match job.route.repeat {
+        // A hedge might end the process of one more upstream.
+        Repeat::Idempotent if job.suspect(node).is_some() => None,
         Repeat::Idempotent => node.hedge_delay(&job.service, &first.upstream.id),
         Repeat::Once => None,
     };
--- a/crates/edge/src/restore.rs
+++ b/crates/edge/src/restore.rs
@@ -84,6 +84,7 @@
             .for_each(|table| self.relay.invalidate(*table));
         let now = clock::now();
         self.restored_at.set(Some(now));
+        self.renew_suspects();
         self.state.borrow_mut().registry.record_store_regained(now);
         self.relay.feeds_lost.notify_waiters();
         self.relay.source_changed.notify_waiters();
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -15,6 +15,7 @@
 use crate::leadership;
 use crate::node::{Node, Router};
 use crate::platform::{Changes, Platform, Row, Rows, Table};
+use crate::quarantine;
 use crate::registry::Change;
 
 /// Bounds of the backoff after a failed call. The first pause is short, because deadlines for
@@ -232,6 +233,8 @@
                 .cloned()
                 .collect();
             absent.iter().for_each(|name| state.forget_router(name));
+            drop(state);
+            node.retain_suspects(&rows.rows);
         }
         Table::Configuration | Table::Maps => {}
     }
@@ -355,6 +358,8 @@
 fn apply_routers_row<P: Platform>(node: &Rc<Node<P>>, row: &Row) {
     if let Some(name) = row.key.strip_prefix(ROUTER_PREFIX) {
         apply_router(node, name, row);
+    } else if let Some((era, fingerprint)) = quarantine::parse_row_key(&row.key) {
+        node.apply_suspect(era, fingerprint, row);
     } else if let Some((era, service)) = leadership::parse_row_key(&row.key) {
         if era != node.era.get() {
             node.record_history(&service.into(), era);
