--- a/crates/edge/tests/crashes.rs
+++ b/crates/edge/tests/crashes.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassrock_dispatch::directory::Repeat;
+use eelgrassrock_edge::platform::Table;
 use rstest::rstest;
 use support::mortal::{DEADLY_PATH, History, Mortal};
 use support::platform::{Store, route};
@@ -128,3 +129,101 @@
         "{served} of {n} others served, ends at {ended:?} ms"
     );
 }
+
+#[tokio::test]
+async fn processes_that_are_killed_together_quarantine_no_request() {
+    const HOT: &str = "/v1/hot";
+    let store = Store::default();
+    let mut upstreams = Vec::new();
+    for n in 0..5 {
+        upstreams.push(Mortal::start(&format!("up-{n}"), &store, false, RESTART_PAUSE).await);
+    }
+    store.configure(1, vec![route("/v1/", Repeat::Idempotent, "sheets")], &[]);
+    let routers: Vec<Router> = (2..5)
+        .map(|last| Router::start_at(last, 200, &store))
+        .collect();
+    for router in &routers {
+        router.ready().await;
+    }
+    for upstream in &upstreams {
+        upstream.server.enqueue(&[Behaviour::Answer(60); 400]);
+    }
+    let mut requests = JoinSet::new();
+    for n in 0..600 {
+        if n % 150 == 75 {
+            upstreams.iter().take(4).for_each(Mortal::kill);
+        }
+        let front = routers[n % routers.len()].settings.front;
+        let request = get(HOT, HOST, &format!("h{n}"), 800);
+        requests.spawn(async move {
+            send(front, request)
+                .await
+                .is_ok_and(|answer| answer.status() == 200)
+        });
+        sleep(Duration::from_millis(10)).await;
+    }
+    requests.join_all().await;
+    for n in 0..60 {
+        let answer = send(
+            routers[n % 3].settings.front,
+            get(HOT, HOST, &format!("l{n}"), 800),
+        )
+        .await;
+        let status = answer.map(|answer| answer.status().as_u16());
+        let log = routers[n % 3].lines.text();
+        assert_eq!(status.ok(), Some(200), "{log}");
+    }
+    for router in &routers {
+        let text = router.lines.text();
+        assert!(text.contains("\"upstream ended\""), "{text}");
+        assert!(!text.contains("\"request quarantined\""), "{text}");
+    }
+}
+
+/// Returns how many requests that end the process have reached the upstreams.
+fn deadly_sends(upstreams: &[Mortal]) -> usize {
+    upstreams
+        .iter()
+        .map(|upstream| upstream.history().deadly.len())
+        .sum()
+}
+
+#[tokio::test]
+async fn a_quarantine_outlasts_all_routers_and_ends_when_its_row_is_removed() {
+    let store = Store::default();
+    let mut upstreams = Vec::new();
+    for n in 0..5 {
+        upstreams.push(Mortal::start(&format!("up-{n}"), &store, false, RESTART_PAUSE).await);
+    }
+    store.configure(1, vec![route("/v1/", Repeat::Idempotent, "sheets")], &[]);
+    let mut router = Router::start("router-1", &store);
+    router.ready().await;
+    let begun = Instant::now();
+    while !router.lines.text().contains("\"request quarantined\"") {
+        assert!(
+            begun.elapsed() < Duration::from_secs(15),
+            "{}",
+            router.lines.text()
+        );
+        let _ = send(router.settings.front, get(DEADLY_PATH, HOST, "d", 500)).await;
+        sleep(Duration::from_millis(100)).await;
+    }
+    sleep(Duration::from_millis(500)).await;
+    router.kill();
+    let router = Router::start("router-2", &store);
+    router.ready().await;
+    let before = deadly_sends(&upstreams);
+    let answer = send(router.settings.front, get(DEADLY_PATH, HOST, "d2", 500))
+        .await
+        .unwrap();
+    assert_eq!(answer.status(), 503);
+    assert!(answer.headers().contains_key("retry-after"));
+    assert_eq!(deadly_sends(&upstreams), before);
+    let keys = store.keys(Table::Routers);
+    let row = keys.iter().find(|key| key.starts_with("suspect/")).unwrap();
+    store.remove(Table::Routers, row);
+    let has_ended = || router.lines.text().contains("\"quarantine ended\"");
+    eventually("end of the quarantine", has_ended).await;
+    let _ = send(router.settings.front, get(DEADLY_PATH, HOST, "d3", 500)).await;
+    assert!(deadly_sends(&upstreams) > before);
+}
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -188,6 +188,11 @@
         self.write(Table::Registry, id, None);
     }
 
+    /// Removes a row, as an operator does.
+    pub(crate) fn remove(&self, table: Table, key: &str) {
+        self.write(table, key, None);
+    }
+
     /// Registers a router that doesn't run, in the data centre of the others.
     pub(crate) fn add_router(&self, name: &str, address: SocketAddr) {
         let (data_centre, incarnation, size) = ("dc-a", 1_u64, 1_u32);
