--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use crate::clock;
+use crate::crash::Break;
 use crate::link::{self, Link};
 use crate::node::Node;
 use crate::payload::{self, Origin, Payload, Source, Taken};
@@ -140,13 +141,17 @@
                     sent_at,
                     was_pooled,
                 };
-                let exchange = receive(node, upstream, answer, head, until).await;
-                if let Exchange::None(report) = &exchange
-                    && report.proves_not_run()
-                {
-                    message.refused_by.push(Arc::clone(&upstream.id));
+                let end = receive(node, upstream, answer, head, until).await;
+                match &end {
+                    Exchange::Answer(_) => {
+                        node.record_suspect_answer(message, head.key, upstream, sent_at);
+                    }
+                    Exchange::None(report) if report.proves_not_run() => {
+                        message.refused_by.push(Arc::clone(&upstream.id));
+                    }
+                    Exchange::None(_) => {}
                 }
-                return exchange;
+                return end;
             }
             Ok(Err(mut error)) => match error.take_message() {
                 // The request is returned only if no byte of it was sent.
@@ -161,6 +166,14 @@
                     }
                     if error.into_error().is_parse() {
                         node.links.quarantine(upstream);
+                    } else {
+                        let broken = Break {
+                            request: head.id.clone(),
+                            fingerprint: message.fingerprint(head.key),
+                            sent_at,
+                            broken_at: clock::now(),
+                        };
+                        node.record_break(upstream, broken);
                     }
                     return Exchange::None(Report::Broken);
                 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,6 +7,7 @@
 //! Everything runs on one thread, since the VMs have only a fraction of a core.
 
 pub mod clock;
+mod crash;
 mod exchange;
 mod front;
 mod gossip;
@@ -21,6 +22,7 @@
 mod peer;
 pub mod platform;
 mod process;
+mod quarantine;
 mod registry;
 mod relay;
 mod request;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -62,6 +62,12 @@
     report: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Break {
+    service: Arc<str>,
+    cause: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Input {
     input: String,
@@ -77,6 +83,9 @@
     table: String,
 }
 
+/// Causes of broken connections, the second if the process of the upstream has ended.
+const BREAK_CAUSES: [&str; 2] = ["unproven", "ended"];
+
 /// Gauge with a fractional value.
 type Fraction = Gauge<f64, AtomicU64>;
 type Histograms = Family<Service, Histogram, fn() -> Histogram>;
@@ -93,6 +102,10 @@
     queued: Histograms,
     upstream: Histograms,
     sends: Family<Send, Counter>,
+    broken: Family<Break, Counter>,
+    suspects: Gauge,
+    quarantines: Family<Service, Counter>,
+    quarantine_ends: Family<Service, Counter>,
     suppressed_lines: Counter,
     deferred: Counter,
     limited: Family<Service, Gauge>,
@@ -122,6 +135,10 @@
             queued: Family::new_with_constructor(histogram),
             upstream: Family::new_with_constructor(histogram),
             sends: Family::default(),
+            broken: Family::default(),
+            suspects: Gauge::default(),
+            quarantines: Family::default(),
+            quarantine_ends: Family::default(),
             suppressed_lines: Counter::default(),
             deferred: Counter::default(),
             limited: Family::default(),
@@ -165,6 +182,14 @@
             "Sends to upstreams by how they ended",
             self.sends.clone(),
         );
+        let help = "Connections to upstreams that broke before an answer, by cause";
+        all.register("broken_connections", help, self.broken.clone());
+        let help = "Requests under which processes of upstreams have ended";
+        all.register("suspects", help, self.suspects.clone());
+        let help = "Requests that were quarantined";
+        all.register("quarantines", help, self.quarantines.clone());
+        let help = "Quarantines that have ended";
+        all.register("quarantine_ends", help, self.quarantine_ends.clone());
         let help = "Log lines about requests beyond the rate limit";
         all.register("log_lines_left_out", help, self.suppressed_lines.clone());
         let help = "Restores of the store from an older backup";
@@ -240,6 +265,30 @@
         observe(&self.upstream, service, span);
     }
 
+    /// Counts a connection that broke with a request in flight. `has_ended` tells whether the
+    /// process of the upstream is known to have ended.
+    pub(crate) fn connection_broken(&self, service: &Arc<str>, has_ended: bool) {
+        let labels = Break {
+            service: Arc::clone(service),
+            cause: BREAK_CAUSES[usize::from(has_ended)],
+        };
+        self.broken.get_or_create(&labels).inc();
+    }
+
+    /// Counts a request of a service that is refused from now on.
+    pub(crate) fn quarantine_began(&self, service: &Arc<str>) {
+        let service = Arc::clone(service);
+        self.quarantines.get_or_create(&Service { service }).inc();
+    }
+
+    /// Counts a quarantined request of a service that is no longer refused.
+    pub(crate) fn quarantine_ended(&self, service: &Arc<str>) {
+        let service = Arc::clone(service);
+        self.quarantine_ends
+            .get_or_create(&Service { service })
+            .inc();
+    }
+
     /// Counts a restore of the store from a backup.
     pub(crate) fn store_restored(&self) {
         self.restored.inc();
@@ -290,6 +339,8 @@
         let mut guard = node.state.borrow_mut();
         let state = &mut *guard;
         self.open.set(node.open_requests.get() as i64);
+        self.suspects
+            .set(node.suspects.borrow().records().count() as i64);
         self.store_era.set(node.era.get() as i64);
         {
             let link = node.uplink.borrow();
@@ -324,6 +375,12 @@
             for reason in [Reason::Released, Reason::Expired] {
                 drop(self.cleared(name, reason));
             }
+            drop(self.quarantines.get_or_create(&labels));
+            drop(self.quarantine_ends.get_or_create(&labels));
+            for cause in BREAK_CAUSES {
+                let service = Arc::clone(name);
+                drop(self.broken.get_or_create(&Break { service, cause }));
+            }
             self.repeats_left
                 .get_or_create(&labels)
                 .set(service.repeats_left(now));
