Calls of a session end together at a silent address, and have room for many ranges

Change: calls that wait for a connection fail with the attempt that was under way, further connections to a process are opened while calls wait, and a call waits for up to three times the time of one. Measured: the two new tests of store/tests/session.rs pass (12 calls within 0.9 s, 40 of 40 answered), 6 of 6 in all.

--- a/crates/store/src/session.rs
+++ b/crates/store/src/session.rs
@@ -14,8 +14,13 @@
 use crate::settings::Settings;
 use crate::{Fault, Kind};
 
-/// Connections to one process. With the second, calls go on when the peer closes the first.
-const MAX_CONNECTIONS: usize = 2;
+/// Connections to one process that are kept. With the second, calls go on when the peer closes the
+/// first.
+const KEPT_CONNECTIONS: usize = 2;
+/// Connections to one process while calls wait for one.
+const MAX_CONNECTIONS: usize = 6;
+/// Time that a call waits for a connection, in times of one call.
+const MAX_WAIT_CALLS: u32 = 3;
 
 /// Calls to the processes at one address, by connections that are told apart.
 ///
@@ -58,6 +63,9 @@
     idle: VecDeque<(u64, Connection)>,
     open: usize,
     next_connection: u64,
+    /// Number of attempts to open a connection that have failed, and why the last one did.
+    failures: u64,
+    last_failure: Option<Kind>,
 }
 
 /// When the connections of a call must have been opened, and when it must be sent.
@@ -116,7 +124,7 @@
     /// Sends a request to the process whose first connection was opened within the window.
     pub async fn call(&self, call: &Call, window: Window) -> Outcome {
         let shared = &self.0;
-        let give_up = (shared.now)() + shared.timeout;
+        let give_up = (shared.now)() + shared.timeout * MAX_WAIT_CALLS;
         loop {
             let step = shared.state().next(window.connected_by);
             let (number, connection) = match step {
@@ -127,6 +135,7 @@
                     Err(kind) => return shared.failed(call, kind),
                 },
                 Step::Wait => {
+                    self.open_up_to(MAX_CONNECTIONS);
                     let left = give_up - (shared.now)();
                     if left.is_zero() || timeout(left, shared.returned.notified()).await.is_err() {
                         let kind = Kind::Unreachable("all connections are in use".into());
@@ -150,7 +159,7 @@
                 Ok(Some(answer)) => {
                     shared.state().custody.answered(number, sent_at);
                     lent.keep();
-                    self.open_spare();
+                    self.open_up_to(KEPT_CONNECTIONS);
                     return Outcome::Answered(answer);
                 }
                 // The connection was closed before any byte of the request was sent.
@@ -160,11 +169,12 @@
         }
     }
 
-    fn open_spare(&self) {
-        if self.0.state().open < MAX_CONNECTIONS {
+    /// Opens one more connection in the background, unless that many are open.
+    fn open_up_to(&self, wanted: usize) {
+        if self.0.state().open < wanted && self.0.opening.try_lock().is_ok() {
             let shared = Arc::clone(&self.0);
             // If it fails, the next call tries again.
-            tokio::spawn(async move { shared.open(MAX_CONNECTIONS).await.is_ok() });
+            tokio::spawn(async move { shared.open(wanted).await.is_ok() });
         }
     }
 }
@@ -178,15 +188,28 @@
         Outcome::Failed(self.endpoint.fault(call, kind))
     }
 
-    /// Opens a connection unless `wanted` are open.
+    /// Opens a connection unless `wanted` are open. Fails with an attempt that was under way.
     async fn open(&self, wanted: usize) -> Result<(), Kind> {
+        let failures = self.state().failures;
         let _opening = self.opening.lock().await;
-        if self.state().open >= wanted {
-            return Ok(());
+        {
+            let state = self.state();
+            if state.open >= wanted {
+                return Ok(());
+            }
+            if let Some(kind) = state.last_failure.as_ref()
+                && state.failures > failures
+            {
+                return Err(kind.clone());
+            }
         }
-        let connection = self.endpoint.connect_resetting().await?;
+        let opened = self.endpoint.connect_resetting().await;
         let opened_at = (self.now)();
         let mut state = self.state();
+        let connection = opened.inspect_err(|kind| {
+            state.failures += 1;
+            state.last_failure = Some(kind.clone());
+        })?;
         let number = state.next_connection;
         state.next_connection += 1;
         state.open += 1;
--- a/crates/store/tests/session.rs
+++ b/crates/store/tests/session.rs
@@ -11,7 +11,7 @@
 use eelgrassrock_store::session::{Outcome, Session, Window};
 use eelgrassrock_store::settings::Settings;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
@@ -157,3 +157,61 @@
     assert!(matches!(outcome, Outcome::Failed(_)), "{outcome:?}");
     assert_eq!(peer.await.unwrap(), Some(ErrorKind::ConnectionReset));
 }
+
+/// An address whose queue of unaccepted connections is full drops further ones.
+#[tokio::test]
+async fn calls_to_a_silent_address_fail_with_one_attempt_to_connect() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    let fill: Vec<_> = (0..4)
+        .map(|_| tokio::spawn(TcpStream::connect(address)))
+        .collect();
+    sleep(Duration::from_millis(100)).await;
+    let settings = Settings::builder().connect_timeout(TIMEOUT).build();
+    let session = Session::new(address, settings, now);
+    let began = now();
+    let mut calls = tokio::task::JoinSet::new();
+    for _ in 0..12 {
+        let session = session.clone();
+        calls.spawn(async move { is_answered(&session, window(began)).await });
+    }
+    assert!(calls.join_all().await.iter().all(|answered| !answered));
+    assert!(now() - began < 3 * TIMEOUT, "{:?}", now() - began);
+    drop(fill);
+}
+
+#[tokio::test]
+async fn many_calls_to_a_distant_process_are_all_sent() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let _process = tokio::spawn(async move {
+        let mut connections = tokio::task::JoinSet::new();
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            connections.spawn(async move {
+                let mut received = [0; 512];
+                while stream
+                    .read(&mut received)
+                    .await
+                    .is_ok_and(|length| length > 0)
+                {
+                    sleep(Duration::from_millis(60)).await;
+                    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                    stream.write_all(answer).await.unwrap();
+                }
+            });
+        }
+    });
+    let session = session(address);
+    assert!(session.connect().await);
+    let connected_by = now();
+    let mut calls = tokio::task::JoinSet::new();
+    for _ in 0..40 {
+        let session = session.clone();
+        calls.spawn(async move { is_answered(&session, window(connected_by)).await });
+    }
+    let answered = calls.join_all().await;
+    assert_eq!(answered.iter().filter(|answered| **answered).count(), 40);
+}
