--- a/crates/ranges/src/leader.rs
+++ b/crates/ranges/src/leader.rs
@@ -3,8 +3,7 @@
 //! 1. A grant follows a map that is in the store. A changed map is written before anything is
 //!    granted under it.
 //! 2. Keys go to a new holder only when the earlier one can't hold them any more: it released them,
-//!    all its grants have expired even by the slowest clock allowed, or its process has ended. A
-//!    release carries the fencing token of the new holder. The earlier holder therefore refuses
+//!    or all its grants have expired even by the slowest clock allowed. A release carries the fencing token of the new holder. The earlier holder therefore refuses
 //!    every grant that was sent before, by any leader, and arrives late.
 //! 3. A fencing token is granted only over connections to one process of its upstream: connections
 //!    that were opened before the token was taken, and lead to the same process as those still in
@@ -156,6 +155,16 @@
     },
 }
 
+/// Loss of all connections to an upstream.
+#[derive(Clone, Copy, Debug)]
+struct Detachment {
+    since: Instant,
+    /// Grants that couldn't be sent since.
+    count: u32,
+    /// Earliest time at which new tokens for the upstream may be taken.
+    retry_at: Instant,
+}
+
 /// Grants the keys of one service and moves them between upstreams.
 #[derive(Debug)]
 pub struct Leader {
@@ -195,6 +204,8 @@
     /// Orders that can't be sent any more, because no connection to the process that they are for is
     /// left.
     detached_orders: Vec<Order>,
+    /// Upstreams that lost their connections and haven't answered since.
+    detachments: HashMap<Instance, Detachment>,
     /// Era of the store in which this leader leads.
     era: u64,
     /// Time from which no leader that the store has forgotten can act and none of its grants can be
@@ -309,6 +320,7 @@
             completion_due: now,
             fenced_order: None,
             detached_orders: Vec::new(),
+            detachments: HashMap::new(),
         }
     }
 
@@ -392,7 +404,7 @@
             let next = self
                 .replace_inherited_fences(now)
                 .or_else(|| self.complete_transfers(now))
-                .or_else(|| self.refence());
+                .or_else(|| self.refence(now));
             if let Some(map) = next.or_else(|| self.plan(now)) {
                 self.record_tokens(&map, now);
                 self.pending_map = Some(map.clone());
@@ -437,14 +449,25 @@
         };
         match outcome {
             Outcome::Fenced => self.fenced_order = Some(order.clone()),
-            Outcome::Detached if !self.detached_orders.contains(order) => {
-                self.detached_orders.push(order.clone());
-            }
+            Outcome::Detached => self.record_detachment(order, now),
             _ => {}
         }
         !(is_done && is_renewal)
     }
 
+    fn record_detachment(&mut self, order: &Order, now: Instant) {
+        let new = || Detachment {
+            since: now,
+            count: 0,
+            retry_at: now,
+        };
+        let instance = order.instance.clone();
+        self.detachments.entry(instance).or_insert_with(new).count += 1;
+        if !self.detached_orders.contains(order) {
+            self.detached_orders.push(order.clone());
+        }
+    }
+
     /// Records the end of a release.
     pub fn released(&mut self, order: &Order, outcome: &Outcome, now: Instant) {
         let is_answered = matches!(outcome, Outcome::Done { .. });
@@ -509,6 +532,7 @@
             listed.is_some_and(|upstream| upstream.instance == *instance)
         };
         self.connections.retain(|instance, _| is_listed(instance));
+        self.detachments.retain(|instance, _| is_listed(instance));
         for upstream in upstreams.values() {
             if !self.connections.contains_key(&upstream.instance) {
                 self.connections.insert(upstream.instance.clone(), false);
--- a/crates/ranges/src/leader/planning.rs
+++ b/crates/ranges/src/leader/planning.rs
@@ -6,7 +6,7 @@
 
 use eelgrassrock_model::time::Instant;
 
-use super::{Leader, Order};
+use super::{Leader, Order, UNREACHABLE_BACKOFF};
 use crate::load::Load;
 use crate::map::{Instance, Map, Range};
 use crate::plan::{self, Candidate};
@@ -138,12 +138,24 @@
 
     /// Returns the map with new fencing tokens for the ranges whose holder has seen a higher one, or
     /// whose token belongs to connections that are closed.
-    pub(super) fn refence(&mut self) -> Option<Map> {
+    pub(super) fn refence(&mut self, now: Instant) -> Option<Map> {
         let fenced = self.fenced_order.take();
         let is_settled = |order: &Order| self.map.range(order.from).sources.is_empty();
-        let mut orders = std::mem::take(&mut self.detached_orders);
-        orders.extend(fenced.filter(is_settled));
+        let mut orders: Vec<Order> = fenced.filter(is_settled).into_iter().collect();
+        for order in std::mem::take(&mut self.detached_orders) {
+            let detachment = self.detachments.get(&order.instance);
+            if detachment.is_some_and(|detachment| now < detachment.retry_at) {
+                self.detached_orders.push(order);
+            } else {
+                orders.push(order);
+            }
+        }
         orders.retain(|order| order.is_of(self.map.range(order.from)));
+        for order in &orders {
+            if let Some(detachment) = self.detachments.get_mut(&order.instance) {
+                detachment.retry_at = now + UNREACHABLE_BACKOFF;
+            }
+        }
         if orders.is_empty() {
             return None;
         }
--- a/crates/ranges/src/leader/probe.rs
+++ b/crates/ranges/src/leader/probe.rs
@@ -9,7 +9,7 @@
 use eelgrassrock_model::time::Instant;
 
 use super::{Action, Leader, Order};
-use crate::lease::Lease;
+use crate::lease::{Lease, MIN_FAILURES};
 use crate::map::{Instance, Range};
 
 /// Time between two probes of an unresponsive upstream. It bounds how long a recovered upstream
@@ -47,6 +47,14 @@
                 instances.push(instance.clone());
             }
         }
+        let detached = self.detachments.iter().filter(|(_, detachment)| {
+            detachment.count >= MIN_FAILURES && now - detachment.since >= limit
+        });
+        for (instance, _) in detached {
+            if !instances.contains(instance) {
+                instances.push(instance.clone());
+            }
+        }
         instances
     }
 
@@ -111,6 +119,7 @@
     /// Records that an upstream answered an order.
     pub(super) fn record_response(&mut self, instance: &Instance) {
         self.probes.retain(|probe| probe.instance != *instance);
+        self.detachments.remove(instance);
         let leases = self.leases.values_mut();
         let own = leases.filter(|lease| lease.order.instance == *instance);
         own.for_each(Lease::reset_failures);
--- a/crates/ranges/src/lease.rs
+++ b/crates/ranges/src/lease.rs
@@ -95,4 +95,4 @@
 }
 
 /// Failed calls in a row before a holder can count as unresponsive.
-const MIN_FAILURES: u32 = 3;
+pub(crate) const MIN_FAILURES: u32 = 3;
