A map is written only while it is the leader's pending one

Found in review by reading, no run shows it: the era of the store rises while a map of the old era is on its way to its writer, leadership is taken again in between, and the map is written with the versions of the new era before the recovery has ended. Nothing is granted under it, but no map is to be written then. Change: the writer checks that the leader still waits for this map. Tests of the crates ranges and edge cover the path; none covers this order of events.

--- a/crates/edge/src/leadership/lead.rs
+++ b/crates/edge/src/leadership/lead.rs
@@ -219,6 +219,10 @@
 
     /// Writes a map, on condition that this router still leads and the map hasn't changed.
     pub(super) async fn commit(self: &Rc<Self>, service: &Arc<str>, map: Map) {
+        if self.leader(service, |leader| leader.is_pending(&map)) != Some(true) {
+            // The leader has entered another era of the store meanwhile.
+            return;
+        }
         let queried_at = clock::now();
         let era = self.era.get();
         let leadership = self
--- a/crates/ranges/src/leader.rs
+++ b/crates/ranges/src/leader.rs
@@ -362,6 +362,11 @@
         matches!(self.inherited, Inherited::Active { .. })
     }
 
+    /// Whether a map is about to be written.
+    pub fn is_pending(&self, map: &Map) -> bool {
+        self.pending_map.as_ref() == Some(map)
+    }
+
     /// Replaces the list of upstreams whose process is assumed to run.
     pub fn set_upstreams(&mut self, upstreams: Vec<Upstream>) {
         let by_name = |upstream: Upstream| (Arc::clone(&upstream.instance.upstream), upstream);
