--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -87,10 +87,7 @@
     ///
     /// Returns an error if no port can be opened.
     pub async fn start(target: SocketAddr) -> io::Result<Self> {
-        let reserved = TcpSocket::new_v4()?;
-        reserved.bind((Ipv4Addr::LOCALHOST, 0).into())?;
-        // Set before, the system might choose a port that another proxy has reserved.
-        reserved.set_reuseaddr(true)?;
+        let reserved = bind((Ipv4Addr::LOCALHOST, 0).into())?;
         let address = reserved.local_addr()?;
         let control = Arc::new(Control::default());
         let (target, targets) = watch::channel(target);
