--- a/crates/ranges/src/leader.rs
+++ b/crates/ranges/src/leader.rs
@@ -3,8 +3,9 @@
 //! 1. A grant follows a map that is in the store. A changed map is written before anything is
 //!    granted under it.
 //! 2. Keys go to a new holder only when the earlier one can't hold them any more: it released them,
-//!    or all its grants have expired even by the slowest clock allowed. A release carries the fencing token of the new holder. The earlier holder therefore refuses
-//!    every grant that was sent before, by any leader, and arrives late.
+//!    or all its grants have expired even by the slowest clock allowed. A release carries the
+//!    fencing token of the new holder. The earlier holder therefore refuses every grant that was
+//!    sent before, by any leader, and arrives late.
 //! 3. A fencing token is granted only over connections to one process of its upstream: connections
 //!    that were opened before the token was taken, and lead to the same process as those still in
 //!    use. The next process under the upstream's name knows no token and would accept any, so it is
