Log lines and metrics tell where tables come from, and why not

A configuration was late at one router, and the logs couldn't tell a call between routers that missed its time limit from one that was never made, nor where the bytes of a full link came from.

A router now logs when it skips its relay or reads the store in its place, and rows of 16 kB or more with their source; configuration in force carries the row's size and the time for decoding. Two counters: bytes of rows by source, calls to other routers by result. Nothing decides by any of it.

--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -83,6 +83,30 @@
     table: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Received {
+    table: String,
+    source: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PeerCall {
+    call: &'static str,
+    result: &'static str,
+}
+
+/// Calls that this router has made to other routers, by path and result.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PeerCalls(Family<PeerCall, Counter>);
+
+impl PeerCalls {
+    /// Counts a call that has ended.
+    pub(crate) fn record(&self, path: &'static str, result: &'static str) {
+        let call = path.trim_start_matches('/');
+        self.0.get_or_create(&PeerCall { call, result }).inc();
+    }
+}
+
 /// Causes of broken connections, the second if the process of the upstream has ended.
 const BREAK_CAUSES: [&str; 2] = ["unproven", "ended"];
 
@@ -111,6 +135,8 @@
     limited: Family<Service, Gauge>,
     limited_sends: Family<Service, Counter>,
     cleared_sources: Family<Cleared, Counter>,
+    received_bytes: Family<Received, Counter>,
+    peer_calls: PeerCalls,
     restored: Counter,
     store_era: Gauge,
     open: Gauge,
@@ -144,6 +170,8 @@
             limited: Family::default(),
             limited_sends: Family::default(),
             cleared_sources: Family::default(),
+            received_bytes: Family::default(),
+            peer_calls: PeerCalls::default(),
             restored: Counter::default(),
             store_era: Gauge::default(),
             open: Gauge::default(),
@@ -204,6 +232,10 @@
         all.register("limited_sends", help, self.limited_sends.clone());
         let help = "Earlier holders found not to hold their keys any more, by the proof";
         all.register("cleared_sources", help, self.cleared_sources.clone());
+        let help = "Bytes of table rows that were received, by where they came from";
+        all.register("table_bytes", help, self.received_bytes.clone());
+        let help = "Calls to other routers by result";
+        all.register("peer_calls", help, self.peer_calls.0.clone());
         all.register(
             "open_requests",
             "Requests that have no answer yet",
@@ -320,6 +352,19 @@
         self.cleared_sources.get_or_create(&labels)
     }
 
+    /// Counts the bytes of rows of a table that were received from `source`.
+    pub(crate) fn table_received(&self, table: String, source: &'static str, bytes: usize) {
+        let labels = Received { table, source };
+        self.received_bytes
+            .get_or_create(&labels)
+            .inc_by(bytes as u64);
+    }
+
+    /// Returns the counters of calls to other routers.
+    pub(crate) fn peer_calls(&self) -> PeerCalls {
+        self.peer_calls.clone()
+    }
+
     /// Returns the counter of log lines beyond the rate limit.
     pub(crate) fn suppressed_lines(&self) -> Counter {
         self.suppressed_lines.clone()
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -31,6 +31,7 @@
 use crate::front;
 use crate::leadership::ServiceTime;
 use crate::link;
+use crate::metrics::PeerCalls;
 use crate::node::{Node, Shares};
 use crate::notice::Notices;
 use crate::payload::{self, Payload, Taken};
@@ -104,13 +105,15 @@
 pub(crate) struct Peers {
     /// Address of this router. Other routers recognize it by its calls' source address.
     local: IpAddr,
+    counts: PeerCalls,
     endpoints: RefCell<HashMap<SocketAddr, Rc<Endpoint>>>,
 }
 
 impl Peers {
-    pub(crate) fn new(local: IpAddr) -> Self {
+    pub(crate) fn new(local: IpAddr, counts: PeerCalls) -> Self {
         Self {
             local,
+            counts,
             endpoints: RefCell::default(),
         }
     }
@@ -132,7 +135,21 @@
     async fn call<A: DeserializeOwned>(
         &self,
         address: SocketAddr,
-        path: &str,
+        path: &'static str,
+        body: &impl Serialize,
+        limit: Duration,
+    ) -> Result<A, Contact> {
+        let end = self.try_call(address, path, body, limit).await;
+        let result = end.as_ref().err();
+        self.counts
+            .record(path, result.map_or("answered", |contact| contact.as_str()));
+        end
+    }
+
+    async fn try_call<A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &'static str,
         body: &impl Serialize,
         limit: Duration,
     ) -> Result<A, Contact> {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -112,12 +112,16 @@
     history: Vec<(Arc<str>, u64)>,
 }
 
-impl Relay {
-    /// Lets this router read the store itself for a while.
-    fn bypass_relay(&self) {
-        self.bypass_until.set(Some(clock::now() + BYPASS_TIME));
-        self.source_changed.notify_waiters();
-    }
+#[derive(Serialize)]
+struct SkippedLine<'a> {
+    relay: &'a str,
+    contact: &'static str,
+    elapsed_ms: u64,
+}
+
+#[derive(Serialize)]
+struct BypassedLine {
+    reason: &'static str,
 }
 
 /// Order in which the routers of a data centre become its relay.
@@ -153,6 +157,14 @@
         (*name != own.router).then(|| router.clone())
     }
 
+    /// Lets this router read the store itself for a while.
+    fn bypass_relay(&self, reason: &'static str) {
+        self.log.info("relay bypassed", &BypassedLine { reason });
+        let until = clock::now() + BYPASS_TIME;
+        self.relay.bypass_until.set(Some(until));
+        self.relay.source_changed.notify_waiters();
+    }
+
     /// Returns the addresses of the routers to which this one sends its versions.
     pub(crate) fn version_targets(&self) -> Vec<SocketAddr> {
         let own = &self.settings;
@@ -220,7 +232,7 @@
             }
             node.catch_up(sender).await;
             if is_behind(&node) {
-                node.relay.bypass_relay();
+                node.bypass_relay("behind");
             }
         });
     }
@@ -332,11 +344,12 @@
                 continue;
             };
             let request = self.request(self.leaderships.take_service_times());
-            match self
+            let asked_at = clock::now();
+            let response = self
                 .peers
                 .follow(relay.address, LONG_POLL_TIME, &request)
-                .await
-            {
+                .await;
+            match response {
                 Ok(response) if response.is_live => {
                     unknown_since = None;
                     self.relay.record_store_contact();
@@ -353,9 +366,16 @@
                     if self.relay.synced_version(Table::Configuration).is_none() {
                         // This router can't serve without a configuration, and the next relay may
                         // be down as well.
-                        self.relay.bypass_relay();
+                        self.bypass_relay("no configuration");
                     }
                     if let Some(name) = self.router_at(&relay) {
+                        let contact = response.as_ref().err();
+                        let line = SkippedLine {
+                            relay: &name,
+                            contact: contact.map_or("no store", |contact| contact.as_str()),
+                            elapsed_ms: (clock::now() - asked_at).as_millis() as u64,
+                        };
+                        self.log.info("relay skipped", &line);
                         let until = clock::now() + RELAY_AVOID_TIME;
                         self.relay.avoided.borrow_mut().insert(name, until);
                     }
@@ -425,6 +445,7 @@
                 rows: part.rows.into_iter().map(Row::from).collect(),
                 version: part.version,
             };
+            watch::record_rows(self, table, "router", &rows);
             self.observe_era(rows.version.era);
             if rows.version.era < self.era.get() {
                 // The relay hasn't noticed yet that the store has lost this version.
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -34,6 +34,9 @@
 /// Maximum time until a table's source is checked again while a relay supplies the table.
 const SOURCE_POLL: Duration = Duration::from_secs(5);
 
+/// Size of received rows from which a line is logged, in bytes.
+const LARGE_TABLE_BYTES: usize = 16 << 10;
+
 /// Prefix of the keys of router rows.
 pub(crate) const ROUTER_PREFIX: &str = "router/";
 
@@ -48,6 +51,17 @@
     version: u64,
     routes: usize,
     services: usize,
+    bytes: usize,
+    /// Time that decoding took.
+    decode_ms: u64,
+}
+
+#[derive(Serialize)]
+struct ReceivedLine {
+    table: String,
+    source: &'static str,
+    rows: usize,
+    bytes: usize,
 }
 
 #[derive(Serialize)]
@@ -128,6 +142,7 @@
         node.observe_era(node.platform.era());
         let rows = rows?;
         record_contact(node, table, None);
+        record_rows(node, table, "store", &rows);
         apply_table(node, table, &rows);
         return Ok(());
     };
@@ -142,6 +157,7 @@
         Changes::Reset => node.relay.invalidate(table),
         Changes::Rows(rows) => {
             record_contact(node, table, None);
+            record_rows(node, table, "store", &rows);
             apply_changes(node, table, &rows);
             if table != Table::Routers && !rows.rows.is_empty() {
                 gossip::send_versions(node);
@@ -167,6 +183,28 @@
     node.relay.record(table, rows, false);
 }
 
+/// Counts received rows, and logs a line if they are large.
+pub(crate) fn record_rows<P: Platform>(
+    node: &Node<P>,
+    table: Table,
+    source: &'static str,
+    rows: &Rows,
+) {
+    let values = rows.rows.iter().filter_map(|row| row.value.as_ref());
+    let bytes = values.map(|value| value.len()).sum();
+    node.metrics
+        .table_received(table.to_string(), source, bytes);
+    if bytes >= LARGE_TABLE_BYTES {
+        let line = ReceivedLine {
+            table: table.to_string(),
+            source,
+            rows: rows.rows.len(),
+            bytes,
+        };
+        node.log.info("table received", &line);
+    }
+}
+
 fn record_contact<P: Platform>(node: &Rc<Node<P>>, table: Table, fault: Option<&Fault>) {
     let mut state = node.state.borrow_mut();
     let is_reachable = fault.is_none();
@@ -283,12 +321,13 @@
 }
 
 pub(crate) fn apply_configuration<P: Platform>(node: &Rc<Node<P>>, row: &Row) {
+    let received_at = clock::now();
     match node.platform.directory(row) {
         Ok(Some(directory)) => {
             let mut state = node.state.borrow_mut();
             let known = state.directory.as_ref().map_or(0, |known| known.version);
             if state.directory.is_none() || directory.version > known {
-                log_configuration(node, &directory);
+                log_configuration(node, &directory, row, clock::now() - received_at);
                 state.directory = Some(Arc::new(directory));
             }
         }
@@ -299,11 +338,18 @@
     }
 }
 
-fn log_configuration<P: Platform>(node: &Node<P>, directory: &Directory) {
+fn log_configuration<P: Platform>(
+    node: &Node<P>,
+    directory: &Directory,
+    row: &Row,
+    decoding: Duration,
+) {
     let line = ConfigurationLine {
         version: directory.version,
         routes: directory.routes().count(),
         services: directory.services.len(),
+        bytes: row.value.as_ref().map_or(0, |value| value.len()),
+        decode_ms: decoding.as_millis() as u64,
     };
     node.log.info("configuration in force", &line);
 }
--- a/crates/ranges/src/election.rs
+++ b/crates/ranges/src/election.rs
@@ -85,6 +85,19 @@
     Unresponsive,
 }
 
+impl Contact {
+    /// Name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Serving => "serving",
+            Self::Idle => "idle",
+            Self::Unrecognized => "unrecognized",
+            Self::ConnectionRefused => "connection-refused",
+            Self::Unresponsive => "unresponsive",
+        }
+    }
+}
+
 /// Decides when one router runs for leadership of one service.
 #[derive(Clone, Debug)]
 pub struct Election {
