--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -140,9 +140,9 @@
         limit: Duration,
     ) -> Result<A, Contact> {
         let end = self.try_call(address, path, body, limit).await;
-        let result = end.as_ref().err();
+        let result = end.as_ref().err().copied();
         self.counts
-            .record(path, result.map_or("answered", |contact| contact.as_str()));
+            .record(path, result.map_or("answered", Contact::as_str));
         end
     }
 
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -369,10 +369,10 @@
                         self.bypass_relay("no configuration");
                     }
                     if let Some(name) = self.router_at(&relay) {
-                        let contact = response.as_ref().err();
+                        let contact = response.as_ref().err().copied();
                         let line = SkippedLine {
                             relay: &name,
-                            contact: contact.map_or("no store", |contact| contact.as_str()),
+                            contact: contact.map_or("no store", Contact::as_str),
                             elapsed_ms: (clock::now() - asked_at).as_millis() as u64,
                         };
                         self.log.info("relay skipped", &line);
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use eelgrassrock_dispatch::directory::Directory;
 use eelgrassrock_ranges::election::Leadership;
 use eelgrassrock_store::Fault;
@@ -191,7 +192,7 @@
     rows: &Rows,
 ) {
     let values = rows.rows.iter().filter_map(|row| row.value.as_ref());
-    let bytes = values.map(|value| value.len()).sum();
+    let bytes = values.map(Bytes::len).sum();
     node.metrics
         .table_received(table.to_string(), source, bytes);
     if bytes >= LARGE_TABLE_BYTES {
@@ -348,7 +349,7 @@
         version: directory.version,
         routes: directory.routes().count(),
         services: directory.services.len(),
-        bytes: row.value.as_ref().map_or(0, |value| value.len()),
+        bytes: row.value.as_ref().map_or(0, Bytes::len),
         decode_ms: decoding.as_millis() as u64,
     };
     node.log.info("configuration in force", &line);
