--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -30,6 +30,7 @@
 use crate::front;
 use crate::node::Node;
 use crate::payload::Payload;
+use crate::peer::FOLLOW_PATH;
 use crate::platform::Platform;
 use crate::relay::TABLES;
 
@@ -102,14 +103,21 @@
 impl PeerCalls {
     /// Counts a call that has ended.
     pub(crate) fn record(&self, path: &'static str, result: &'static str) {
+        self.count(path, result).inc();
+    }
+
+    fn count(&self, path: &'static str, result: &'static str) -> impl Deref<Target = Counter> {
         let call = path.trim_start_matches('/');
-        self.0.get_or_create(&PeerCall { call, result }).inc();
+        self.0.get_or_create(&PeerCall { call, result })
     }
 }
 
 /// Causes of broken connections, the second if the process of the upstream has ended.
 const BREAK_CAUSES: [&str; 2] = ["unproven", "ended"];
 
+/// Result of a call to another router that was answered.
+pub(crate) const ANSWERED: &str = "answered";
+
 /// Gauge with a fractional value.
 type Fraction = Gauge<f64, AtomicU64>;
 type Histograms = Family<Service, Histogram, fn() -> Histogram>;
@@ -438,6 +446,7 @@
                 .get_or_create(&labels)
                 .set(i64::from(node.leaderships.is_leader(name)));
         }
+        drop(self.peer_calls.count(FOLLOW_PATH, ANSWERED));
         for table in TABLES {
             let contact = state.contact.get(&table).copied().unwrap_or(false);
             let labels = Table {
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -31,7 +31,7 @@
 use crate::front;
 use crate::leadership::ServiceTime;
 use crate::link;
-use crate::metrics::PeerCalls;
+use crate::metrics::{ANSWERED, PeerCalls};
 use crate::node::{Node, Shares};
 use crate::notice::Notices;
 use crate::payload::{self, Payload, Taken};
@@ -46,6 +46,8 @@
 
 /// Path for consultations by a starting router.
 const CONSULT_PATH: &str = "/consult";
+/// Path for long polls of followers.
+pub(crate) const FOLLOW_PATH: &str = "/follow";
 
 /// Report of a router to the leader of a service.
 #[derive(Debug, Serialize, Deserialize)]
@@ -142,7 +144,7 @@
         let end = self.try_call(address, path, body, limit).await;
         let result = end.as_ref().err().copied();
         self.counts
-            .record(path, result.map_or("answered", Contact::as_str));
+            .record(path, result.map_or(ANSWERED, Contact::as_str));
         end
     }
 
@@ -225,7 +227,7 @@
         hold_back: Duration,
         request: &relay::FollowRequest,
     ) -> Result<relay::FollowResponse, Contact> {
-        self.call(address, "/follow", request, hold_back + CALL_TIMEOUT)
+        self.call(address, FOLLOW_PATH, request, hold_back + CALL_TIMEOUT)
             .await
     }
 
@@ -305,7 +307,7 @@
                 .ok()
                 .map(|report| handle_report(node, report)),
         ),
-        "/follow" => match postcard::from_bytes(&body) {
+        FOLLOW_PATH => match postcard::from_bytes(&body) {
             Ok(request) => encode(Some(node.serve_follower(request).await)),
             Err(_) => respond(StatusCode::BAD_REQUEST, Bytes::new()),
         },
