--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -2,6 +2,7 @@
 //! listen on loopback.
 #![allow(dead_code)] // Each test file uses only some of these items.
 
+pub(crate) mod link;
 pub(crate) mod mortal;
 pub(crate) mod platform;
 pub(crate) mod raw;
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -14,6 +14,7 @@
     Changes, Commit, Head, Name, Notice, Platform, Row, Rows, Table, Transaction, Unreadable,
     Verdict,
 };
+use eelgrassrock_edge::settings::Settings;
 use eelgrassrock_model::Revision;
 use eelgrassrock_ranges::leader::{Grant, Order, Outcome};
 use eelgrassrock_store::{Fault, Kind};
@@ -110,11 +111,12 @@
             .unwrap()
             .configurations
             .insert(version, directory);
-        self.write(
-            Table::Configuration,
-            "current",
-            Some(version.to_string().into()),
-        );
+        // Decoding uses only the first line. The others make up the size.
+        let mut text = version.to_string();
+        for route in &routes {
+            text.push_str(&row_of(route));
+        }
+        self.write(Table::Configuration, "current", Some(text.into()));
     }
 
     /// Starts to count eras, as a store does that can be restored from a backup.
@@ -195,8 +197,17 @@
 
     /// Registers a router that doesn't run, in the data centre of the others.
     pub(crate) fn add_router(&self, name: &str, address: SocketAddr) {
-        let (data_centre, incarnation, size) = ("dc-a", 1_u64, 1_u32);
-        let row = (address, data_centre, incarnation, size);
+        self.write_router(name, address, 1, 1);
+    }
+
+    /// Makes the others reach a router at another address.
+    pub(crate) fn move_router(&self, settings: &Settings, address: SocketAddr) {
+        let (incarnation, size) = (settings.incarnation, settings.size);
+        self.write_router(&settings.router, address, incarnation, size);
+    }
+
+    fn write_router(&self, name: &str, address: SocketAddr, incarnation: u64, size: u32) {
+        let row = (address, "dc-a", incarnation, size);
         let value = postcard::to_allocvec(&row).unwrap();
         self.write(
             Table::Routers,
@@ -247,6 +258,18 @@
     }
 }
 
+/// Returns a route in the form in which an operator writes it.
+fn row_of(route: &Route) -> String {
+    let parts: Vec<_> = route
+        .parts
+        .iter()
+        .map(|part| (&part.service, part.weight))
+        .collect();
+    let Route { name, host, .. } = route;
+    let (prefix, repeat) = (&route.prefix, route.repeat);
+    format!("\n[{name:?}, {host:?}, {prefix:?}, {repeat:?}, \"1500ms\", {parts:?}]")
+}
+
 pub(crate) fn route(prefix: &str, repeat: Repeat, service: &str) -> Route {
     Route {
         name: prefix.into(),
@@ -447,7 +470,8 @@
         let value = row.value.as_ref().ok_or_else(|| unreadable("removed"))?;
         let version: u64 = std::str::from_utf8(value)
             .ok()
-            .and_then(|text| text.parse().ok())
+            .and_then(|text| text.lines().next())
+            .and_then(|line| line.parse().ok())
             .ok_or_else(|| unreadable("not a version"))?;
         Ok(self
             .store
