The client of the store limits pauses, not whole transfers

A router whose link carries little never got a large configuration from the store: a call had 350 ms beyond its wait, or 1.5 s, for an answer of any size, threw away what had arrived and began again.

The proxies of the soak can limit a rate.

--- a/crates/soak/src/mesh.rs
+++ b/crates/soak/src/mesh.rs
@@ -104,7 +104,7 @@
             let Some((sender, control)) = self.link(from.ip(), receiver) else {
                 continue;
             };
-            let mode = *control.subscribe().borrow();
+            let mode = control.subscribe().borrow().clone();
             if mode.is_cut.contains(&true) {
                 continue;
             }
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -2,23 +2,55 @@
 
 use std::io;
 use std::net::{Ipv4Addr, Shutdown, SocketAddr};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Maximum number of bytes that are forwarded at once.
 const CHUNK_BYTES: usize = 16 << 10;
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
+/// Rate at which connections pass bytes, shared by all links of a machine.
+#[derive(Debug)]
+pub struct Rate {
+    bytes_per_s: u32,
+    /// When the bytes towards servers, and towards clients, will have passed.
+    busy_until: [Mutex<Instant>; 2],
+}
+
+impl Rate {
+    /// Creates a rate in each direction.
+    pub fn new(bytes_per_s: u32) -> Self {
+        let now = Mutex::new(Instant::now());
+        Self {
+            bytes_per_s: bytes_per_s.max(1),
+            busy_until: [now, Mutex::new(Instant::now())],
+        }
+    }
+
+    /// Waits until `bytes` have passed in one direction, behind all others.
+    async fn pass(&self, bytes: usize, direction: usize) {
+        let time = Duration::from_secs_f64(bytes as f64 / f64::from(self.bytes_per_s));
+        let passed = {
+            let busy_until = self.busy_until[direction].lock();
+            let mut busy_until = busy_until.unwrap_or_else(PoisonError::into_inner);
+            *busy_until = (*busy_until).max(Instant::now()) + time;
+            *busy_until
+        };
+        sleep_until(passed).await;
+    }
+}
+
 /// How a proxy treats its connections.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Mode {
     pub(crate) delay: Duration,
+    rate: Option<Arc<Rate>>,
     /// Whether bytes towards the server, and towards the client, are held back.
     pub(crate) is_cut: [bool; 2],
     /// Number of resets so far. A connection with a lower initial count is reset.
@@ -40,8 +72,13 @@
 
     /// Whether bytes are delayed or held back.
     pub(crate) fn is_impaired(&self) -> bool {
-        let mode = *self.0.borrow();
-        mode.delay > Duration::ZERO || mode.is_cut.contains(&true)
+        let mode = self.0.borrow();
+        mode.delay > Duration::ZERO || mode.rate.is_some() || mode.is_cut.contains(&true)
+    }
+
+    /// Limits the rate of the connections, or lifts the limit.
+    pub fn limit(&self, rate: Option<Arc<Rate>>) {
+        self.0.send_modify(|mode| mode.rate = rate);
     }
 
     /// Delays each chunk by `delay`.
@@ -170,7 +207,7 @@
     server: impl Future<Output = io::Result<TcpStream>>,
     mut modes: watch::Receiver<Mode>,
 ) {
-    let initial = *modes.borrow();
+    let initial = modes.borrow().clone();
     // An error means that the run and its proxy have ended.
     if wait_until_open(&mut modes, 0).await.is_err() {
         return;
@@ -208,7 +245,7 @@
     direction: usize,
 ) -> Result<Mode, Broken> {
     let mode = modes.wait_for(|mode| !mode.is_cut[direction]).await;
-    mode.map(|mode| *mode).map_err(|_| Broken)
+    mode.map(|mode| mode.clone()).map_err(|_| Broken)
 }
 
 /// Forwards bytes in one direction until the sender closes it.
@@ -232,6 +269,9 @@
         let is_silent = mode.silences != silences;
         if !is_silent {
             sleep(mode.delay).await;
+            if let Some(rate) = mode.rate {
+                rate.pass(read, direction).await;
+            }
             write(to, &chunk[..read]).await.map_err(|_| Broken)?;
         }
         if read == 0 {
--- a/crates/store/src/endpoint.rs
+++ b/crates/store/src/endpoint.rs
@@ -5,9 +5,9 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_TYPE, HOST, RETRY_AFTER};
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -20,6 +20,8 @@
 use crate::settings::Settings;
 use crate::{Fault, Kind};
 
+/// Longest time for the body of an answer that arrives without a long pause.
+const MAX_BODY_TIME: Duration = Duration::from_secs(30);
 /// Longest delay that a `Retry-After` header can ask for; longer ones are cut to it.
 const MAX_RETRY_AFTER_SECONDS: u64 = 60;
 
@@ -86,6 +88,8 @@
     pub headers: HeaderMap,
     /// Body, sent as a whole.
     pub body: Bytes,
+    /// Timeout of this call in place of that of the settings.
+    pub timeout: Option<Duration>,
 }
 
 /// Complete answer to a call.
@@ -152,10 +156,18 @@
         mut connection: Connection,
         call: &Call,
     ) -> Result<Option<Answer>, Kind> {
-        let limit = self.settings.timeout;
-        let answer = timeout(limit, self.send_and_collect(&mut connection, call))
-            .await
-            .unwrap_or(Err(Kind::Timeout(limit)))?;
+        let limit = call.timeout.unwrap_or(self.settings.timeout);
+        let answer = match self.settings.stall_timeout {
+            None => within(limit, self.send_and_collect(&mut connection, call)).await?,
+            Some(stall_limit) => {
+                let request = call.request(self.address);
+                let begun = within(limit, send(&mut connection, request)).await?;
+                match begun {
+                    Some(response) => Some(self.collect_steadily(response, stall_limit).await?),
+                    None => None,
+                }
+            }
+        };
         if answer.is_some() {
             self.put_idle(connection);
         }
@@ -173,13 +185,33 @@
         };
         let (parts, body) = response.into_parts();
         let body = collect(body, self.settings.max_body_bytes).await?;
-        let retry_after = parts.headers.get(RETRY_AFTER).and_then(parse_seconds);
-        Ok(Some(Answer {
-            status: parts.status,
-            headers: parts.headers,
-            retry_after,
-            body,
-        }))
+        Ok(Some(Answer::new(parts, body)))
+    }
+
+    /// Collects the body of an answer as long as none of its pauses exceeds `stall_limit`.
+    async fn collect_steadily(
+        &self,
+        response: Response<Incoming>,
+        stall_limit: Duration,
+    ) -> Result<Answer, Kind> {
+        let (parts, body) = response.into_parts();
+        let limit = self.settings.max_body_bytes;
+        let mut body = Limited::new(body, limit);
+        let mut bytes = BytesMut::new();
+        let frames = async {
+            while let Some(frame) = within(stall_limit, async { Ok(body.frame().await) }).await? {
+                let frame = frame.map_err(|error| match error.is::<LengthLimitError>() {
+                    true => Kind::Oversized { limit },
+                    false => Kind::Lost(error.to_string().into()),
+                })?;
+                if let Some(data) = frame.data_ref() {
+                    bytes.extend_from_slice(data);
+                }
+            }
+            Ok(())
+        };
+        within(MAX_BODY_TIME, frames).await?;
+        Ok(Answer::new(parts, bytes.freeze()))
     }
 
     /// Opens a connection outside the pool that is reset when it is dropped.
@@ -250,9 +282,16 @@
             path: path.into(),
             headers: HeaderMap::new(),
             body: body.into(),
+            timeout: None,
         }
     }
 
+    /// Sets a timeout for this call in place of that of the settings.
+    pub fn timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = Some(timeout);
+        self
+    }
+
     /// Sets a header field and replaces an earlier value of the same name.
     pub fn header(mut self, name: HeaderName, value: HeaderValue) -> Self {
         self.headers.insert(name, value);
@@ -266,6 +305,7 @@
             path: path.into(),
             headers: HeaderMap::new(),
             body: Bytes::new(),
+            timeout: None,
         }
     }
 
@@ -286,6 +326,15 @@
 }
 
 impl Answer {
+    fn new(parts: response::Parts, body: Bytes) -> Self {
+        Self {
+            status: parts.status,
+            retry_after: parts.headers.get(RETRY_AFTER).and_then(parse_seconds),
+            headers: parts.headers,
+            body,
+        }
+    }
+
     /// Returns the delay before a retry if the service refused the call temporarily: with status
     /// 429 or 503 and a `Retry-After` header.
     pub fn retry_delay(&self) -> Option<Duration> {
@@ -324,6 +373,15 @@
     socket.set_tcp_user_timeout(Some(limit))
 }
 
+async fn within<T>(
+    limit: Duration,
+    step: impl Future<Output = Result<T, Kind>>,
+) -> Result<T, Kind> {
+    timeout(limit, step)
+        .await
+        .unwrap_or(Err(Kind::Timeout(limit)))
+}
+
 /// Returns `None` if the connection was closed before any byte of the request was sent.
 async fn send(
     connection: &mut Connection,
--- a/crates/store/src/objects.rs
+++ b/crates/store/src/objects.rs
@@ -62,6 +62,7 @@
             path: path(digest),
             headers: HeaderMap::new(),
             body: contents,
+            timeout: None,
         };
         let answer = self.endpoint.call(&call).await?;
         match answer.status {
--- a/crates/store/src/settings.rs
+++ b/crates/store/src/settings.rs
@@ -27,6 +27,7 @@
 pub struct Settings {
     pub(crate) connect_timeout: Duration,
     pub(crate) timeout: Duration,
+    pub(crate) stall_timeout: Option<Duration>,
     pub(crate) max_body_bytes: usize,
     pub(crate) max_idle_connections: usize,
     pub(crate) keepalive_timeout: Duration,
@@ -59,6 +60,7 @@
         Self {
             connect_timeout: Duration::from_millis(CONNECT_TIMEOUT_MS),
             timeout: Duration::from_millis(TIMEOUT_MS),
+            stall_timeout: None,
             max_body_bytes: MAX_BODY_BYTES,
             max_idle_connections: MAX_IDLE_CONNECTIONS,
             keepalive_timeout: Duration::from_millis(KEEPALIVE_TIMEOUT_MS),
@@ -81,6 +83,14 @@
         self
     }
 
+    /// Sets the longest pause while an answer arrives. The timeout then bounds the time until the
+    /// answer begins, so that a large answer over a slow link takes as long as it needs. By default
+    /// the timeout bounds the complete answer.
+    pub fn stall_timeout(mut self, timeout: Duration) -> Self {
+        self.settings.stall_timeout = Some(timeout);
+        self
+    }
+
     /// Sets the size of the largest answer body that is accepted, in bytes.
     pub fn max_body_bytes(mut self, bytes: usize) -> Self {
         self.settings.max_body_bytes = bytes;
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -147,6 +147,7 @@
             path: "/v1/transactions".to_owned(),
             headers: HeaderMap::new(),
             body: encode(transaction),
+            timeout: None,
         };
         match self.endpoint.call(&call).await {
             Ok(answer) => outcome(&answer, transaction),
