Large rows are sent by themselves, as differences, and don't keep news back

Cause: one answer to a follower held all tables, maps and notices, and had one time limit for any size. With 1,400 routes more it has hundreds of kilobytes. A router whose link is busy missed the limit, began again at another router or the store, and asked several of them at once for the same bytes; what an upstream or a leader had said waited behind them.

Change: a row of more than 8 kB is announced by its digest and fetched by itself, one transfer at a time for each table (dispatch/transfer.rs, no clock or network). It comes compressed, as the difference to what the receiver has (store/content.rs). Time limits bound the begin of an answer, with the wait for the own link, and its pauses. Journals keep one change of each row, so that they are bounded by the table. A router that lacks an announced configuration for four fifths of the time allowed refuses requests.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 mod service_time;
 mod split;
 pub mod suspect;
+pub mod transfer;
 pub mod uplink;
 pub mod upstream;
 
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -145,6 +145,7 @@
     cleared_sources: Family<Cleared, Counter>,
     received_bytes: Family<Received, Counter>,
     peer_calls: PeerCalls,
+    outdated: Counter,
     restored: Counter,
     store_era: Gauge,
     open: Gauge,
@@ -180,6 +181,7 @@
             cleared_sources: Family::default(),
             received_bytes: Family::default(),
             peer_calls: PeerCalls::default(),
+            outdated: Counter::default(),
             restored: Counter::default(),
             store_era: Gauge::default(),
             open: Gauge::default(),
@@ -242,6 +244,8 @@
         all.register("cleared_sources", help, self.cleared_sources.clone());
         let help = "Bytes of table rows that were received, by where they came from";
         all.register("table_bytes", help, self.received_bytes.clone());
+        let help = "Requests refused because the configuration was outdated";
+        all.register("outdated_refusals", help, self.outdated.clone());
         let help = "Calls to other routers by result";
         all.register("peer_calls", help, self.peer_calls.0.clone());
         all.register(
@@ -368,6 +372,11 @@
             .inc_by(bytes as u64);
     }
 
+    /// Counts a request that was refused because the configuration is outdated.
+    pub(crate) fn outdated(&self) {
+        self.outdated.inc();
+    }
+
     /// Returns the counters of calls to other routers.
     pub(crate) fn peer_calls(&self) -> PeerCalls {
         self.peer_calls.clone()
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -247,8 +247,11 @@
 
     /// Whether the router is ready to receive requests of callers.
     pub(crate) fn is_ready(&self) -> bool {
+        if self.is_stopping() || self.is_configuration_outdated() {
+            return false;
+        }
         let state = self.state.borrow();
-        !self.is_stopping() && state.directory.is_some() && state.registry.len() > 0
+        state.directory.is_some() && state.registry.len() > 0
     }
 
     /// Whether the keys of a service are divided among its upstreams.
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -41,11 +41,13 @@
 
 /// Timeout of a call between routers. It allows for many round trips and a slow VM.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
-/// Timeout of a long poll, which the other router may delay.
-const HELD_CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest pause while an answer arrives.
+const STALL_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Path for consultations by a starting router.
 const CONSULT_PATH: &str = "/consult";
+/// Path for requests for single rows.
+const ROW_PATH: &str = "/row";
 /// Path for long polls of followers.
 pub(crate) const FOLLOW_PATH: &str = "/follow";
 
@@ -125,7 +127,8 @@
         let new = || {
             let settings = Settings::builder()
                 .connect_timeout(CALL_TIMEOUT)
-                .timeout(HELD_CALL_TIMEOUT)
+                .timeout(CALL_TIMEOUT)
+                .stall_timeout(STALL_TIMEOUT)
                 .max_idle_connections(2)
                 .local_address(self.local)
                 .build();
@@ -134,18 +137,31 @@
         Rc::clone(endpoints.entry(address).or_insert_with(new))
     }
 
+    /// Makes a call whose whole answer must arrive within a limit.
     async fn call<A: DeserializeOwned>(
         &self,
         address: SocketAddr,
         path: &'static str,
         body: &impl Serialize,
         limit: Duration,
+    ) -> Result<A, Contact> {
+        let call = self.try_call(address, path, body, limit);
+        let end = timeout(limit, call)
+            .await
+            .unwrap_or(Err(Contact::Unresponsive));
+        self.count(path, end)
+    }
+
+    /// Makes a call whose answer must begin within a limit, and then arrive without long pauses.
+    async fn call_steadily<A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &'static str,
+        body: &impl Serialize,
+        limit: Duration,
     ) -> Result<A, Contact> {
         let end = self.try_call(address, path, body, limit).await;
-        let result = end.as_ref().err().copied();
-        self.counts
-            .record(path, result.map_or(ANSWERED, Contact::as_str));
-        end
+        self.count(path, end)
     }
 
     async fn try_call<A: DeserializeOwned>(
@@ -157,13 +173,13 @@
     ) -> Result<A, Contact> {
         let endpoint = self.endpoint(address);
         let body = postcard::to_allocvec(body).map_err(|_| Contact::Unresponsive)?;
-        let call = Call::post(path, body);
-        let response = match timeout(limit, endpoint.call(&call)).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(fault)) if matches!(fault.kind, Kind::Unreachable(_)) => {
+        let call = Call::post(path, body).timeout(limit);
+        let response = match endpoint.call(&call).await {
+            Ok(response) => response,
+            Err(fault) if matches!(fault.kind, Kind::Unreachable(_)) => {
                 return Err(examine(address).await);
             }
-            _ => return Err(Contact::Unresponsive),
+            Err(_) => return Err(Contact::Unresponsive),
         };
         match response.status {
             StatusCode::OK => {}
@@ -173,6 +189,14 @@
         postcard::from_bytes(&response.body).map_err(|_| Contact::Idle)
     }
 
+    /// Counts a call by its result.
+    fn count<A>(&self, path: &'static str, end: Result<A, Contact>) -> Result<A, Contact> {
+        let failure = end.as_ref().err().copied();
+        let result = failure.map_or(ANSWERED, Contact::as_str);
+        self.counts.record(path, result);
+        end
+    }
+
     /// Sends a report to a leader. Returns the result of the contact and the response.
     pub(crate) async fn report(
         &self,
@@ -220,17 +244,31 @@
         }
     }
 
-    /// Long-polls a relay for changes.
+    /// Long-polls a relay for changes. `link_wait` is the time that messages wait for the link of
+    /// this router.
     pub(crate) async fn follow(
         &self,
         address: SocketAddr,
         hold_back: Duration,
         request: &relay::FollowRequest,
+        link_wait: Duration,
     ) -> Result<relay::FollowResponse, Contact> {
-        self.call(address, FOLLOW_PATH, request, hold_back + CALL_TIMEOUT)
+        let limit = hold_back + CALL_TIMEOUT + link_wait;
+        self.call_steadily(address, FOLLOW_PATH, request, limit)
             .await
     }
 
+    /// Requests a row that another router has announced.
+    pub(crate) async fn fetch_row(
+        &self,
+        address: SocketAddr,
+        request: &relay::RowRequest,
+        link_wait: Duration,
+    ) -> Result<relay::RowResponse, Contact> {
+        let limit = CALL_TIMEOUT + link_wait;
+        self.call_steadily(address, ROW_PATH, request, limit).await
+    }
+
     /// Asks a router for what it knows and the store may have lost.
     pub(crate) async fn consult(
         &self,
@@ -311,6 +349,11 @@
             Ok(request) => encode(Some(node.serve_follower(request).await)),
             Err(_) => respond(StatusCode::BAD_REQUEST, Bytes::new()),
         },
+        ROW_PATH => encode(
+            postcard::from_bytes(&body)
+                .ok()
+                .and_then(|request| node.serve_row(&request)),
+        ),
         CONSULT_PATH => encode(Some(node.serve_consultation())),
         "/map" => encode(postcard::from_bytes(&body).ok().map(|update: MapUpdate| {
             if node.learn_changes(&update.service, update.changes) {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -12,10 +12,11 @@
 //! router.
 
 mod journal;
+mod transfer;
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,6 +24,7 @@
 use std::time::Duration;
 
 use eelgrassrock_dispatch::observation::Observation;
+use eelgrassrock_dispatch::transfer::Transfers;
 use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_ranges::election::Contact;
@@ -32,14 +34,15 @@
 use tokio::time::{sleep, timeout};
 
 use self::journal::{Journal, Part};
+use self::transfer::{Compressed, Incoming};
+pub(crate) use self::transfer::{RowRequest, RowResponse};
 use crate::clock;
 use crate::leadership::ServiceTime;
 use crate::node::{Node, Router, Shares};
 use crate::notice::Notices;
 use crate::peer;
-use crate::platform::{Platform, Row, Rows, Table};
+use crate::platform::{Platform, Table};
 use crate::registry::Departure;
-use crate::watch;
 
 /// Maximum time for which a relay delays a response without changes. A follower detects the loss of
 /// its relay after this time and that of a call.
@@ -73,6 +76,10 @@
 #[derive(Default)]
 pub(crate) struct Relay {
     journals: RefCell<[Journal; 3]>,
+    /// Large rows that were announced and haven't arrived.
+    transfers: RefCell<[Transfers<Incoming>; 3]>,
+    /// Large rows as they were sent last, newest first.
+    compressed: RefCell<VecDeque<Compressed>>,
     avoided: RefCell<HashMap<Arc<str>, Instant>>,
     bypass_until: Cell<Option<Instant>>,
     /// Last contact to the store, directly or through a relay.
@@ -212,7 +219,7 @@
     /// newer ones soon, asks that router, and then the store if it doesn't respond.
     pub(crate) fn learn_versions(self: &Rc<Self>, versions: [Revision; 2], sender: SocketAddr) {
         let is_behind = move |node: &Self| {
-            let own = node.relay.newest_versions();
+            let own = node.relay.announced_versions();
             own.iter()
                 .zip(versions)
                 .any(|(own, theirs)| !own.is_none() && *own < theirs)
@@ -240,11 +247,13 @@
     /// Fetches changes from another router.
     async fn catch_up(self: &Rc<Self>, sender: SocketAddr) {
         let request = self.request(Vec::new());
-        let response = self.peers.follow(sender, LONG_POLL_TIME, &request);
+        let response = self
+            .peers
+            .follow(sender, LONG_POLL_TIME, &request, self.link_wait());
         if let Ok(mut response) = response.await {
             // A full table may be older than much of what this router already has.
             response.tables.retain(|part| !part.is_whole);
-            self.apply_response(response);
+            self.apply_response(response, sender);
         }
     }
 
@@ -253,7 +262,7 @@
         let state = self.state.borrow();
         let maps = state.maps.iter();
         FollowRequest {
-            after: TABLES.map(|table| self.relay.synced_version(table).unwrap_or_default()),
+            after: TABLES.map(|table| self.relay.followed_version(table)),
             maps: maps
                 .map(|(name, versioned)| (Arc::clone(name), versioned.version()))
                 .collect(),
@@ -347,13 +356,13 @@
             let asked_at = clock::now();
             let response = self
                 .peers
-                .follow(relay.address, LONG_POLL_TIME, &request)
+                .follow(relay.address, LONG_POLL_TIME, &request, self.link_wait())
                 .await;
             match response {
                 Ok(response) if response.is_live => {
                     unknown_since = None;
                     self.relay.record_store_contact();
-                    self.apply_response(response);
+                    self.apply_response(response, relay.address);
                 }
                 Err(Contact::Unrecognized)
                     if clock::now() - *unknown_since.get_or_insert_with(clock::now)
@@ -397,27 +406,31 @@
             tokio::task::spawn_local(async move { node.consult_router(address).await })
         });
         for call in calls.collect::<Vec<_>>() {
-            // A cancelled task has no result.
-            let _ = call.await;
+            if let Ok(Some((response, source))) = call.await {
+                self.apply_consultation(response, source).await;
+            }
         }
     }
 
     /// Consults one router, with retries until it recognizes this one.
-    async fn consult_router(self: Rc<Self>, address: SocketAddr) {
+    async fn consult_router(
+        self: Rc<Self>,
+        address: SocketAddr,
+    ) -> Option<(FollowResponse, SocketAddr)> {
         let started = clock::now();
         loop {
             match self.peers.consult(address).await {
-                Ok(response) => return self.apply_consultation(response),
+                Ok(response) => return Some((response, address)),
                 Err(Contact::Unrecognized) if clock::now() - started < REGISTRATION_LAG => {
                     sleep(REGISTRATION_RETRY_PAUSE).await;
                 }
                 // It has no information, or has ended.
-                Err(_) => return,
+                Err(_) => return None,
             }
         }
     }
 
-    fn apply_consultation(self: &Rc<Self>, response: FollowResponse) {
+    async fn apply_consultation(self: &Rc<Self>, response: FollowResponse, source: SocketAddr) {
         self.merge_departures(response.departures);
         self.merge_observations(&response.observations);
         for (service, era) in response.history {
@@ -425,42 +438,20 @@
         }
         for part in response.tables {
             if let Some(table) = TABLES.get(usize::from(part.table)) {
-                let rows: Vec<Row> = part.rows.into_iter().map(Row::from).collect();
+                let rows = self.complete_part(part, source).await;
                 self.merge_remote(*table, &rows);
             }
         }
     }
 
-    fn apply_response(self: &Rc<Self>, response: FollowResponse) {
+    fn apply_response(self: &Rc<Self>, response: FollowResponse, source: SocketAddr) {
         for (service, era) in response.history {
             self.record_history(&service, era);
         }
         self.merge_departures(response.departures);
         self.merge_observations(&response.observations);
         for part in response.tables {
-            let Some(table) = TABLES.get(usize::from(part.table)).copied() else {
-                continue;
-            };
-            let rows = Rows {
-                rows: part.rows.into_iter().map(Row::from).collect(),
-                version: part.version,
-            };
-            watch::record_rows(self, table, "router", &rows);
-            self.observe_era(rows.version.era);
-            if rows.version.era < self.era.get() {
-                // The relay hasn't noticed yet that the store has lost this version.
-                continue;
-            }
-            if !part.is_whole {
-                watch::apply_changes(self, table, &rows);
-            } else if self
-                .relay
-                .synced_version(table)
-                .is_none_or(|own| own <= rows.version)
-            {
-                // An older table would revert changes that this router has seen since.
-                watch::apply_table(self, table, &rows);
-            }
+            self.receive_part(part, source);
         }
         for (service, shares) in response.admitted {
             self.set_admitted_shares(&service, shares);
--- a/crates/edge/src/relay/journal.rs
+++ b/crates/edge/src/relay/journal.rs
@@ -1,10 +1,12 @@
 //! Journal of recent changes, from which followers are supplied.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
+use bytes::Bytes;
 use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
+use eelgrassrock_store::content::Digest;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
@@ -14,6 +16,10 @@
 
 /// Maximum number of changes of one table that are kept for followers.
 const MAX_JOURNAL: usize = 1_024;
+/// Size of contents above which a row is announced, and transferred by itself.
+const MAX_INLINE_BYTES: usize = 8 << 10;
+/// Number of earlier contents of a large row that are kept, for followers that have them.
+const MAX_EARLIER: usize = 2;
 
 /// Rows of one table and their recent changes.
 #[derive(Debug, Default)]
@@ -21,6 +27,8 @@
     /// Current rows of the table, for followers that need it in full.
     whole: IndexMap<Arc<str>, Row>,
     rows: VecDeque<Row>,
+    /// Earlier contents of large rows, newest first.
+    earlier: HashMap<Arc<str>, VecDeque<Bytes>>,
     /// Version after which all changes are in `rows`.
     since: Revision,
     /// Version up to which the table is known; none if it must be read again in full.
@@ -42,18 +50,41 @@
     pub(super) is_whole: bool,
 }
 
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct WireRow {
-    key: Arc<str>,
-    value: Option<Vec<u8>>,
-    version: Revision,
+    pub(super) key: Arc<str>,
+    pub(super) value: WireValue,
+    pub(super) version: Revision,
+}
+
+/// Contents of a row in a message.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) enum WireValue {
+    Removed,
+    Present(Vec<u8>),
+    /// Contents to be fetched.
+    Announced(Digest),
+}
+
+impl WireRow {
+    /// Whether the contents of the row have yet to arrive.
+    pub(super) fn is_missing(&self) -> bool {
+        matches!(self.value, WireValue::Announced(_))
+    }
 }
 
 impl From<&Row> for WireRow {
     fn from(row: &Row) -> Self {
+        let value = match &row.value {
+            None => WireValue::Removed,
+            Some(value) if value.len() > MAX_INLINE_BYTES => {
+                WireValue::Announced(Digest::of(value))
+            }
+            Some(value) => WireValue::Present(value.to_vec()),
+        };
         Self {
             key: Arc::clone(&row.key),
-            value: row.value.as_ref().map(|value| value.to_vec()),
+            value,
             version: row.version,
         }
     }
@@ -63,34 +94,73 @@
     fn from(row: WireRow) -> Self {
         Self {
             key: row.key,
-            value: row.value.map(Into::into),
+            value: match row.value {
+                WireValue::Present(value) => Some(value.into()),
+                WireValue::Removed | WireValue::Announced(_) => None,
+            },
             version: row.version,
         }
     }
 }
 
-fn index(table: Table) -> usize {
+impl From<Part> for Rows {
+    /// Returns the rows of a part. Rows that never arrived are left out.
+    fn from(part: Part) -> Self {
+        let arrived = part.rows.into_iter().filter(|row| !row.is_missing());
+        Self {
+            rows: arrived.map(Row::from).collect(),
+            version: part.version,
+        }
+    }
+}
+
+pub(super) fn index(table: Table) -> usize {
     TABLES.iter().position(|other| *other == table).unwrap_or(0)
 }
 
+impl Journal {
+    /// Keeps the contents of a large row that a new one replaces.
+    fn keep_earlier(&mut self, row: &Row) {
+        let known = self.whole.get(&row.key).and_then(|row| row.value.as_ref());
+        let is_large = |contents: &&Bytes| contents.len() > MAX_INLINE_BYTES;
+        if let Some(known) = known.filter(is_large)
+            && row.value.as_ref() != Some(known)
+        {
+            let earlier = self.earlier.entry(Arc::clone(&row.key)).or_default();
+            earlier.truncate(MAX_EARLIER - 1);
+            earlier.push_front(known.clone());
+        }
+    }
+}
+
 impl Relay {
     /// Records changes of a table, or its full contents if `whole` is set.
     pub(crate) fn record(&self, table: Table, rows: &Rows, whole: bool) {
         let mut journals = self.journals.borrow_mut();
         let journal = &mut journals[index(table)];
+        for row in &rows.rows {
+            journal.keep_earlier(row);
+        }
         if whole {
             journal.rows.clear();
             journal.whole.clear();
             journal.since = rows.version;
-        } else {
-            journal.rows.extend(rows.rows.iter().cloned());
         }
         for row in &rows.rows {
+            let known = journal.whole.get(&row.key);
+            if known.is_some_and(|known| known.version > row.version) {
+                continue;
+            }
             if row.value.is_none() {
                 journal.whole.swap_remove(&row.key);
             } else {
                 journal.whole.insert(Arc::clone(&row.key), row.clone());
             }
+            if !whole {
+                // Followers need only the last change of a row.
+                journal.rows.retain(|other| other.key != row.key);
+                journal.rows.push_back(row.clone());
+            }
         }
         let newest = rows
             .rows
@@ -100,6 +170,7 @@
             .unwrap_or_default();
         journal.newest_row = journal.newest_row.max(newest);
         journal.version = journal.version.max(rows.version);
+        self.transfers.borrow_mut()[index(table)].arrive(journal.newest_row);
         while journal.rows.len() > MAX_JOURNAL {
             if let Some(row) = journal.rows.pop_front() {
                 journal.since = journal.since.max(row.version);
@@ -124,6 +195,21 @@
         self.journals.borrow()[index(table)].whole.get(key).cloned()
     }
 
+    /// Returns earlier or present contents of a large row by their digest.
+    pub(super) fn earlier_contents(
+        &self,
+        table: Table,
+        key: &str,
+        digest: Digest,
+    ) -> Option<Bytes> {
+        let journals = self.journals.borrow();
+        let journal = &journals[index(table)];
+        let present = journal.whole.get(key).and_then(|row| row.value.as_ref());
+        let earlier = journal.earlier.get(key).into_iter().flatten();
+        let mut all = present.into_iter().chain(earlier);
+        all.find(|contents| digest.is_of(contents)).cloned()
+    }
+
     /// Replaces a row by a newer one that another router knows, for followers that need the table
     /// in full.
     pub(crate) fn amend(&self, table: Table, row: &Row) {
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -34,6 +34,9 @@
 /// Value of `retry-after` for a request that might outlast a stopping process. Another router can
 /// accept it at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(10);
+/// Value of `retry-after` while this router lacks a configuration that others have. Another router
+/// can accept the request at once.
+const OUTDATED_RETRY_AFTER: Duration = Duration::from_millis(10);
 /// Pause before the only holder of a key is tried again.
 const HOLDER_RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// Time reserved for the answer's way to the caller, at the end of the caller's timeout.
@@ -123,6 +126,14 @@
             NO_CONFIGURATION_RETRY_AFTER,
         );
     };
+    if node.is_configuration_outdated() {
+        node.metrics.outdated();
+        return refusal(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "outdated",
+            OUTDATED_RETRY_AFTER,
+        );
+    }
     let host = request
         .headers()
         .get(HOST)
--- a/crates/edge/src/restore.rs
+++ b/crates/edge/src/restore.rs
@@ -178,10 +178,17 @@
         }
     }
 
+    /// Whether a row has the contents that this router knows. Decoding a large one takes long.
+    pub(crate) fn has_contents(&self, table: Table, row: &Row) -> bool {
+        let known = self.relay.known_row(table, &row.key);
+        row.value.is_some() && known.is_some_and(|known| known.value == row.value)
+    }
+
     /// Whether a row is older than what this router knows.
     fn is_outdated(&self, table: Table, row: &Row) -> bool {
         let state = self.state.borrow();
         match table {
+            Table::Configuration if self.has_contents(table, row) => false,
             Table::Configuration => {
                 let known = state.directory.as_ref().map_or(0, |known| known.version);
                 let directory = self.platform.directory(row);
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -41,6 +41,8 @@
     pub grace: Duration,
     /// Time after which an upstream that is leaving receives no more requests.
     pub drain: Duration,
+    /// Time from the write of a configuration until it must be in force.
+    pub apply: Duration,
     /// Time for which a removed registry entry may reappear after an outage of the store.
     pub return_time: Duration,
     /// Settings of the logs.
--- a/crates/edge/src/uplink.rs
+++ b/crates/edge/src/uplink.rs
@@ -14,6 +14,9 @@
 /// Queueing delay on the VM's link from which a line is logged.
 const LONG_LINK_WAIT: Duration = Duration::from_millis(200);
 
+/// Longest wait for the VM's link that calls to other routers are allowed.
+const MAX_LINK_WAIT: Duration = Duration::from_millis(800);
+
 #[derive(Serialize)]
 struct LinkLine {
     wait_in_ms: u64,
@@ -28,6 +31,12 @@
         self.uplink.borrow().state(clock::now()) == State::Busy
     }
 
+    /// Returns the time that messages wait for the VM's link.
+    pub(crate) fn link_wait(&self) -> Duration {
+        let (link, now) = (self.uplink.borrow(), clock::now());
+        link.wait_in(now).max(link.wait_out(now)).min(MAX_LINK_WAIT)
+    }
+
     /// Returns the delay after which a caller should retry if a request of this route must be shed
     /// because of the VM's link.
     pub(crate) fn link_shed_delay(&self, route: &str, left: Duration) -> Option<Duration> {
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -322,6 +322,9 @@
 }
 
 pub(crate) fn apply_configuration<P: Platform>(node: &Rc<Node<P>>, row: &Row) {
+    if node.has_contents(Table::Configuration, row) {
+        return;
+    }
     let received_at = clock::now();
     match node.platform.directory(row) {
         Ok(Some(directory)) => {
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -99,6 +99,7 @@
         max_hold: Duration::from_secs(10),
         grace: GRACE,
         drain: Duration::from_secs(2),
+        apply: Duration::from_secs(2),
         return_time: Duration::from_secs(2),
         log: Log {
             level: Level::Info,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,6 +6,7 @@
 //! lost is `Outcome::Unknown`, and [`table::Client::resolve`] reads back whether
 //! it took effect.
 
+pub mod content;
 pub mod custody;
 pub mod endpoint;
 mod fault;
