--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,5 +1,6 @@
 //! Deployment of a run: services, routes, and the number of routers, upstreams and callers.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +15,9 @@
 const TARGET_LATENCY: Duration = Duration::from_millis(600);
 /// Maximum number of upstreams that one request may be sent to.
 pub(crate) const MAX_ATTEMPTS: u32 = 3;
+/// Number of further routes of a large configuration, which grows with each version up to a maximum.
+const ROUTE_COUNT_STEP: usize = 1_400;
+const MAX_ROUTE_COUNT: usize = 4_200;
 /// Last part of the path of the request that ends the upstreams that begin to run it.
 const DEADLY: &str = "deadly";
 /// Maximum number of connections to an upstream.
@@ -96,17 +100,13 @@
     (services[upstream / 3 % services.len()], kind.is_keyed())
 }
 
-/// Returns the configuration with a version, and the service of each path prefix.
-pub(crate) fn directory(version: u64) -> (Directory, Vec<(&'static str, &'static str)>) {
-    let chosen = Kind::ALL.map(|kind| {
-        let services = kind.services();
-        (kind, services[version as usize % services.len()])
-    });
-    let routes = chosen.iter().map(|(kind, service)| Route {
-        name: kind.prefix().trim_matches('/').into(),
+/// Returns a route to a service.
+fn route(name: Arc<str>, prefix: Arc<str>, is_idempotent: bool, service: &str) -> Route {
+    Route {
+        name,
         host: HOST.into(),
-        prefix: kind.prefix().into(),
-        repeat: if kind.is_idempotent() {
+        prefix,
+        repeat: if is_idempotent {
             Repeat::Idempotent
         } else {
             Repeat::Once
@@ -116,10 +116,39 @@
         priority: 1,
         max_attempts: MAX_ATTEMPTS,
         parts: vec![Part {
-            service: (*service).into(),
+            service: service.into(),
             weight: 1,
         }],
+    }
+}
+
+/// Returns the routes of a large configuration that no caller uses.
+fn large_config(version: u64) -> impl Iterator<Item = Route> {
+    let count = MAX_ROUTE_COUNT.min(ROUTE_COUNT_STEP * (1 + version as usize / 2));
+    (0..count).map(|number| {
+        let mut hasher = DefaultHasher::new();
+        number.hash(&mut hasher);
+        let name = format!("{:x}", hasher.finish());
+        let prefix = format!("/{name}/");
+        route(name.into(), prefix.into(), true, "lookup")
+    })
+}
+
+/// Returns the configuration with a version, and the service of each path prefix.
+pub(crate) fn directory(
+    version: u64,
+    is_large: bool,
+) -> (Directory, Vec<(&'static str, &'static str)>) {
+    let chosen = Kind::ALL.map(|kind| {
+        let services = kind.services();
+        (kind, services[version as usize % services.len()])
+    });
+    let routes = chosen.iter().map(|(kind, service)| {
+        let name = kind.prefix().trim_matches('/').into();
+        route(name, kind.prefix().into(), kind.is_idempotent(), service)
     });
+    let further = is_large.then(|| large_config(version));
+    let routes = routes.chain(further.into_iter().flatten());
     let services = services().map(|(name, is_keyed)| {
         let service = Service {
             max_connections: MAX_CONNECTIONS,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -27,9 +27,9 @@
 use crate::guarantee::{Guarantee, Violation};
 use crate::mesh::{self, Mesh};
 use crate::plan::{self, Plan};
-use crate::proxy::Proxy;
+use crate::proxy::{Proxy, Rate};
 use crate::router::Router;
-use crate::schedule::{Event, has_peer_links};
+use crate::schedule::{Event, has_large_configurations, has_peer_links};
 use crate::upstream::{SLOTS, Server};
 
 /// Time from SIGTERM to SIGKILL.
@@ -40,6 +40,8 @@
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
 /// Time without faults at the start of a run.
 const WARM_UP: Duration = Duration::from_secs(3);
+/// Rate of a slow link, half of 10 Mbit/s.
+const SLOW_LINK_BYTES_PER_S: u32 = 625_000;
 /// Interval at which this process measures its own scheduling delay.
 const TICK: Duration = Duration::from_millis(20);
 /// Scheduling delay of this process above which it can't judge how fast a router was.
@@ -226,9 +228,24 @@
             let aliases = addresses.map(|address| (address, mesh::alias(address)));
             cluster.store.set_aliases(aliases.collect());
         }
+        if has_large_configurations(seed) {
+            cluster.slow_down(seed as usize / 4 % plan.routers);
+        }
         Ok(cluster)
     }
 
+    /// Limits the rate of a router's links to callers, the store and other routers.
+    fn slow_down(&self, router: usize) {
+        let rate = Arc::new(Rate::new(SLOW_LINK_BYTES_PER_S));
+        let mesh = self.mesh.as_ref();
+        let peers = mesh.map(|mesh| mesh.links(router)).unwrap_or_default();
+        let proxies = [&self.front_proxies[router], &self.store_proxies[router]];
+        let controls = proxies.map(|proxy| Arc::clone(&proxy.control));
+        for control in peers.iter().chain(&controls) {
+            control.limit(Some(Arc::clone(&rate)));
+        }
+    }
+
     /// Starts an incarnation of an upstream, under a new name unless `name` is given, and at
     /// a new address unless `proxy` is given.
     async fn start_upstream(
@@ -311,7 +328,7 @@
 
     fn write_configuration(&self) {
         let version = self.version.load(Ordering::Relaxed);
-        let (directory, services) = plan::directory(version);
+        let (directory, services) = plan::directory(version, has_large_configurations(self.seed));
         self.store.configure(&directory);
         for (prefix, service) in services {
             self.checker.route(prefix, service);
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -243,6 +243,11 @@
     seed.is_multiple_of(2) && routers <= MAX_PROXIED_ROUTERS
 }
 
+/// Whether the configuration of the run of a seed has thousands of routes, and one router a slow link.
+pub(crate) fn has_large_configurations(seed: u64) -> bool {
+    seed % 4 == 2
+}
+
 /// Whether faults that concern the holders of keys meet in the run of a seed.
 fn has_clusters(seed: u64) -> bool {
     seed % 3 == 1
