Routers log when they can't open connections to most upstreams of a service

Routers that were cut from all upstreams refused their callers (RECOVER), and no line told them from routers whose upstreams had failed. The results of new connections are kept for 5 s by upstream; lines upstreams out of reach and upstreams in reach, gauge eelgrassrock_unreachable_upstreams. Nothing decides by it.

--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -71,6 +71,8 @@
     deferred_until: Instant,
     /// This router's part of the limit that it has set to the requests from all routers.
     pub(crate) allowance: Option<Allowance>,
+    /// Whether the last attempt to connect succeeded, and when it ended.
+    last_connect: Option<(bool, Instant)>,
 }
 
 impl Member {
@@ -93,9 +95,21 @@
             full_pause: MIN_FULL_PAUSE,
             deferred_until: now,
             allowance: None,
+            last_connect: None,
         }
     }
 
+    /// Records the result of an attempt to connect.
+    pub(crate) fn record_connect(&mut self, is_open: bool, now: Instant) {
+        self.last_connect = Some((is_open, now));
+    }
+
+    /// Whether the last attempt to connect succeeded, `None` if there was none lately.
+    pub(crate) fn is_reachable(&self, evidence_time: Duration, now: Instant) -> Option<bool> {
+        let (is_open, at) = self.last_connect?;
+        (now - at < evidence_time).then_some(is_open)
+    }
+
     /// Replaces the self-description of the upstream.
     pub(crate) fn update(&mut self, upstream: Arc<Upstream>, now: Instant) {
         if upstream.leaving && self.leaving_since.is_none() {
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -12,6 +12,7 @@
 mod deferral;
 mod limit;
 mod queue;
+mod reach;
 mod unavailable;
 
 use std::sync::Arc;
@@ -23,6 +24,7 @@
 use self::block::{Block, MAX_BLOCK};
 use self::deferral::Deferral;
 use self::limit::Entry;
+pub use self::reach::Reach;
 use crate::budget::{self, Budget};
 use crate::directory::Repeat;
 use crate::member::Member;
@@ -230,6 +232,7 @@
     limits: IndexMap<Arc<str>, Entry>,
     /// Time after which a leaving upstream may get no more requests.
     drain: Duration,
+    last_failed_connect: Option<Instant>,
 }
 
 /// Change in the health of an upstream, as this router sees it.
@@ -266,6 +269,7 @@
             deferrals: IndexMap::new(),
             limits: IndexMap::new(),
             drain: DEFAULT_DRAIN,
+            last_failed_connect: None,
         }
     }
 
--- /dev/null
+++ b/crates/dispatch/src/service/reach.rs
@@ -0,0 +1,60 @@
+//! Whether this router reaches the upstreams of a service, judged by the connections that it tries to
+//! open. An open connection may go on working while new ones are refused, so answers don't count.
+
+use std::time::Duration;
+
+use eelgrassrock_model::time::Instant;
+
+use super::Service;
+
+/// Time for which the result of an attempt to connect counts.
+const EVIDENCE_TIME: Duration = Duration::from_secs(5);
+/// Upstreams that can't be reached until the router itself is suspected, unless there are fewer.
+const MIN_UNREACHABLE: usize = 3;
+
+/// Number of upstreams by the last attempt to connect to them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Reach {
+    /// Upstreams to which connections could be opened.
+    pub reached: usize,
+    /// Upstreams to which they couldn't.
+    pub unreachable: usize,
+}
+
+impl Service {
+    /// Records the result of an attempt to connect to an upstream.
+    pub fn record_connect(&mut self, upstream: &str, is_open: bool, now: Instant) {
+        if let Some(member) = self.members.get_mut(upstream) {
+            member.record_connect(is_open, now);
+        }
+        self.last_failed_connect = if is_open {
+            self.last_failed_connect
+        } else {
+            Some(now)
+        };
+    }
+
+    /// Counts the upstreams by whether this router has reached them lately.
+    pub fn reach(&self, now: Instant) -> Reach {
+        let mut reach = Reach::default();
+        for member in self.members.values() {
+            match member.is_reachable(EVIDENCE_TIME, now) {
+                Some(true) => reach.reached += 1,
+                Some(false) => reach.unreachable += 1,
+                None => {}
+            }
+        }
+        reach
+    }
+
+    /// Whether this router is cut off from at least half of the upstreams that it has tried to reach.
+    pub fn is_cut_off(&self, now: Instant) -> bool {
+        let failed_at = self.last_failed_connect;
+        if failed_at.is_none_or(|at| now - at >= EVIDENCE_TIME) {
+            return false;
+        }
+        let reach = self.reach(now);
+        let least = MIN_UNREACHABLE.min(self.members.len()).max(1);
+        reach.unreachable >= least && reach.unreachable >= reach.reached
+    }
+}
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -116,7 +116,15 @@
         let connecting_since = clock::now();
         let link = match pooled {
             Some(link) => Some(link),
-            None => link::connect(upstream.address, until - clock::now()).await,
+            None => {
+                let limit = until - clock::now();
+                let link = link::connect(upstream.address, limit).await;
+                // A time limit that ends sooner than usual says nothing about the upstream.
+                if link.is_some() || limit >= link::CONNECT_TIMEOUT && !node.is_link_busy() {
+                    node.record_connect(upstream, link.is_some());
+                }
+                link
+            }
         };
         let Some(mut link) = link else {
             message.restore(request);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -141,6 +141,7 @@
     suppressed_lines: Counter,
     deferred: Counter,
     limited: Family<Service, Gauge>,
+    unreachable: Family<Service, Gauge>,
     limited_sends: Family<Service, Counter>,
     cleared_sources: Family<Cleared, Counter>,
     received_bytes: Family<Received, Counter>,
@@ -177,6 +178,7 @@
             suppressed_lines: Counter::default(),
             deferred: Counter::default(),
             limited: Family::default(),
+            unreachable: Family::default(),
             limited_sends: Family::default(),
             cleared_sources: Family::default(),
             received_bytes: Family::default(),
@@ -238,6 +240,8 @@
         all.register("deferrals", help, self.deferred.clone());
         let help = "Upstreams with a limit to the requests from all routers";
         all.register("limited_upstreams", help, self.limited.clone());
+        let help = "Upstreams to which the last connection couldn't be opened";
+        all.register("unreachable_upstreams", help, self.unreachable.clone());
         let help = "Sends to upstreams with a limit";
         all.register("limited_sends", help, self.limited_sends.clone());
         let help = "Earlier holders found not to hold their keys any more, by the proof";
@@ -429,6 +433,9 @@
             self.waiting
                 .get_or_create(&labels)
                 .set(service.waiting() as i64);
+            self.unreachable
+                .get_or_create(&labels)
+                .set(service.reach(now).unreachable as i64);
             self.limited
                 .get_or_create(&labels)
                 .set(service.limited() as i64);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -14,6 +14,7 @@
 use eelgrassrock_dispatch::service::{Service, Span, Step};
 use eelgrassrock_dispatch::suspect::Suspects;
 use eelgrassrock_dispatch::uplink::{Size, Uplink};
+use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_ranges::map::Map;
@@ -68,6 +69,15 @@
     pause_ms: u64,
 }
 
+#[derive(Serialize)]
+struct ReachLine<'a> {
+    service: &'a str,
+    /// Upstreams to which connections could be opened lately.
+    reached: usize,
+    /// Upstreams to which they couldn't.
+    unreachable: usize,
+}
+
 #[derive(Serialize)]
 struct InvalidMapLine<'a> {
     service: &'a str,
@@ -316,6 +326,29 @@
         Some(result)
     }
 
+    /// Records the result of an attempt to connect to an upstream.
+    pub(crate) fn record_connect(self: &Rc<Self>, upstream: &Upstream, is_open: bool) {
+        let change = self.with_service(&upstream.service, |service, now| {
+            let was_cut_off = service.is_cut_off(now);
+            service.record_connect(&upstream.id, is_open, now);
+            let is_cut_off = service.is_cut_off(now);
+            (was_cut_off != is_cut_off).then(|| (is_cut_off, service.reach(now)))
+        });
+        let Some(Some((is_cut_off, reach))) = change else {
+            return;
+        };
+        let line = ReachLine {
+            service: &upstream.service,
+            reached: reach.reached,
+            unreachable: reach.unreachable,
+        };
+        if is_cut_off {
+            self.log.warn("upstreams out of reach", &line);
+        } else {
+            self.log.info("upstreams in reach", &line);
+        }
+    }
+
     async fn poll_queue(self: Rc<Self>, service: Arc<str>) {
         loop {
             tokio::time::sleep(QUEUE_POLL).await;
