Small differences of large rows come with the news

A follower names the large rows that it has, and its relay puts the difference into the answer if it has 8 kB at most. A call for a row has 1 s until its answer begins: reading the row elsewhere takes longer over a busy link, and that the source is lost is noticed by the calls for news.

--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -41,6 +41,8 @@
 
 /// Timeout of a call between routers. It allows for many round trips and a slow VM.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Timeout of a request for a row. To read the row elsewhere takes longer on a busy link.
+const ROW_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest pause while an answer arrives.
 const STALL_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -265,7 +267,7 @@
         request: &relay::RowRequest,
         link_wait: Duration,
     ) -> Result<relay::RowResponse, Contact> {
-        let limit = CALL_TIMEOUT + link_wait;
+        let limit = ROW_TIMEOUT + link_wait;
         self.call_steadily(address, ROW_PATH, request, limit).await
     }
 
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -34,7 +34,7 @@
 use tokio::time::{sleep, timeout};
 
 use self::journal::{Journal, Part};
-use self::transfer::{Compressed, Incoming};
+use self::transfer::{Compressed, Incoming, LargeRow};
 pub(crate) use self::transfer::{RowRequest, RowResponse};
 use crate::clock;
 use crate::leadership::ServiceTime;
@@ -100,6 +100,7 @@
     /// Service times that the follower measured, by service.
     service_times: Vec<(Arc<str>, Vec<ServiceTime>)>,
     notices: Notices,
+    large_rows: Vec<LargeRow>,
 }
 
 /// Response to a follower or to a starting router's consultation.
@@ -268,6 +269,7 @@
                 .collect(),
             service_times,
             notices: self.own_notices(),
+            large_rows: self.relay.all_large_rows(),
         }
     }
 
@@ -293,7 +295,9 @@
             }
         };
         let nothing = || (self.relay.unchanged(request.after), Vec::new());
-        let (tables, maps) = found.unwrap_or_else(nothing);
+        let (mut tables, maps) = found.unwrap_or_else(nothing);
+        self.relay
+            .insert_differences(&mut tables, &request.large_rows);
         // A new follower has only read the table of the routers, to find its relay.
         let is_new = request.after.iter().any(Revision::is_none);
         self.build_response(tables, maps, is_new)
--- a/crates/edge/src/relay/journal.rs
+++ b/crates/edge/src/relay/journal.rs
@@ -17,7 +17,7 @@
 /// Maximum number of changes of one table that are kept for followers.
 const MAX_JOURNAL: usize = 1_024;
 /// Size of contents above which a row is announced, and transferred by itself.
-const MAX_INLINE_BYTES: usize = 8 << 10;
+pub(super) const MAX_INLINE_BYTES: usize = 8 << 10;
 /// Number of earlier contents of a large row that are kept, for followers that have them.
 const MAX_EARLIER: usize = 2;
 
@@ -64,12 +64,21 @@
     Present(Vec<u8>),
     /// Contents to be fetched.
     Announced(Digest),
+    /// Contents as the difference to those that the follower has.
+    Difference {
+        base: Digest,
+        digest: Digest,
+        compressed: Vec<u8>,
+    },
 }
 
 impl WireRow {
     /// Whether the contents of the row have yet to arrive.
     pub(super) fn is_missing(&self) -> bool {
-        matches!(self.value, WireValue::Announced(_))
+        matches!(
+            self.value,
+            WireValue::Announced(_) | WireValue::Difference { .. }
+        )
     }
 }
 
@@ -96,7 +105,7 @@
             key: row.key,
             value: match row.value {
                 WireValue::Present(value) => Some(value.into()),
-                WireValue::Removed | WireValue::Announced(_) => None,
+                WireValue::Removed | WireValue::Announced(_) | WireValue::Difference { .. } => None,
             },
             version: row.version,
         }
@@ -195,6 +204,17 @@
         self.journals.borrow()[index(table)].whole.get(key).cloned()
     }
 
+    /// Returns the digests of the large rows of a table.
+    pub(super) fn large_rows(&self, table: Table) -> Vec<(Arc<str>, Digest)> {
+        let journals = self.journals.borrow();
+        let rows = journals[index(table)].whole.iter();
+        let large = rows.filter_map(|(key, row)| {
+            let value = row.value.as_ref()?;
+            (value.len() > MAX_INLINE_BYTES).then(|| (Arc::clone(key), Digest::of(value)))
+        });
+        large.collect()
+    }
+
     /// Returns earlier or present contents of a large row by their digest.
     pub(super) fn earlier_contents(
         &self,
--- a/crates/edge/src/relay/transfer.rs
+++ b/crates/edge/src/relay/transfer.rs
@@ -11,7 +11,7 @@
 use eelgrassrock_store::content::{self, Digest};
 use serde::{Deserialize, Serialize};
 
-use super::journal::{Part, WireRow, WireValue, index};
+use super::journal::{MAX_INLINE_BYTES, Part, WireRow, WireValue, index};
 use super::{Relay, TABLES};
 use crate::clock;
 use crate::node::Node;
@@ -31,6 +31,14 @@
     source: SocketAddr,
 }
 
+/// Large row that a follower has.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct LargeRow {
+    table: u8,
+    key: Arc<str>,
+    digest: Digest,
+}
+
 /// Request for the present contents of a row.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct RowRequest {
@@ -97,6 +105,47 @@
         versions
     }
 
+    /// Returns the large rows that this router has.
+    pub(super) fn all_large_rows(&self) -> Vec<LargeRow> {
+        let rows = TABLES.into_iter().flat_map(|table| {
+            let rows = self.large_rows(table).into_iter();
+            rows.map(move |(key, digest)| LargeRow {
+                table: index(table) as u8,
+                key,
+                digest,
+            })
+        });
+        rows.collect()
+    }
+
+    /// Puts small differences in place of announcements, if the follower has earlier contents.
+    pub(super) fn insert_differences(&self, parts: &mut [Part], known: &[LargeRow]) {
+        for part in parts {
+            let Some(table) = TABLES.get(usize::from(part.table)).copied() else {
+                continue;
+            };
+            for row in &mut part.rows {
+                let WireValue::Announced(digest) = row.value else {
+                    continue;
+                };
+                let same = |known: &&LargeRow| known.table == part.table && known.key == row.key;
+                let difference = known.iter().find(same).and_then(|known| {
+                    let contents = self.earlier_contents(table, &row.key, digest)?;
+                    let base = self.earlier_contents(table, &row.key, known.digest)?;
+                    let compressed = self.compress(digest, &contents, Some(&base))?;
+                    (compressed.len() <= MAX_INLINE_BYTES).then(|| WireValue::Difference {
+                        base: known.digest,
+                        digest,
+                        compressed: compressed.into(),
+                    })
+                });
+                if let Some(difference) = difference {
+                    row.value = difference;
+                }
+            }
+        }
+    }
+
     /// Returns a row in compressed form.
     fn compress(&self, digest: Digest, contents: &[u8], base: Option<&Bytes>) -> Option<Bytes> {
         let base_digest = base.map(|base| Digest::of(base));
@@ -174,16 +223,33 @@
         }
     }
 
-    /// Fills announced rows whose contents this router has, under whatever version.
+    /// Fills announced rows whose contents this router has, under whatever version, or can restore.
     fn fill_known_rows(&self, table: Table, part: &mut Part) {
         for row in &mut part.rows {
-            if let WireValue::Announced(digest) = row.value {
+            let known = || {
                 let known = self.relay.known_row(table, &row.key);
-                let known = known.and_then(|known| known.value);
-                if let Some(known) = known.filter(|known| digest.is_of(known)) {
-                    row.value = WireValue::Present(known.into());
+                known.and_then(|known| known.value)
+            };
+            row.value = match &row.value {
+                WireValue::Announced(digest) => match known() {
+                    Some(known) if digest.is_of(&known) => WireValue::Present(known.into()),
+                    _ => continue,
+                },
+                WireValue::Difference {
+                    base,
+                    digest,
+                    compressed,
+                } => {
+                    let known = known().filter(|known| base.is_of(known));
+                    let restored =
+                        known.map(|known| content::decompress(compressed, &known, *digest));
+                    match restored {
+                        Some(Ok(contents)) => WireValue::Present(contents),
+                        _ => WireValue::Announced(*digest),
+                    }
                 }
-            }
+                WireValue::Present(_) | WireValue::Removed => continue,
+            };
         }
     }
 
