--- a/crates/edge/src/leadership/campaign.rs
+++ b/crates/edge/src/leadership/campaign.rs
@@ -57,6 +57,11 @@
             let changed = self.relay.changed_at(Table::Routers);
             changed.is_some_and(|at| now - at >= FIRST_CAMPAIGN_DELAY)
         };
+        // A router that is behind its relay may be behind because of its own link, and can't tell
+        // whether the leader is lost.
+        if self.is_bypassing_relay() {
+            return false;
+        }
         // Leadership can't be taken without the store. Store contact also implies that the router
         // isn't stopping.
         self.has_store_contact() && (has_known_leader == Some(true) || are_routers_stable())
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -146,12 +146,7 @@
     /// Returns the relay that this router follows, or `None` if it reads the store itself.
     pub(crate) fn relay_to_follow(&self) -> Option<Router> {
         let now = clock::now();
-        let is_bypassing = self
-            .relay
-            .bypass_until
-            .get()
-            .is_some_and(|until| now < until);
-        if is_bypassing || self.relay.synced_version(Table::Routers).is_none() {
+        if self.is_bypassing_relay() || self.relay.synced_version(Table::Routers).is_none() {
             return None;
         }
         let own = &self.settings;
@@ -165,6 +160,12 @@
         (*name != own.router).then(|| router.clone())
     }
 
+    /// Whether this router reads the store itself although there may be a relay.
+    pub(crate) fn is_bypassing_relay(&self) -> bool {
+        let until = self.relay.bypass_until.get();
+        until.is_some_and(|until| clock::now() < until)
+    }
+
     /// Lets this router read the store itself for a while.
     fn bypass_relay(&self, reason: &'static str) {
         self.log.info("relay bypassed", &BypassedLine { reason });
