Failing tests: routers and a leader that are cut off from all upstreams

Callers of cut routers were refused, and no router served keyed reads once the leader was cut off (RECOVER). The way back after a cut passes.

--- a/crates/edge/tests/support/link.rs
+++ b/crates/edge/tests/support/link.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use socket2::{Domain, Socket, Type};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, copy};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Mutex;
@@ -18,6 +19,34 @@
     pub(crate) address: SocketAddr,
 }
 
+/// Address at which connections are neither accepted nor refused, like those into a partition.
+pub(crate) struct BlackHole {
+    pub(crate) address: SocketAddr,
+    _listener: Socket,
+    /// Connections that fill the queue of the listener.
+    _queue: Vec<std::net::TcpStream>,
+}
+
+impl BlackHole {
+    pub(crate) fn open() -> Self {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        listener.bind(&any.into()).unwrap();
+        listener.listen(0).unwrap();
+        let address = listener.local_addr().unwrap().as_socket().unwrap();
+        let mut queue = Vec::new();
+        let limit = Duration::from_millis(100);
+        while let Ok(stream) = std::net::TcpStream::connect_timeout(&address, limit) {
+            queue.push(stream);
+        }
+        Self {
+            address,
+            _listener: listener,
+            _queue: queue,
+        }
+    }
+}
+
 /// When the last byte that was sent will have passed.
 type Busy = Arc<Mutex<Instant>>;
 
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -44,6 +44,8 @@
     servers: Vec<Server>,
     /// Routers whose calls the store does not answer.
     disconnected: Vec<String>,
+    /// Routers without a path to any upstream, and the address that they reach in place of each.
+    cut_off: BTreeMap<String, SocketAddr>,
     /// Number of calls of any kind by router.
     calls: BTreeMap<String, usize>,
     /// Number of feed calls by router.
@@ -221,6 +223,24 @@
         self.write(table, key, Some("malformed".into()));
     }
 
+    /// Cuts a router off from all upstreams, so that it reaches `address` in place of each, or ends
+    /// that with `None`. The store and other routers still reach it.
+    pub(crate) fn cut_off(&self, router: &str, address: Option<SocketAddr>) {
+        let ids: Vec<Arc<str>> = {
+            let mut state = self.0.lock().unwrap();
+            match address {
+                Some(address) => state.cut_off.insert(router.to_owned(), address),
+                None => state.cut_off.remove(router),
+            };
+            let ids = state.upstreams.iter();
+            ids.map(|upstream| Arc::clone(&upstream.id)).collect()
+        };
+        // Lets the router decode the entries again.
+        for (index, id) in ids.iter().enumerate() {
+            self.write(Table::Registry, id, Some(index.to_string().into()));
+        }
+    }
+
     /// Makes all calls of a router fail.
     pub(crate) fn disconnect(&self, router: &str) {
         self.0.lock().unwrap().disconnected.push(router.to_owned());
@@ -489,7 +509,12 @@
             .ok()
             .and_then(|text| text.parse().ok())
             .ok_or_else(|| unreadable("not an index"))?;
-        Ok(self.store.0.lock().unwrap().upstreams[index].clone())
+        let state = self.store.0.lock().unwrap();
+        let mut upstream = state.upstreams[index].clone();
+        if let Some(address) = state.cut_off.get(&self.router) {
+            upstream.address = *address;
+        }
+        Ok(upstream)
     }
 
     async fn connect(&self, _address: SocketAddr, _upstream: &str) {}
