A router that can't reach the upstreams lets another one handle its requests

Cause: a router knew only itself. It waited for upstreams that it couldn't reach, and refused at the end. Evidence: 1,163 lines upstream paused at eight cut routers, two at the four others.

Change: new connections show whether a router is cut off from a service. Then requests are passed on to another router over its internal port, once, with the time and attempts that are left; the answer says how the request ended there. If no router can serve a request, it is refused at once.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 //! the caller has to do next. A [`service::Service`] is one router's view of one service.
 
 pub mod budget;
+pub mod detour;
 pub mod directory;
 pub mod limit;
 mod member;
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -67,6 +67,8 @@
     pub retry_at: Instant,
     /// Whether an earlier send of it has reached an upstream.
     pub is_repeat: bool,
+    /// Whether another router may handle it, if this one is cut off from the upstreams.
+    pub may_detour: bool,
 }
 
 /// Result of a send, from which the health of the upstream is estimated.
@@ -137,6 +139,8 @@
     },
     /// Wait: the request is queued, and [`Service::poll`] returns what follows.
     Wait,
+    /// Let another router handle the request, because this one can't reach the upstreams.
+    Detour,
     /// Refuse the request.
     Refuse(Refusal),
 }
@@ -169,6 +173,8 @@
     Deferred,
     /// The upstreams that could take it have set a limit, and this router has used its part.
     Limited,
+    /// This router can't reach the upstreams, and no other router may handle it.
+    OutOfReach,
 }
 
 impl Reason {
@@ -183,6 +189,7 @@
             Self::Budget => "budget",
             Self::Deferred => "deferred",
             Self::Limited => "limited",
+            Self::OutOfReach => "out-of-reach",
         }
     }
 }
@@ -233,6 +240,8 @@
     /// Time after which a leaving upstream may get no more requests.
     drain: Duration,
     last_failed_connect: Option<Instant>,
+    /// Earliest time at which a request may find out whether an upstream can be reached again.
+    probe_due: Option<Instant>,
 }
 
 /// Change in the health of an upstream, as this router sees it.
@@ -270,6 +279,7 @@
             limits: IndexMap::new(),
             drain: DEFAULT_DRAIN,
             last_failed_connect: None,
+            probe_due: None,
         }
     }
 
@@ -419,12 +429,21 @@
         }
         let is_repeat = request.is_repeat;
         let step = self.dispatch(request, now);
-        if is_repeat && matches!(step, Step::Send { .. }) {
+        if is_repeat && matches!(step, Step::Send { .. } | Step::Detour) {
             self.budget.take(now);
         }
         step
     }
 
+    /// Takes one repeated send from the budget. Returns whether the budget allows it.
+    pub fn take_repeat(&mut self, now: Instant) -> bool {
+        let is_allowed = self.budget.allows(now, self.routers);
+        if is_allowed {
+            self.budget.take(now);
+        }
+        is_allowed
+    }
+
     /// Records the end of a send that began at `started`. `key` is the key of the request.
     pub fn end(
         &mut self,
@@ -475,6 +494,7 @@
             }
         }
 
+        self.note_probe(&upstream.id, now);
         if let Some(member) = self.members.get_mut(&upstream.id) {
             member.begin(now);
         }
--- a/crates/dispatch/src/service/choice.rs
+++ b/crates/dispatch/src/service/choice.rs
@@ -5,6 +5,7 @@
 
 use eelgrassrock_model::time::Instant;
 
+use super::reach::is_reached;
 use super::{Request, Service, Span, Step};
 use crate::member::Member;
 use crate::upstream::Upstream;
@@ -24,6 +25,7 @@
     Full,
     NoHolder,
     NoUpstream,
+    OutOfReach,
 }
 
 /// How far away an upstream is.
@@ -80,6 +82,8 @@
             return self.choose_holder(request, now);
         }
         let mut usable = false;
+        let is_cut_off = self.is_cut_off(now);
+        let may_probe = !is_cut_off || self.may_probe(now);
         // The cheapest upstream of the subset, of the rest of the data centre, and elsewhere.
         let mut best: [Option<(f64, &Member)>; 3] = [None; 3];
         for (index, member) in self.members.values().enumerate() {
@@ -87,7 +91,7 @@
                 continue;
             }
             usable = true;
-            if !member.has_room(now) {
+            if !member.has_room(now) || !(may_probe || is_reached(member, now)) {
                 continue;
             }
             let cost = member.cost_ms(now);
@@ -105,6 +109,7 @@
         };
         match soon.or_else(cheapest) {
             Some((_, member)) => Choice::Take(Arc::clone(&member.upstream)),
+            None if is_cut_off => Choice::OutOfReach,
             None if usable => Choice::Full,
             None => Choice::NoUpstream,
         }
@@ -133,6 +138,13 @@
         }
         match self.members.get(holder) {
             Some(member) if member.is_closed(self.drain, now) => Choice::NoHolder,
+            Some(member)
+                if self.is_cut_off(now)
+                    && !is_reached(member, now)
+                    && !(self.may_probe(now) && member.has_room(now)) =>
+            {
+                Choice::OutOfReach
+            }
             Some(member) if member.has_room(now) => Choice::Take(Arc::clone(&member.upstream)),
             Some(_) => Choice::Full,
             None => Choice::NoHolder,
--- a/crates/dispatch/src/service/queue.rs
+++ b/crates/dispatch/src/service/queue.rs
@@ -61,6 +61,13 @@
                     }
                     done.push((request.ticket, self.begin(upstream, request.key, now)));
                 }
+                Choice::OutOfReach => {
+                    let step = self.detour(&request, now);
+                    if request.is_repeat && step == Step::Detour {
+                        self.budget.take(now);
+                    }
+                    done.push((request.ticket, step));
+                }
                 Choice::NoHolder if Self::has_waited_for_holder(&request, now) => {
                     let refusal = self.refuse(Reason::NoHolder, &request, now);
                     done.push((request.ticket, refusal));
@@ -93,6 +100,7 @@
         match self.choose(&request, now) {
             Choice::Take(upstream) => self.begin(upstream, request.key, now),
             Choice::NoUpstream => self.refuse_unavailable(&request, now),
+            Choice::OutOfReach => self.detour(&request, now),
             Choice::NoHolder
                 if self.can_wait(&request, now) && !Self::has_waited_for_holder(&request, now) =>
             {
@@ -107,6 +115,17 @@
         }
     }
 
+    /// Decides on a request that this router can't send to an upstream.
+    fn detour(&mut self, request: &Request, now: Instant) -> Step {
+        if !request.may_detour {
+            return self.refuse(Reason::OutOfReach, request, now);
+        }
+        if request.is_repeat && !self.budget.allows(now, self.routers) {
+            return self.refuse(Reason::Budget, request, now);
+        }
+        Step::Detour
+    }
+
     pub(super) fn enqueue(&mut self, request: Request) -> Step {
         self.queue.push(request);
         Step::Wait
@@ -197,7 +216,7 @@
 
     pub(super) fn refuse(&mut self, reason: Reason, request: &Request, now: Instant) -> Step {
         let wait = match reason {
-            Reason::NoHolder | Reason::NoUpstream => NO_HOLDER_RETRY_AFTER,
+            Reason::NoHolder | Reason::NoUpstream | Reason::OutOfReach => NO_HOLDER_RETRY_AFTER,
             Reason::Overload => OVERLOAD_RETRY_AFTER,
             Reason::Busy | Reason::Attempts | Reason::Budget => self.wait(request, now),
             Reason::Deferred => self.unavailable_for(request, now),
--- a/crates/dispatch/src/service/reach.rs
+++ b/crates/dispatch/src/service/reach.rs
@@ -6,12 +6,18 @@
 use eelgrassrock_model::time::Instant;
 
 use super::Service;
+use crate::member::Member;
 
 /// Time for which the result of an attempt to connect counts.
 const EVIDENCE_TIME: Duration = Duration::from_secs(5);
 /// Upstreams that can't be reached until the router itself is suspected, unless there are fewer.
 const MIN_UNREACHABLE: usize = 3;
 
+/// Time between requests that find out whether an upstream can be reached again. It is short once one
+/// could be reached.
+const PROBE_PAUSE: Duration = Duration::from_millis(500);
+const PROBE_PAUSE_AFTER_SUCCESS: Duration = Duration::from_millis(50);
+
 /// Number of upstreams by the last attempt to connect to them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Reach {
@@ -21,17 +27,41 @@
     pub unreachable: usize,
 }
 
+/// Whether a connection to an upstream could be opened lately.
+pub(super) fn is_reached(member: &Member, now: Instant) -> bool {
+    member.is_reachable(EVIDENCE_TIME, now) == Some(true)
+}
+
 impl Service {
     /// Records the result of an attempt to connect to an upstream.
     pub fn record_connect(&mut self, upstream: &str, is_open: bool, now: Instant) {
         if let Some(member) = self.members.get_mut(upstream) {
             member.record_connect(is_open, now);
         }
-        self.last_failed_connect = if is_open {
-            self.last_failed_connect
+        if is_open {
+            let due = now + PROBE_PAUSE_AFTER_SUCCESS;
+            self.probe_due = self.probe_due.map(|planned| planned.min(due));
         } else {
-            Some(now)
-        };
+            self.last_failed_connect = Some(now);
+        }
+    }
+
+    /// Records that a request is sent to an upstream, which may not be reachable.
+    pub(super) fn note_probe(&mut self, upstream: &str, now: Instant) {
+        if self.is_cut_off(now) && self.is_out_of_reach(upstream, now) {
+            self.probe_due = Some(now + PROBE_PAUSE);
+        }
+    }
+
+    /// Whether the next request may find out whether an upstream can be reached.
+    pub(super) fn may_probe(&self, now: Instant) -> bool {
+        self.probe_due.is_none_or(|due| now >= due)
+    }
+
+    /// Whether this router hasn't reached an upstream lately.
+    fn is_out_of_reach(&self, upstream: &str, now: Instant) -> bool {
+        let member = self.members.get(upstream);
+        member.is_some_and(|member| !is_reached(member, now))
     }
 
     /// Counts the upstreams by whether this router has reached them lately.
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -160,6 +160,7 @@
             }
             Step::Refuse(_) => self.tally.refused += u32::from(arrived >= MEASURED_FROM_MS),
             Step::Wait => {}
+            Step::Detour => panic!("all upstreams can be reached"),
         }
     }
 
--- a/crates/dispatch/tests/keys.rs
+++ b/crates/dispatch/tests/keys.rs
@@ -181,7 +181,7 @@
                 );
             }
             Step::Refuse(refusal) => assert_eq!(refusal.reason, Reason::Overload),
-            Step::Wait => panic!("the holder has room"),
+            Step::Wait | Step::Detour => panic!("the holder has room"),
         }
     }
     assert_eq!(sent, 25);
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -82,6 +82,7 @@
         tried: Vec::new(),
         retry_at: at(ms),
         is_repeat: false,
+        may_detour: true,
     }
 }
 
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -76,7 +76,7 @@
         })
     }
 
-    fn build(&mut self, headers: HeaderMap) -> Request<Payload> {
+    pub(crate) fn build(&mut self, headers: HeaderMap) -> Request<Payload> {
         let body = match &mut self.body {
             Content::Whole(bytes) if bytes.is_empty() => Payload::Whole(None),
             Content::Whole(bytes) => Payload::whole(bytes.clone()),
@@ -192,7 +192,7 @@
 
 impl Message {
     /// Restores the body of a request of which nothing was sent.
-    fn restore(&mut self, request: Request<Payload>) {
+    pub(crate) fn restore(&mut self, request: Request<Payload>) {
         if let Content::Once(payload) = &mut self.body {
             *payload = Some(request.into_body());
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod clock;
 mod crash;
+mod detour;
 mod exchange;
 mod front;
 mod gossip;
--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -2,8 +2,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::io::{self, ErrorKind};
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,7 +15,7 @@
 use http::HeaderMap;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -170,11 +170,31 @@
 
 /// Establishes a connection. Returns `None` if that fails.
 pub(crate) async fn connect(address: SocketAddr, limit: Duration) -> Option<Link> {
+    establish(TcpStream::connect(address), limit).await
+}
+
+/// Establishes a connection from a local address, by which other routers recognize this one.
+pub(crate) async fn connect_from(
+    local: IpAddr,
+    address: SocketAddr,
+    limit: Duration,
+) -> Option<Link> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()
+    } else {
+        TcpSocket::new_v6()
+    };
+    let socket = socket.ok()?;
+    socket.bind(SocketAddr::new(local, 0)).ok()?;
+    establish(socket.connect(address), limit).await
+}
+
+async fn establish(
+    stream: impl Future<Output = io::Result<TcpStream>>,
+    limit: Duration,
+) -> Option<Link> {
     let limit = limit.min(CONNECT_TIMEOUT);
-    let stream = timeout(limit, TcpStream::connect(address))
-        .await
-        .ok()?
-        .ok()?;
+    let stream = timeout(limit, stream).await.ok()?.ok()?;
     // If these options can't be set, answers are delayed and failures are detected later.
     let _ = stream.set_nodelay(true);
     let _ = set_keepalive(&stream, DEAD_PEER_TIMEOUT);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use eelgrassrock_dispatch::Split;
+use eelgrassrock_dispatch::detour::Detours;
 use eelgrassrock_dispatch::directory::{Directory, Route};
 use eelgrassrock_dispatch::observation::Observations;
 use eelgrassrock_dispatch::place::{self, Place};
@@ -93,6 +94,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) links: Links,
     pub(crate) breaks: Breaks,
+    /// Routers that handle requests while this one can't reach the upstreams.
+    pub(crate) detours: RefCell<Detours>,
     /// Requests under which processes of upstreams have ended.
     pub(crate) suspects: RefCell<Suspects>,
     /// Wakes the task that shares suspects with the other routers.
@@ -201,6 +204,7 @@
             metrics,
             links: Links::default(),
             breaks: Breaks::default(),
+            detours: RefCell::default(),
             suspects: RefCell::default(),
             suspects_changed: Notify::new(),
             state: RefCell::new(State {
@@ -349,6 +353,13 @@
         }
     }
 
+    /// Whether this router reaches few of the upstreams of a service.
+    pub(crate) fn is_cut_off(&self, service: &str) -> bool {
+        let state = self.state.borrow();
+        let service = state.services.get(service);
+        service.is_some_and(|service| service.is_cut_off(clock::now()))
+    }
+
     async fn poll_queue(self: Rc<Self>, service: Arc<str>) {
         loop {
             tokio::time::sleep(QUEUE_POLL).await;
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -28,6 +28,7 @@
 use tokio::time::timeout;
 
 use crate::clock;
+use crate::detour;
 use crate::front;
 use crate::leadership::ServiceTime;
 use crate::link;
@@ -38,6 +39,7 @@
 use crate::platform::Platform;
 use crate::registry::Departure;
 use crate::relay;
+use crate::request;
 
 /// Timeout of a call between routers. It allows for many round trips and a slow VM.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
@@ -338,6 +340,9 @@
             .request("stranger refused", &UnknownPeerLine { address: from });
         return respond(StatusCode::FORBIDDEN, Bytes::new());
     }
+    if detour::is_passed_on(&request) {
+        return request::serve_passed_on(Rc::clone(node), request).await;
+    }
     let Taken::Whole(body) = payload::take(request.into_body(), &node.memory).await else {
         return respond(StatusCode::BAD_REQUEST, Bytes::new());
     };
--- a/crates/edge/src/platform.rs
+++ b/crates/edge/src/platform.rs
@@ -213,6 +213,9 @@
     /// left.
     fn set_request_headers(&self, headers: &mut HeaderMap, upstream: &Upstream, left: Duration);
 
+    /// Sets the time that is left of a request, for another router that handles it.
+    fn set_timeout(&self, headers: &mut HeaderMap, left: Duration);
+
     /// Classifies an answer to a request that was sent to `upstream`. A refusal may lack the
     /// identifier of its request; an answer with the identifier of another request is foreign.
     fn classify_answer(
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -230,7 +230,9 @@
             .services
             .values_mut()
             .for_each(|service| service.sweep(now));
-        node.links.sweep(|id| state.registry.get(id).is_some());
+        let routers = &state.routers;
+        node.links
+            .sweep(|id| state.registry.get(id).is_some() || routers.contains_key(id));
     }
 }
 
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use eelgrassrock_dispatch::directory::{Repeat, Route};
-use eelgrassrock_dispatch::service::{self, Reason, Refusal, Report, Request as Work, Step};
+use eelgrassrock_dispatch::service::{
+    self, Reason, Refusal, Report, Request as Work, Service, Step,
+};
 use eelgrassrock_dispatch::suspect::Fingerprint;
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::time::Instant;
@@ -19,8 +21,9 @@
 use tokio::time::timeout;
 
 use self::race::{Race, Sending, race, report_of};
-use self::reply::{origin_form, plain, refusal, strip, too_long};
+use self::reply::{Outcome, origin_form, plain, refusal, strip, too_long};
 use crate::clock;
+use crate::detour::{self, Handled, Passage};
 use crate::exchange::{Content, Exchange, Message, is_failure};
 use crate::node::Node;
 use crate::payload::{self, Payload, Taken};
@@ -37,6 +40,8 @@
 /// Value of `retry-after` while this router lacks a configuration that others have. Another router
 /// can accept the request at once.
 const OUTDATED_RETRY_AFTER: Duration = Duration::from_millis(10);
+/// Value of `retry-after` if no router that this one asks can reach the upstreams.
+const OUT_OF_REACH_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Pause before the only holder of a key is tried again.
 const HOLDER_RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// Time reserved for the answer's way to the caller, at the end of the caller's timeout.
@@ -90,14 +95,58 @@
     map: u64,
 }
 
-/// Serves one request, and removes the hop-by-hop headers from its answer.
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sender {
+    Caller,
+    /// Another router, which allows this number of upstreams to run the request.
+    Router {
+        attempts: u32,
+    },
+}
+
+/// Limits of a request that is passed on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limits {
+    pub(crate) until: Instant,
+    /// Number of upstreams that may run it.
+    pub(crate) attempts: u32,
+}
+
+/// Serves one request of a caller.
 pub(crate) async fn serve<P: Platform>(
+    node: Rc<Node<P>>,
+    mut request: Request<Incoming>,
+) -> Response<Payload> {
+    request.headers_mut().remove(detour::PASSED_ON);
+    serve_from(node, request, Sender::Caller).await
+}
+
+/// Serves one request that another router has passed on, and says how it ended.
+pub(crate) async fn serve_passed_on<P: Platform>(
+    node: Rc<Node<P>>,
+    mut request: Request<Incoming>,
+) -> Response<Payload> {
+    let attempts = detour::attempts_left(request.headers()).unwrap_or(1);
+    request.headers_mut().remove(detour::PASSED_ON);
+    let mut response = serve_from(node, request, Sender::Router { attempts }).await;
+    let outcome = response.extensions().get::<Outcome>().copied();
+    if let Some(Outcome(outcome)) = outcome {
+        let outcome = HeaderValue::from_static(outcome);
+        response.headers_mut().insert(detour::OUTCOME, outcome);
+    }
+    response
+}
+
+/// Serves one request, and removes the hop-by-hop headers from its answer.
+async fn serve_from<P: Platform>(
     node: Rc<Node<P>>,
     request: Request<Incoming>,
+    sender: Sender,
 ) -> Response<Payload> {
     node.open_requests.set(node.open_requests.get() + 1);
     let open = Open(Rc::clone(&node));
-    let mut response = answer(&node, request).await;
+    let mut response = answer(&node, request, sender).await;
     strip(response.headers_mut());
     if node.is_stopping() {
         response
@@ -117,7 +166,11 @@
     }
 }
 
-async fn answer<P: Platform>(node: &Rc<Node<P>>, request: Request<Incoming>) -> Response<Payload> {
+async fn answer<P: Platform>(
+    node: &Rc<Node<P>>,
+    request: Request<Incoming>,
+    sender: Sender,
+) -> Response<Payload> {
     let arrived = clock::now();
     let Some(directory) = node.state.borrow().directory.clone() else {
         return refusal(
@@ -160,7 +213,7 @@
     parts.headers.remove(EXPECT);
     parts.uri = origin_form(&parts.uri);
     let message = Message::new(parts, content, route.repeat);
-    let job = job(node, route, head, message, arrived);
+    let job = job(node, route, head, message, arrived, sender);
     if node.ends_at().is_some_and(|end| job.work.give_up > end) {
         return refusal(
             StatusCode::SERVICE_UNAVAILABLE,
@@ -190,6 +243,7 @@
     head: Head,
     message: Message,
     arrived: Instant,
+    sender: Sender,
 ) -> Job {
     let caller_timeout = head
         .timeout
@@ -209,11 +263,15 @@
         arrived,
         target: service::target(arrived, route.target, allowed),
         give_up: arrived + allowed,
-        max_attempts: route.max_attempts.max(1),
+        max_attempts: match sender {
+            Sender::Caller => route.max_attempts.max(1),
+            Sender::Router { attempts } => route.max_attempts.min(attempts).max(1),
+        },
         runs: 0,
         tried: Vec::new(),
         retry_at: arrived,
         is_repeat: false,
+        may_detour: sender == Sender::Caller,
     };
     Job {
         head,
@@ -226,7 +284,9 @@
 }
 
 async fn run<P: Platform>(node: &Rc<Node<P>>, mut job: Job, version: u64) -> Response<Payload> {
-    let done = attempt(node, &mut job).await;
+    let mut done = attempt(node, &mut job).await;
+    let outcome = Outcome(done.outcome);
+    done.response.extensions_mut().insert(outcome);
     let bytes = done.response.body().known_bytes();
     node.record_answer(&job.route.name, bytes, done.outcome != "answered");
     let elapsed = clock::now() - job.work.arrived;
@@ -290,6 +350,13 @@
         };
         let (upstream, started) = match current {
             Step::Send { upstream, started } => (upstream, started),
+            Step::Detour => match pass_on(node, job).await {
+                Next::Done(done) => return done,
+                Next::Again(_) => {
+                    let (outcome, wait) = (Reason::OutOfReach.as_str(), OUT_OF_REACH_RETRY_AFTER);
+                    return failed.unwrap_or_else(|| refused(job, outcome, wait));
+                }
+            },
             Step::Refuse(refusal) => {
                 return failed
                     .unwrap_or_else(|| refused(job, refusal.reason.as_str(), refusal.retry_after));
@@ -318,6 +385,72 @@
     }
 }
 
+/// Lets other routers handle a request until one does. Returns [`Next::Again`] if none can.
+async fn pass_on<P: Platform>(node: &Rc<Node<P>>, job: &mut Job) -> Next {
+    let mut tried = Vec::new();
+    loop {
+        let limits = Limits {
+            until: job.work.give_up,
+            attempts: job.work.max_attempts.saturating_sub(job.work.runs),
+        };
+        let started = clock::now();
+        if limits.attempts == 0 || started >= limits.until {
+            return Next::Again(None);
+        }
+        let mut passage = Passage {
+            message: &mut job.message,
+            head: &job.head,
+            limits,
+        };
+        let Some((handled, router)) = node.pass_on(&mut passage, &mut tried).await else {
+            return Next::Again(None);
+        };
+        job.sends.push(SendLine {
+            upstream: Arc::clone(&router),
+            at_ms: (started - job.work.arrived).as_millis() as u64,
+            elapsed_ms: (clock::now() - started).as_millis() as u64,
+            end: match &handled {
+                Handled::Answer { .. } => "passed-on",
+                Handled::NotRun => Reason::OutOfReach.as_str(),
+                Handled::Unknown(report) => report.as_str(),
+            },
+            map: 0,
+        });
+        match handled {
+            // The other router doesn't know that the request may have run before.
+            Handled::Answer { is_own: false, .. } if job.work.runs > 0 => {
+                return Next::Done(refused(job, "passed-on-refused", Duration::ZERO));
+            }
+            Handled::Answer { response, is_own } => {
+                return Next::Done(FinalAnswer {
+                    response,
+                    outcome: if is_own {
+                        "passed-on"
+                    } else {
+                        "passed-on-refused"
+                    },
+                    upstream: Some(router),
+                });
+            }
+            Handled::NotRun if job.message.is_repeatable() => {}
+            Handled::NotRun => return Next::Again(None),
+            Handled::Unknown(report) => {
+                job.work.runs += 1;
+                let may_repeat =
+                    job.route.repeat == Repeat::Idempotent && job.message.is_repeatable();
+                let repeats = |service: &mut Service, now| service.take_repeat(now);
+                let is_left = clock::now() < job.work.give_up
+                    && job.work.runs < job.work.max_attempts
+                    && may_repeat
+                    && node.with_service(&job.service, repeats) == Some(true);
+                if !is_left {
+                    return Next::Done(unanswered(job, report, Some(router)));
+                }
+            }
+        }
+    }
+}
+
 enum Next {
     Done(FinalAnswer),
     /// The request may be sent again. Holds the answer to give if that isn't possible.
--- a/crates/edge/src/request/reply.rs
+++ b/crates/edge/src/request/reply.rs
@@ -26,9 +26,14 @@
 pub(super) fn plain(status: StatusCode, reason: &'static str) -> Response<Payload> {
     let mut response = Response::new(Payload::whole(reason));
     *response.status_mut() = status;
+    response.extensions_mut().insert(Outcome(reason));
     response
 }
 
+/// How a request ended, attached to its answer.
+#[derive(Clone, Copy)]
+pub(super) struct Outcome(pub(super) &'static str);
+
 pub(super) fn too_long(headers: &HeaderMap, limit: u64) -> bool {
     let length = headers
         .get(CONTENT_LENGTH)
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -544,8 +544,12 @@
         }
     }
 
-    fn set_request_headers(&self, headers: &mut HeaderMap, upstream: &Upstream, left: Duration) {
+    fn set_timeout(&self, headers: &mut HeaderMap, left: Duration) {
         headers.insert("x-timeout-ms", HeaderValue::from(left.as_millis() as u64));
+    }
+
+    fn set_request_headers(&self, headers: &mut HeaderMap, upstream: &Upstream, left: Duration) {
+        self.set_timeout(headers, left);
         headers.insert("x-for", HeaderValue::from_str(&upstream.id).unwrap());
     }
 
