A leader that reaches no upstream resigns before it takes keys away

A leader whose orders three upstreams at least haven't answered, and no other has for 1 s, resigns. That is before holders lose their keys (1.2 s).

--- a/crates/edge/src/leadership.rs
+++ b/crates/edge/src/leadership.rs
@@ -76,6 +76,8 @@
     confirm_due: Instant,
     is_confirming: bool,
     is_campaigning: bool,
+    /// Time until which this router doesn't run, because it resigned without a path to upstreams.
+    barred_until: Option<Instant>,
     wake: Rc<Notify>,
 }
 
@@ -266,6 +268,7 @@
             confirm_due: now,
             is_confirming: false,
             is_campaigning: false,
+            barred_until: None,
             wake: Rc::new(Notify::new()),
         }
     }
--- a/crates/edge/src/leadership/campaign.rs
+++ b/crates/edge/src/leadership/campaign.rs
@@ -48,6 +48,13 @@
         })
     }
 
+    /// Whether this router couldn't grant the keys of a service, because it reaches few upstreams.
+    fn is_barred(&self, service: &Arc<str>, now: Instant) -> bool {
+        let barred_until = self.participant(service, |participant| participant.barred_until);
+        let is_barred = barred_until.flatten().is_some_and(|until| now < until);
+        is_barred || self.is_cut_off(service)
+    }
+
     /// Whether this router may campaign for leadership of a service.
     fn may_campaign(&self, service: &Arc<str>, now: Instant) -> bool {
         let has_known_leader = self.participant(service, |participant| {
@@ -59,7 +66,7 @@
         };
         // A router that is behind its relay may be behind because of its own link, and can't tell
         // whether the leader is lost.
-        if self.is_bypassing_relay() {
+        if self.is_bypassing_relay() || self.is_barred(service, now) {
             return false;
         }
         // Leadership can't be taken without the store. Store contact also implies that the router
--- a/crates/edge/src/leadership/resign.rs
+++ b/crates/edge/src/leadership/resign.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrassrock_model::time::Instant;
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
@@ -12,6 +13,8 @@
 use crate::node::Node;
 use crate::platform::Platform;
 
+/// Time for which a router that reached no upstream doesn't run for leadership again.
+const BARRED_TIME: Duration = Duration::from_secs(5);
 /// Maximum time to wait for calls under way before resigning.
 const CALL_DRAIN_TIME: Duration = Duration::from_millis(350);
 
@@ -24,7 +27,7 @@
             // the store responds or the process ends.
             while self.leader(&service, |_| ()).is_some() {
                 if self.confirm(&service).await {
-                    self.resign(&service).await;
+                    self.resign(&service, "resigned").await;
                     break;
                 }
                 sleep(STORE_RETRY_PAUSE).await;
@@ -32,7 +35,26 @@
         }
     }
 
-    pub(super) async fn resign(self: &Rc<Self>, service: &Arc<str>) {
+    /// Resigns in favour of a router that may reach the upstreams. Returns whether there may be one.
+    pub(super) fn resign_isolated(self: &Rc<Self>, service: &Arc<str>, now: Instant) -> bool {
+        if self.state.borrow().routers.len() < 2 {
+            return false;
+        }
+        let is_resigning = self.participant(service, |participant| {
+            let was_barred = participant.barred_until.is_some_and(|until| now < until);
+            participant.barred_until = Some(now + BARRED_TIME);
+            was_barred
+        });
+        if is_resigning == Some(false) {
+            let (node, service) = (Rc::clone(self), Arc::clone(service));
+            tokio::task::spawn_local(async move {
+                node.resign(&service, "reaches no upstream").await;
+            });
+        }
+        true
+    }
+
+    async fn resign(self: &Rc<Self>, service: &Arc<str>, reason: &str) {
         let leadership = self.participant(service, |participant| {
             let leadership = participant.election.leadership().cloned();
             let calls: Vec<AbortHandle> = participant.calls.clone();
@@ -55,6 +77,6 @@
         let term = leadership.term;
         // If this fails, other routers detect by themselves that the leader doesn't respond.
         self.rewrite_leadership(service, leadership, version).await;
-        self.log_term(service, term, &self.settings.router, "resigned");
+        self.log_term(service, term, &self.settings.router, reason);
     }
 }
--- a/crates/ranges/src/leader.rs
+++ b/crates/ranges/src/leader.rs
@@ -54,6 +54,11 @@
 /// Time for which the first map of a leader waits for connections to the holders. Tokens that are
 /// taken before a connection is opened can't be granted over it.
 const CONNECT_TIME: Duration = Duration::from_millis(100);
+/// Time without any answer after which a leader may be cut off from the upstreams. It covers the
+/// interval between renewals, and is shorter than the time after which holders lose their keys.
+const ISOLATION_TIME: Duration = Duration::from_millis(1_000);
+/// Upstreams whose calls must have failed meanwhile, unless there are fewer.
+const MIN_SILENT: usize = 3;
 /// Delay after a call that failed.
 const RETRY_BACKOFF: Duration = Duration::from_millis(60);
 /// Delay after a call to an upstream that couldn't be reached.
@@ -207,6 +212,10 @@
     detached_orders: Vec<Order>,
     /// Upstreams that lost their connections and haven't answered since.
     detachments: HashMap<Instance, Detachment>,
+    /// When an upstream last answered an order.
+    answered_at: Instant,
+    /// Upstreams whose orders have failed since.
+    silent: HashSet<Instance>,
     /// Era of the store in which this leader leads.
     era: u64,
     /// Time from which no leader that the store has forgotten can act and none of its grants can be
@@ -322,6 +331,28 @@
             fenced_order: None,
             detached_orders: Vec::new(),
             detachments: HashMap::new(),
+            answered_at: now,
+            silent: HashSet::new(),
+        }
+    }
+
+    /// Whether this leader reaches no upstream, though several were tried. Others may reach them, so
+    /// it should resign and take no keys away.
+    pub fn is_isolated(&self, now: Instant) -> bool {
+        let least = MIN_SILENT.min(self.upstreams.len()).max(2);
+        self.silent.len() >= least && now - self.answered_at >= ISOLATION_TIME
+    }
+
+    fn record_call(&mut self, instance: &Instance, outcome: &Outcome, now: Instant) {
+        match outcome {
+            Outcome::Done { .. } | Outcome::Fenced => {
+                self.answered_at = now;
+                self.silent.clear();
+            }
+            Outcome::NotSent | Outcome::Unknown => {
+                self.silent.insert(instance.clone());
+            }
+            Outcome::Detached => {}
         }
     }
 
@@ -428,6 +459,7 @@
     /// Records the end of a grant. Returns whether actions may be due because of it, which is not
     /// the case after a successful renewal.
     pub fn granted(&mut self, order: &Order, outcome: &Outcome, now: Instant) -> bool {
+        self.record_call(&order.instance, outcome, now);
         let is_done = matches!(outcome, Outcome::Done { .. });
         if is_done {
             self.record_response(&order.instance);
@@ -476,6 +508,7 @@
 
     /// Records the end of a release.
     pub fn released(&mut self, order: &Order, outcome: &Outcome, now: Instant) {
+        self.record_call(&order.instance, outcome, now);
         let is_answered = matches!(outcome, Outcome::Done { .. });
         if is_answered {
             self.record_response(&order.instance);
