--- a/crates/edge/src/crash.rs
+++ b/crates/edge/src/crash.rs
@@ -149,7 +149,9 @@
     async fn prove_end(&self, upstream: &Upstream) -> Option<Proof> {
         for pause in ATTEMPT_PAUSES {
             sleep(pause).await;
-            if link::is_refused(upstream.address, link::CONNECT_TIMEOUT).await {
+            let is_refused = link::is_refused(upstream.address, link::CONNECT_TIMEOUT).await;
+            // A partition may refuse connections, too.
+            if is_refused && !self.is_cut_off(&upstream.service) {
                 return Some(Proof::Refused);
             }
             if self.is_replaced(upstream) {
