Test: requests whose time ends with the grace period are answered

A report of other operators: requests that came late in the grace period were cut without an answer (LOST). The test stays.

--- a/crates/edge/tests/stop.rs
+++ b/crates/edge/tests/stop.rs
@@ -211,3 +211,48 @@
     assert!(answer.contains("connection: close"), "{answer}");
     assert_eq!(server.runs("r1"), 1);
 }
+
+/// Requests come in so late that their time ends about when the process does.
+#[tokio::test]
+async fn requests_whose_time_ends_with_the_grace_period_are_answered() {
+    let (store, server) = serving("/read/").await;
+    let mut router = Router::start_with("router-1", &store, |settings| {
+        settings.grace = GRACE;
+        settings.link_mbit_per_s = 1e6;
+    });
+    router.ready().await;
+    // The process goes on while an answer is on its way to a caller.
+    server.enqueue(&[Behaviour::Large(0, LARGE_BYTES)]);
+    let _slow = slow_request(&router, &server).await;
+    server.enqueue(&[Behaviour::Answer(20_000); 40]);
+    router.stop();
+    let stopped = std::time::Instant::now();
+    // The process ends 400 ms before the grace period does.
+    let end = GRACE - Duration::from_millis(400);
+    let sends = end - Duration::from_millis(700);
+    let mut callers = Vec::new();
+    for number in 0..40_u64 {
+        let at = sends + Duration::from_millis(number);
+        sleep(at.saturating_sub(stopped.elapsed())).await;
+        let mut caller = TcpStream::connect(router.settings.front).await.unwrap();
+        let left = (end - stopped.elapsed()).as_millis() as u64;
+        let request = request(&format!("late-{number}"), left - 10 + number / 2);
+        caller.write_all(request.as_bytes()).await.unwrap();
+        callers.push(caller);
+    }
+    for (number, caller) in callers.iter_mut().enumerate() {
+        let mut answer = Vec::new();
+        let mut buffer = [0; 4_096];
+        while let Ok(Ok(read)) = timeout(GRACE, caller.read(&mut buffer)).await
+            && read > 0
+        {
+            answer.extend_from_slice(&buffer[..read]);
+        }
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(
+            answer.starts_with("HTTP/1.1 50"),
+            "request {number}: {answer:?}\n{}",
+            router.lines.text()
+        );
+    }
+}
