One router that turns many requests away together doesn't end the search for another

A router counts once now while it is left alone; dispatch/tests/detour.rs has the case.

The soak plays data centres that lose the path to all upstreams, in calm runs, and compares what their callers get with what the others do.

--- a/crates/dispatch/src/detour.rs
+++ b/crates/dispatch/src/detour.rs
@@ -144,9 +144,12 @@
         match end {
             End::Handled => record.handled_at = Some(now),
             End::Unsuited => {
+                // Requests that were under way together count once.
+                if !record.is_avoided(now) {
+                    self.failures.push_back(now);
+                }
                 record.handled_at = None;
                 record.avoid_until = Some(now + AVOID_TIME);
-                self.failures.push_back(now);
             }
             End::Open => {}
         }
--- a/crates/dispatch/tests/detour.rs
+++ b/crates/dispatch/tests/detour.rs
@@ -105,3 +105,19 @@
     let later = start + Duration::from_millis(1_000);
     assert_eq!(detours.choose(&peers, &[], later), Some(name));
 }
+
+#[test]
+fn one_router_that_turns_many_requests_away_together_does_not_end_the_search() {
+    let peers = peers(4);
+    let mut detours = Detours::default();
+    let now = Instant::from_millis(0);
+    let under_way: Vec<Arc<str>> = (0..40)
+        .filter_map(|_| detours.choose(&peers, &[], now))
+        .collect();
+    assert_eq!(under_way.len(), 40);
+    for name in &under_way {
+        detours.end(name, End::Unsuited, now);
+    }
+    let next = detours.choose(&peers, &[], now);
+    assert!(next.is_some_and(|name| !under_way.contains(&name)));
+}
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -4,6 +4,7 @@
 mod deadly;
 mod holds;
 mod limit;
+mod reach;
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -16,6 +17,7 @@
 use self::deadly::Deadly;
 use self::holds::Holds;
 use self::limit::Limit;
+use self::reach::CutOff;
 use crate::guarantee::{Guarantee, Violation};
 
 /// Time from the end of a fault until its subject must keep all guarantees again.
@@ -133,6 +135,8 @@
     deadly: HashMap<Arc<str>, Deadly>,
     /// Limits that upstreams name.
     limits: HashMap<usize, Limit>,
+    /// Times in which routers are cut off from all upstreams.
+    cut_offs: Vec<CutOff>,
     /// Ends of pauses and cuts, after which delayed orders may arrive.
     resumes: Vec<(Subject, Instant)>,
     violations: Vec<Violation>,
@@ -208,6 +212,11 @@
         state.services.entry(prefix.into()).or_default().push(entry);
     }
 
+    /// Records that a router is cut off from all upstreams for `span` from now on.
+    pub fn cut_off(&self, router: usize, span: Duration) {
+        self.state().cut_offs.push(CutOff::new(router, span));
+    }
+
     /// Records that the store has accepted that an upstream leaves or is gone.
     pub fn leave(&self, upstream: usize) {
         self.state()
@@ -410,11 +419,12 @@
         }
     }
 
-    /// Checks the guarantees that can be judged only at the end of a run.
-    pub fn close(&self) {
+    /// Checks the guarantees that can be judged only at the end of a run with so many routers.
+    pub fn close(&self, routers: usize) {
         let at = self.started.elapsed();
         let mut state = self.state();
         state.close_holds(at);
+        state.check_reach(at, routers);
         let too_many: Vec<String> = state
             .requests
             .iter()
--- a/crates/soak/src/guarantee.rs
+++ b/crates/soak/src/guarantee.rs
@@ -56,6 +56,9 @@
     /// A router exits only when it is stopped.
     #[display("no unexpected exit")]
     NoCrash,
+    /// A router that is cut off from all upstreams serves its callers through others.
+    #[display("reach")]
+    Reach,
     /// After the faults, all routers serve all kinds of requests again.
     #[display("recovery")]
     Recovery,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod flags;
 pub mod guarantee;
 mod mesh;
+pub mod partition;
 pub mod plan;
 pub mod proxy;
 mod router;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -7,6 +7,8 @@
 
 use eelgrassrock_dispatch::directory::{Directory, Keyed, Limits, Part, Repeat, Route, Service};
 
+/// Number of data centres.
+pub(crate) const DATA_CENTRES: usize = 2;
 /// Host in the requests of callers.
 pub(crate) const HOST: &str = "sheets.example";
 /// Timeout of all routes, which is also the deadline of callers.
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -86,7 +86,8 @@
         self.0.send_modify(|mode| mode.delay = delay);
     }
 
-    fn refuse(&self, is_refusing: bool) {
+    /// Refuses new connections, or accepts them again.
+    pub(crate) fn refuse(&self, is_refusing: bool) {
         self.0.send_modify(|mode| mode.is_refusing = is_refusing);
     }
 
@@ -124,6 +125,11 @@
     ///
     /// Returns an error if no port can be opened.
     pub async fn start(target: SocketAddr) -> io::Result<Self> {
+        Self::open(target)
+    }
+
+    /// Opens a proxy to `target`, at a port of its own. Must be called within a runtime.
+    pub(crate) fn open(target: SocketAddr) -> io::Result<Self> {
         let reserved = bind((Ipv4Addr::LOCALHOST, 0).into())?;
         let address = reserved.local_addr()?;
         let control = Arc::new(Control::default());
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -26,10 +26,11 @@
 use crate::checker::{Checker, STABLE, Subject};
 use crate::guarantee::{Guarantee, Violation};
 use crate::mesh::{self, Mesh};
-use crate::plan::{self, Plan};
+use crate::partition::Partition;
+use crate::plan::{self, DATA_CENTRES, Plan};
 use crate::proxy::{Proxy, Rate};
 use crate::router::Router;
-use crate::schedule::{Event, has_large_configurations, has_peer_links};
+use crate::schedule::{Event, has_cut_offs, has_large_configurations, has_peer_links};
 use crate::upstream::{SLOTS, Server};
 
 /// Time from SIGTERM to SIGKILL.
@@ -89,6 +90,8 @@
     /// Links between routers, if they lead through proxies.
     mesh: Option<Arc<Mesh>>,
     front_proxies: Vec<Proxy>,
+    /// Paths from each data centre to the upstreams. Its routers read the registry from each other.
+    partitions: [Arc<Partition>; DATA_CENTRES],
     routers: Vec<Arc<Router>>,
     slots: Vec<Slot>,
     /// Number of the next incarnation of an upstream.
@@ -178,6 +181,7 @@
             store_proxies: Vec::new(),
             mesh: None,
             front_proxies: Vec::new(),
+            partitions: Default::default(),
             routers: Vec::new(),
             slots: Vec::new(),
             next_incarnation: AtomicU64::new(0),
@@ -200,7 +204,14 @@
             });
         }
         for number in 0..plan.routers {
-            let to_store = Proxy::start(cluster.store.address()).await?;
+            let partition = Arc::clone(&cluster.partitions[number % DATA_CENTRES]);
+            let store = if has_cut_offs(seed) {
+                let path = move |upstream| partition.path(upstream);
+                cluster.store.view(path).await?
+            } else {
+                cluster.store.address()
+            };
+            let to_store = Proxy::start(store).await?;
             let settings = settings::Router {
                 name: format!("router-{number}"),
                 address: IpAddr::V4(router_address(high, low, number)),
@@ -382,7 +393,7 @@
                 self.checker.report(Guarantee::GracefulStop, details);
             }
         }
-        self.checker.close();
+        self.checker.close(self.routers.len());
     }
 }
 
@@ -394,7 +405,7 @@
 }
 
 fn data_centre(number: usize) -> String {
-    format!("dc-{}", ["a", "b"][number % 2])
+    format!("dc-{}", ["a", "b"][number % DATA_CENTRES])
 }
 
 fn entry(server: &Server, proxy: &Proxy, sequence: u64, leaving: bool) -> Upstream {
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -12,6 +12,7 @@
 use super::restart::{RESTART_DELAY, Restart};
 use super::{Cluster, GRACE_PERIOD};
 use crate::checker::Subject;
+use crate::plan::DATA_CENTRES;
 use crate::proxy::{Control, Proxy};
 use crate::router::RESTART_PAUSE;
 use crate::schedule::{Degradation, Event, Failure, Fault, Impairment, Link};
@@ -57,6 +58,15 @@
             }
             Fault::Restore(age) => self.restore(age).await,
             Fault::Upstream(slot, failure) => self.fail(slot, failure, span).await,
+            Fault::CutOff(data_centre, cut) => {
+                let partition = &self.partitions[data_centre];
+                for router in (data_centre..self.routers.len()).step_by(DATA_CENTRES) {
+                    self.checker.cut_off(router, span);
+                }
+                partition.cut(cut);
+                sleep(span).await;
+                partition.mend();
+            }
             Fault::Configure => self.configure(),
             Fault::Deadly { prefix, per_s } => self.send_deadly(prefix, per_s, span).await,
         }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -10,7 +10,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::plan::Kind;
+use crate::partition::Cut;
+use crate::plan::{DATA_CENTRES, Kind};
 
 /// Maximum duration of a fault, which exceeds the duration of grants.
 const MAX_FAULT: Duration = Duration::from_millis(5_000);
@@ -26,6 +27,9 @@
 /// seconds after its begin.
 const MIN_LIMIT: Duration = Duration::from_millis(1_000);
 const MAX_LIMIT: Duration = Duration::from_millis(12_000);
+/// Shortest and longest time for which a data centre is cut off from all upstreams.
+const MIN_CUT_OFF: Duration = Duration::from_millis(5_000);
+const MAX_CUT_OFF: Duration = Duration::from_millis(9_000);
 /// Longest time for which callers send a request that ends upstreams, and the highest rate.
 const MAX_DEADLY: Duration = Duration::from_secs(20);
 const MAX_DEADLY_PER_S: u32 = 20;
@@ -179,6 +183,9 @@
         /// Mean number of requests a second.
         per_s: u32,
     },
+    /// The routers of a data centre lose the path to all upstreams.
+    #[display("data centre {_0} cut off from all upstreams, {_1}")]
+    CutOff(usize, Cut),
     /// The operator changes the configuration.
     #[display("configuration changed")]
     Configure,
@@ -230,6 +237,31 @@
         }
         events.extend(draw_deadly(&mut random, length));
     }
+    if has_cut_offs(seed) {
+        // Routers are compared only in calm, and the checker can't tell which router an
+        // announcement of an upstream reached.
+        let is_left_out = |fault: &Fault| {
+            use Failure::{AnnouncesLeaving, Defers, Limits};
+            matches!(
+                fault,
+                Fault::Upstream(_, Defers | Limits | AnnouncesLeaving)
+                    | Fault::Store(_)
+                    | Fault::Restore(_)
+                    | Fault::Link(..)
+                    | Fault::KillAll
+            )
+        };
+        events.retain(|event| !is_left_out(&event.fault));
+        let cuts = draw_series(&mut random, length, MIN_CUT_OFF..MAX_CUT_OFF, |random| {
+            let cut = if random.random_bool(0.5) {
+                Cut::Reset
+            } else {
+                Cut::LiveOn
+            };
+            Fault::CutOff(random.random_range(0..DATA_CENTRES), cut)
+        });
+        events.extend(cuts);
+    }
     if has_clusters(seed) && !is_calm(seed) {
         events.extend(cluster::draw(&mut random, length, routers, upstreams));
     }
@@ -248,6 +280,12 @@
     seed % 4 == 2
 }
 
+/// Whether data centres are cut off from all upstreams in the run of a seed. The paths to upstreams lead
+/// through further proxies then, which hide whether an upstream has ended.
+pub(crate) fn has_cut_offs(seed: u64) -> bool {
+    seed % 8 == 5 && !has_deadly(seed)
+}
+
 /// Whether faults that concern the holders of keys meet in the run of a seed.
 fn has_clusters(seed: u64) -> bool {
     seed % 3 == 1
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -62,7 +62,7 @@
     run(&checker, "a", 1);
     checker.end_run(Some("a"), 1, b"done");
     checker.answer("a", answered(200, "a", "done"));
-    checker.close();
+    checker.close(1);
     assert_eq!(violated(&checker), []);
 }
 
@@ -301,7 +301,7 @@
         send(&checker, id, true);
         (0..upstreams).for_each(|upstream| run(&checker, id, upstream));
     }
-    checker.close();
+    checker.close(1);
     assert_eq!(violated(&checker), expected);
 }
 
--- a/crates/soak/tests/holds.rs
+++ b/crates/soak/tests/holds.rs
@@ -42,7 +42,7 @@
 }
 
 fn violated(checker: &Checker) -> Vec<Guarantee> {
-    checker.close();
+    checker.close(1);
     let violations = checker.violations();
     violations
         .iter()
