--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -252,13 +252,15 @@
             )
         };
         events.retain(|event| !is_left_out(&event.fault));
+        // The routers of the other one can serve all callers.
+        let data_centre = seed as usize / 8 % DATA_CENTRES;
         let cuts = draw_series(&mut random, length, MIN_CUT_OFF..MAX_CUT_OFF, |random| {
             let cut = if random.random_bool(0.5) {
                 Cut::Reset
             } else {
                 Cut::LiveOn
             };
-            Fault::CutOff(random.random_range(0..DATA_CENTRES), cut)
+            Fault::CutOff(data_centre, cut)
         });
         events.extend(cuts);
     }
