--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -1,5 +1,6 @@
 //! Handling of one request, from its arrival to its answer.
 
+mod passage;
 mod race;
 mod reply;
 
@@ -8,9 +9,7 @@
 use std::time::Duration;
 
 use eelgrassrock_dispatch::directory::{Repeat, Route};
-use eelgrassrock_dispatch::service::{
-    self, Reason, Refusal, Report, Request as Work, Service, Step,
-};
+use eelgrassrock_dispatch::service::{self, Reason, Refusal, Report, Request as Work, Step};
 use eelgrassrock_dispatch::suspect::Fingerprint;
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::time::Instant;
@@ -20,10 +19,11 @@
 use serde::Serialize;
 use tokio::time::timeout;
 
+use self::passage::pass_on;
 use self::race::{Race, Sending, race, report_of};
 use self::reply::{Outcome, origin_form, plain, refusal, strip, too_long};
 use crate::clock;
-use crate::detour::{self, Handled, Passage};
+use crate::detour;
 use crate::exchange::{Content, Exchange, Message, is_failure};
 use crate::node::Node;
 use crate::payload::{self, Payload, Taken};
@@ -385,72 +385,6 @@
     }
 }
 
-/// Lets other routers handle a request until one does. Returns [`Next::Again`] if none can.
-async fn pass_on<P: Platform>(node: &Rc<Node<P>>, job: &mut Job) -> Next {
-    let mut tried = Vec::new();
-    loop {
-        let limits = Limits {
-            until: job.work.give_up,
-            attempts: job.work.max_attempts.saturating_sub(job.work.runs),
-        };
-        let started = clock::now();
-        if limits.attempts == 0 || started >= limits.until {
-            return Next::Again(None);
-        }
-        let mut passage = Passage {
-            message: &mut job.message,
-            head: &job.head,
-            limits,
-        };
-        let Some((handled, router)) = node.pass_on(&mut passage, &mut tried).await else {
-            return Next::Again(None);
-        };
-        job.sends.push(SendLine {
-            upstream: Arc::clone(&router),
-            at_ms: (started - job.work.arrived).as_millis() as u64,
-            elapsed_ms: (clock::now() - started).as_millis() as u64,
-            end: match &handled {
-                Handled::Answer { .. } => "passed-on",
-                Handled::NotRun => Reason::OutOfReach.as_str(),
-                Handled::Unknown(report) => report.as_str(),
-            },
-            map: 0,
-        });
-        match handled {
-            // The other router doesn't know that the request may have run before.
-            Handled::Answer { is_own: false, .. } if job.work.runs > 0 => {
-                return Next::Done(refused(job, "passed-on-refused", Duration::ZERO));
-            }
-            Handled::Answer { response, is_own } => {
-                return Next::Done(FinalAnswer {
-                    response,
-                    outcome: if is_own {
-                        "passed-on"
-                    } else {
-                        "passed-on-refused"
-                    },
-                    upstream: Some(router),
-                });
-            }
-            Handled::NotRun if job.message.is_repeatable() => {}
-            Handled::NotRun => return Next::Again(None),
-            Handled::Unknown(report) => {
-                job.work.runs += 1;
-                let may_repeat =
-                    job.route.repeat == Repeat::Idempotent && job.message.is_repeatable();
-                let repeats = |service: &mut Service, now| service.take_repeat(now);
-                let is_left = clock::now() < job.work.give_up
-                    && job.work.runs < job.work.max_attempts
-                    && may_repeat
-                    && node.with_service(&job.service, repeats) == Some(true);
-                if !is_left {
-                    return Next::Done(unanswered(job, report, Some(router)));
-                }
-            }
-        }
-    }
-}
-
 enum Next {
     Done(FinalAnswer),
     /// The request may be sent again. Holds the answer to give if that isn't possible.
--- a/crates/ranges/src/leader.rs
+++ b/crates/ranges/src/leader.rs
@@ -21,6 +21,7 @@
 //!    forgotten can act any more and all its grants have expired. Until then a recent leader keeps
 //!    renewing its grants under the tokens of the earlier era, and any other leader waits.
 
+mod isolation;
 mod planning;
 mod probe;
 mod transfer;
@@ -54,11 +55,6 @@
 /// Time for which the first map of a leader waits for connections to the holders. Tokens that are
 /// taken before a connection is opened can't be granted over it.
 const CONNECT_TIME: Duration = Duration::from_millis(100);
-/// Time without any answer after which a leader may be cut off from the upstreams. It covers the
-/// interval between renewals, and is shorter than the time after which holders lose their keys.
-const ISOLATION_TIME: Duration = Duration::from_millis(1_000);
-/// Upstreams whose calls must have failed meanwhile, unless there are fewer.
-const MIN_SILENT: usize = 3;
 /// Delay after a call that failed.
 const RETRY_BACKOFF: Duration = Duration::from_millis(60);
 /// Delay after a call to an upstream that couldn't be reached.
@@ -336,26 +332,6 @@
         }
     }
 
-    /// Whether this leader reaches no upstream, though several were tried. Others may reach them, so
-    /// it should resign and take no keys away.
-    pub fn is_isolated(&self, now: Instant) -> bool {
-        let least = MIN_SILENT.min(self.upstreams.len()).max(2);
-        self.silent.len() >= least && now - self.answered_at >= ISOLATION_TIME
-    }
-
-    fn record_call(&mut self, instance: &Instance, outcome: &Outcome, now: Instant) {
-        match outcome {
-            Outcome::Done { .. } | Outcome::Fenced => {
-                self.answered_at = now;
-                self.silent.clear();
-            }
-            Outcome::NotSent | Outcome::Unknown => {
-                self.silent.insert(instance.clone());
-            }
-            Outcome::Detached => {}
-        }
-    }
-
     /// Returns the map in force.
     pub fn map(&self) -> &Map {
         &self.map
