A router whose upstreams have failed waits for those that answer, and isn't taken for cut off

Four of five upstreams ended together: connections to most couldn't be opened, so requests were passed on to routers that saw the same, and refused (out-of-reach) while one upstream answered over open connections.

While a router is cut off, an upstream is used if its last connection could be opened, or if none was tried and it has answered within 2 s. A request that no other router can handle goes back to the queue as long as some upstream answers, and is refused at once only if none does. dispatch/tests/reach.rs has the case; crashes (6) and cut_off (5) of the edge pass.

--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -104,6 +104,11 @@
         self.last_connect = Some((is_open, now));
     }
 
+    /// Returns when it last answered anything.
+    pub(crate) fn last_answer(&self) -> Instant {
+        self.last_answer
+    }
+
     /// Whether the last attempt to connect succeeded, `None` if there was none lately.
     pub(crate) fn is_reachable(&self, evidence_time: Duration, now: Instant) -> Option<bool> {
         let (is_open, at) = self.last_connect?;
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -68,7 +68,18 @@
     /// Whether an earlier send of it has reached an upstream.
     pub is_repeat: bool,
     /// Whether another router may handle it, if this one is cut off from the upstreams.
-    pub may_detour: bool,
+    pub detour: Detour,
+}
+
+/// Whether another router may handle a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Detour {
+    /// It may.
+    Open,
+    /// The routers that were asked can't.
+    Exhausted,
+    /// It may not, since another router has passed the request on.
+    Forbidden,
 }
 
 /// Result of a send, from which the health of the upstream is estimated.
@@ -419,6 +430,11 @@
         self.dispatch(request, now)
     }
 
+    /// Decides on a request that no other router can handle.
+    pub fn resume(&mut self, request: Request, now: Instant) -> Step {
+        self.dispatch(request, now)
+    }
+
     /// Decides on a request that was sent and may be sent again.
     pub fn retry(&mut self, request: Request, now: Instant) -> Step {
         if request.runs >= request.max_attempts {
--- a/crates/dispatch/src/service/choice.rs
+++ b/crates/dispatch/src/service/choice.rs
@@ -5,7 +5,7 @@
 
 use eelgrassrock_model::time::Instant;
 
-use super::reach::is_reached;
+use super::reach::is_usable;
 use super::{Request, Service, Span, Step};
 use crate::member::Member;
 use crate::upstream::Upstream;
@@ -91,7 +91,7 @@
                 continue;
             }
             usable = true;
-            if !member.has_room(now) || !(may_probe || is_reached(member, now)) {
+            if !member.has_room(now) || !(may_probe || is_usable(member, now)) {
                 continue;
             }
             let cost = member.cost_ms(now);
@@ -109,7 +109,7 @@
         };
         match soon.or_else(cheapest) {
             Some((_, member)) => Choice::Take(Arc::clone(&member.upstream)),
-            None if is_cut_off => Choice::OutOfReach,
+            None if is_cut_off && !self.is_any_usable(now) => Choice::OutOfReach,
             None if usable => Choice::Full,
             None => Choice::NoUpstream,
         }
@@ -140,7 +140,7 @@
             Some(member) if member.is_closed(self.drain, now) => Choice::NoHolder,
             Some(member)
                 if self.is_cut_off(now)
-                    && !is_reached(member, now)
+                    && !is_usable(member, now)
                     && !(self.may_probe(now) && member.has_room(now)) =>
             {
                 Choice::OutOfReach
--- a/crates/dispatch/src/service/queue.rs
+++ b/crates/dispatch/src/service/queue.rs
@@ -7,7 +7,7 @@
 use eelgrassrock_model::time::Instant;
 
 use super::choice::Choice;
-use super::{RATE_WINDOW, Reason, Refusal, Request, Service, Step};
+use super::{Detour, RATE_WINDOW, Reason, Refusal, Request, Service, Step};
 use crate::member::Member;
 
 /// Service time that is assumed before any answer came.
@@ -62,6 +62,12 @@
                     done.push((request.ticket, self.begin(upstream, request.key, now)));
                 }
                 Choice::OutOfReach => {
+                    let is_queued = request.detour == Detour::Exhausted
+                        && self.may_wait_out_of_reach(&request, now);
+                    if is_queued {
+                        self.queue.push(request);
+                        continue;
+                    }
                     let step = self.detour(&request, now);
                     if request.is_repeat && step == Step::Detour {
                         self.budget.take(now);
@@ -100,6 +106,12 @@
         match self.choose(&request, now) {
             Choice::Take(upstream) => self.begin(upstream, request.key, now),
             Choice::NoUpstream => self.refuse_unavailable(&request, now),
+            Choice::OutOfReach
+                if request.detour == Detour::Exhausted
+                    && self.may_wait_out_of_reach(&request, now) =>
+            {
+                self.enqueue(request)
+            }
             Choice::OutOfReach => self.detour(&request, now),
             Choice::NoHolder
                 if self.can_wait(&request, now) && !Self::has_waited_for_holder(&request, now) =>
@@ -115,9 +127,17 @@
         }
     }
 
+    /// Whether a request that no router can handle may wait. If other upstreams answer, this one may
+    /// have failed, and another one may take its place.
+    fn may_wait_out_of_reach(&self, request: &Request, now: Instant) -> bool {
+        self.is_any_usable(now)
+            && !Self::has_waited_for_holder(request, now)
+            && !self.cannot_meet_deadline(request, now)
+    }
+
     /// Decides on a request that this router can't send to an upstream.
     fn detour(&mut self, request: &Request, now: Instant) -> Step {
-        if !request.may_detour {
+        if request.detour != Detour::Open {
             return self.refuse(Reason::OutOfReach, request, now);
         }
         if request.is_repeat && !self.budget.allows(now, self.routers) {
--- a/crates/dispatch/src/service/reach.rs
+++ b/crates/dispatch/src/service/reach.rs
@@ -13,6 +13,8 @@
 /// Upstreams that can't be reached until the router itself is suspected, unless there are fewer.
 const MIN_UNREACHABLE: usize = 3;
 
+/// Time for which an answer shows that an open connection works.
+const ANSWER_TIME: Duration = Duration::from_secs(2);
 /// Time between requests that find out whether an upstream can be reached again. It is short once one
 /// could be reached.
 const PROBE_PAUSE: Duration = Duration::from_millis(500);
@@ -27,9 +29,13 @@
     pub unreachable: usize,
 }
 
-/// Whether a connection to an upstream could be opened lately.
-pub(super) fn is_reached(member: &Member, now: Instant) -> bool {
-    member.is_reachable(EVIDENCE_TIME, now) == Some(true)
+/// Whether an upstream may be used while this router is cut off from others: the last connection could
+/// be opened, or none was tried lately and an open one works.
+pub(super) fn is_usable(member: &Member, now: Instant) -> bool {
+    match member.is_reachable(EVIDENCE_TIME, now) {
+        Some(is_open) => is_open,
+        None => now - member.last_answer() < ANSWER_TIME,
+    }
 }
 
 impl Service {
@@ -58,10 +64,17 @@
         self.probe_due.is_none_or(|due| now >= due)
     }
 
+    /// Whether an upstream that can be used has answered lately.
+    pub(super) fn is_any_usable(&self, now: Instant) -> bool {
+        let is_alive = |member: &Member| now - member.last_answer() < ANSWER_TIME;
+        let mut members = self.members.values();
+        members.any(|member| is_usable(member, now) && is_alive(member))
+    }
+
     /// Whether this router hasn't reached an upstream lately.
     fn is_out_of_reach(&self, upstream: &str, now: Instant) -> bool {
         let member = self.members.get(upstream);
-        member.is_some_and(|member| !is_reached(member, now))
+        member.is_some_and(|member| !is_usable(member, now))
     }
 
     /// Counts the upstreams by whether this router has reached them lately.
--- a/crates/dispatch/tests/reach.rs
+++ b/crates/dispatch/tests/reach.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrassrock_dispatch::service::{Reason, Report, Service, Step};
+use eelgrassrock_dispatch::service::{Detour, Reason, Report, Service, Step};
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::time::Instant;
 use rstest::rstest;
@@ -72,7 +72,7 @@
     let mut service = cut_off(8);
     assert!(fail(&mut service, 1, at(100)));
     let mut passed_on = request(2, None, 110);
-    passed_on.may_detour = false;
+    passed_on.detour = Detour::Forbidden;
     let Step::Refuse(refusal) = service.admit(passed_on, at(110)) else {
         panic!("it can't be served");
     };
@@ -102,3 +102,25 @@
     }
     assert!(!service.is_cut_off(at(300)));
 }
+
+#[test]
+fn requests_wait_for_the_only_upstream_that_survives() {
+    let mut service = cut_off(5);
+    let names: Vec<String> = (0..6).map(|number| format!("up-{number}")).collect();
+    service.set_upstreams(upstreams(&names), at(100));
+    // One of them is sent to an upstream that may be back.
+    fail(&mut service, 100, at(100));
+    assert!(service.is_cut_off(at(110)));
+    let (mut sent, mut waiting) = (0, 0);
+    for ticket in 0..20 {
+        match service.admit(request(ticket, None, 110), at(110)) {
+            Step::Send { upstream, .. } => {
+                assert_eq!(&*upstream.id, "up-5");
+                sent += 1;
+            }
+            Step::Wait => waiting += 1,
+            step => panic!("{step:?}"),
+        }
+    }
+    assert!(sent > 0 && waiting > 0, "{sent} {waiting}");
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -6,7 +6,7 @@
 
 use eelgrassrock_dispatch::budget::Limits;
 use eelgrassrock_dispatch::directory::Repeat;
-use eelgrassrock_dispatch::service::{Request, Service, Span, Step};
+use eelgrassrock_dispatch::service::{Detour, Request, Service, Span, Step};
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::time::Instant;
 
@@ -82,7 +82,7 @@
         tried: Vec::new(),
         retry_at: at(ms),
         is_repeat: false,
-        may_detour: true,
+        detour: Detour::Open,
     }
 }
 
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -9,7 +9,9 @@
 use std::time::Duration;
 
 use eelgrassrock_dispatch::directory::{Repeat, Route};
-use eelgrassrock_dispatch::service::{self, Reason, Refusal, Report, Request as Work, Step};
+use eelgrassrock_dispatch::service::{
+    self, Detour, Reason, Refusal, Report, Request as Work, Step,
+};
 use eelgrassrock_dispatch::suspect::Fingerprint;
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::time::Instant;
@@ -40,8 +42,6 @@
 /// Value of `retry-after` while this router lacks a configuration that others have. Another router
 /// can accept the request at once.
 const OUTDATED_RETRY_AFTER: Duration = Duration::from_millis(10);
-/// Value of `retry-after` if no router that this one asks can reach the upstreams.
-const OUT_OF_REACH_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Pause before the only holder of a key is tried again.
 const HOLDER_RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// Time reserved for the answer's way to the caller, at the end of the caller's timeout.
@@ -271,7 +271,10 @@
         tried: Vec::new(),
         retry_at: arrived,
         is_repeat: false,
-        may_detour: sender == Sender::Caller,
+        detour: match sender {
+            Sender::Caller => Detour::Open,
+            Sender::Router { .. } => Detour::Forbidden,
+        },
     };
     Job {
         head,
@@ -353,8 +356,11 @@
             Step::Detour => match pass_on(node, job).await {
                 Next::Done(done) => return done,
                 Next::Again(_) => {
-                    let (outcome, wait) = (Reason::OutOfReach.as_str(), OUT_OF_REACH_RETRY_AFTER);
-                    return failed.unwrap_or_else(|| refused(job, outcome, wait));
+                    job.work.detour = Detour::Exhausted;
+                    let work = job.work.clone();
+                    step =
+                        node.with_service(&job.service, |service, now| service.resume(work, now));
+                    continue;
                 }
             },
             Step::Refuse(refusal) => {
