A refused connection proves no end of an earlier leader

Two upstreams held the same keys for seconds and worked on them while a leader was cut off by a partition that resets connections.

Cause: a new leader took the refused connection for proof that the process of its predecessor had ended, and waited only for the predecessor's grants, not for its authority.

Change: `model::process` judges signs of an end, for leaders and upstreams. Only the predecessor's own word, or the answer of another process at its address, proves that it has stopped; a partition can give neither. So the fast hand-over after a restart stays. `crash.rs` uses the same judgement, and its guard. The new line `earlier leader` says which sign was seen.

--- a/crates/edge/src/crash.rs
+++ b/crates/edge/src/crash.rs
@@ -1,8 +1,9 @@
 //! Tells upstream processes that have ended from broken connections.
 //!
 //! A connection may break although the upstream still runs: answers are lost, links are cut, and
-//! upstreams reset connections beyond their limit. That its process has ended is proved by an
-//! address that refuses connections, or by a registration of another process in its place.
+//! upstreams reset connections beyond their limit. An address that refuses connections makes it
+//! likely that the process has ended, and a registration of another process in its place proves it.
+//! Either is enough to suspect the request that was in flight, since that only limits its repeats.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -11,6 +12,7 @@
 
 use eelgrassrock_dispatch::suspect::Fingerprint;
 use eelgrassrock_dispatch::upstream::Upstream;
+use eelgrassrock_model::process::{Finding, Sign};
 use eelgrassrock_model::time::Instant;
 use indexmap::IndexMap;
 use serde::Serialize;
@@ -45,24 +47,6 @@
     pub(crate) broken_at: Instant,
 }
 
-/// Proof that a process has ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Proof {
-    /// Its address refuses connections.
-    Refused,
-    /// Another process is registered under its identifier or at its address.
-    Replaced,
-}
-
-impl Proof {
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::Refused => "refused",
-            Self::Replaced => "replaced",
-        }
-    }
-}
-
 /// Process of an upstream.
 type Process = (Arc<str>, u64);
 
@@ -97,7 +81,7 @@
     service: &'a str,
     upstream: &'a str,
     incarnation: u64,
-    /// What proves the end.
+    /// Sign of the end.
     proof: &'a str,
     /// Request that was in flight.
     id: Option<&'a str>,
@@ -122,18 +106,18 @@
     }
 
     async fn examine_breaks(self: Rc<Self>, upstream: &Arc<Upstream>) {
-        let proof = self.prove_end(upstream).await;
+        let sign = self.find_end(upstream).await;
         let process = (Arc::clone(&upstream.id), upstream.incarnation);
         let breaks = self.breaks.0.borrow_mut().swap_remove(&process);
         for broken in breaks.unwrap_or_default() {
             self.metrics
-                .connection_broken(&upstream.service, proof.is_some());
-            if let Some(proof) = proof {
+                .connection_broken(&upstream.service, sign.is_some());
+            if let Some(sign) = sign {
                 let line = EndLine {
                     service: &upstream.service,
                     upstream: &upstream.id,
                     incarnation: upstream.incarnation,
-                    proof: proof.as_str(),
+                    proof: sign.as_str(),
                     id: broken.request.as_deref(),
                     fingerprint: broken.fingerprint.as_ref().map(Fingerprint::to_string),
                     in_flight_ms: (broken.broken_at - broken.sent_at).as_millis() as u64,
@@ -146,22 +130,23 @@
         }
     }
 
-    async fn prove_end(&self, upstream: &Upstream) -> Option<Proof> {
+    /// Returns the sign by which the process of an upstream has probably ended, if there is one.
+    async fn find_end(&self, upstream: &Upstream) -> Option<Sign> {
         for pause in ATTEMPT_PAUSES {
             sleep(pause).await;
             let is_refused = link::is_refused(upstream.address, link::CONNECT_TIMEOUT).await;
-            // A partition may refuse connections, too.
-            if is_refused && !self.is_cut_off(&upstream.service) {
-                return Some(Proof::Refused);
+            let is_cut_off = self.is_cut_off(&upstream.service);
+            if is_refused && Sign::ConnectionRefused.judge(is_cut_off) == Finding::Suspected {
+                return Some(Sign::ConnectionRefused);
             }
             if self.is_replaced(upstream) {
-                return Some(Proof::Replaced);
+                return Some(Sign::OtherRegistered);
             }
         }
         for pause in REGISTRY_PAUSES {
             sleep(pause).await;
             if self.is_replaced(upstream) {
-                return Some(Proof::Replaced);
+                return Some(Sign::OtherRegistered);
             }
         }
         None
--- a/crates/edge/src/leadership/campaign.rs
+++ b/crates/edge/src/leadership/campaign.rs
@@ -1,15 +1,19 @@
 //! Taking leadership, and making sure that earlier leaders have stopped.
 
+use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrassrock_model::Revision;
+use eelgrassrock_model::process::{Finding, Sign};
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_ranges::election::{Leadership, Predecessor};
 use eelgrassrock_ranges::leader::{Leader, Settings};
 use eelgrassrock_ranges::map::Map;
+use serde::Serialize;
 use tokio::time::sleep;
 
 use super::{
@@ -35,6 +39,16 @@
 /// Pause between attempts to find out whether earlier leaders have stopped.
 const YIELD_RETRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// Sign of whether an earlier leader has stopped, logged when it changes.
+#[derive(Serialize)]
+struct PredecessorLine<'a> {
+    service: &'a str,
+    term: u64,
+    address: SocketAddr,
+    incarnation: u64,
+    sign: &'a str,
+}
+
 impl<P: Platform> Node<P> {
     pub(super) fn campaign_delay(&self, service: &Arc<str>, now: Instant) -> Duration {
         if !self.may_campaign(service, now) {
@@ -254,6 +268,7 @@
         mut predecessors: Vec<Predecessor>,
         term: u64,
     ) {
+        let mut signs = HashMap::new();
         loop {
             match self.leader(service, |leader| leader.has_active_predecessor()) {
                 None => return,
@@ -266,7 +281,12 @@
             }
             let mut active = Vec::new();
             for predecessor in predecessors {
-                if !self.peers.ask_to_yield(&predecessor, service, term).await {
+                let sign = self.peers.ask_to_yield(&predecessor, service, term).await;
+                if signs.insert(predecessor.address, sign) != Some(sign) {
+                    self.log_predecessor(service, term, &predecessor, sign);
+                }
+                // A refused connection proves nothing: a partition may refuse connections, too.
+                if sign.judge(self.is_cut_off(service)) != Finding::Stopped {
                     active.push(predecessor);
                 }
             }
@@ -288,6 +308,17 @@
         }
     }
 
+    fn log_predecessor(&self, service: &str, term: u64, predecessor: &Predecessor, sign: Sign) {
+        let line = PredecessorLine {
+            service,
+            term,
+            address: predecessor.address,
+            incarnation: predecessor.incarnation,
+            sign: sign.as_str(),
+        };
+        self.log.info("earlier leader", &line);
+    }
+
     /// Removes the earlier leaders from the leadership row, so that no successor asks them again.
     pub(super) async fn clear_predecessors(self: &Rc<Self>, service: &Arc<str>) {
         let leadership = self
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use eelgrassrock_dispatch::observation::Observation;
 use eelgrassrock_model::Revision;
+use eelgrassrock_model::process::Sign;
 use eelgrassrock_ranges::election::{Contact, Leadership, Predecessor};
 use eelgrassrock_ranges::versioned::Delta;
 use eelgrassrock_store::Kind;
@@ -227,13 +228,13 @@
         (contact, response)
     }
 
-    /// Asks an earlier leader to yield. Returns whether it has certainly stopped.
+    /// Asks an earlier leader to yield. Returns the sign of whether it has stopped acting.
     pub(crate) async fn ask_to_yield(
         &self,
         predecessor: &Predecessor,
         service: &Arc<str>,
         term: u64,
-    ) -> bool {
+    ) -> Sign {
         let request = Yield {
             service: Arc::clone(service),
             term,
@@ -242,9 +243,11 @@
             .call::<Yielded>(predecessor.address, "/yield", &request, CALL_TIMEOUT)
             .await;
         match end {
-            Ok(yielded) => yielded.has_yielded || yielded.incarnation != predecessor.incarnation,
-            // The process that led has ended.
-            Err(contact) => contact == Contact::ConnectionRefused,
+            Ok(yielded) if yielded.incarnation != predecessor.incarnation => Sign::OtherAnswered,
+            Ok(yielded) if yielded.has_yielded => Sign::Resigned,
+            Ok(_) => Sign::Acting,
+            Err(Contact::ConnectionRefused) => Sign::ConnectionRefused,
+            Err(_) => Sign::Unresponsive,
         }
     }
 
@@ -291,8 +294,7 @@
     }
 }
 
-/// Finds out why an address can't be reached. If it refuses connections, the process there has
-/// ended.
+/// Finds out why an address can't be reached.
 async fn examine(address: SocketAddr) -> Contact {
     if link::is_refused(address, CALL_TIMEOUT).await {
         Contact::ConnectionRefused
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -19,6 +19,7 @@
 use eelgrassrock_ranges::leader::{Grant, Order, Outcome};
 use eelgrassrock_store::{Fault, Kind};
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use serde::Serialize;
 
 use super::upstream::Server;
 
@@ -218,6 +219,12 @@
         );
     }
 
+    /// Writes a row with this value.
+    pub(crate) fn put(&self, table: Table, key: &str, value: &impl Serialize) {
+        let value = postcard::to_allocvec(value).unwrap();
+        self.write(table, key, Some(value.into()));
+    }
+
     /// Writes a row that can't be decoded.
     pub(crate) fn write_malformed(&self, table: Table, key: &str) {
         self.write(table, key, Some("malformed".into()));
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,6 +7,7 @@
 mod digest;
 pub mod fleet;
 mod name;
+pub mod process;
 mod revision;
 pub mod shard;
 pub mod table;
--- a/crates/ranges/src/election.rs
+++ b/crates/ranges/src/election.rs
@@ -17,7 +17,7 @@
 /// Time after which others run although the leader's process lives but doesn't recognize them. It
 /// is longer than a leader may act without an answer from the store.
 const UNRECOGNIZED_TIMEOUT: Duration = Duration::from_secs(7);
-/// Delay after a refused connection, which shows that the process has ended.
+/// Delay after a refused connection. The process has probably ended.
 const CONNECTION_REFUSED_DELAY: Duration = Duration::from_millis(150);
 /// Delay between two candidates, by rank.
 const DELAY_PER_RANK: Duration = Duration::from_millis(120);
@@ -79,7 +79,7 @@
     Idle,
     /// It runs, but doesn't recognize this router and tells it nothing.
     Unrecognized,
-    /// Its machine runs no process at its address.
+    /// Its address refuses connections: its process has ended, or a partition refuses them.
     ConnectionRefused,
     /// It didn't answer.
     Unresponsive,
