A request whose body has left the router is never sent again

Requests with a body of 400,000 bytes in chunks ran with an empty one, and their callers got a signed 200 for it.

Cause: a body above 256 KiB is sent as a stream and isn't kept. When another router had turned such a request away after its body was handed over, `pass_on` returned "may be sent again" without asking for the body. Once the holder could be reached again, the missing body was replaced by an empty one: the state `Once(None)` could be written down, and was built with `unwrap_or`.

Change: a body is whole, a stream, or spent, and a spent request can't be built. What follows from a send without an answer is one pure decision (`dispatch::resend`) for sends and for requests that are passed on. A request that has not run and has lost its body is refused at once with 503, one that may have run gets 502. It can't fail again, because no code builds a request without the body that came with it.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 mod member;
 pub mod observation;
 pub mod place;
+pub mod resend;
 pub mod service;
 mod service_time;
 mod split;
--- a/crates/edge/src/detour.rs
+++ b/crates/edge/src/detour.rs
@@ -151,7 +151,9 @@
         let left = until - clock::now();
         self.platform.set_timeout(&mut headers, left);
         headers.insert(PASSED_ON, HeaderValue::from(passage.limits.attempts));
-        let request = message.build(headers);
+        let Some(request) = message.build(headers) else {
+            return Handled::NotRun;
+        };
         match timeout(left, link.sender.try_send_request(request)).await {
             Err(_) => Handled::Unknown(Report::TimedOut),
             Ok(Ok(response)) => self.receive_from(peer, link, response, passage).await,
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One send of a request to an upstream.
 
+use std::mem;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,7 +32,7 @@
     None(Report),
 }
 
-/// Request to send. One with a complete body can be sent more than once.
+/// Request to send.
 pub(crate) struct Message {
     pub(crate) parts: request::Parts,
     pub(crate) body: Content,
@@ -40,9 +41,14 @@
     refused_by: Vec<Arc<str>>,
 }
 
+/// Body of a request, as far as this router still has it.
 pub(crate) enum Content {
+    /// Complete body, which can be sent any number of times.
     Whole(Bytes),
-    Once(Option<Payload>),
+    /// Body that can be sent only once, because a part of it is still arriving.
+    Stream(Payload),
+    /// Body that was sent as a stream. The request can't be sent again.
+    Spent,
 }
 
 impl Message {
@@ -55,12 +61,14 @@
         }
     }
 
-    /// Whether it can be sent once more.
+    /// Whether it can be sent, because this router still has its body.
+    pub(crate) fn is_sendable(&self) -> bool {
+        !matches!(self.body, Content::Spent)
+    }
+
+    /// Whether it can be sent again after it has been sent.
     pub(crate) fn is_repeatable(&self) -> bool {
-        match &self.body {
-            Content::Whole(_) => true,
-            Content::Once(payload) => payload.is_some(),
-        }
+        matches!(self.body, Content::Whole(_))
     }
 
     /// Returns a copy, if the request can be sent more than once.
@@ -76,17 +84,21 @@
         })
     }
 
-    pub(crate) fn build(&mut self, headers: HeaderMap) -> Request<Payload> {
+    /// Builds the request with these headers. Returns `None` if its body was sent as a stream.
+    pub(crate) fn build(&mut self, headers: HeaderMap) -> Option<Request<Payload>> {
         let body = match &mut self.body {
             Content::Whole(bytes) if bytes.is_empty() => Payload::Whole(None),
             Content::Whole(bytes) => Payload::whole(bytes.clone()),
-            Content::Once(payload) => payload.take().unwrap_or(Payload::Whole(None)),
+            content => match mem::replace(content, Content::Spent) {
+                Content::Stream(payload) => payload,
+                Content::Whole(_) | Content::Spent => return None,
+            },
         };
         let mut request = Request::new(body);
         *request.method_mut() = self.parts.method.clone();
         *request.uri_mut() = self.parts.uri.clone();
         *request.headers_mut() = headers;
-        request
+        Some(request)
     }
 }
 
@@ -105,7 +117,9 @@
         .max(Duration::from_millis(1));
     node.platform
         .set_request_headers(&mut headers, upstream, allowed);
-    let mut request = message.build(headers);
+    let Some(mut request) = message.build(headers) else {
+        return Exchange::None(Report::NotSent);
+    };
     // On a connection in use before, a refusal that bears its identifier may be the earlier one.
     let was_refused = message.refused_by.contains(&upstream.id);
     loop {
@@ -193,8 +207,8 @@
 impl Message {
     /// Restores the body of a request of which nothing was sent.
     pub(crate) fn restore(&mut self, request: Request<Payload>) {
-        if let Content::Once(payload) = &mut self.body {
-            *payload = Some(request.into_body());
+        if let Content::Spent = self.body {
+            self.body = Content::Stream(request.into_body());
         }
     }
 }
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use eelgrassrock_dispatch::directory::{Repeat, Route};
+use eelgrassrock_dispatch::resend::{self, Attempt, Ending};
 use eelgrassrock_dispatch::service::{
     self, Detour, Reason, Refusal, Report, Request as Work, Step,
 };
@@ -206,7 +207,7 @@
     let (mut parts, body) = request.into_parts();
     let content = match payload::take(body, &node.memory).await {
         Taken::Whole(bytes) => Content::Whole(bytes),
-        Taken::Partial(first, rest) => Content::Once(Some(Payload::partial(first, rest, None))),
+        Taken::Partial(first, rest) => Content::Stream(Payload::partial(first, rest, None)),
         Taken::Broken => return plain(StatusCode::BAD_REQUEST, "body-incomplete"),
     };
     strip(&mut parts.headers);
@@ -442,7 +443,7 @@
                 outcome,
                 upstream: id,
             };
-            if !is_bad || !is_safe || !job.message.is_repeatable() {
+            if !is_bad || !is_safe || !job.message.is_sendable() {
                 return Next::Done(done);
             }
             exclude(job, upstream, Report::Answered { failed: true });
@@ -451,16 +452,16 @@
         Exchange::None(report) => {
             sending.report = report;
             job.work.is_repeat |= !matches!(report, Report::Unreachable | Report::NotSent);
-            let may_repeat = report.proves_not_run() || is_safe;
             if !report.proves_not_run() {
                 job.work.runs += 1;
             }
-            let out_of_time = clock::now() >= job.work.give_up;
-            if may_repeat && job.message.is_repeatable() && !out_of_time {
-                exclude(job, upstream, report);
-                return Next::Again(None);
+            match job.after(report) {
+                resend::Next::Again => {
+                    exclude(job, upstream, report);
+                    Next::Again(None)
+                }
+                resend::Next::End(ending) => Next::Done(unanswered(ending, id)),
             }
-            Next::Done(unanswered(job, report, id))
         }
     }
 }
@@ -471,6 +472,18 @@
         node.suspect(&self.message, self.head.key)
     }
 
+    /// Decides what follows from a send that gave no answer to pass on.
+    fn after(&self, report: Report) -> resend::Next {
+        let attempt = Attempt {
+            report,
+            repeat: self.route.repeat,
+            runs: self.work.runs,
+            has_body: self.message.is_sendable(),
+            has_time: clock::now() < self.work.give_up,
+        };
+        attempt.next()
+    }
+
     fn note_send<P: Platform>(&mut self, node: &Node<P>, sending: &Sending<P>, report: Report) {
         let elapsed = clock::now() - sending.started;
         node.metrics
@@ -552,17 +565,17 @@
     }
 }
 
-fn unanswered(job: &Job, report: Report, upstream: Option<Arc<str>>) -> FinalAnswer {
-    let (response, outcome) = match report {
-        Report::TimedOut => (plain(StatusCode::GATEWAY_TIMEOUT, "timeout"), "timeout"),
-        _ if job.work.runs == 0 => {
+fn unanswered(ending: Ending, upstream: Option<Arc<str>>) -> FinalAnswer {
+    let (response, outcome) = match ending {
+        Ending::TimedOut => (plain(StatusCode::GATEWAY_TIMEOUT, "timeout"), "timeout"),
+        Ending::NotRun => {
             let pause = NO_CONFIGURATION_RETRY_AFTER;
             (
                 refusal(StatusCode::SERVICE_UNAVAILABLE, "not-run", pause),
                 "not-run",
             )
         }
-        _ => (plain(StatusCode::BAD_GATEWAY, "unknown"), "unknown"),
+        Ending::Unknown => (plain(StatusCode::BAD_GATEWAY, "unknown"), "unknown"),
     };
     FinalAnswer {
         response,
--- a/crates/edge/src/request/passage.rs
+++ b/crates/edge/src/request/passage.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrassrock_dispatch::directory::Repeat;
-use eelgrassrock_dispatch::service::{Reason, Service};
+use eelgrassrock_dispatch::resend::{self, Ending};
+use eelgrassrock_dispatch::service::{Reason, Report, Service};
 
 use super::{FinalAnswer, Job, Limits, Next, SendLine, refused, unanswered};
 use crate::clock;
@@ -60,19 +60,26 @@
                     upstream: Some(router),
                 });
             }
-            Handled::NotRun if job.message.is_repeatable() => {}
-            Handled::NotRun => return Next::Again(None),
+            Handled::NotRun => {
+                if let resend::Next::End(ending) = job.after(Report::NotSent) {
+                    return Next::Done(unanswered(ending, Some(router)));
+                }
+            }
             Handled::Unknown(report) => {
                 job.work.runs += 1;
-                let may_repeat =
-                    job.route.repeat == Repeat::Idempotent && job.message.is_repeatable();
                 let repeats = |service: &mut Service, now| service.take_repeat(now);
-                let is_left = clock::now() < job.work.give_up
-                    && job.work.runs < job.work.max_attempts
-                    && may_repeat
-                    && node.with_service(&job.service, repeats) == Some(true);
-                if !is_left {
-                    return Next::Done(unanswered(job, report, Some(router)));
+                let ending = match job.after(report) {
+                    resend::Next::End(ending) => Some(ending),
+                    resend::Next::Again
+                        if job.work.runs < job.work.max_attempts
+                            && node.with_service(&job.service, repeats) == Some(true) =>
+                    {
+                        None
+                    }
+                    resend::Next::Again => Some(Ending::of(report, job.work.runs)),
+                };
+                if let Some(ending) = ending {
+                    return Next::Done(unanswered(ending, Some(router)));
                 }
             }
         }
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -45,8 +45,8 @@
     servers: Vec<Server>,
     /// Routers whose calls the store does not answer.
     disconnected: Vec<String>,
-    /// Routers without a path to any upstream, and the address that they reach in place of each.
-    cut_off: BTreeMap<String, SocketAddr>,
+    /// Routers without a path to some upstreams, and the address that they reach in place of each.
+    cut_off: BTreeMap<String, (Vec<Arc<str>>, SocketAddr)>,
     /// Number of calls of any kind by router.
     calls: BTreeMap<String, usize>,
     /// Number of feed calls by router.
@@ -233,14 +233,26 @@
     /// Cuts a router off from all upstreams, so that it reaches `address` in place of each, or ends
     /// that with `None`. The store and other routers still reach it.
     pub(crate) fn cut_off(&self, router: &str, address: Option<SocketAddr>) {
+        self.cut_off_from(router, address, |_| true);
+    }
+
+    /// Like [`Self::cut_off`], from some of the upstreams.
+    pub(crate) fn cut_off_from(
+        &self,
+        router: &str,
+        address: Option<SocketAddr>,
+        is_cut_off: impl Fn(&str) -> bool,
+    ) {
         let ids: Vec<Arc<str>> = {
             let mut state = self.0.lock().unwrap();
+            let ids = state.upstreams.iter();
+            let ids: Vec<Arc<str>> = ids.map(|upstream| Arc::clone(&upstream.id)).collect();
+            let cut_off = ids.iter().filter(|id| is_cut_off(id)).cloned().collect();
             match address {
-                Some(address) => state.cut_off.insert(router.to_owned(), address),
+                Some(address) => state.cut_off.insert(router.to_owned(), (cut_off, address)),
                 None => state.cut_off.remove(router),
             };
-            let ids = state.upstreams.iter();
-            ids.map(|upstream| Arc::clone(&upstream.id)).collect()
+            ids
         };
         // Lets the router decode the entries again.
         for (index, id) in ids.iter().enumerate() {
@@ -518,7 +530,9 @@
             .ok_or_else(|| unreadable("not an index"))?;
         let state = self.store.0.lock().unwrap();
         let mut upstream = state.upstreams[index].clone();
-        if let Some(address) = state.cut_off.get(&self.router) {
+        if let Some((ids, address)) = state.cut_off.get(&self.router)
+            && ids.contains(&upstream.id)
+        {
             upstream.address = *address;
         }
         Ok(upstream)
