A decision to send owns its place, wherever it is dropped

After callers had left together, a service got no request any more, with all its upstreams idle; only a restart would have helped.

Cause: a queued request counts as under way as soon as it is decided to send it, and the decision goes to its task through a channel. The guard that ends the count was made by that task later. If the caller's connection closed in between, the decision was dropped and its place was lost. Callers that leave together hand their places to each other, so all were lost within a few waves. The same gap was open while `admit_send` wrote to the store.

Change: `request::sending::Decision` holds the guard (`Sending`) from the moment of the decision, so a place is given back wherever the decision is dropped: in the channel, before it is sent into one, or while a later step waits. Decisions are delivered after the borrow of the state has ended, since giving a place back needs the state. New metric `eelgrassrock_in_flight`, 0 while no request is open.

--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -155,6 +155,7 @@
     configuration: Gauge,
     upstreams: Family<Service, Gauge>,
     waiting: Family<Service, Gauge>,
+    in_flight: Family<Service, Gauge>,
     ranges: Family<Service, Gauge>,
     contact: Family<Table, Gauge>,
     leader: Family<Service, Gauge>,
@@ -192,6 +193,7 @@
             configuration: Gauge::default(),
             upstreams: Family::default(),
             waiting: Family::default(),
+            in_flight: Family::default(),
             ranges: Family::default(),
             contact: Family::default(),
             leader: Family::default(),
@@ -266,6 +268,8 @@
         all.register("configuration_version", help, self.configuration.clone());
         all.register("upstreams", "Known upstreams", self.upstreams.clone());
         all.register("waiting", "Requests in the queue", self.waiting.clone());
+        let help = "Requests that hold a place at an upstream";
+        all.register("in_flight", help, self.in_flight.clone());
         all.register(
             "key_ranges",
             "Ranges of keys in the map",
@@ -433,6 +437,8 @@
             self.waiting
                 .get_or_create(&labels)
                 .set(service.waiting() as i64);
+            let in_flight = service.in_flight().map(|(_, count)| i64::from(count)).sum();
+            self.in_flight.get_or_create(&labels).set(in_flight);
             self.unreachable
                 .get_or_create(&labels)
                 .set(service.reach(now).unreachable as i64);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -38,6 +38,7 @@
 use crate::platform::{Platform, Table};
 use crate::registry::Registry;
 use crate::relay::Relay;
+use crate::request::Decision;
 use crate::settings::Settings;
 
 /// Share of an upstream's connection limit that all routers together may keep idle. The rest is for
@@ -87,7 +88,7 @@
 }
 
 /// State that all tasks of a process share.
-pub(crate) struct Node<P> {
+pub(crate) struct Node<P: Platform> {
     pub(crate) platform: P,
     pub(crate) settings: Settings,
     pub(crate) log: Log,
@@ -132,6 +133,14 @@
     /// byte of its answer has been sent.
     pub(crate) open_connections: Cell<u64>,
     next_ticket: Cell<u64>,
+    /// Requests that wait in a queue, by ticket.
+    waiters: RefCell<HashMap<u64, Waiter<P>>>,
+}
+
+/// Request that waits in a queue.
+struct Waiter<P: Platform> {
+    key: Option<u16>,
+    sender: oneshot::Sender<Decision<P>>,
 }
 
 /// Current view of configuration, upstreams, maps and other routers.
@@ -149,7 +158,6 @@
     /// first and keeps running during its grace period.
     pub(crate) departed_routers: HashMap<IpAddr, Instant>,
     splits: HashMap<Arc<str>, Split>,
-    waiters: HashMap<u64, oneshot::Sender<Step>>,
     polled_queues: HashMap<Arc<str>, ()>,
     /// Whether the last call for each table succeeded.
     pub(crate) contact: HashMap<Table, bool>,
@@ -217,7 +225,6 @@
                 stopped_routers: HashMap::new(),
                 departed_routers: HashMap::new(),
                 splits: HashMap::new(),
-                waiters: HashMap::new(),
                 polled_queues: HashMap::new(),
                 contact: HashMap::new(),
             }),
@@ -240,6 +247,7 @@
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
             next_ticket: Cell::new(1),
+            waiters: RefCell::default(),
         }
     }
 
@@ -314,12 +322,7 @@
             };
             self.log.info(event, &line);
         }
-        for (ticket, step) in entry.poll(now) {
-            // If the caller has disconnected, its waiter was removed already.
-            if let Some(waiter) = state.waiters.remove(&ticket) {
-                let _ = waiter.send(step);
-            }
-        }
+        let steps = entry.poll(now);
         let waits = entry.waiting() > 0 && !state.polled_queues.contains_key(service);
         if waits {
             state.polled_queues.insert(Arc::clone(service), ());
@@ -327,9 +330,25 @@
             let service = Arc::clone(service);
             tokio::task::spawn_local(async move { node.poll_queue(service).await });
         }
+        // A decision that nobody waits for any more gives its place back, which needs the state.
+        drop(guard);
+        for (ticket, step) in steps {
+            self.deliver(service, ticket, step);
+        }
         Some(result)
     }
 
+    /// Passes a decision to a queued request. If its caller has left, the place that the decision
+    /// holds is given back.
+    fn deliver(self: &Rc<Self>, service: &Arc<str>, ticket: u64, step: Step) {
+        let waiter = self.waiters.borrow_mut().remove(&ticket);
+        let key = waiter.as_ref().and_then(|waiter| waiter.key);
+        let decision = Decision::new(self, service, key, step);
+        if let Some(waiter) = waiter {
+            let _ = waiter.sender.send(decision);
+        }
+    }
+
     /// Records the result of an attempt to connect to an upstream.
     pub(crate) fn record_connect(self: &Rc<Self>, upstream: &Upstream, is_open: bool) {
         let change = self.with_service(&upstream.service, |service, now| {
@@ -372,14 +391,15 @@
     }
 
     /// Returns a receiver for the decision about a queued request.
-    pub(crate) fn wait_for(&self, ticket: u64) -> oneshot::Receiver<Step> {
+    pub(crate) fn wait_for(&self, ticket: u64, key: Option<u16>) -> oneshot::Receiver<Decision<P>> {
         let (sender, receiver) = oneshot::channel();
-        self.state.borrow_mut().waiters.insert(ticket, sender);
+        let waiter = Waiter { key, sender };
+        self.waiters.borrow_mut().insert(ticket, waiter);
         receiver
     }
 
     pub(crate) fn cancel_wait(&self, ticket: u64) {
-        self.state.borrow_mut().waiters.remove(&ticket);
+        self.waiters.borrow_mut().remove(&ticket);
     }
 
     /// Updates the services after a change of configuration, registry, maps or routers.
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -3,6 +3,7 @@
 mod passage;
 mod race;
 mod reply;
+mod sending;
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -11,7 +12,7 @@
 use eelgrassrock_dispatch::directory::{Repeat, Route};
 use eelgrassrock_dispatch::resend::{self, Attempt, Ending};
 use eelgrassrock_dispatch::service::{
-    self, Detour, Reason, Refusal, Report, Request as Work, Step,
+    self, Detour, Reason, Refusal, Report, Request as Work, Service, Step,
 };
 use eelgrassrock_dispatch::suspect::Fingerprint;
 use eelgrassrock_dispatch::upstream::Upstream;
@@ -23,8 +24,10 @@
 use tokio::time::timeout;
 
 use self::passage::pass_on;
-use self::race::{Race, Sending, race, report_of};
+use self::race::{Race, race, report_of};
 use self::reply::{Outcome, origin_form, plain, refusal, strip, too_long};
+pub(crate) use self::sending::Decision;
+use self::sending::Sending;
 use crate::clock;
 use crate::detour;
 use crate::exchange::{Content, Exchange, Message, is_failure};
@@ -340,73 +343,66 @@
             upstream: None,
         };
     }
-    let work = job.work.clone();
-    let mut step = node.with_service(&job.service, |service, now| service.admit(work, now));
+    let mut decision = decide(node, job, Service::admit);
     let mut failed: Option<FinalAnswer> = None;
     loop {
-        let current = match step {
-            Some(Step::Wait) => wait_in_queue(node, job).await,
-            Some(other) => other,
-            None => Step::Refuse(Refusal {
-                reason: Reason::NoUpstream,
-                retry_after: NO_CONFIGURATION_RETRY_AFTER,
-            }),
-        };
-        let (upstream, started) = match current {
-            Step::Send { upstream, started } => (upstream, started),
-            Step::Detour => match pass_on(node, job).await {
+        decision = match decision {
+            Decision::Wait => wait_in_queue(node, job).await,
+            Decision::Refuse(refusal) => {
+                return failed
+                    .unwrap_or_else(|| refused(job, refusal.reason.as_str(), refusal.retry_after));
+            }
+            Decision::Detour => match pass_on(node, job).await {
                 Next::Done(done) => return done,
                 Next::Again(_) => {
                     job.work.detour = Detour::Exhausted;
-                    let work = job.work.clone();
-                    step =
-                        node.with_service(&job.service, |service, now| service.resume(work, now));
-                    continue;
+                    decide(node, job, Service::resume)
                 }
             },
-            Step::Refuse(refusal) => {
-                return failed
-                    .unwrap_or_else(|| refused(job, refusal.reason.as_str(), refusal.retry_after));
-            }
-            Step::Wait => {
-                step = Some(Step::Wait);
-                continue;
+            Decision::Send(sending) => {
+                if let Admission::Refuse {
+                    outcome,
+                    retry_after,
+                } = node.admit_send(job.suspect(node)).await
+                {
+                    return failed.unwrap_or_else(|| refused(job, outcome, retry_after));
+                }
+                match send(node, job, sending).await {
+                    Next::Done(done) => return done,
+                    Next::Again(fallback) => failed = fallback.or(failed),
+                }
+                decide(node, job, Service::retry)
             }
         };
-        if let Admission::Refuse {
-            outcome,
-            retry_after,
-        } = node.admit_send(job.suspect(node)).await
-        {
-            node.with_service(&job.service, |service, now| {
-                service.end(&upstream.id, job.work.key, started, Report::NotSent, now);
-            });
-            return failed.unwrap_or_else(|| refused(job, outcome, retry_after));
-        }
-        match send(node, job, &upstream, started).await {
-            Next::Done(done) => return done,
-            Next::Again(fallback) => failed = fallback.or(failed),
-        }
-        let work = job.work.clone();
-        step = node.with_service(&job.service, |service, now| service.retry(work, now));
     }
 }
 
+/// Lets the service of a request decide on it.
+fn decide<P: Platform>(
+    node: &Rc<Node<P>>,
+    job: &Job,
+    decide: impl FnOnce(&mut Service, Work, Instant) -> Step,
+) -> Decision<P> {
+    let work = job.work.clone();
+    let step = node.with_service(&job.service, |service, now| decide(service, work, now));
+    let step = step.unwrap_or(Step::Refuse(Refusal {
+        reason: Reason::NoUpstream,
+        retry_after: NO_CONFIGURATION_RETRY_AFTER,
+    }));
+    Decision::new(node, &job.service, job.work.key, step)
+}
+
 enum Next {
     Done(FinalAnswer),
     /// The request may be sent again. Holds the answer to give if that isn't possible.
     Again(Option<FinalAnswer>),
 }
 
-async fn send<P: Platform>(
-    node: &Rc<Node<P>>,
-    job: &mut Job,
-    upstream: &Arc<Upstream>,
-    started: Instant,
-) -> Next {
-    node.metrics.sent(&job.service, job.work.arrived, started);
+async fn send<P: Platform>(node: &Rc<Node<P>>, job: &mut Job, mut first: Sending<P>) -> Next {
+    node.metrics
+        .sent(&job.service, job.work.arrived, first.started);
     node.expect_answer(&job.route.name);
-    let first = Sending::new(node, &job.service, job.work.key, upstream, started);
+    first.begin();
     let Race {
         end,
         mut sending,
@@ -531,19 +527,19 @@
     }
 }
 
-async fn wait_in_queue<P: Platform>(node: &Rc<Node<P>>, job: &Job) -> Step {
-    let receiver = node.wait_for(job.work.ticket);
+async fn wait_in_queue<P: Platform>(node: &Rc<Node<P>>, job: &Job) -> Decision<P> {
+    let receiver = node.wait_for(job.work.ticket, job.work.key);
     let queue_entry = Queued {
         node,
         service: &job.service,
         ticket: job.work.ticket,
     };
     let left = job.work.give_up - clock::now();
-    let step = timeout(left, receiver).await;
+    let decision = timeout(left, receiver).await;
     drop(queue_entry);
-    match step {
-        Ok(Ok(step)) => step,
-        _ => Step::Refuse(Refusal {
+    match decision {
+        Ok(Ok(decision)) => decision,
+        _ => Decision::Refuse(Refusal {
             reason: Reason::Busy,
             retry_after: NO_CONFIGURATION_RETRY_AFTER,
         }),
--- a/crates/edge/src/request/race.rs
+++ b/crates/edge/src/request/race.rs
@@ -7,11 +7,10 @@
 
 use eelgrassrock_dispatch::directory::Repeat;
 use eelgrassrock_dispatch::service::{Report, Step};
-use eelgrassrock_dispatch::upstream::Upstream;
-use eelgrassrock_model::time::Instant;
 use tokio::time::sleep;
 
 use super::Job;
+use super::sending::Sending;
 use crate::exchange::{Exchange, exchange, is_failure};
 use crate::node::Node;
 use crate::platform::Platform;
@@ -79,6 +78,7 @@
     };
     job.work.is_repeat = true;
     let mut second = Sending::new(node, &job.service, None, &upstream, started);
+    second.begin();
     let mut second_exchange = pin!(exchange(node, &upstream, &mut spare, &job.head, until));
     let (end, is_first) = tokio::select! {
         end = &mut first_exchange => (end, true),
@@ -134,46 +134,3 @@
         Exchange::None(report) => *report,
     }
 }
-
-/// Send in flight. Reports its result to the service when dropped, so also if its future is
-/// dropped.
-pub(super) struct Sending<P: Platform> {
-    node: Rc<Node<P>>,
-    service: Arc<str>,
-    pub(super) upstream: Arc<Upstream>,
-    key: Option<u16>,
-    pub(super) started: Instant,
-    pub(super) report: Report,
-}
-
-impl<P: Platform> Sending<P> {
-    pub(super) fn new(
-        node: &Rc<Node<P>>,
-        service: &Arc<str>,
-        key: Option<u16>,
-        upstream: &Arc<Upstream>,
-        started: Instant,
-    ) -> Self {
-        node.counts_changed.notify_one();
-        node.count_limited_send(upstream);
-        Self {
-            node: Rc::clone(node),
-            service: Arc::clone(service),
-            upstream: Arc::clone(upstream),
-            key,
-            started,
-            report: Report::Cancelled,
-        }
-    }
-}
-
-impl<P: Platform> Drop for Sending<P> {
-    fn drop(&mut self) {
-        let (upstream, started, report) = (&self.upstream.id, self.started, self.report);
-        let key = self.key;
-        self.node.with_service(&self.service, |service, now| {
-            service.end(upstream, key, started, report, now);
-        });
-        self.node.counts_changed.notify_one();
-    }
-}
--- a/crates/edge/tests/support/upstream.rs
+++ b/crates/edge/tests/support/upstream.rs
@@ -168,6 +168,11 @@
         self.state.lock().unwrap().behaviours.extend(behaviours);
     }
 
+    /// Answers all requests at once from now on.
+    pub(crate) fn forget_behaviours(&self) {
+        self.state.lock().unwrap().behaviours.clear();
+    }
+
     /// Returns how often a request was run.
     pub(crate) fn runs(&self, id: &str) -> usize {
         self.state
