A leader resigns only if another router can do better

After all upstreams of a sharded service had ended together, its requests were refused for ever, with all of them back.

Cause: a leader that got no answer for 1 s took itself for cut off. Orders to upstreams that had left the registry counted as unanswered, and a new leader must wait 3.4 s for the grants of earlier ones, so each resigned before its first grant, and the wait began anew. The log shows one term a second, each with one map with all ranges moving and "reaches no upstream".

Change: `should_resign` is a pure decision. Silence counts for listed upstreams only. A leader resigns if another router has reported answers since the silence began, or if upstreams answered it before in its term and those of other services don't answer it now either. So a leader that alone is cut off still resigns in time, and of two leaders in turn the second lasts. A leader that resigned doesn't take itself for the leader if the store can't be told.

--- a/crates/dispatch/src/service/reach.rs
+++ b/crates/dispatch/src/service/reach.rs
@@ -71,6 +71,11 @@
         members.any(|member| is_usable(member, now) && is_alive(member))
     }
 
+    /// Whether any upstream has answered since an instant, which is less than a second ago.
+    pub fn has_answered_since(&self, since: Instant) -> bool {
+        self.answers.last().is_some_and(|at| *at > since)
+    }
+
     /// Whether this router hasn't reached an upstream lately.
     fn is_out_of_reach(&self, upstream: &str, now: Instant) -> bool {
         let member = self.members.get(upstream);
--- a/crates/edge/src/leadership.rs
+++ b/crates/edge/src/leadership.rs
@@ -76,6 +76,8 @@
     confirm_due: Instant,
     is_confirming: bool,
     is_campaigning: bool,
+    /// When another router last reported answers of upstreams.
+    answered_elsewhere_at: Option<Instant>,
     /// Time until which this router doesn't run, because it resigned without a path to upstreams.
     barred_until: Option<Instant>,
     wake: Rc<Notify>,
@@ -125,8 +127,17 @@
         self.merge_service_times(service, &[service_time]);
     }
 
-    /// Merges service times, such as those reported by another router.
-    pub(crate) fn merge_service_times(&self, service: &Arc<str>, service_times: &[ServiceTime]) {
+    /// Merges service times that another router has reported.
+    pub(crate) fn merge_reported_times(&self, service: &Arc<str>, service_times: &[ServiceTime]) {
+        if let Some(participant) = self.services.borrow_mut().get_mut(service)
+            && service_times.iter().any(|time| time.answers > 0)
+        {
+            participant.answered_elsewhere_at = Some(clock::now());
+        }
+        self.merge_service_times(service, service_times);
+    }
+
+    fn merge_service_times(&self, service: &Arc<str>, service_times: &[ServiceTime]) {
         let mut services = self.services.borrow_mut();
         let Some(participant) = services.get_mut(service) else {
             return;
@@ -268,6 +279,7 @@
             confirm_due: now,
             is_confirming: false,
             is_campaigning: false,
+            answered_elsewhere_at: None,
             barred_until: None,
             wake: Rc::new(Notify::new()),
         }
--- a/crates/edge/src/leadership/lead.rs
+++ b/crates/edge/src/leadership/lead.rs
@@ -51,8 +51,8 @@
 impl<P: Platform> Node<P> {
     /// Carries out the due actions of the leader.
     pub(super) fn lead(self: &Rc<Self>, service: &Arc<str>, now: Instant) {
-        let is_isolated = self.leader(service, |leader| leader.is_isolated(now));
-        if is_isolated == Some(true) && self.resign_isolated(service, now) {
+        if self.should_resign(service, now) {
+            self.resign_isolated(service, now);
             return;
         }
         let upstreams = self.upstreams(service);
--- a/crates/edge/src/leadership/resign.rs
+++ b/crates/edge/src/leadership/resign.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use eelgrassrock_model::time::Instant;
+use eelgrassrock_ranges::leader::Surroundings;
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
-use super::{LEADER_TICK, Participant, STORE_RETRY_PAUSE};
+use super::{LEADER_TICK, STORE_RETRY_PAUSE};
 use crate::clock;
 use crate::node::Node;
 use crate::platform::Platform;
@@ -35,11 +36,30 @@
         }
     }
 
-    /// Resigns in favour of a router that may reach the upstreams. Returns whether there may be one.
-    pub(super) fn resign_isolated(self: &Rc<Self>, service: &Arc<str>, now: Instant) -> bool {
-        if self.state.borrow().routers.len() < 2 {
+    /// Whether the leader of a service should resign in favour of a router that reaches the
+    /// upstreams.
+    pub(super) fn should_resign(&self, service: &Arc<str>, now: Instant) -> bool {
+        let Some(Some(since)) = self.leader(service, |leader| leader.silent_since()) else {
             return false;
-        }
+        };
+        let is_in_touch = {
+            let state = self.state.borrow();
+            let mut others = state.services.iter().filter(|(name, _)| *name != service);
+            others.any(|(_, other)| other.has_answered_since(since))
+        };
+        let should_resign = self.participant(service, |participant| {
+            let surroundings = Surroundings {
+                answered_elsewhere_at: participant.answered_elsewhere_at,
+                is_in_touch,
+            };
+            let leader = participant.leader.as_ref();
+            leader.is_some_and(|leader| leader.should_resign(&surroundings, now))
+        });
+        should_resign == Some(true) && self.state.borrow().routers.len() >= 2
+    }
+
+    /// Resigns because this router reaches no upstream, unless it is doing so already.
+    pub(super) fn resign_isolated(self: &Rc<Self>, service: &Arc<str>, now: Instant) {
         let is_resigning = self.participant(service, |participant| {
             let was_barred = participant.barred_until.is_some_and(|until| now < until);
             participant.barred_until = Some(now + BARRED_TIME);
@@ -51,7 +71,6 @@
                 node.resign(&service, "reaches no upstream").await;
             });
         }
-        true
     }
 
     async fn resign(self: &Rc<Self>, service: &Arc<str>, reason: &str) {
@@ -69,13 +88,16 @@
         }
         let has_no_predecessor = self.leader(service, |leader| !leader.has_active_predecessor());
         let has_no_predecessor = has_no_predecessor == Some(true);
-        self.participant(service, Participant::drop_leader);
+        self.participant(service, |participant| {
+            participant.drop_leader();
+            participant.election.resign();
+        });
         leadership.is_released = true;
         if has_no_predecessor {
             leadership.predecessors.clear();
         }
         let term = leadership.term;
-        // If this fails, other routers detect by themselves that the leader doesn't respond.
+        // If this fails, other routers learn from their reports that this one doesn't lead.
         self.rewrite_leadership(service, leadership, version).await;
         self.log_term(service, term, &self.settings.router, reason);
     }
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -385,7 +385,7 @@
 fn handle_report<P: Platform>(node: &Rc<Node<P>>, report: Report) -> Reply {
     node.merge_notices(report.notices);
     node.leaderships
-        .merge_service_times(&report.service, &report.service_times);
+        .merge_reported_times(&report.service, &report.service_times);
     let is_leader = node.leaderships.is_active_leader(&report.service);
     let is_taking_over = node.leaderships.is_campaigning(&report.service);
     let admitted = node
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -278,7 +278,7 @@
     pub(crate) async fn serve_follower(self: &Rc<Self>, request: FollowRequest) -> FollowResponse {
         for (service, service_times) in request.service_times {
             self.leaderships
-                .merge_service_times(&service, &service_times);
+                .merge_reported_times(&service, &service_times);
         }
         self.merge_notices(request.notices);
         let changes = || {
--- a/crates/ranges/src/election.rs
+++ b/crates/ranges/src/election.rs
@@ -104,6 +104,8 @@
     router: Arc<str>,
     incarnation: u64,
     leadership: Option<(Leadership, Revision)>,
+    /// Whether this process has given up the known leadership, although the store may not say so.
+    has_resigned: bool,
     last_heartbeat: Instant,
     campaign_at: Option<Instant>,
     /// Present era of the store, once it is known.
@@ -122,6 +124,7 @@
             router,
             incarnation,
             leadership: None,
+            has_resigned: false,
             last_heartbeat: now,
             campaign_at: None,
             era: None,
@@ -159,12 +162,19 @@
         self.leadership.as_ref()
     }
 
+    /// Records that this process has given up leadership. If the store can't be told, any router may
+    /// take it, and this one again as well.
+    pub fn resign(&mut self) {
+        self.has_resigned = true;
+    }
+
     /// Whether this process leads.
     pub fn is_own(&self) -> bool {
         let own = |leadership: &Leadership| {
             leadership.router == self.router
                 && leadership.incarnation == self.incarnation
                 && !leadership.is_released
+                && !self.has_resigned
         };
         self.leadership
             .as_ref()
@@ -187,6 +197,7 @@
         let is_new = version(&leadership) > version(&self.leadership);
         self.leadership = leadership;
         if is_new {
+            self.has_resigned = false;
             self.last_heartbeat = now;
             self.campaign_at = None;
         }
@@ -198,8 +209,9 @@
     /// Whether no process acts as the known leader.
     fn is_vacant(&self) -> bool {
         let is_vacant = |leadership: &Leadership| {
+            let is_own_process = leadership.incarnation == self.incarnation;
             leadership.is_released
-                || (leadership.router == self.router && leadership.incarnation != self.incarnation)
+                || (leadership.router == self.router && (!is_own_process || self.has_resigned))
         };
         self.leadership
             .as_ref()
--- a/crates/ranges/src/leader.rs
+++ b/crates/ranges/src/leader.rs
@@ -33,6 +33,8 @@
 use eelgrassrock_model::time::Instant;
 use indexmap::IndexMap;
 
+use self::isolation::Silence;
+pub use self::isolation::Surroundings;
 use self::probe::Probe;
 use self::transfer::Transfer;
 pub use self::transfer::{Clearance, Reason};
@@ -210,8 +212,8 @@
     detachments: HashMap<Instance, Detachment>,
     /// When an upstream last answered an order.
     answered_at: Instant,
-    /// Upstreams whose orders have failed since.
-    silent: HashSet<Instance>,
+    has_been_answered: bool,
+    silence: Silence,
     /// Era of the store in which this leader leads.
     era: u64,
     /// Time from which no leader that the store has forgotten can act and none of its grants can be
@@ -328,7 +330,8 @@
             detached_orders: Vec::new(),
             detachments: HashMap::new(),
             answered_at: now,
-            silent: HashSet::new(),
+            has_been_answered: false,
+            silence: Silence::default(),
         }
     }
 
--- a/crates/ranges/src/leader/probe.rs
+++ b/crates/ranges/src/leader/probe.rs
@@ -58,7 +58,7 @@
         instances
     }
 
-    fn is_listed(&self, instance: &Instance) -> bool {
+    pub(super) fn is_listed(&self, instance: &Instance) -> bool {
         let upstream = self.upstreams.get(&instance.upstream);
         upstream.is_some_and(|upstream| upstream.instance == *instance)
     }
