A read that is arriving goes on, and a router that knows it is behind refuses

A router on a slow link handled requests by version 1 for seconds after version 2 was confirmed, while others had versions 2, 3 and 4.

Cause: a router that reads the store itself restarts its feeds when it hears of a later version, in case a connection is dead. It did so for each announcement, also while the answer was arriving, so no read ended while changes followed each other. The new line `behind` shows it: six restarts from 10.59 to 11.79 s, the first complete read at 14.02 s. It served by version 1 all the while.

Change: `dispatch::transfer::Reading`, a pure decision: only a call that is older than the announcement and whose answer hasn't begun is sent again. A configuration that another router has counts as lacking once it is heard of, and requests are refused as `outdated` after the time that is allowed. An answer of the store to a later call ends that, so a router never refuses for a version that is gone. Messages between routers stay as they are.

--- a/crates/dispatch/src/transfer.rs
+++ b/crates/dispatch/src/transfer.rs
@@ -25,6 +25,110 @@
     Store,
 }
 
+/// Versions that exist elsewhere and haven't arrived, with the time since which that is known.
+///
+/// ```
+/// use std::time::Duration;
+/// use eelgrassrock_dispatch::transfer::Pending;
+/// use eelgrassrock_model::Revision;
+/// use eelgrassrock_model::time::Instant;
+///
+/// let now = Instant::from_millis(0);
+/// let mut pending = Pending::default();
+/// pending.note(Revision::new(0, 7), now);
+/// let later = now + Duration::from_secs(2);
+/// assert!(pending.is_outdated(Duration::from_secs(1), later));
+/// pending.arrive(Revision::new(0, 8));
+/// assert!(!pending.is_outdated(Duration::from_secs(1), later));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Pending(VecDeque<(Revision, Instant)>);
+
+impl Pending {
+    /// Records that a version exists, without its contents.
+    pub fn note(&mut self, version: Revision, now: Instant) {
+        if self.newest().is_some_and(|newest| newest >= version) {
+            return;
+        }
+        if self.0.len() < MAX_ANNOUNCED {
+            self.0.push_back((version, now));
+        } else if let Some((newest, _)) = self.0.back_mut() {
+            *newest = version;
+        }
+    }
+
+    /// Returns the highest version that hasn't arrived.
+    pub fn newest(&self) -> Option<Revision> {
+        self.0.back().map(|(version, _)| *version)
+    }
+
+    /// Records that contents have arrived, from any source.
+    pub fn arrive(&mut self, version: Revision) {
+        while self
+            .0
+            .front()
+            .is_some_and(|(announced, _)| *announced <= version)
+        {
+            self.0.pop_front();
+        }
+    }
+
+    /// Records that the store has answered a query that was sent at `queried_at`. It knew all
+    /// versions that were known elsewhere before.
+    pub fn confirm(&mut self, queried_at: Instant) {
+        while self.0.front().is_some_and(|(_, at)| *at < queried_at) {
+            self.0.pop_front();
+        }
+    }
+
+    /// Whether contents that were noted `limit` ago haven't arrived.
+    pub fn is_outdated(&self, limit: Duration, now: Instant) -> bool {
+        let oldest = self.0.front();
+        oldest.is_some_and(|(_, noted_at)| now - *noted_at >= limit)
+    }
+}
+
+/// Call that reads the changes of a table from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reading {
+    /// When it was sent.
+    pub started: Instant,
+    /// Whether its answer is arriving.
+    pub is_arriving: bool,
+}
+
+/// What to do with a reading when another router has a later version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CatchUp {
+    /// Nothing: its answer contains that version.
+    Settled,
+    /// Look again later. A large answer over a slow link takes seconds, and a router that began
+    /// anew with each announcement might never get one.
+    Wait,
+    /// Send the call again, since its connection may be dead.
+    Restart,
+}
+
+impl Reading {
+    /// Decides on the reading when a router has had a later version since `heard_at` at the latest.
+    ///
+    /// ```
+    /// use eelgrassrock_dispatch::transfer::{CatchUp, Reading};
+    /// use eelgrassrock_model::time::Instant;
+    ///
+    /// let reading = Reading { started: Instant::from_millis(5), is_arriving: false };
+    /// assert_eq!(reading.catch_up(Instant::from_millis(9)), CatchUp::Restart);
+    /// assert_eq!(reading.catch_up(Instant::from_millis(5)), CatchUp::Settled);
+    /// ```
+    pub fn catch_up(&self, heard_at: Instant) -> CatchUp {
+        match self.is_arriving {
+            _ if self.started >= heard_at => CatchUp::Settled,
+            true => CatchUp::Wait,
+            false => CatchUp::Restart,
+        }
+    }
+}
+
 /// Announced contents that haven't arrived yet.
 ///
 /// ```
@@ -48,8 +152,8 @@
 pub struct Transfers<T> {
     /// Announcements, oldest first. The first one is being transferred.
     queue: VecDeque<T>,
-    /// Versions that were announced and haven't arrived, with the time of the announcement.
-    announced: VecDeque<(Revision, Instant)>,
+    /// Versions that were announced and haven't arrived.
+    announced: Pending,
     /// Transfers that have failed since the last one that succeeded.
     failures: u32,
 }
@@ -58,7 +162,7 @@
     fn default() -> Self {
         Self {
             queue: VecDeque::new(),
-            announced: VecDeque::new(),
+            announced: Pending::default(),
             failures: 0,
         }
     }
@@ -68,23 +172,11 @@
     /// Queues announced contents. Returns whether their transfer has to be started, which is not so
     /// while another one is under way.
     pub fn announce(&mut self, version: Revision, announcement: T, now: Instant) -> bool {
-        self.note(version, now);
+        self.announced.note(version, now);
         self.queue.push_back(announcement);
         self.queue.len() == 1
     }
 
-    /// Records that a version exists, without its contents.
-    fn note(&mut self, version: Revision, now: Instant) {
-        if self.newest().is_some_and(|newest| newest >= version) {
-            return;
-        }
-        if self.announced.len() < MAX_ANNOUNCED {
-            self.announced.push_back((version, now));
-        } else if let Some((newest, _)) = self.announced.back_mut() {
-            *newest = version;
-        }
-    }
-
     /// Returns the announcement whose contents are being transferred.
     pub fn current(&self) -> Option<&T> {
         self.queue.front()
@@ -107,7 +199,7 @@
 
     /// Returns the highest version that was announced and hasn't arrived.
     pub fn newest(&self) -> Option<Revision> {
-        self.announced.back().map(|(version, _)| *version)
+        self.announced.newest()
     }
 
     /// Records that the current transfer is complete, and returns its announcement. The next one
@@ -131,18 +223,11 @@
 
     /// Records that contents have arrived, from any source.
     pub fn arrive(&mut self, version: Revision) {
-        while self
-            .announced
-            .front()
-            .is_some_and(|(announced, _)| *announced <= version)
-        {
-            self.announced.pop_front();
-        }
+        self.announced.arrive(version);
     }
 
     /// Whether contents that were announced `limit` ago haven't arrived.
     pub fn is_outdated(&self, limit: Duration, now: Instant) -> bool {
-        let oldest = self.announced.front();
-        oldest.is_some_and(|(_, announced_at)| now - *announced_at >= limit)
+        self.announced.is_outdated(limit, now)
     }
 }
--- a/crates/dispatch/tests/transfer.rs
+++ b/crates/dispatch/tests/transfer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use eelgrassrock_dispatch::transfer::{Retry, Transfers};
+use eelgrassrock_dispatch::transfer::{CatchUp, Pending, Reading, Retry, Transfers};
 use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
 use rstest::rstest;
@@ -91,3 +91,41 @@
     transfers.arrive(version(10_000));
     assert!(!transfers.is_outdated(LIMIT, at_ms(100_000)));
 }
+
+/// Guards against a read that never ends: one that is arriving goes on, whatever is announced.
+#[test]
+fn a_reading_that_is_arriving_goes_on_when_later_versions_are_announced() {
+    let reading = |is_arriving| Reading {
+        started: at_ms(1_000),
+        is_arriving,
+    };
+    for heard_ms in [1_001, 1_500, 9_000] {
+        assert_eq!(reading(true).catch_up(at_ms(heard_ms)), CatchUp::Wait);
+        assert_eq!(reading(false).catch_up(at_ms(heard_ms)), CatchUp::Restart);
+    }
+    // A call that was sent after the announcement returns what was announced.
+    for heard_ms in [0, 1_000] {
+        for is_arriving in [false, true] {
+            assert_eq!(
+                reading(is_arriving).catch_up(at_ms(heard_ms)),
+                CatchUp::Settled
+            );
+        }
+    }
+}
+
+/// Guards against a router that refuses requests for ever because of a version that it never gets.
+#[test]
+fn versions_that_the_store_has_confirmed_are_no_longer_pending() {
+    let limit = Duration::from_secs(1);
+    let mut pending = Pending::default();
+    pending.note(Revision::new(0, 7), at_ms(1_000));
+    pending.note(Revision::new(0, 8), at_ms(1_600));
+    assert!(!pending.is_outdated(limit, at_ms(1_999)));
+    assert!(pending.is_outdated(limit, at_ms(2_000)));
+    pending.confirm(at_ms(1_500));
+    assert!(!pending.is_outdated(limit, at_ms(2_599)));
+    assert!(pending.is_outdated(limit, at_ms(2_600)));
+    pending.arrive(Revision::new(0, 8));
+    assert!(!pending.is_outdated(limit, at_ms(9_000)));
+}
--- a/crates/edge/src/platform.rs
+++ b/crates/edge/src/platform.rs
@@ -178,6 +178,9 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Changes, Fault>>;
 
+    /// Whether a response with rows has begun to arrive and isn't complete.
+    fn is_receiving(&self) -> bool;
+
     /// Writes rows of [`Table::Routers`] and [`Table::Maps`] in one transaction.
     fn commit(&self, transaction: &Transaction) -> impl Future<Output = Commit>;
 
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -24,7 +24,7 @@
 use std::time::Duration;
 
 use eelgrassrock_dispatch::observation::Observation;
-use eelgrassrock_dispatch::transfer::Transfers;
+use eelgrassrock_dispatch::transfer::{CatchUp, Pending, Reading, Transfers};
 use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
 use eelgrassrock_ranges::election::Contact;
@@ -33,7 +33,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
-use self::journal::{Journal, Part};
+use self::journal::{Journal, Part, index};
 use self::transfer::{Compressed, Incoming, LargeRow};
 pub(crate) use self::transfer::{RowRequest, RowResponse};
 use crate::clock;
@@ -88,8 +88,49 @@
     updates: Notify,
     /// Wakes the readers of tables when the router to read from may have changed.
     pub(crate) source_changed: Notify,
-    /// Wakes the readers of the store's feeds when their calls may be dead.
-    pub(crate) feeds_lost: Notify,
+    /// Wakes the readers of the store's feeds when their calls may be dead, by table.
+    feeds_lost: [Notify; 3],
+    /// When the calls to the store under way were sent, by table.
+    readings: [Cell<Option<Instant>>; 3],
+    /// Versions of the configuration that other routers have and this one lacks.
+    heard: RefCell<Pending>,
+}
+
+impl Relay {
+    /// Wakes the reader of a table's feed when its call may be dead.
+    pub(crate) fn feed_lost(&self, table: Table) -> &Notify {
+        &self.feeds_lost[index(table)]
+    }
+
+    /// Makes the readers of all feeds send their calls again.
+    pub(crate) fn restart_feeds(&self) {
+        self.feeds_lost.iter().for_each(Notify::notify_waiters);
+    }
+
+    /// Records that a call to the store for a table is about to be sent.
+    pub(crate) fn begin_reading(&self, table: Table) {
+        self.readings[index(table)].set(Some(clock::now()));
+    }
+
+    /// Records that the call for a table has ended. Returns when it was sent.
+    pub(crate) fn end_reading(&self, table: Table) -> Option<Instant> {
+        self.readings[index(table)].take()
+    }
+
+    /// Records that the store has answered a call for a table that was sent at `queried_at`.
+    pub(crate) fn confirm_versions(&self, table: Table, queried_at: Instant) {
+        if table == Table::Configuration {
+            self.heard.borrow_mut().confirm(queried_at);
+        }
+    }
+
+    /// Whether another router has had a configuration for `limit` that this one lacks.
+    fn is_behind(&self, limit: Duration, now: Instant) -> bool {
+        let [own, _] = self.newest_versions();
+        let mut heard = self.heard.borrow_mut();
+        heard.arrive(own);
+        heard.is_outdated(limit, now)
+    }
 }
 
 /// Long poll of a follower, with what it has and has measured.
@@ -127,6 +168,17 @@
     elapsed_ms: u64,
 }
 
+/// Versions of the configuration and the registry that this router lacks and another one has.
+#[derive(Serialize)]
+struct BehindLine {
+    /// Router that has them.
+    sender: SocketAddr,
+    configuration: [u64; 2],
+    registry: [u64; 2],
+    /// Where this router reads the tables.
+    source: &'static str,
+}
+
 #[derive(Serialize)]
 struct BypassedLine {
     reason: &'static str,
@@ -220,32 +272,78 @@
     /// Compares the versions of another router with the known ones. If the relay doesn't supply
     /// newer ones soon, asks that router, and then the store if it doesn't respond.
     pub(crate) fn learn_versions(self: &Rc<Self>, versions: [Revision; 2], sender: SocketAddr) {
-        let is_behind = move |node: &Self| {
+        let lacks = move |node: &Self| {
             let own = node.relay.announced_versions();
-            own.iter()
-                .zip(versions)
-                .any(|(own, theirs)| !own.is_none() && *own < theirs)
+            [0, 1].map(|table| !own[table].is_none() && own[table] < versions[table])
         };
-        if !is_behind(self) {
+        let heard_at = clock::now();
+        if lacks(self) == [false; 2] {
             return;
         }
+        if lacks(self)[0] {
+            self.relay.heard.borrow_mut().note(versions[0], heard_at);
+        }
         let node = Rc::clone(self);
         tokio::task::spawn_local(async move {
             sleep(RELAY_LAG_ALLOWANCE).await;
-            if !is_behind(&node) {
+            if lacks(&node) == [false; 2] {
                 return;
             }
+            node.log_behind(versions, sender);
             if node.relay_to_follow().is_none() {
-                node.relay.feeds_lost.notify_waiters();
+                while node.restart_dead_feeds(lacks(&node), heard_at) == CatchUp::Wait {
+                    sleep(RELAY_LAG_ALLOWANCE).await;
+                }
                 return;
             }
             node.catch_up(sender).await;
-            if is_behind(&node) {
+            if lacks(&node) != [false; 2] {
                 node.bypass_relay("behind");
             }
         });
     }
 
+    /// Sends the calls for configuration and registry again that may be dead, of those that this
+    /// router lacks. Returns whether one of them has to be looked at again.
+    fn restart_dead_feeds(&self, lacks: [bool; 2], heard_at: Instant) -> CatchUp {
+        let is_arriving = self.platform.is_receiving();
+        let mut result = CatchUp::Settled;
+        for (table, lacks) in [Table::Configuration, Table::Registry]
+            .into_iter()
+            .zip(lacks)
+        {
+            let started = self.relay.readings[index(table)].get();
+            let Some(started) = started.filter(|_| lacks) else {
+                continue;
+            };
+            let reading = Reading {
+                started,
+                is_arriving,
+            };
+            match reading.catch_up(heard_at) {
+                CatchUp::Settled => {}
+                CatchUp::Wait => result = CatchUp::Wait,
+                CatchUp::Restart => self.relay.feed_lost(table).notify_waiters(),
+            }
+        }
+        result
+    }
+
+    fn log_behind(&self, versions: [Revision; 2], sender: SocketAddr) {
+        let own = self.relay.announced_versions();
+        let of = |index: usize| [own[index].number, versions[index].number];
+        let line = BehindLine {
+            sender,
+            configuration: of(0),
+            registry: of(1),
+            source: match self.relay_to_follow() {
+                Some(_) => "router",
+                None => "store",
+            },
+        };
+        self.log.request("behind", &line);
+    }
+
     /// Fetches changes from another router.
     async fn catch_up(self: &Rc<Self>, sender: SocketAddr) {
         let request = self.request(Vec::new());
--- a/crates/edge/src/relay/transfer.rs
+++ b/crates/edge/src/relay/transfer.rs
@@ -173,8 +173,12 @@
     /// rules that are no longer in force.
     pub(crate) fn is_configuration_outdated(&self) -> bool {
         let limit = self.settings.apply.mul_f64(OUTDATED_SHARE);
-        let transfers = self.relay.transfers.borrow();
-        transfers[index(Table::Configuration)].is_outdated(limit, clock::now())
+        let now = clock::now();
+        let is_announced_only = {
+            let transfers = self.relay.transfers.borrow();
+            transfers[index(Table::Configuration)].is_outdated(limit, now)
+        };
+        is_announced_only || self.relay.is_behind(limit, now)
     }
 
     /// Answers a request for a row. Returns `None` if the row doesn't exist.
--- a/crates/edge/src/restore.rs
+++ b/crates/edge/src/restore.rs
@@ -87,7 +87,7 @@
         self.restored_at.set(Some(now));
         self.renew_suspects();
         self.state.borrow_mut().registry.record_store_regained(now);
-        self.relay.feeds_lost.notify_waiters();
+        self.relay.restart_feeds();
         self.relay.source_changed.notify_waiters();
         tokio::task::spawn_local(Rc::clone(self).rejoin());
     }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -93,14 +93,19 @@
             let _ = timeout(SOURCE_POLL, node.relay.source_changed.notified()).await;
             continue;
         }
+        node.relay.begin_reading(table);
         let end = tokio::select! {
             end = poll_table(&node, table) => Some(end),
             () = follows_relay(&node) => None,
-            () = node.relay.feeds_lost.notified() => None,
+            () = node.relay.feed_lost(table).notified() => None,
         };
+        let started = node.relay.end_reading(table);
         match end {
             None => {}
             Some(Ok(())) => {
+                if let Some(started) = started {
+                    node.relay.confirm_versions(table, started);
+                }
                 record_contact(&node, table, None);
                 pause = MIN_PAUSE;
                 // Routers and upstreams that start together register within about this time.
@@ -117,7 +122,7 @@
                 record_contact(&node, table, Some(&fault));
                 if table == Table::Configuration {
                     // The other feeds may have failed too, without an error.
-                    node.relay.feeds_lost.notify_waiters();
+                    node.relay.restart_feeds();
                 }
                 sleep(pause).await;
                 pause = (pause * 2).min(MAX_PAUSE);
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -57,6 +57,8 @@
     leadership_calls: usize,
     /// Time that a read of a map takes.
     map_delay: Duration,
+    /// Time that rows need to arrive at a router on a slow link.
+    row_delays: BTreeMap<String, Duration>,
 }
 
 fn table_number(table: Table) -> u8 {
@@ -272,6 +274,12 @@
         *state.feed_stalls.entry(router.to_owned()).or_default() += 1;
     }
 
+    /// Lets rows of the configuration need some time to arrive at a router.
+    pub(crate) fn delay_rows(&self, router: &str, delay: Duration) {
+        let mut state = self.0.lock().unwrap();
+        state.row_delays.insert(router.to_owned(), delay);
+    }
+
     /// Delays reads of maps.
     pub(crate) fn delay_maps(&self, delay: Duration) {
         self.0.lock().unwrap().map_delay = delay;
@@ -332,6 +340,17 @@
     router: String,
     /// Highest era that the store has reported to this router.
     era: Cell<u64>,
+    /// Number of answers that are arriving.
+    arriving: Cell<usize>,
+}
+
+/// Counts an answer as arriving until it is dropped.
+struct Arriving<'a>(&'a Cell<usize>);
+
+impl Drop for Arriving<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 impl FakePlatform {
@@ -340,6 +359,20 @@
             store: store.clone(),
             router: router.to_owned(),
             era: Cell::new(0),
+            arriving: Cell::new(0),
+        }
+    }
+
+    /// Waits until rows have arrived over the link of this router.
+    async fn transfer(&self, table: Table) {
+        let delay = {
+            let state = self.store.0.lock().unwrap();
+            state.row_delays.get(&self.router).copied()
+        };
+        if let Some(delay) = delay.filter(|_| table == Table::Configuration) {
+            self.arriving.set(self.arriving.get() + 1);
+            let _arriving = Arriving(&self.arriving);
+            tokio::time::sleep(delay).await;
         }
     }
 
@@ -451,12 +484,19 @@
                 return Ok(Changes::Reset);
             }
             if !rows.rows.is_empty() || tokio::time::Instant::now() >= give_up {
+                if !rows.rows.is_empty() {
+                    self.transfer(table).await;
+                }
                 return Ok(Changes::Rows(rows));
             }
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
     }
 
+    fn is_receiving(&self) -> bool {
+        self.arriving.get() > 0
+    }
+
     async fn commit(&self, transaction: &Transaction) -> Commit {
         self.count_call();
         let is_leadership = |(name, _): &(Name, Bytes)| name.key.starts_with("duty/");
--- a/crates/store/src/endpoint.rs
+++ b/crates/store/src/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
@@ -75,6 +76,24 @@
     address: SocketAddr,
     settings: Settings,
     idle: Mutex<Vec<Connection>>,
+    /// Number of answers that have begun and aren't complete.
+    arriving: AtomicUsize,
+}
+
+/// Counts an answer as arriving until it is dropped.
+struct Arriving<'a>(&'a AtomicUsize);
+
+impl<'a> Arriving<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Arriving<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// Request to send to an [`Endpoint`].
@@ -113,9 +132,23 @@
             address,
             settings,
             idle: Mutex::default(),
+            arriving: AtomicUsize::new(0),
         }
     }
 
+    /// Whether any answer has begun and isn't complete, if the settings bound its pauses.
+    ///
+    /// ```
+    /// use eelgrassrock_store::endpoint::Endpoint;
+    /// use eelgrassrock_store::settings::Settings;
+    ///
+    /// let endpoint = Endpoint::new(([127, 0, 0, 1], 7001).into(), Settings::default());
+    /// assert!(!endpoint.is_receiving());
+    /// ```
+    pub fn is_receiving(&self) -> bool {
+        self.arriving.load(Ordering::Relaxed) > 0
+    }
+
     /// Sends a request and returns the complete answer, whatever its status.
     ///
     /// # Errors
@@ -194,6 +227,7 @@
         response: Response<Incoming>,
         stall_limit: Duration,
     ) -> Result<Answer, Kind> {
+        let _arriving = Arriving::new(&self.arriving);
         let (parts, body) = response.into_parts();
         let limit = self.settings.max_body_bytes;
         let mut body = Limited::new(body, limit);
