--- a/crates/store/src/endpoint.rs
+++ b/crates/store/src/endpoint.rs
@@ -274,7 +274,12 @@
         // their results stay correct.
         let _ = stream.set_nodelay(true);
         let _ = set_keepalive(&stream, self.settings.keepalive_timeout);
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+        let mut builder = http1::Builder::new();
+        if let Some(bytes) = self.settings.max_buffer_bytes {
+            builder.max_buf_size(bytes);
+        }
+        let (sender, driver) = builder
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| Kind::Unreachable(error.to_string().into()))?;
         // The error is ignored here: the exchange on this connection reports it.
--- a/crates/store/src/settings.rs
+++ b/crates/store/src/settings.rs
@@ -6,6 +6,8 @@
 const CONNECT_TIMEOUT_MS: u64 = 500;
 const TIMEOUT_MS: u64 = 2_000;
 const MAX_BODY_BYTES: usize = 16 << 20;
+/// Smallest buffer that the HTTP library accepts.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
 const MAX_IDLE_CONNECTIONS: usize = 8;
 /// Shortest timeout that TCP keep-alive can measure: three intervals of one second, the unit of
 /// the probes.
@@ -29,6 +31,7 @@
     pub(crate) timeout: Duration,
     pub(crate) stall_timeout: Option<Duration>,
     pub(crate) max_body_bytes: usize,
+    pub(crate) max_buffer_bytes: Option<usize>,
     pub(crate) max_idle_connections: usize,
     pub(crate) keepalive_timeout: Duration,
     pub(crate) local_address: Option<IpAddr>,
@@ -62,6 +65,7 @@
             timeout: Duration::from_millis(TIMEOUT_MS),
             stall_timeout: None,
             max_body_bytes: MAX_BODY_BYTES,
+            max_buffer_bytes: None,
             max_idle_connections: MAX_IDLE_CONNECTIONS,
             keepalive_timeout: Duration::from_millis(KEEPALIVE_TIMEOUT_MS),
             local_address: None,
@@ -97,6 +101,13 @@
         self
     }
 
+    /// Sets the size of the buffer of a connection, in bytes, which bounds the head of an answer. It
+    /// is at least 8 KiB. By default it is that of the HTTP library.
+    pub fn max_buffer_bytes(mut self, bytes: usize) -> Self {
+        self.settings.max_buffer_bytes = Some(bytes.max(MIN_BUFFER_BYTES));
+        self
+    }
+
     /// Sets how many idle connections are kept for later calls.
     pub fn max_idle_connections(mut self, connections: usize) -> Self {
         self.settings.max_idle_connections = connections;
