Soak: an earlier version beside the present one, and counts at rest

`--earlier PATH` draws the router of another version for each start, by the seed; `--upgrade` uses it for the first start of each router only.

A new check reads the metrics of all routers once no caller has a request open: `eelgrassrock_in_flight` and `eelgrassrock_waiting` must be 0.

--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -1,12 +1,12 @@
 //! Command-line arguments of the soak binary.
 
 use std::ops::RangeInclusive;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
-use crate::plan::Plan;
+use crate::plan::{Earlier, Mix, Plan};
 
 /// Parsed arguments.
 #[derive(Clone, Debug)]
@@ -77,6 +77,20 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("Router binary [default: eelgrassrock-edge in the folder of this binary]"),
         )
+        .arg(
+            Arg::new("earlier")
+                .long("earlier")
+                .value_name("PATH")
+                .value_parser(value_parser!(PathBuf))
+                .help("Router binary of an earlier version, drawn at random for each start"),
+        )
+        .arg(
+            Arg::new("upgrade")
+                .long("upgrade")
+                .action(ArgAction::SetTrue)
+                .requires("earlier")
+                .help("Uses the earlier version for the first start of each router only"),
+        )
         .arg(
             Arg::new("logs")
                 .long("logs")
@@ -114,11 +128,15 @@
         let program = path("program").or_else(default_program);
         let program = program
             .ok_or("the folder of this binary is unknown; set the router binary with --program")?;
-        if !program.exists() {
-            let program = program.display();
-            return Err(format!(
-                "the router binary `{program}` doesn't exist; build it or set it with --program"
-            ));
+        check_exists(&program, "--program")?;
+        let mix = if matches.get_flag("upgrade") {
+            Mix::First
+        } else {
+            Mix::Any
+        };
+        let earlier = path("earlier").map(|program| Earlier { program, mix });
+        if let Some(earlier) = &earlier {
+            check_exists(&earlier.program, "--earlier")?;
         }
         let seeds = matches.get_one::<RangeInclusive<u64>>("seeds").cloned();
         let logs = path("logs")
@@ -126,6 +144,7 @@
         Ok(Self {
             plan: Plan {
                 program,
+                earlier,
                 routers: number("routers") as usize,
                 upstreams: number("upstreams") as usize,
                 callers: number("callers") as usize,
@@ -138,6 +157,16 @@
     }
 }
 
+fn check_exists(program: &Path, option: &str) -> Result<(), String> {
+    if program.exists() {
+        return Ok(());
+    }
+    let program = program.display();
+    Err(format!(
+        "the router binary `{program}` doesn't exist; build it or set it with {option}"
+    ))
+}
+
 /// Returns the path of `eelgrassrock-edge` in the folder of this binary.
 fn default_program() -> Option<PathBuf> {
     Some(
--- a/crates/soak/src/guarantee.rs
+++ b/crates/soak/src/guarantee.rs
@@ -59,6 +59,9 @@
     /// A router that is cut off from all upstreams serves its callers through others.
     #[display("reach")]
     Reach,
+    /// While no caller has a request open, no router counts any.
+    #[display("counts at rest")]
+    Rest,
     /// After the faults, all routers serve all kinds of requests again.
     #[display("recovery")]
     Recovery,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,11 +1,13 @@
 //! Deployment of a run: services, routes, and the number of routers, upstreams and callers.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrassrock_dispatch::directory::{Directory, Keyed, Limits, Part, Repeat, Route, Service};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 /// Number of data centres.
 pub(crate) const DATA_CENTRES: usize = 2;
@@ -168,6 +170,8 @@
 pub struct Plan {
     /// Path of the router binary.
     pub program: PathBuf,
+    /// Another version of the router, for some of the starts.
+    pub earlier: Option<Earlier>,
     /// Number of routers, each a separate process.
     pub routers: usize,
     /// Number of upstreams.
@@ -179,3 +183,63 @@
     /// Folder for the routers' logs.
     pub logs: PathBuf,
 }
+
+/// Earlier version of the router, which runs beside the present one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Earlier {
+    /// Path of its binary.
+    pub program: PathBuf,
+    /// Starts that use it.
+    pub mix: Mix,
+}
+
+/// Starts that use the earlier version of the router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mix {
+    /// Any start, at random.
+    Any,
+    /// The first start of each router, so that each restart is an upgrade.
+    First,
+}
+
+impl Plan {
+    /// Returns the router binary for a start of a router, counted from 0, in the run of a seed.
+    ///
+    /// ```
+    /// use std::path::{Path, PathBuf};
+    /// use std::time::Duration;
+    /// use eelgrassrock_soak::plan::{Earlier, Mix, Plan};
+    ///
+    /// let earlier = Earlier { program: PathBuf::from("old"), mix: Mix::First };
+    /// let plan = Plan {
+    ///     program: PathBuf::from("new"),
+    ///     earlier: Some(earlier),
+    ///     routers: 4,
+    ///     upstreams: 12,
+    ///     callers: 10,
+    ///     length: Duration::from_secs(20),
+    ///     logs: PathBuf::from("logs"),
+    /// };
+    /// assert_eq!(plan.program_of(1, 0, 0), Path::new("old"));
+    /// assert_eq!(plan.program_of(1, 0, 1), Path::new("new"));
+    /// ```
+    pub fn program_of(&self, seed: u64, router: usize, start: u32) -> &Path {
+        let Some(earlier) = &self.earlier else {
+            return &self.program;
+        };
+        let is_earlier = match earlier.mix {
+            Mix::First => start == 0,
+            Mix::Any => {
+                let stream = ((router as u64) << 32) | u64::from(start);
+                let mut random = ChaCha8Rng::seed_from_u64(seed);
+                random.set_stream(stream);
+                random.random_bool(0.5)
+            }
+        };
+        if is_earlier {
+            &earlier.program
+        } else {
+            &self.program
+        }
+    }
+}
--- a/crates/soak/src/router.rs
+++ b/crates/soak/src/router.rs
@@ -2,7 +2,8 @@
 
 use std::fs::{self, File, OpenOptions};
 use std::io;
-use std::path::{Path, PathBuf};
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -14,13 +15,14 @@
 
 use crate::checker::Checker;
 use crate::guarantee::Guarantee;
+use crate::plan::Plan;
 
 /// Delay before a router that exited is started again.
 pub(crate) const RESTART_PAUSE: Duration = Duration::from_millis(300);
 /// Interval between two checks of a process's state.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Port of the metrics endpoint. Each router has its own IP address, so all can use it.
-const METRICS_PORT: &str = "9464";
+const METRICS_PORT: u16 = 9464;
 /// Environment variable with the path of the settings file.
 const SETTINGS_VARIABLE: &str = eelgrassrock_platform_standin::settings::PATH_VARIABLE;
 
@@ -29,7 +31,8 @@
 pub(crate) struct Router {
     pub(crate) number: usize,
     pub(crate) settings: Settings,
-    program: PathBuf,
+    plan: Plan,
+    seed: u64,
     file: PathBuf,
     log: PathBuf,
     child: Mutex<Option<Child>>,
@@ -42,12 +45,14 @@
 }
 
 impl Router {
-    pub(crate) fn new(number: usize, settings: Settings, program: &Path, folder: &Path) -> Self {
+    pub(crate) fn new(number: usize, settings: Settings, plan: &Plan, seed: u64) -> Self {
+        let folder = &plan.logs;
         let file = folder.join(format!("router-{number}.json"));
         Self {
             number,
             settings,
-            program: program.to_owned(),
+            plan: plan.clone(),
+            seed,
             file,
             log: folder.join(format!("router-{number}.log")),
             child: Mutex::new(None),
@@ -57,11 +62,16 @@
         }
     }
 
+    /// Returns the address of its metrics.
+    pub(crate) fn metrics(&self) -> SocketAddr {
+        SocketAddr::new(self.settings.address, METRICS_PORT)
+    }
+
     /// Starts the process, and restarts it whenever it exits, until [`Self::finish`].
     pub(crate) async fn supervise(self: Arc<Self>, checker: Arc<Checker>) {
         while !self.is_finished.load(Ordering::Relaxed) {
             if let Err(error) = self.start() {
-                panic!("failed to start {}: {error}", self.program.display());
+                panic!("failed to start router {}: {error}", self.number);
             }
             while self.is_running() {
                 sleep(POLL_INTERVAL).await;
@@ -75,7 +85,8 @@
     }
 
     fn start(&self) -> io::Result<()> {
-        let is_first = self.starts.load(Ordering::Relaxed) == 0;
+        let start = self.starts.load(Ordering::Relaxed);
+        let is_first = start == 0;
         let settings = if is_first {
             self.settings.first_file()
         } else {
@@ -87,9 +98,10 @@
             .append(true)
             .open(&self.log)?;
         let errors = output.try_clone()?;
-        let mut command = Command::new(&self.program);
+        let program = self.plan.program_of(self.seed, self.number, start);
+        let mut command = Command::new(program);
         command
-            .args(["--metrics-port", METRICS_PORT])
+            .args(["--metrics-port", &METRICS_PORT.to_string()])
             .env(SETTINGS_VARIABLE, &self.file)
             .stdin(Stdio::null())
             .stdout(output)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -3,6 +3,7 @@
 mod deadly;
 mod inject;
 mod network;
+pub mod rest;
 mod restart;
 
 use std::collections::BTreeMap;
@@ -151,6 +152,7 @@
     let recovered = cluster.wait_for_recovery(&served).await;
     let _ = stop.send(true);
     callers.join_all().await;
+    cluster.check_rest().await;
     cluster.finish().await;
     Ok(Report {
         seed,
@@ -226,7 +228,7 @@
                 },
             };
             let front = Proxy::start(settings.front()).await?;
-            let router = Router::new(number, settings, &plan.program, &plan.logs);
+            let router = Router::new(number, settings, plan, seed);
             cluster.routers.push(Arc::new(router));
             cluster.store_proxies.push(to_store);
             cluster.front_proxies.push(front);
--- a/crates/soak/tests/schedule.rs
+++ b/crates/soak/tests/schedule.rs
@@ -2,9 +2,11 @@
 
 use std::collections::HashSet;
 use std::mem::discriminant;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use eelgrassrock_soak::flags::{Arguments, command};
+use eelgrassrock_soak::plan::{Earlier, Mix, Plan};
 use eelgrassrock_soak::schedule::draw;
 use rstest::rstest;
 
@@ -40,3 +42,49 @@
         .unwrap_err();
     assert!(fault.to_string().contains(reason), "{fault}");
 }
+
+fn mixed(mix: Mix) -> Plan {
+    Plan {
+        program: PathBuf::from("new"),
+        earlier: Some(Earlier {
+            program: PathBuf::from("old"),
+            mix,
+        }),
+        routers: 4,
+        upstreams: 12,
+        callers: 3,
+        length: LENGTH,
+        logs: PathBuf::from("logs"),
+    }
+}
+
+#[test]
+fn both_versions_are_drawn_in_the_same_order_each_time() {
+    let plan = mixed(Mix::Any);
+    let draw = || -> Vec<&Path> {
+        let starts = (0..40).map(|start| plan.program_of(7, start as usize % 4, start / 4));
+        starts.collect()
+    };
+    assert_eq!(draw(), draw());
+    let old = draw().iter().filter(|path| path.ends_with("old")).count();
+    assert!((8..=32).contains(&old), "{old}");
+}
+
+#[test]
+fn an_upgrade_never_goes_back() {
+    let plan = mixed(Mix::First);
+    for router in 0..4 {
+        assert_eq!(plan.program_of(7, router, 0), Path::new("old"));
+        for start in 1..10 {
+            assert_eq!(plan.program_of(7, router, start), Path::new("new"));
+        }
+    }
+}
+
+#[rstest]
+#[case::upgrade_alone(&["--upgrade"], "--earlier")]
+fn options_that_lack_another_one_are_refused(#[case] options: &[&str], #[case] reason: &str) {
+    let arguments = ["eelgrassrock-soak"].iter().chain(options);
+    let fault = command().try_get_matches_from(arguments).unwrap_err();
+    assert!(fault.to_string().contains(reason), "{fault}");
+}
