A router that the store turns away gets later configurations from another

Change: such a router asks the announcing router last, as one that follows a relay does first. No message changes.

Test: `a_router_that_the_store_turns_away_gets_configurations_from_another` (without the change the router has no source but the store, which the test cuts off).

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -270,7 +270,8 @@
     }
 
     /// Compares the versions of another router with the known ones. If the relay doesn't supply
-    /// newer ones soon, asks that router, and then the store if it doesn't respond.
+    /// newer ones soon, asks that router, and then the store if it doesn't respond. A router that
+    /// reads the store itself asks the other router last.
     pub(crate) fn learn_versions(self: &Rc<Self>, versions: [Revision; 2], sender: SocketAddr) {
         let lacks = move |node: &Self| {
             let own = node.relay.announced_versions();
@@ -294,6 +295,11 @@
                 while node.restart_dead_feeds(lacks(&node), heard_at) == CatchUp::Wait {
                     sleep(RELAY_LAG_ALLOWANCE).await;
                 }
+                sleep(RELAY_LAG_ALLOWANCE).await;
+                if lacks(&node) != [false; 2] {
+                    // The store may turn this router away.
+                    node.catch_up(sender).await;
+                }
                 return;
             }
             node.catch_up(sender).await;
--- a/crates/edge/tests/slow_link.rs
+++ b/crates/edge/tests/slow_link.rs
@@ -1,4 +1,4 @@
-//! A router on a slow link while configurations follow each other faster than one arrives there.
+//! Routers that get a configuration later than others: over a slow link, or not from the store.
 
 mod support;
 
@@ -36,26 +36,49 @@
     lines.filter_map(version).collect()
 }
 
-/// Guards against requests that are handled by an outdated configuration for seconds: each
-/// announcement made the router read the configuration anew, and no read ever ended.
-#[tokio::test]
-async fn configurations_that_follow_each_other_quickly_arrive_over_a_slow_link() {
-    let store = Store::default();
+/// Starts two routers that read the store themselves, in different data centres.
+async fn start(store: &Store) -> [Router; 2] {
     for number in 0..2 {
         let server = Server::start(&format!("up-{number}")).await;
         store.register(&format!("sheets-{number}"), &server);
     }
-    configure(&store, 1);
-    let fast = Router::start_at(2, 200, &store);
-    let slow = Router::start_with("router-3", &store, |settings| {
+    configure(store, 1);
+    let first = Router::start_at(2, 200, store);
+    let second = Router::start_with("router-3", store, |settings| {
         settings.peer.set_ip([127, 0, 0, 3].into());
         settings.data_centre = "dc-b".into();
     });
-    for router in [&fast, &slow] {
+    for router in [&first, &second] {
         router.ready().await;
     }
     // Datagrams are ignored until each router has read the other's row.
     sleep(Duration::from_millis(1_500)).await;
+    [first, second]
+}
+
+/// Guards against a router that refuses requests, or handles them by an outdated configuration, while
+/// the store turns it away and another router could tell it.
+#[tokio::test]
+async fn a_router_that_the_store_turns_away_gets_configurations_from_another() {
+    let store = Store::default();
+    let [_first, second] = start(&store).await;
+    store.disconnect("router-3");
+    configure(&store, 2);
+    sleep(APPLY_TIME).await;
+    assert_eq!(
+        versions_in_force(&second),
+        [1, 2],
+        "{}",
+        second.lines.text()
+    );
+}
+
+/// Guards against requests that are handled by an outdated configuration for seconds: each
+/// announcement made the router read the configuration anew, and no read ever ended.
+#[tokio::test]
+async fn configurations_that_follow_each_other_quickly_arrive_over_a_slow_link() {
+    let store = Store::default();
+    let [_fast, slow] = start(&store).await;
     store.delay_rows("router-3", TRANSFER_TIME);
     let mut changed_at = Vec::new();
     let began = Instant::now();
