Test of the fast hand-over: the other process starts after the take-over

Found by eight copies of the test at once: two of ten runs timed out. The process that was started again had the predecessor's name, so it took its own leadership to be vacant and ran for it, sometimes before the router under test.

--- a/crates/edge/tests/succession.rs
+++ b/crates/edge/tests/succession.rs
@@ -104,7 +104,10 @@
     let address = free_address();
     let deployment = Deployment::new(address).await;
     let router = Router::start_at(2, 500, &deployment.store);
-    let _restarted = Router::start_with("router-9", &deployment.store, |settings| {
+    let taken = || router.lines.text().contains("\"reason\":\"taken\"");
+    eventually("a new leader", taken).await;
+    // A process under the predecessor's name would run for leadership itself.
+    let _other = Router::start_with("router-5", &deployment.store, |settings| {
         settings.peer = address;
         settings.size = 100;
     });
