A lost history confirms no version of the configuration

Cause: an answer that the history is gone counted as an answer of the store like any other, so it ended the wait for a version that another router has, although no row was read. If the next read failed, requests were served by an outdated configuration for as long as that lasted.

Change: only rows that were applied confirm a version.

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -112,12 +112,13 @@
         self.readings[index(table)].set(Some(clock::now()));
     }
 
-    /// Records that the call for a table has ended. Returns when it was sent.
-    pub(crate) fn end_reading(&self, table: Table) -> Option<Instant> {
-        self.readings[index(table)].take()
+    /// Records that the call for a table has ended.
+    pub(crate) fn end_reading(&self, table: Table) {
+        self.readings[index(table)].set(None);
     }
 
-    /// Records that the store has answered a call for a table that was sent at `queried_at`.
+    /// Records that rows were applied with which the store answered a call for a table that was sent
+    /// at `queried_at`. An answer without rows, such as a lost history, confirms nothing.
     pub(crate) fn confirm_versions(&self, table: Table, queried_at: Instant) {
         if table == Table::Configuration {
             self.heard.borrow_mut().confirm(queried_at);
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -99,13 +99,10 @@
             () = follows_relay(&node) => None,
             () = node.relay.feed_lost(table).notified() => None,
         };
-        let started = node.relay.end_reading(table);
+        node.relay.end_reading(table);
         match end {
             None => {}
             Some(Ok(())) => {
-                if let Some(started) = started {
-                    node.relay.confirm_versions(table, started);
-                }
                 record_contact(&node, table, None);
                 pause = MIN_PAUSE;
                 // Routers and upstreams that start together register within about this time.
@@ -143,6 +140,7 @@
 
 /// Makes one call to the store and applies its result.
 async fn poll_table<P: Platform>(node: &Rc<Node<P>>, table: Table) -> Result<(), Fault> {
+    let queried_at = clock::now();
     let Some(after) = node.relay.synced_version(table) else {
         let rows = node.platform.rows(table).await;
         node.observe_era(node.platform.era());
@@ -150,6 +148,7 @@
         record_contact(node, table, None);
         record_rows(node, table, "store", &rows);
         apply_table(node, table, &rows);
+        node.relay.confirm_versions(table, queried_at);
         return Ok(());
     };
     let wait = if table == Table::Configuration {
@@ -165,6 +164,7 @@
             record_contact(node, table, None);
             record_rows(node, table, "store", &rows);
             apply_changes(node, table, &rows);
+            node.relay.confirm_versions(table, queried_at);
             if table != Table::Routers && !rows.rows.is_empty() {
                 gossip::send_versions(node);
             }
