Interfaces: evacuations, cold upstreams and reported load are decoded

Cause: two customers' configurations and registries tell of evacuated data centres, of a rate for cold upstreams and of the load of an upstream; nothing read them.

Change: the platform's rows, settings and header fields are decoded into types of the product (directory::WarmUp, limit::Tolerance, load::Load, Platform::evacuation and cold_time). Nothing acts on them yet, and a configuration or settings file without them gives none.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -7,6 +7,8 @@
 
 pub use eelgrassrock_model::fleet::Repeat;
 
+use crate::limit::Limit;
+
 /// All declarations of one version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Directory {
@@ -59,6 +61,19 @@
     pub max_connections: u32,
     /// Division of the keys, `None` if any upstream takes any request.
     pub keyed: Option<Keyed>,
+    /// How its upstreams warm up, `None` if cold ones take as many requests as others.
+    pub warm_up: Option<WarmUp>,
+    /// Path of the health check of its upstreams.
+    pub health_path: Option<Arc<str>>,
+}
+
+/// How the upstreams of a service warm up after their start, or whenever they become cold again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmUp {
+    /// Time for which an upstream stays cold.
+    pub time: Duration,
+    /// Requests that a cold upstream takes from all routers together.
+    pub limit: Limit,
 }
 
 /// Properties of a service whose keys are divided among its upstreams.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod detour;
 pub mod directory;
 pub mod limit;
+pub mod load;
 mod member;
 pub mod observation;
 pub mod place;
--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -61,6 +61,15 @@
     }
 }
 
+/// Requests that an upstream tolerates within one second: a multiple of its limit, and some more.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tolerance {
+    /// Multiple of the limit.
+    pub factor: f64,
+    /// Requests in addition to that.
+    pub extra: f64,
+}
+
 /// One router's part of a limit: an equal part of it, in whole requests.
 ///
 /// A part is often less than one request per second, so requests are allowed one by one. The routers
--- a/crates/edge/src/platform.rs
+++ b/crates/edge/src/platform.rs
@@ -9,6 +9,7 @@
 use derive_more::Display;
 use eelgrassrock_dispatch::directory::Directory;
 use eelgrassrock_dispatch::limit::Limit;
+use eelgrassrock_dispatch::load::Load;
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::Revision;
 use eelgrassrock_ranges::leader::{Grant, Order, Outcome};
@@ -146,6 +147,8 @@
     /// Requests that the upstream takes from all routers together, or why the field can't be
     /// decoded.
     pub limit: Option<Result<Limit, Unreadable>>,
+    /// Load of the upstream at the time of the answer, or why the field can't be decoded.
+    pub load: Option<Result<Load, Unreadable>>,
 }
 
 /// Error for a row or field that can't be decoded.
@@ -192,6 +195,10 @@
     /// Returns the invalid field and the reason.
     fn directory(&self, row: &Row) -> Result<Option<Directory>, Unreadable>;
 
+    /// Returns the data centre that a row of [`Table::Configuration`] asks to evacuate. The
+    /// evacuation lasts for as long as the row exists. Returns `None` for other rows.
+    fn evacuation(&self, row: &Row) -> Option<Arc<str>>;
+
     /// Decodes a row of [`Table::Registry`].
     ///
     /// # Errors
@@ -235,6 +242,10 @@
     /// Reads the notice that an upstream attached to an answer.
     fn notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice;
 
+    /// Reads from the answer to a health check for how long the upstream stays cold. Returns `None`
+    /// if it doesn't say so.
+    fn cold_time(&self, headers: &HeaderMap) -> Option<Result<Duration, Unreadable>>;
+
     /// Whether a call is the platform's readiness check.
     fn is_readiness_check(&self, method: &Method, path: &str) -> bool;
 }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use eelgrassrock_dispatch::budget;
+use eelgrassrock_dispatch::limit::Tolerance;
 pub use eelgrassrock_telemetry::log::Level;
 
 /// Settings of a router process.
@@ -43,6 +44,12 @@
     pub drain: Duration,
     /// Time from the write of a configuration until it must be in force.
     pub apply: Duration,
+    /// Time after the request to evacuate a data centre from which on its upstreams receive no more
+    /// requests. `None` if the platform doesn't ask for evacuations.
+    pub evacuation: Option<Duration>,
+    /// Requests beyond its limit that a cold upstream tolerates. `None` if cold upstreams have no
+    /// limits.
+    pub cold_tolerance: Option<Tolerance>,
     /// Time for which a removed registry entry may reappear after an outage of the store.
     pub return_time: Duration,
     /// Settings of the logs.
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -100,6 +100,8 @@
         grace: GRACE,
         drain: Duration::from_secs(2),
         apply: Duration::from_secs(2),
+        evacuation: None,
+        cold_tolerance: None,
         return_time: Duration::from_secs(2),
         log: Log {
             level: Level::Info,
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use eelgrassrock_dispatch::directory::{Directory, Keyed, Limits, Part, Repeat, Route, Service};
 use eelgrassrock_dispatch::limit::Limit;
+use eelgrassrock_dispatch::load::Load;
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_edge::platform::{
     Changes, Commit, Head, Name, Notice, Platform, Row, Rows, Table, Transaction, Unreadable,
@@ -102,6 +103,8 @@
                 keyed: keyed.contains(&&*part.service).then_some(Keyed {
                     warm_up: Duration::ZERO,
                 }),
+                warm_up: None,
+                health_path: None,
             };
             (Arc::clone(&part.service), service)
         });
@@ -562,6 +565,10 @@
             .cloned())
     }
 
+    fn evacuation(&self, row: &Row) -> Option<Arc<str>> {
+        row.key.strip_prefix("leave/").map(Arc::from)
+    }
+
     fn upstream(&self, row: &Row) -> Result<Upstream, Unreadable> {
         let value = row.value.as_ref().ok_or_else(|| unreadable("removed"))?;
         let index: usize = std::str::from_utf8(value)
@@ -656,10 +663,30 @@
             is_leaving: headers.contains_key("x-leaving"),
             pause: pause.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE),
             limit,
+            load: load(headers),
         }
     }
 
+    fn cold_time(&self, headers: &HeaderMap) -> Option<Result<Duration, Unreadable>> {
+        let value = headers.get("x-cold")?.to_str().ok();
+        let time = value.and_then(|text| text.parse().ok());
+        Some(
+            time.map(Duration::from_millis)
+                .ok_or_else(|| unreadable("expected milliseconds")),
+        )
+    }
+
     fn is_readiness_check(&self, method: &Method, path: &str) -> bool {
         *method == Method::GET && path == "/ready"
     }
 }
+
+fn load(headers: &HeaderMap) -> Option<Result<Load, Unreadable>> {
+    let text = headers.get("x-load")?.to_str().unwrap_or_default();
+    let figures: Vec<u32> = text.split('/').flat_map(str::parse).collect();
+    let load = match *figures {
+        [running, waiting, slots, pace] => Load::new(running, waiting, slots, Some(pace)),
+        _ => None,
+    };
+    Some(load.ok_or_else(|| unreadable(&format!("is {text}, expected four numbers"))))
+}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -157,6 +157,8 @@
         let service = Service {
             max_connections: MAX_CONNECTIONS,
             keyed: is_keyed.then_some(Keyed { warm_up: WARM_UP }),
+            warm_up: None,
+            health_path: None,
         };
         (Arc::from(name), service)
     });
