The grace of a leaving holder counts from the first news of it

Change: a service remembers since when the process of an upstream has been leaving (service/departure.rs), for a minute after it was listed last.

Result: the new test of keys.rs fails without the change (case of the same process) and passes with it; all tests of the crate pass.

--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -115,11 +115,9 @@
         (now - at < evidence_time).then_some(is_open)
     }
 
-    /// Replaces the self-description of the upstream.
-    pub(crate) fn update(&mut self, upstream: Arc<Upstream>, now: Instant) {
-        if upstream.leaving && self.leaving_since.is_none() {
-            self.leaving_since = Some(now);
-        }
+    /// Replaces the self-description of the upstream, which has been leaving since an instant.
+    pub(crate) fn update(&mut self, upstream: Arc<Upstream>, leaving_since: Option<Instant>) {
+        self.leaving_since = leaving_since;
         self.upstream = upstream;
     }
 
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -10,6 +10,7 @@
 mod block;
 mod choice;
 mod deferral;
+mod departure;
 mod limit;
 mod queue;
 mod reach;
@@ -23,6 +24,7 @@
 
 use self::block::{Block, MAX_BLOCK};
 use self::deferral::Deferral;
+use self::departure::Departure;
 use self::limit::Entry;
 pub use self::reach::Reach;
 use crate::budget::{self, Budget};
@@ -246,6 +248,8 @@
     reported: IndexMap<Arc<str>, Vec<Arc<str>>>,
     /// Upstreams that asked for no requests for a while.
     deferrals: IndexMap<Arc<str>, Deferral>,
+    /// Upstreams that are leaving.
+    departures: IndexMap<Arc<str>, Departure>,
     /// Limits that upstreams have set to the requests from all routers.
     limits: IndexMap<Arc<str>, Entry>,
     /// Time after which a leaving upstream may get no more requests.
@@ -287,6 +291,7 @@
             credit: INITIAL_CREDIT,
             reported: IndexMap::new(),
             deferrals: IndexMap::new(),
+            departures: IndexMap::new(),
             limits: IndexMap::new(),
             drain: DEFAULT_DRAIN,
             last_failed_connect: None,
@@ -326,7 +331,8 @@
                 member.allowance = self.allowance(&upstream, now);
                 member
             });
-            member.update(upstream, now);
+            let leaving_since = self.leaving_since(&upstream, now);
+            member.update(upstream, leaving_since);
             self.members.insert(id, member);
         }
     }
@@ -525,6 +531,8 @@
         self.answers.retain(|at| now - *at < RATE_WINDOW);
         self.deferrals.retain(|_, deferral| now < deferral.until);
         let members = &self.members;
+        self.departures
+            .retain(|id, departure| members.contains_key(id) || !departure.is_outdated(now));
         self.limits
             .retain(|id, entry| members.contains_key(id) || !entry.is_outdated(now));
         self.members
--- a/crates/dispatch/tests/keys.rs
+++ b/crates/dispatch/tests/keys.rs
@@ -2,7 +2,11 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use eelgrassrock_dispatch::service::{Reason, Report, Step};
+use eelgrassrock_dispatch::upstream::Upstream;
+use rstest::rstest;
 use support::{NEAR, at, keyed, leaving, request, sent_to, service, span, upstream};
 
 #[test]
@@ -99,6 +103,27 @@
     );
 }
 
+/// Guards against requests to a holder long after it said that it is leaving: its entry was lost with
+/// a restore of the store, and its grace began anew when the entry was back.
+#[rstest]
+#[case::same_process(1, false)]
+#[case::next_process(2, true)]
+fn the_grace_of_a_leaving_holder_goes_on_while_its_entry_is_missing(
+    #[case] incarnation: u64,
+    #[case] is_served: bool,
+) {
+    let mut service = keyed();
+    service.set_upstreams(vec![leaving("one")], at(0));
+    service.set_upstreams(Vec::new(), at(200));
+    let returned = Upstream {
+        incarnation,
+        ..(*leaving("one")).clone()
+    };
+    service.set_upstreams(vec![Arc::new(returned)], at(3_000));
+    let step = service.admit(request(1, Some(5), 3_100), at(3_100));
+    assert_eq!(matches!(step, Step::Send { .. }), is_served, "{step:?}");
+}
+
 #[test]
 fn a_leaving_holder_serves_until_its_keys_have_moved() {
     let mut service = keyed();
