What is new in a whole table of another router is taken, and a whole read is announced

Cause: a router that asks another one for what it lacks dropped whole tables, which the other sends once its own history was lost (Relay::changes); and a router that had read a whole table after a lost history announced no versions, so nobody asked. Either way a router that the store turns away had no later configuration, and refused as outdated.

Change: of a whole table from a router other than the relay the later rows count, as changes (Relay::news_of), so nothing is reverted or taken for removed. A whole read that brought later rows is announced like changes.

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -358,8 +358,8 @@
             .peers
             .follow(sender, LONG_POLL_TIME, &request, self.link_wait());
         if let Ok(mut response) = response.await {
-            // A full table may be older than much of what this router already has.
-            response.tables.retain(|part| !part.is_whole);
+            let tables = response.tables.into_iter();
+            response.tables = tables.filter_map(|part| self.relay.news_of(part)).collect();
             self.apply_response(response, sender);
         }
     }
--- a/crates/edge/src/relay/journal.rs
+++ b/crates/edge/src/relay/journal.rs
@@ -298,6 +298,24 @@
         parts
     }
 
+    /// Returns what is new in a part that a router other than the relay sent. A full table may be older
+    /// than much of what this router has, so it counts as changes: only its later rows are new, and
+    /// what it lacks was not removed. Returns `None` if nothing is certain to be new.
+    pub(super) fn news_of(&self, mut part: Part) -> Option<Part> {
+        let journals = self.journals.borrow();
+        let journal = journals.get(usize::from(part.table))?;
+        if !part.is_whole {
+            return Some(part);
+        }
+        if journal.version.is_none() {
+            return (part.version >= journal.newest_row).then_some(part);
+        }
+        part.rows.retain(|row| row.version > journal.version);
+        part.version = journal.version;
+        part.is_whole = false;
+        (!part.rows.is_empty()).then_some(part)
+    }
+
     /// Returns empty parts with the current versions of tables without changes, so that a follower
     /// needn't read them again from a relay that has read them later.
     pub(super) fn unchanged(&self, after: [Revision; 3]) -> Vec<Part> {
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -147,8 +147,13 @@
         let rows = rows?;
         record_contact(node, table, None);
         record_rows(node, table, "store", &rows);
+        let known = node.relay.newest_versions();
         apply_table(node, table, &rows);
         node.relay.confirm_versions(table, queried_at);
+        if node.relay.newest_versions() != known {
+            // The history may have been lost with changes that no other router has seen.
+            gossip::send_versions(node);
+        }
         return Ok(());
     };
     let wait = if table == Table::Configuration {
--- a/crates/edge/tests/slow_link.rs
+++ b/crates/edge/tests/slow_link.rs
@@ -73,6 +73,24 @@
     );
 }
 
+/// Guards against a router that the store turns away and that never learns of a configuration: the
+/// other one had read it with the whole table after its history was lost, and no whole table was taken.
+#[tokio::test]
+async fn a_router_that_the_store_turns_away_takes_what_is_new_in_a_whole_table() {
+    let store = Store::default();
+    let [_first, second] = start(&store).await;
+    store.disconnect("router-3");
+    configure(&store, 2);
+    store.forget_history();
+    sleep(APPLY_TIME).await;
+    assert_eq!(
+        versions_in_force(&second),
+        [1, 2],
+        "{}",
+        second.lines.text()
+    );
+}
+
 /// Guards against requests that are handled by an outdated configuration for seconds: each
 /// announcement made the router read the configuration anew, and no read ever ended.
 #[tokio::test]
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -39,6 +39,8 @@
     era: u64,
     version: u64,
     rows: Content,
+    /// Version up to which feeds can't tell what has changed any more.
+    forgotten: u64,
     /// Version and rows of each backup.
     backups: Vec<(u64, Content)>,
     configurations: BTreeMap<u64, Directory>,
@@ -127,6 +129,12 @@
         self.write(Table::Configuration, "current", Some(text.into()));
     }
 
+    /// Forgets which rows have changed so far.
+    pub(crate) fn forget_history(&self) {
+        let mut state = self.0.lock().unwrap();
+        state.forgotten = state.version;
+    }
+
     /// Starts to count eras, as a store does that can be restored from a backup.
     pub(crate) fn count_eras(&self) {
         self.0.lock().unwrap().era = 1;
@@ -483,7 +491,8 @@
             }
             self.check_connection()?;
             let rows = self.rows_after(table, after);
-            if rows.version.era != after.era || rows.version < after {
+            let is_forgotten = after.number < self.store.0.lock().unwrap().forgotten;
+            if rows.version.era != after.era || rows.version < after || is_forgotten {
                 return Ok(Changes::Reset);
             }
             if !rows.rows.is_empty() || tokio::time::Instant::now() >= give_up {
