Evacuation: which data centres are closed, and whom requests go to

Change: dispatch::evacuation decides from rows, removals and whole tables which data centres are evacuated, by version and not by order of arrival, also across a restore of the store. A service chooses no upstream there, keeps to holders of keys for two fifths of the bound, and refuses at once with a reason of its own if no other upstream is left.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod budget;
 pub mod detour;
 pub mod directory;
+pub mod evacuation;
 pub mod limit;
 pub mod load;
 mod member;
--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -71,6 +71,8 @@
     deferred_until: Instant,
     /// This router's part of the limit that it has set to the requests from all routers.
     pub(crate) allowance: Option<Allowance>,
+    /// Time until which it still gets requests for keys that it holds, if its data centre is evacuated.
+    pub(crate) evacuated: Option<Instant>,
     /// Whether the last attempt to connect succeeded, and when it ended.
     last_connect: Option<(bool, Instant)>,
 }
@@ -95,6 +97,7 @@
             full_pause: MIN_FULL_PAUSE,
             deferred_until: now,
             allowance: None,
+            evacuated: None,
             last_connect: None,
         }
     }
@@ -123,11 +126,22 @@
         self.upstream = upstream;
     }
 
-    /// Whether a leaving holder gets no more requests. Until another upstream has its keys, it is
-    /// the only one that can serve them.
+    /// Whether a holder that is leaving or evacuated gets no more requests. Until another upstream has
+    /// its keys, it is the only one that can serve them.
     pub(crate) fn is_closed(&self, drain: Duration, now: Instant) -> bool {
         let limit = LEAVING_GRACE.min(drain.mul_f64(LEAVING_GRACE_SHARE));
         self.leaving_since.is_some_and(|since| now - since >= limit)
+            || self.evacuated.is_some_and(|until| now >= until)
+    }
+
+    /// Whether its data centre is evacuated.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        self.evacuated.is_some()
+    }
+
+    /// Whether it gets no new work, apart from requests for keys that it holds.
+    pub(crate) fn is_retiring(&self) -> bool {
+        self.upstream.leaving || self.is_evacuated()
     }
 
     /// Sends it no requests until an instant.
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -10,6 +10,7 @@
 mod block;
 mod choice;
 mod deferral;
+mod evacuation;
 mod limit;
 mod queue;
 mod reach;
@@ -27,6 +28,7 @@
 pub use self::reach::Reach;
 use crate::budget::{self, Budget};
 use crate::directory::Repeat;
+use crate::evacuation::Evacuation;
 use crate::member::Member;
 use crate::place::{self, Place};
 use crate::upstream::Upstream;
@@ -174,6 +176,8 @@
     Overload,
     /// The service has no upstream that could take it.
     NoUpstream,
+    /// All upstreams of the service are in evacuated data centres.
+    Evacuated,
     /// No upstream holds the key at the moment.
     NoHolder,
     /// It was sent to as many upstreams as allowed, and none ran it.
@@ -195,6 +199,7 @@
             Self::Busy => "busy",
             Self::Overload => "overload",
             Self::NoUpstream => "no-upstream",
+            Self::Evacuated => "evacuated",
             Self::NoHolder => "no-holder",
             Self::Attempts => "attempts",
             Self::Budget => "budget",
@@ -248,6 +253,8 @@
     deferrals: IndexMap<Arc<str>, Deferral>,
     /// Limits that upstreams have set to the requests from all routers.
     limits: IndexMap<Arc<str>, Entry>,
+    /// Data centres whose upstreams get no more requests.
+    evacuations: Vec<Evacuation>,
     /// Time after which a leaving upstream may get no more requests.
     drain: Duration,
     last_failed_connect: Option<Instant>,
@@ -288,6 +295,7 @@
             reported: IndexMap::new(),
             deferrals: IndexMap::new(),
             limits: IndexMap::new(),
+            evacuations: Vec::new(),
             drain: DEFAULT_DRAIN,
             last_failed_connect: None,
             probe_due: None,
@@ -326,6 +334,7 @@
                 member.allowance = self.allowance(&upstream, now);
                 member
             });
+            member.evacuated = self.evacuated_until(&upstream);
             member.update(upstream, now);
             self.members.insert(id, member);
         }
--- a/crates/dispatch/src/service/choice.rs
+++ b/crates/dispatch/src/service/choice.rs
@@ -25,6 +25,7 @@
     Full,
     NoHolder,
     NoUpstream,
+    Evacuated,
     OutOfReach,
 }
 
@@ -61,7 +62,7 @@
         }
         let left_ms = (request.give_up - now).as_secs_f64() * 1e3;
         let usable = self.members.values().enumerate().filter(|(_, member)| {
-            !member.upstream.leaving
+            !member.is_retiring()
                 && !request.tried.contains(&member.upstream.id)
                 && member.has_free_slot(now)
                 && member.cost_ms(now) < left_ms
@@ -87,7 +88,7 @@
         // The cheapest upstream of the subset, of the rest of the data centre, and elsewhere.
         let mut best: [Option<(f64, &Member)>; 3] = [None; 3];
         for (index, member) in self.members.values().enumerate() {
-            if member.upstream.leaving || request.tried.contains(&member.upstream.id) {
+            if member.is_retiring() || request.tried.contains(&member.upstream.id) {
                 continue;
             }
             usable = true;
@@ -111,6 +112,7 @@
             Some((_, member)) => Choice::Take(Arc::clone(&member.upstream)),
             None if is_cut_off && !self.is_any_usable(now) => Choice::OutOfReach,
             None if usable => Choice::Full,
+            None if self.is_evacuated() => Choice::Evacuated,
             None => Choice::NoUpstream,
         }
     }
@@ -131,12 +133,18 @@
             return Choice::NoUpstream;
         }
         let Some(holder) = self.holder(request.key) else {
-            return Choice::NoHolder;
+            return match self.is_evacuated() {
+                true => Choice::Evacuated,
+                false => Choice::NoHolder,
+            };
         };
         if self.is_blocked(request.key, now) {
             return Choice::NoHolder;
         }
         match self.members.get(holder) {
+            Some(member) if member.is_closed(self.drain, now) && self.is_evacuated() => {
+                Choice::Evacuated
+            }
             Some(member) if member.is_closed(self.drain, now) => Choice::NoHolder,
             Some(member)
                 if self.is_cut_off(now)
--- a/crates/dispatch/src/service/queue.rs
+++ b/crates/dispatch/src/service/queue.rs
@@ -26,6 +26,9 @@
 /// Delay that a caller is asked to wait if its key gets too many requests. Hot ranges are divided
 /// within about this time.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(600);
+/// Delay that a caller is asked to wait if all upstreams are evacuated. Nobody knows how long that
+/// lasts, so it bounds how soon a caller is served again, and how often it asks in vain.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(3);
 
 impl Service {
     /// Removes a request from the queue because its caller has left.
@@ -74,6 +77,10 @@
                     }
                     done.push((request.ticket, step));
                 }
+                Choice::Evacuated => {
+                    let refusal = self.refuse(Reason::Evacuated, &request, now);
+                    done.push((request.ticket, refusal));
+                }
                 Choice::NoHolder if Self::has_waited_for_holder(&request, now) => {
                     let refusal = self.refuse(Reason::NoHolder, &request, now);
                     done.push((request.ticket, refusal));
@@ -106,6 +113,7 @@
         match self.choose(&request, now) {
             Choice::Take(upstream) => self.begin(upstream, request.key, now),
             Choice::NoUpstream => self.refuse_unavailable(&request, now),
+            Choice::Evacuated => self.refuse(Reason::Evacuated, &request, now),
             Choice::OutOfReach
                 if request.detour == Detour::Exhausted
                     && self.may_wait_out_of_reach(&request, now) =>
@@ -156,6 +164,7 @@
         let slots: u32 = self
             .members
             .values()
+            .filter(|member| !member.is_evacuated())
             .map(|member| member.upstream.slots)
             .sum();
         if self.queue.len() >= QUEUE_PER_SLOT * slots.max(1) as usize {
@@ -238,6 +247,7 @@
         let wait = match reason {
             Reason::NoHolder | Reason::NoUpstream | Reason::OutOfReach => NO_HOLDER_RETRY_AFTER,
             Reason::Overload => OVERLOAD_RETRY_AFTER,
+            Reason::Evacuated => EVACUATED_RETRY_AFTER,
             Reason::Busy | Reason::Attempts | Reason::Budget => self.wait(request, now),
             Reason::Deferred => self.unavailable_for(request, now),
             // The keys of an upstream in need move to others.
--- a/crates/dispatch/src/service/reach.rs
+++ b/crates/dispatch/src/service/reach.rs
@@ -68,7 +68,7 @@
     pub(super) fn is_any_usable(&self, now: Instant) -> bool {
         let is_alive = |member: &Member| now - member.last_answer() < ANSWER_TIME;
         let mut members = self.members.values();
-        members.any(|member| is_usable(member, now) && is_alive(member))
+        members.any(|member| !member.is_evacuated() && is_usable(member, now) && is_alive(member))
     }
 
     /// Whether any upstream has answered since an instant, which is less than a second ago.
--- a/crates/dispatch/src/service/unavailable.rs
+++ b/crates/dispatch/src/service/unavailable.rs
@@ -32,10 +32,7 @@
             let holder = self.members.get(self.holder(request.key)?)?;
             return self.unavailable_at(holder, request, now);
         }
-        let usable = self
-            .members
-            .values()
-            .filter(|member| !member.upstream.leaving);
+        let usable = self.members.values().filter(|member| !member.is_retiring());
         // Upstreams that have already rejected the request come last.
         let is_tried = |member: &Member| request.tried.contains(&member.upstream.id);
         let first = usable.min_by_key(|member| {
