Evacuation: keys leave evacuated upstreams, and none are granted there

Cause: a leader knew upstreams that leave, which they do for the rest of their lives, but none that may hold no keys for a while.

Change: an upstream may be marked as evacuated. Its ranges move as those of a leaving one; a range on its way to it goes to another upstream, and its grant isn't sent. If nobody else is left, holders keep their keys. The schedules of ownership evacuate data centres, too.

--- a/crates/ranges/src/leader.rs
+++ b/crates/ranges/src/leader.rs
@@ -112,6 +112,8 @@
     pub slots: u32,
     /// Whether it is about to leave.
     pub leaving: bool,
+    /// Whether its data centre is evacuated, so that it gets no keys for now.
+    pub evacuated: bool,
     /// Requests per second that it takes from all routers together, if it has set a limit.
     pub limit_per_s: Option<f64>,
 }
--- a/crates/ranges/src/leader/planning.rs
+++ b/crates/ranges/src/leader/planning.rs
@@ -50,7 +50,7 @@
             .map(|upstream| Candidate {
                 instance: upstream.instance.clone(),
                 capacity_per_s: self.service_times.capacity_per_s(upstream, typical),
-                leaving: upstream.leaving,
+                leaving: upstream.leaving || upstream.evacuated,
             })
             .collect();
         if (listed - usable.len()) as f64 > ISOLATED_SHARE * listed as f64 {
@@ -77,8 +77,9 @@
                 return false;
             };
             if !range.sources.is_empty() {
-                // The transfer continues, unless the new holder was lost before the range arrived.
-                return leaving.contains_key(holder);
+                // The transfer continues, unless the new holder was lost or evacuated before the range
+                // arrived.
+                return leaving.contains_key(holder) && !self.is_evacuated(holder);
             }
             let is_own =
                 !self.has_active_predecessor() || is_accepted(&self.accepted, holder, range);
--- a/crates/ranges/src/leader/transfer.rs
+++ b/crates/ranges/src/leader/transfer.rs
@@ -154,6 +154,10 @@
                 // A renewal would only keep the keys away from other upstreams.
                 continue;
             }
+            if !range.sources.is_empty() && self.is_evacuated(holder) {
+                // The plan gives the range to another upstream.
+                continue;
+            }
             let Some(connected_by) = self.taken_at.get(&range.fence).copied() else {
                 // The token is an earlier leader's, and so are the connections that it belongs to.
                 continue;
@@ -181,6 +185,14 @@
         }
     }
 
+    /// Whether a holder is evacuated and other upstreams can take its keys.
+    pub(super) fn is_evacuated(&self, holder: &Instance) -> bool {
+        let listed = self.upstreams.get(&holder.upstream);
+        let mut others = self.upstreams.values();
+        listed.is_some_and(|upstream| upstream.evacuated)
+            && others.any(|other| !other.evacuated && !other.leaving)
+    }
+
     pub(super) fn forget_transfers(&mut self) {
         let map = &self.map;
         self.transfers.retain(|transfer| {
--- a/crates/ranges/tests/detached.rs
+++ b/crates/ranges/tests/detached.rs
@@ -29,6 +29,7 @@
         slots: 2,
         leaving: false,
         limit_per_s: None,
+        evacuated: false,
     };
     [LOST, "u1", "u2", "u3"].map(upstream).to_vec()
 }
--- a/crates/ranges/tests/hot.rs
+++ b/crates/ranges/tests/hot.rs
@@ -75,6 +75,7 @@
             slots: SLOTS,
             leaving: false,
             limit_per_s: (n < count).then_some(limit_per_s),
+            evacuated: false,
         });
         self.leader.set_upstreams(upstreams.collect());
     }
--- a/crates/ranges/tests/isolation.rs
+++ b/crates/ranges/tests/isolation.rs
@@ -30,6 +30,7 @@
         slots: 2,
         leaving: false,
         limit_per_s: None,
+        evacuated: false,
     };
     (0..count).map(upstream).collect()
 }
@@ -185,6 +186,7 @@
             slots: 2,
             leaving: false,
             limit_per_s: None,
+            evacuated: false,
         };
         listed.into_iter().map(upstream).collect()
     }
--- a/crates/ranges/tests/ownership.rs
+++ b/crates/ranges/tests/ownership.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use world::{Faults, SETTINGS, World};
+use world::{DATA_CENTRES, Faults, SETTINGS, World};
 
 const NO_FAULTS: Faults = Faults {
     call_lost: 0.0,
@@ -14,6 +14,7 @@
     store_down: 0.0,
     path_lost: 0.0,
     restored: 0.0,
+    evacuated: 0.0,
 };
 
 #[test]
@@ -49,6 +50,8 @@
 #[case::restores(Faults { restored: 0.1, ..NO_FAULTS })]
 #[case::restores_and_leaders(Faults { restored: 0.1, leader_lost: 0.2, ..NO_FAULTS })]
 #[case::restores_and_paths(Faults { restored: 0.05, path_lost: 0.05, leader_lost: 0.1, ..NO_FAULTS })]
+#[case::evacuations(Faults { evacuated: 0.3, ..NO_FAULTS })]
+#[case::evacuations_and_leaders(Faults { evacuated: 0.3, leader_lost: 0.2, ..NO_FAULTS })]
 #[case::restores_and_all(Faults {
     call_lost: 0.2,
     leader_lost: 0.1,
@@ -56,6 +59,7 @@
     store_down: 0.05,
     path_lost: 0.03,
     restored: 0.05,
+    evacuated: 0.1,
 })]
 fn no_key_ever_has_two_holders(#[case] faults: Faults) {
     for seed in 0..40 {
@@ -161,6 +165,99 @@
     }
 }
 
+/// Time within which the keys of an evacuated data centre have moved: a small part of the bound after
+/// which its upstreams may get no more requests.
+const EVACUATION_TIME: Duration = Duration::from_secs(1);
+
+/// All ranges of a third of the holders move at once, each with one release and one grant, and none
+/// returns before the data centre is taken back.
+#[rstest]
+#[case::one(&[0])]
+#[case::two(&[0, 1])]
+fn the_keys_of_evacuated_data_centres_move_and_none_are_granted_there(
+    #[case] data_centres: &[usize],
+) {
+    for seed in 0..10 {
+        let mut world = World::new(seed, 9, NO_FAULTS);
+        world.run(6);
+        for data_centre in data_centres {
+            assert!(world.ranges_in(*data_centre) > 0, "seed {seed}");
+            world.set_evacuated(*data_centre, true);
+        }
+        world.longest_unowned = Duration::ZERO;
+        world.run(EVACUATION_TIME.as_secs());
+        let left: usize = data_centres
+            .iter()
+            .map(|place| world.ranges_in(*place))
+            .sum();
+        assert_eq!(left, 0, "seed {seed}");
+        world.evacuated_grants = 0;
+        world.run(20);
+        assert_eq!(world.evacuated_grants, 0, "seed {seed}");
+        let longest = world.longest_unowned;
+        assert!(
+            longest <= Duration::from_millis(400),
+            "seed {seed}: {longest:?}"
+        );
+        for data_centre in data_centres {
+            world.set_evacuated(*data_centre, false);
+        }
+        world.run(6);
+        for data_centre in data_centres {
+            assert!(
+                world.ranges_in(*data_centre) > 0,
+                "seed {seed}: not used again"
+            );
+        }
+    }
+}
+
+/// An evacuation begins while a range is on its way to the data centre. Nothing is granted there any
+/// more, also if the leader is lost meanwhile.
+#[rstest]
+fn a_range_on_its_way_to_an_evacuated_data_centre_goes_elsewhere(
+    #[values(false, true)] is_leader_lost: bool,
+) {
+    let mut evacuated = 0;
+    for seed in 0..60 {
+        let mut world = World::new(seed, 9, NO_FAULTS);
+        world.run(5);
+        world.retire_until_keys_move(0);
+        world.evacuated_grants = 0;
+        world.longest_unowned = Duration::ZERO;
+        let Some(data_centre) = world.evacuate_next_holder() else {
+            continue;
+        };
+        evacuated += 1;
+        if is_leader_lost {
+            world.partition_leader();
+        }
+        world.run(12);
+        assert_eq!(world.ranges_in(data_centre), 0, "seed {seed}");
+        assert_eq!(world.evacuated_grants, 0, "seed {seed}");
+        let unowned = world.unowned();
+        assert!(unowned.is_empty(), "seed {seed}: {unowned:?}");
+    }
+    assert!(evacuated >= 40, "{evacuated}");
+}
+
+/// With no other upstream left, holders keep their keys, so that they are used at once when their data
+/// centre is taken back.
+#[test]
+fn keys_stay_if_all_data_centres_are_evacuated() {
+    for seed in 0..10 {
+        let mut world = World::new(seed, 6, NO_FAULTS);
+        world.run(6);
+        (0..DATA_CENTRES).for_each(|data_centre| world.set_evacuated(data_centre, true));
+        world.run(1);
+        world.longest_unowned = Duration::ZERO;
+        let moves = world.moves;
+        world.run(10);
+        assert_eq!(world.moves, moves, "seed {seed}");
+        assert_eq!(world.longest_unowned, Duration::ZERO, "seed {seed}");
+    }
+}
+
 /// An upstream that the registry lists but that doesn't answer loses its keys once, and gets none
 /// until it answers again.
 #[test]
--- a/crates/ranges/tests/world/controls.rs
+++ b/crates/ranges/tests/world/controls.rs
@@ -2,7 +2,7 @@
 
 use eelgrassrock_ranges::map::Range;
 
-use super::{Faults, STEP_MS, World, sample};
+use super::{DATA_CENTRES, Faults, STEP_MS, World, sample};
 
 impl World {
     pub(crate) fn set_faults(&mut self, faults: Faults) {
@@ -43,6 +43,43 @@
         }
     }
 
+    /// Evacuates a data centre, or takes it back.
+    pub(crate) fn set_evacuated(&mut self, data_centre: usize, is_evacuated: bool) {
+        let upstreams = self.upstreams.iter_mut().enumerate();
+        let there = upstreams.filter(|(index, _)| index % DATA_CENTRES == data_centre);
+        there.for_each(|(_, upstream)| upstream.evacuated = is_evacuated);
+    }
+
+    /// Evacuates the data centre of an upstream to which a range is in transfer. Returns the data
+    /// centre.
+    pub(crate) fn evacuate_next_holder(&mut self) -> Option<usize> {
+        let map = self.store.map.as_ref()?;
+        let moving = map.ranges.iter().find(|range| !range.sources.is_empty())?;
+        let next = moving.holder.as_ref()?;
+        let is_next = |upstream: &super::Upstream| upstream.instance == *next;
+        let data_centre = self.upstreams.iter().position(is_next)? % DATA_CENTRES;
+        self.set_evacuated(data_centre, true);
+        Some(data_centre)
+    }
+
+    /// Number of ranges that upstreams of a data centre hold, are about to get or have to release.
+    pub(crate) fn ranges_in(&self, data_centre: usize) -> usize {
+        let Some(map) = &self.store.map else {
+            return 0;
+        };
+        let upstreams = self
+            .upstreams
+            .iter()
+            .skip(data_centre)
+            .step_by(DATA_CENTRES);
+        let there: Vec<_> = upstreams.map(|upstream| &upstream.instance).collect();
+        let is_there = |range: &&Range| {
+            let mut holders = range.holder.iter().chain(&range.sources);
+            holders.any(|holder| there.contains(&holder))
+        };
+        map.ranges.iter().filter(is_there).count()
+    }
+
     /// Stops or starts an upstream without the registry noticing.
     pub(crate) fn set_running(&mut self, index: usize, is_running: bool) {
         self.upstreams[index].is_running = is_running;
--- a/crates/ranges/tests/world/mod.rs
+++ b/crates/ranges/tests/world/mod.rs
@@ -17,6 +17,8 @@
 /// Number of keys that are checked; the others behave alike.
 const SAMPLES: usize = 64;
 const STEP_MS: u64 = 10;
+/// Number of data centres, over which the upstreams are spread.
+pub(crate) const DATA_CENTRES: usize = 3;
 /// Age of the oldest backup from which the store is restored.
 const MAX_BACKUP_AGE_MS: u64 = 6_000;
 /// Time after which an upstream carries out an order that it left unanswered.
@@ -47,6 +49,8 @@
     pub(crate) path_lost: f64,
     /// The store is restored from a backup, per second.
     pub(crate) restored: f64,
+    /// A data centre is evacuated or taken back, per second.
+    pub(crate) evacuated: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -57,6 +61,7 @@
     /// Incarnation that the registry lists.
     listed_incarnation: u64,
     leaving: bool,
+    evacuated: bool,
     clock: f64,
     /// For each sampled key: fencing token and end of the grant.
     holds: Vec<Option<(u64, Instant)>>,
@@ -153,6 +158,8 @@
     pub(crate) moves: usize,
     /// Number of orders to release that were sent.
     pub(crate) releases: usize,
+    /// Number of sampled keys that evacuated upstreams accepted and hadn't held.
+    pub(crate) evacuated_grants: usize,
     /// Number of times that a leader took leadership again in a new era.
     pub(crate) reclaimed: usize,
     /// Whether the service ever had a leader.
@@ -180,6 +187,7 @@
                 is_listed: true,
                 listed_incarnation: 1,
                 leaving: false,
+                evacuated: false,
                 clock: random.random_range(1.0..SLOWEST_CLOCK),
                 holds: vec![None; SAMPLES],
                 seen: vec![0; SAMPLES],
@@ -209,6 +217,7 @@
             unowned_since: vec![None; SAMPLES],
             moves: 0,
             releases: 0,
+            evacuated_grants: 0,
             reclaimed: 0,
             had_leader: false,
             accepted: vec![(0, None); SAMPLES],
@@ -288,6 +297,11 @@
                 }
             }
         }
+        if self.faults.evacuated > 0.0 && self.chance(self.faults.evacuated) {
+            let data_centre = self.random.random_range(0..DATA_CENTRES);
+            let is_evacuated = self.upstreams[data_centre].evacuated;
+            self.set_evacuated(data_centre, !is_evacuated);
+        }
         for index in 0..self.upstreams.len() {
             if !self.chance(self.faults.upstream_lost) {
                 continue;
@@ -326,6 +340,7 @@
             .filter(|upstream| upstream.is_listed)
             .map(|upstream| leader::Upstream {
                 limit_per_s: None,
+                evacuated: upstream.evacuated,
                 instance: Instance {
                     incarnation: upstream.listed_incarnation,
                     ..upstream.instance.clone()
@@ -699,6 +714,8 @@
             return Outcome::Fenced;
         }
         for key in keys {
+            let is_held = upstream.holds[key].is_some_and(|(_, until)| self.now < until);
+            self.evacuated_grants += usize::from(upstream.evacuated && !is_held);
             upstream.seen[key] = order.fence;
             upstream.holds[key] = Some((order.fence, until));
             let (highest, by) = &mut self.accepted[key];
