Evacuation: routers learn of it, keep to it and tell what is left

Cause: rows that evacuate a data centre were decoded, but no router acted on them.

Change: the rows take the ways of the configuration. A send looks again right before the request is written. Begin, end and what is left are logged, two gauges added, and explain knows the outcome.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -151,6 +151,11 @@
                 Report::Unreachable
             });
         };
+        if !node.may_send(upstream) {
+            // Its data centre was evacuated while the request waited, for a connection at most.
+            message.restore(request);
+            return Exchange::None(Report::NotSent);
+        }
         let sent_at = clock::now();
         let left = until - sent_at;
         let sent = timeout(left, link.sender.try_send_request(request)).await;
--- a/crates/edge/src/leadership/lead.rs
+++ b/crates/edge/src/leadership/lead.rs
@@ -108,7 +108,7 @@
             },
             slots: upstream.slots,
             leaving: upstream.leaving || self.turns_routers_away(&upstream),
-            evacuated: false,
+            evacuated: self.is_evacuated(&upstream.data_centre),
         };
         let listed = self.state.borrow().registry.of_service(service);
         listed.into_iter().map(upstream).collect()
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 mod crash;
 mod detour;
+mod evacuation;
 mod exchange;
 mod front;
 mod gossip;
@@ -30,6 +31,7 @@
 mod restore;
 pub mod settings;
 mod uplink;
+mod warm_up;
 mod watch;
 
 pub use process::{StartError, run, serve};
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -152,6 +152,8 @@
     open: Gauge,
     body_bytes: Gauge,
     link_wait: Family<Direction, Fraction>,
+    evacuated: Gauge,
+    evacuated_in_flight: Family<Service, Gauge>,
     configuration: Gauge,
     upstreams: Family<Service, Gauge>,
     waiting: Family<Service, Gauge>,
@@ -190,6 +192,8 @@
             open: Gauge::default(),
             body_bytes: Gauge::default(),
             link_wait: Family::default(),
+            evacuated: Gauge::default(),
+            evacuated_in_flight: Family::default(),
             configuration: Gauge::default(),
             upstreams: Family::default(),
             waiting: Family::default(),
@@ -264,6 +268,11 @@
         all.register_with_unit("link_wait", help, seconds, self.link_wait.clone());
         let help = "Bytes of request and answer bodies in memory";
         all.register("body_bytes", help, self.body_bytes.clone());
+        let help = "Data centres whose upstreams get no more requests";
+        all.register("evacuated_data_centres", help, self.evacuated.clone());
+        let help = "Requests still under way in evacuated data centres";
+        let gauge = self.evacuated_in_flight.clone();
+        all.register("evacuated_in_flight", help, gauge);
         let help = "Version of the configuration in force, 0 for none";
         all.register("configuration_version", help, self.configuration.clone());
         all.register("upstreams", "Known upstreams", self.upstreams.clone());
@@ -422,6 +431,8 @@
             }
         }
         self.body_bytes.set(node.memory.used() as i64);
+        let evacuated = node.evacuations.borrow().all().count();
+        self.evacuated.set(evacuated as i64);
         let version = state
             .directory
             .as_ref()
@@ -439,6 +450,9 @@
                 .set(service.waiting() as i64);
             let in_flight = service.in_flight().map(|(_, count)| i64::from(count)).sum();
             self.in_flight.get_or_create(&labels).set(in_flight);
+            self.evacuated_in_flight
+                .get_or_create(&labels)
+                .set(i64::from(service.in_flight_evacuated()));
             self.unreachable
                 .get_or_create(&labels)
                 .set(service.reach(now).unreachable as i64);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -10,6 +10,7 @@
 use eelgrassrock_dispatch::Split;
 use eelgrassrock_dispatch::detour::Detours;
 use eelgrassrock_dispatch::directory::{Directory, Route};
+use eelgrassrock_dispatch::evacuation::Evacuations;
 use eelgrassrock_dispatch::observation::Observations;
 use eelgrassrock_dispatch::place::{self, Place};
 use eelgrassrock_dispatch::service::{Service, Span, Step};
@@ -108,6 +109,8 @@
     pub(crate) pauses: Pauses,
     /// What this and other routers have seen of the limits of upstreams.
     pub(crate) observations: RefCell<Observations>,
+    /// Data centres whose upstreams get no more requests.
+    pub(crate) evacuations: RefCell<Evacuations>,
     pub(crate) memory: Memory,
     pub(crate) uplink: RefCell<Uplink>,
     /// Mean size of the answers to each route.
@@ -204,6 +207,7 @@
         let memory = Memory::of(settings.memory);
         let router = Arc::clone(&settings.router);
         let observations = Observations::new(router, settings.incarnation);
+        let evacuations = Evacuations::new(settings.evacuation.unwrap_or_default());
         let uplink = RefCell::new(Uplink::new(settings.link_mbit_per_s));
         Self {
             platform,
@@ -233,6 +237,7 @@
             peers,
             pauses: Pauses::default(),
             observations: RefCell::new(observations),
+            evacuations: RefCell::new(evacuations),
             memory,
             uplink,
             sizes: RefCell::default(),
@@ -424,6 +429,7 @@
                 });
                 service.set_place(place);
                 service.set_drain(self.settings.drain);
+                service.set_evacuations(self.evacuations.borrow().all());
                 service.set_upstreams(state.registry.of_service(name), now);
                 service.set_routers(routers, rank, now);
                 let map = state.maps.get(name).map(VersionedMap::map);
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -304,6 +304,14 @@
         upstreams.filter(is_match).count()
     }
 
+    /// Returns the number of upstreams in a data centre.
+    pub(crate) fn in_data_centre(&self, data_centre: &str) -> usize {
+        let upstreams = self.entries.values().map(|entry| &entry.upstream);
+        upstreams
+            .filter(|upstream| &*upstream.data_centre == data_centre)
+            .count()
+    }
+
     pub(crate) fn get(&self, id: &str) -> Option<&Arc<Upstream>> {
         self.entries.get(id).map(|entry| &entry.upstream)
     }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -358,8 +358,14 @@
             .peers
             .follow(sender, LONG_POLL_TIME, &request, self.link_wait());
         if let Ok(mut response) = response.await {
-            // A full table may be older than much of what this router already has.
-            response.tables.retain(|part| !part.is_whole);
+            // A full table may be older than much of what this router had before it lost its own.
+            let is_known = |part: &Part| {
+                let table = TABLES.get(usize::from(part.table));
+                table.is_some_and(|table| self.relay.synced_version(*table).is_some())
+            };
+            response
+                .tables
+                .retain(|part| !part.is_whole || is_known(part));
             self.apply_response(response, sender);
         }
     }
--- a/crates/edge/src/relay/journal.rs
+++ b/crates/edge/src/relay/journal.rs
@@ -156,7 +156,9 @@
             journal.since = rows.version;
         }
         for row in &rows.rows {
-            let known = journal.whole.get(&row.key);
+            // A row that was removed is only among the changes.
+            let changed = || journal.rows.iter().find(|other| other.key == row.key);
+            let known = journal.whole.get(&row.key).or_else(changed);
             if known.is_some_and(|known| known.version > row.version) {
                 continue;
             }
@@ -204,6 +206,12 @@
         self.journals.borrow()[index(table)].whole.get(key).cloned()
     }
 
+    /// Returns all rows of a table as known before it was read again.
+    pub(crate) fn known_rows(&self, table: Table) -> Vec<Row> {
+        let journals = self.journals.borrow();
+        journals[index(table)].whole.values().cloned().collect()
+    }
+
     /// Returns the digests of the large rows of a table.
     pub(super) fn large_rows(&self, table: Table) -> Vec<(Arc<str>, Digest)> {
         let journals = self.journals.borrow();
--- a/crates/edge/src/relay/transfer.rs
+++ b/crates/edge/src/relay/transfer.rs
@@ -206,6 +206,9 @@
         };
         watch::record_rows(self, table, "router", &part.rows_here());
         self.observe_era(part.version.era);
+        if part.version.era >= self.era.get() {
+            self.learn_evacuations_early(table, &part.rows_here().rows);
+        }
         self.fill_known_rows(table, &mut part);
         let is_idle = self.relay.transfers.borrow()[index(table)]
             .current()
--- a/crates/edge/src/restore.rs
+++ b/crates/edge/src/restore.rs
@@ -189,6 +189,7 @@
         let state = self.state.borrow();
         match table {
             Table::Configuration if self.has_contents(table, row) => false,
+            Table::Configuration if self.platform.evacuation(row).is_some() => false,
             Table::Configuration => {
                 let known = state.directory.as_ref().map_or(0, |known| known.version);
                 let directory = self.platform.directory(row);
@@ -207,6 +208,7 @@
         for row in rows {
             match table {
                 Table::Configuration => {
+                    self.learn_evacuations_early(table, std::slice::from_ref(row));
                     watch::apply_configuration(self, row);
                     self.relay.amend(table, row);
                 }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -176,6 +176,7 @@
 /// Applies the full contents of a table, from the store or a relay.
 pub(crate) fn apply_table<P: Platform>(node: &Rc<Node<P>>, table: Table, rows: &Rows) {
     let rows = &node.correct(table, rows);
+    let rows = &node.learn_evacuations(table, rows, true);
     apply_all_rows(node, table, rows);
     node.relay.record(table, rows, true);
     if table == Table::Routers {
@@ -185,6 +186,7 @@
 
 /// Applies changes of a table, from the store or a relay.
 pub(crate) fn apply_changes<P: Platform>(node: &Rc<Node<P>>, table: Table, rows: &Rows) {
+    let rows = &node.learn_evacuations(table, rows, false);
     apply_rows(node, table, &rows.rows);
     node.relay.record(table, rows, false);
 }
@@ -327,7 +329,7 @@
 }
 
 pub(crate) fn apply_configuration<P: Platform>(node: &Rc<Node<P>>, row: &Row) {
-    if node.has_contents(Table::Configuration, row) {
+    if node.platform.evacuation(row).is_some() || node.has_contents(Table::Configuration, row) {
         return;
     }
     let received_at = clock::now();
