--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -358,8 +358,7 @@
             .peers
             .follow(sender, LONG_POLL_TIME, &request, self.link_wait());
         if let Ok(mut response) = response.await {
-            let tables = response.tables.into_iter();
-            response.tables = tables.filter_map(|part| self.relay.news_of(part)).collect();
+            response.tables.retain(|part| self.relay.may_be_news(part));
             self.apply_response(response, sender);
         }
     }
--- a/crates/edge/src/relay/journal.rs
+++ b/crates/edge/src/relay/journal.rs
@@ -156,7 +156,9 @@
             journal.since = rows.version;
         }
         for row in &rows.rows {
-            let known = journal.whole.get(&row.key);
+            // A row that was removed is only among the changes.
+            let changed = || journal.rows.iter().find(|other| other.key == row.key);
+            let known = journal.whole.get(&row.key).or_else(changed);
             if known.is_some_and(|known| known.version > row.version) {
                 continue;
             }
@@ -204,6 +206,12 @@
         self.journals.borrow()[index(table)].whole.get(key).cloned()
     }
 
+    /// Returns all rows of a table as known before it was read again.
+    pub(crate) fn known_rows(&self, table: Table) -> Vec<Row> {
+        let journals = self.journals.borrow();
+        journals[index(table)].whole.values().cloned().collect()
+    }
+
     /// Returns the digests of the large rows of a table.
     pub(super) fn large_rows(&self, table: Table) -> Vec<(Arc<str>, Digest)> {
         let journals = self.journals.borrow();
@@ -298,22 +306,14 @@
         parts
     }
 
-    /// Returns what is new in a part that a router other than the relay sent. A full table may be older
-    /// than much of what this router has, so it counts as changes: only its later rows are new, and
-    /// what it lacks was not removed. Returns `None` if nothing is certain to be new.
-    pub(super) fn news_of(&self, mut part: Part) -> Option<Part> {
+    /// Whether a part that a router other than the relay sent may hold news. Without a table of its own
+    /// to compare with, this router takes a full one only if it isn't older than any row it has known.
+    pub(super) fn may_be_news(&self, part: &Part) -> bool {
         let journals = self.journals.borrow();
-        let journal = journals.get(usize::from(part.table))?;
-        if !part.is_whole {
-            return Some(part);
-        }
-        if journal.version.is_none() {
-            return (part.version >= journal.newest_row).then_some(part);
-        }
-        part.rows.retain(|row| row.version > journal.version);
-        part.version = journal.version;
-        part.is_whole = false;
-        (!part.rows.is_empty()).then_some(part)
+        let journal = journals.get(usize::from(part.table));
+        journal.is_some_and(|journal| {
+            !part.is_whole || !journal.version.is_none() || part.version >= journal.newest_row
+        })
     }
 
     /// Returns empty parts with the current versions of tables without changes, so that a follower
