Upstreams are ranked by the load and the pace that they report

Cause: upstreams of some services tell with each answer how many requests run and wait there, and how long work takes on their machine at the moment. The router decoded this and did nothing with it, so it went on sending to upstreams that others had filled, or whose machine was busy for a moment.

Change: a router keeps the last report of each upstream with its time. The counts replace what neighbours told for one service time, the pace relative to the upstream's mean multiplies the expected time for half a second, both less by age. A report ranks upstreams and bars none; one that contradicts the registered slots counts for nothing. Reports are counted by service, unreadable ones are logged. Service times stay as they are measured: the pace in an answer says little about the time that this answer took.

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -1,7 +1,13 @@
 //! Load that an upstream reports with its answers.
 
-/// Number above which a reported count isn't credible.
-const MAX_COUNT: u32 = 100_000;
+mod record;
+
+pub(crate) use self::record::Record;
+
+/// Number above which reported slots aren't credible.
+const MAX_SLOTS: u32 = 100_000;
+/// Requests that may wait for each slot. A longer queue could answer nobody in time.
+const MAX_WAITING_PER_SLOT: u32 = 100;
 /// Bounds of a credible pace, in percent.
 const MIN_PACE: u32 = 1;
 const MAX_PACE: u32 = 100_000;
@@ -18,7 +24,7 @@
 impl Load {
     /// Creates a report of `running` and `waiting` requests on `slots` slots. `pace` is the time that
     /// work takes at the moment, in percent of the usual time. Returns `None` if a figure isn't
-    /// credible.
+    /// credible, as when more requests run than there are slots.
     ///
     /// ```
     /// use eelgrassrock_dispatch::load::Load;
@@ -29,9 +35,9 @@
     /// assert_eq!(Load::new(3, 1, 0, None), None);
     /// ```
     pub fn new(running: u32, waiting: u32, slots: u32, pace: Option<u32>) -> Option<Self> {
-        let is_credible = running <= MAX_COUNT
-            && waiting <= MAX_COUNT
-            && (1..=MAX_COUNT).contains(&slots)
+        let is_credible = running <= slots
+            && waiting / MAX_WAITING_PER_SLOT <= slots
+            && (1..=MAX_SLOTS).contains(&slots)
             && pace.is_none_or(|pace| (MIN_PACE..=MAX_PACE).contains(&pace));
         is_credible.then_some(Self {
             running,
--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 
 use crate::limit::Allowance;
+use crate::load;
 use crate::service::{HealthChange, Report};
 use crate::service_time::ServiceTime;
 use crate::upstream::Upstream;
@@ -61,6 +62,8 @@
     /// Number of requests that other routers have under way here, and when it was reported. Routers
     /// without any have no entry.
     peers: IndexMap<Arc<str>, (u32, Instant)>,
+    /// What it has reported of its load.
+    pub(crate) reports: load::Record,
     window: f64,
     leaving_since: Option<Instant>,
     /// Time until which it gets no requests because it said that it was full, or reset a connection
@@ -89,6 +92,7 @@
             starts: Vec::new(),
             last_answer: now,
             peers: IndexMap::new(),
+            reports: load::Record::default(),
             window,
             leaving_since: None,
             full_until: now,
@@ -188,8 +192,12 @@
 
     /// Returns the expected time until a request sent now is answered, in milliseconds.
     pub(crate) fn expected_ms(&self, now: Instant) -> f64 {
-        let queueing = self.queueing(self.load(now));
-        let mut service_time_ms = self.service_time.mean_ms();
+        self.expected_with_ms(self.service_time.mean_ms(), self.load(now), now)
+    }
+
+    /// Returns the same for a service time and a number of requests under way.
+    fn expected_with_ms(&self, mut service_time_ms: f64, load: u32, now: Instant) -> f64 {
+        let queueing = self.queueing(load);
         if let Some(oldest) = self
             .starts
             .first()
@@ -201,11 +209,15 @@
         service_time_ms * (1.0 + queueing)
     }
 
-    /// Returns the expected time including the cost of a failure, in milliseconds.
+    /// Returns the expected time by its reports, including the cost of a failure, in milliseconds.
     pub(crate) fn cost_ms(&self, now: Instant) -> f64 {
         let age = (now - self.failure_at).as_secs_f64();
         let share = self.failure_share * 0.5_f64.powf(age / FAILURE_HALF_LIFE_S);
-        self.expected_ms(now) / (1.0 - share.min(0.95))
+        let mean_ms = self.service_time.mean_ms();
+        let paced_ms = mean_ms * self.reports.relative_pace(now);
+        let own = self.in_flight();
+        let load = own + self.reports.others(self.load(now) - own, mean_ms, now);
+        self.expected_with_ms(paced_ms, load, now) / (1.0 - share.min(0.95))
     }
 
     /// Whether one more request may be sent to it.
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -13,6 +13,7 @@
 mod limit;
 mod queue;
 mod reach;
+mod reported;
 mod unavailable;
 
 use std::sync::Arc;
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Upstreams, requests and services for the tests.
 #![allow(dead_code)] // Each test file uses a part of it.
 
+pub(crate) mod fleet;
+
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -69,6 +69,12 @@
     cause: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LoadReport {
+    service: Arc<str>,
+    result: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Input {
     input: String,
@@ -115,6 +121,9 @@
 /// Causes of broken connections, the second if the process of the upstream has ended.
 const BREAK_CAUSES: [&str; 2] = ["unproven", "ended"];
 
+/// Results of reading a report of an upstream's load, the second if it could be read.
+const LOAD_REPORT_RESULTS: [&str; 2] = ["unreadable", "read"];
+
 /// Result of a call to another router that was answered.
 pub(crate) const ANSWERED: &str = "answered";
 
@@ -143,6 +152,7 @@
     limited: Family<Service, Gauge>,
     unreachable: Family<Service, Gauge>,
     limited_sends: Family<Service, Counter>,
+    load_reports: Family<LoadReport, Counter>,
     cleared_sources: Family<Cleared, Counter>,
     received_bytes: Family<Received, Counter>,
     peer_calls: PeerCalls,
@@ -181,6 +191,7 @@
             limited: Family::default(),
             unreachable: Family::default(),
             limited_sends: Family::default(),
+            load_reports: Family::default(),
             cleared_sources: Family::default(),
             received_bytes: Family::default(),
             peer_calls: PeerCalls::default(),
@@ -246,6 +257,8 @@
         all.register("unreachable_upstreams", help, self.unreachable.clone());
         let help = "Sends to upstreams with a limit";
         all.register("limited_sends", help, self.limited_sends.clone());
+        let help = "Reports of their load that upstreams sent with answers";
+        all.register("load_reports", help, self.load_reports.clone());
         let help = "Earlier holders found not to hold their keys any more, by the proof";
         all.register("cleared_sources", help, self.cleared_sources.clone());
         let help = "Bytes of table rows that were received, by where they came from";
@@ -359,6 +372,15 @@
         self.limited_sends.get_or_create(&labels).inc();
     }
 
+    /// Counts a report of its load that an upstream sent with an answer.
+    pub(crate) fn load_reported(&self, service: &Arc<str>, is_readable: bool) {
+        let labels = LoadReport {
+            service: Arc::clone(service),
+            result: LOAD_REPORT_RESULTS[usize::from(is_readable)],
+        };
+        self.load_reports.get_or_create(&labels).inc();
+    }
+
     /// Counts an earlier holder that can't hold its keys any more.
     pub(crate) fn source_cleared(&self, service: &Arc<str>, reason: Reason) {
         self.cleared(service, reason).inc();
@@ -447,6 +469,13 @@
                 .set(service.limited() as i64);
             // Shows the counters from the start, so that their rates are known from the first event on.
             drop(self.limited_sends.get_or_create(&labels));
+            for result in LOAD_REPORT_RESULTS {
+                let service = Arc::clone(name);
+                drop(
+                    self.load_reports
+                        .get_or_create(&LoadReport { service, result }),
+                );
+            }
             for reason in [Reason::Released, Reason::Expired] {
                 drop(self.cleared(name, reason));
             }
--- a/crates/edge/src/notice.rs
+++ b/crates/edge/src/notice.rs
@@ -1,5 +1,5 @@
-//! Notices that upstreams attach to their answers: that they are leaving, or want no requests for a
-//! while.
+//! Notices that upstreams attach to their answers: that they are leaving, want no requests for a
+//! while, or how much they have to do.
 //!
 //! Routers pass both on with messages that they exchange anyway, so that the leader moves the keys
 //! of such an upstream although its registration doesn't change.
@@ -130,6 +130,19 @@
             Some(Ok(limit)) => self.observe_limit(upstream, limit),
             Some(Err(unreadable)) => self.log_unreadable(upstream, &unreadable),
         }
+        if let Some(load) = &notice.load {
+            self.metrics.load_reported(&upstream.service, load.is_ok());
+        }
+        match notice.load {
+            None => {}
+            Some(Ok(load)) => {
+                let mut state = self.state.borrow_mut();
+                if let Some(service) = state.services.get_mut(&upstream.service) {
+                    service.record_load(upstream, load, clock::now());
+                }
+            }
+            Some(Err(unreadable)) => self.log_unreadable(upstream, &unreadable),
+        }
     }
 
     fn log_unreadable(&self, upstream: &Upstream, unreadable: &Unreadable) {
--- a/crates/edge/tests/notices.rs
+++ b/crates/edge/tests/notices.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use support::platform::{Store, route};
 use support::upstream::{Behaviour, Server};
-use support::{Router, eventually, get, relay_and_follower, send, serving};
+use support::{Router, eventually, get, relay_and_follower, sample, send, serving};
 use tokio::time::sleep;
 
 const HOST: &str = "sheets.example";
@@ -215,3 +215,58 @@
     assert_eq!(status(&router, "second").await, 200);
     assert!(router.lines.text().contains("field unreadable"));
 }
+
+/// Returns the number of reports of load that a router has counted.
+async fn load_reports(router: &Router, result: &str) -> Option<f64> {
+    let labels = format!("{{service=\"sheets\",result=\"{result}\"}}");
+    let name = format!("eelgrassrock_load_reports_total{labels}");
+    sample(router, &name).await
+}
+
+/// The upstreams are equally fast. The one that reports a queue gets requests again once the report
+/// is outdated.
+#[tokio::test]
+async fn requests_go_to_the_upstream_that_reports_no_queue() {
+    let (store, queued) = serving("/v1/").await;
+    let other = Server::start("up-1").await;
+    store.register("sheets", &other);
+    queued.report_load("2/20/2/100");
+    other.report_load("0/0/2/100");
+    let router = Router::start("router-1", &store);
+    router.ready().await;
+    sleep(PROPAGATION_TIME).await;
+    while queued.arrivals_since(Instant::now() - PROPAGATION_TIME) == 0 {
+        assert_eq!(status(&router, "first").await, 200);
+    }
+    let reported = Instant::now();
+    assert_eq!(status(&router, "second").await, 200);
+    assert_eq!(queued.arrivals_since(reported), 0);
+    assert!(load_reports(&router, "read").await >= Some(2.0));
+    assert_eq!(load_reports(&router, "unreadable").await, Some(0.0));
+}
+
+/// A wrong report neither stops requests nor counts twice, and an answer that isn't the upstream's own
+/// reports nothing.
+#[rstest]
+#[case::text("busy", Behaviour::Answer(0), 1.0)]
+#[case::negative("-1/0/2/100", Behaviour::Answer(0), 1.0)]
+#[case::no_slots("0/0/0/100", Behaviour::Answer(0), 1.0)]
+#[case::no_pace("0/0/2/0", Behaviour::Answer(0), 1.0)]
+#[case::foreign("busy", Behaviour::Foreign, 0.0)]
+#[tokio::test]
+async fn a_report_of_load_that_cannot_be_read_is_logged_and_ignored(
+    #[case] load: &str,
+    #[case] behaviour: Behaviour,
+    #[case] unreadable: f64,
+) {
+    let (store, server) = serving("/v1/").await;
+    let router = Router::start("router-1", &store);
+    router.ready().await;
+    server.report_load(load);
+    server.enqueue(&[behaviour, Behaviour::Close]);
+    status(&router, "first").await;
+    assert_eq!(load_reports(&router, "unreadable").await, Some(unreadable));
+    assert_eq!(load_reports(&router, "read").await, Some(0.0));
+    let is_logged = router.lines.text().contains("field unreadable");
+    assert_eq!(is_logged, unreadable > 0.0, "{}", router.lines.text());
+}
--- a/crates/edge/tests/support/upstream.rs
+++ b/crates/edge/tests/support/upstream.rs
@@ -64,6 +64,8 @@
     is_leaving: bool,
     /// Limit that each answer names, in requests per second.
     limit: Option<String>,
+    /// Load that each answer reports.
+    load: Option<String>,
     /// Arrival times of all requests, also of those that were not run.
     arrivals: Vec<Instant>,
 }
@@ -145,6 +147,11 @@
         self.state.lock().unwrap().limit = per_s.map(str::to_owned);
     }
 
+    /// Reports a load from now on with each answer.
+    pub(crate) fn report_load(&self, load: &str) {
+        self.state.lock().unwrap().load = Some(load.to_owned());
+    }
+
     /// Counts the requests that have arrived since an instant, also those that were not run.
     pub(crate) fn arrivals_since(&self, since: Instant) -> usize {
         self.arrivals_between(since, Instant::now())
@@ -285,6 +292,9 @@
             if let Some(limit) = &state.limit {
                 builder = builder.header("x-limit", limit);
             }
+            if let Some(load) = &state.load {
+                builder = builder.header("x-load", load);
+            }
             if state.is_leaving {
                 builder = builder.header("x-leaving", "1");
             }
