An answer whose status is none isn't passed on

Cause: the parser accepts each number of three digits from 100 on as a status, and returns 101 although no upgrade was requested. A caller got answers with 101, 600 and 999 as their upstream's own; a hedge or another router with such an answer won. Statuses 000, 099, 99 and 0200 fail in the parser, and interim answers without end run into the time limit, both as they should.

Change: a status outside 200 to 599 is no answer, whether an upstream or another router sends it. The connection is dropped with the others that are idle, and the request counts as one that may have run.

--- a/crates/edge/src/detour.rs
+++ b/crates/edge/src/detour.rs
@@ -16,7 +16,7 @@
 use tokio::time::timeout;
 
 use crate::clock;
-use crate::exchange::Message;
+use crate::exchange::{Message, is_final};
 use crate::link::{self, Link};
 use crate::node::Node;
 use crate::payload::{self, Origin, Payload, Source, Taken};
@@ -176,6 +176,9 @@
     ) -> Handled {
         let until = passage.limits.until;
         let (mut parts, body) = response.into_parts();
+        if !is_final(parts.status) {
+            return Handled::Unknown(Report::Broken);
+        }
         let outcome = parts.headers.remove(OUTCOME);
         let Some(outcome) = outcome.as_ref().and_then(|value| value.to_str().ok()) else {
             // The answer isn't that of a router.
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -232,6 +232,10 @@
 ) -> Exchange {
     let link = answer.link;
     let (parts, body) = answer.response.into_parts();
+    if !is_final(parts.status) {
+        node.links.quarantine(upstream);
+        return Exchange::None(Report::Broken);
+    }
     let verdict = node
         .platform
         .classify_answer(head, &upstream.id, parts.status, &parts.headers);
@@ -297,6 +301,12 @@
     }
 }
 
+/// Whether a status can be that of an answer. The parser accepts any number of three digits from 100
+/// on, and returns 101 although no upgrade was requested.
+pub(crate) fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Whether a status means that the upstream failed.
 pub(crate) fn is_failure(status: StatusCode) -> bool {
     status.is_server_error()
