--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -15,6 +15,7 @@
 mod limit;
 mod queue;
 mod reach;
+mod reported;
 mod unavailable;
 
 use std::sync::Arc;
