Decisions for cold upstreams: owners, slots and permits

Cause: a cold upstream takes few requests a second from all routers together. An equal part of 7.6/s for each of 58 routers is 0.13/s, seldom where the request is, and one request of each router at a time would be 58 where 19.4 are tolerated.

Change: two routers own the limit of a cold upstream, by rendezvous hashing of the list of routers (roster.rs). An owner gives out slots a fixed distance apart (limit::Bucket), derived from limit and tolerance so that even the owners of two different lists stay within the bound (limit::Ownership). Nothing sets the rule yet, so nothing changes for a running router.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,12 +6,14 @@
 pub mod budget;
 pub mod detour;
 pub mod directory;
+mod gate;
 pub mod limit;
 pub mod load;
 mod member;
 pub mod observation;
 pub mod place;
 pub mod resend;
+pub mod roster;
 pub mod service;
 mod service_time;
 mod split;
--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -3,6 +3,9 @@
 //! Routers don't agree on who sends what, because they can't always reach each other and start and
 //! stop at any time. Each keeps to its own part of the limit, which depends only on the number of
 //! routers. Upstreams that hold keys get fewer keys, so that the parts suffice for what is left.
+//!
+//! Cold upstreams have a limit, too, which is known before they see any request. Two routers own
+//! it ([`crate::roster`]), each with a [`Bucket`], and permit single requests of the others.
 
 use std::fmt;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -29,6 +32,21 @@
 /// Smallest limit that is kept, in requests per second. Without any request nobody would notice
 /// that the limit has ended.
 const MIN_LIMIT_PER_S: f64 = 0.1;
+/// Time over which a cold upstream counts the requests that arrive.
+const COLD_WINDOW: Duration = Duration::from_secs(1);
+/// Time from the question of a router until it has an answer, and by which the request may be sent
+/// later than its slot.
+pub const PERMIT_TIME: Duration = Duration::from_millis(100);
+/// Time from a slot until its request has been sent, with the delays of a busy router.
+const SEND_TIME: Duration = Duration::from_millis(120);
+/// Owners of the limit of a cold upstream, unless it tolerates too few requests.
+const OWNERS: usize = 2;
+/// Different lists of routers by which owners are chosen at the same time.
+const VIEWS: usize = 2;
+/// Time by which a slot may be reserved in advance.
+const RESERVE_TIME: Duration = Duration::from_millis(300);
+/// Longest time for which an owner asks others to stay away.
+const MAX_TURN_DELAY: Duration = Duration::from_secs(1);
 /// Longest delay until a request is allowed.
 const MAX_DELAY: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -70,6 +88,146 @@
     pub extra: f64,
 }
 
+/// Division of the limit of a cold upstream among the routers that own it.
+///
+/// It holds even if two lists of routers are in use and name different owners.
+///
+/// ```
+/// use eelgrassrock_dispatch::limit::{Limit, Ownership, Tolerance};
+///
+/// let limit = Limit::per_s(7.6).expect("a limit");
+/// let ownership = Ownership::new(limit, Tolerance { factor: 1.5, extra: 8.0 });
+/// assert_eq!(ownership.owners(), 2);
+/// assert!(ownership.rate_per_s() > 0.9 * 7.6 / 2.0);
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ownership {
+    owners: usize,
+    rate_per_s: f64,
+}
+
+impl Ownership {
+    /// Divides a limit so that no window contains more requests than tolerated. Without owners if a
+    /// cold upstream tolerates none that two lists could both name.
+    pub fn new(limit: Limit, tolerance: Tolerance) -> Self {
+        let tolerated = (limit.0 * tolerance.factor + tolerance.extra).max(0.0);
+        let owners = OWNERS.min((tolerated / VIEWS as f64) as usize);
+        if owners == 0 {
+            return Self {
+                owners,
+                rate_per_s: 0.0,
+            };
+        }
+        // An owner sends less than one request more than its rate times the time.
+        let most = (tolerated / (VIEWS * owners) as f64).floor();
+        let most_per_s = most / (COLD_WINDOW + SEND_TIME).as_secs_f64();
+        Self {
+            owners,
+            rate_per_s: most_per_s.min(limit.0 / owners as f64),
+        }
+    }
+
+    /// Returns the number of owners.
+    pub fn owners(&self) -> usize {
+        self.owners
+    }
+
+    /// Returns the requests per second that each owner allows.
+    pub fn rate_per_s(&self) -> f64 {
+        self.rate_per_s
+    }
+
+    /// Returns the requests per second that all owners allow.
+    pub fn total_per_s(&self) -> f64 {
+        self.owners as f64 * self.rate_per_s
+    }
+}
+
+/// Requests that an owner allows to a cold upstream, its own and those of other routers: slots in
+/// time, at even distances at least. A slot may be reserved shortly before its time.
+///
+/// The first slot is one distance away: an earlier owner may just have used its part.
+///
+/// ```
+/// use std::time::Duration;
+/// use eelgrassrock_dispatch::limit::Bucket;
+/// use eelgrassrock_model::time::Instant;
+///
+/// let start = Instant::from_millis(0);
+/// let mut bucket = Bucket::new(4.0, start);
+/// assert!(!bucket.take(start));
+/// assert_eq!(bucket.reserve(start), Ok(Duration::from_millis(250)));
+/// assert_eq!(bucket.reserve(start), Err(Duration::from_millis(200)));
+/// assert!(bucket.take(start + Duration::from_millis(500)));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    rate_per_s: f64,
+    /// Next slot that isn't taken.
+    next: Instant,
+    /// Requests that have been told to come back, at `turns_at`.
+    turns: f64,
+    turns_at: Instant,
+}
+
+impl Bucket {
+    /// Creates a bucket without a slot now.
+    pub fn new(rate_per_s: f64, now: Instant) -> Self {
+        Self {
+            rate_per_s,
+            next: now + time_for(1.0, rate_per_s),
+            turns: 0.0,
+            turns_at: now,
+        }
+    }
+
+    /// Returns the time until a request may be sent.
+    pub fn delay(&self, now: Instant) -> Duration {
+        self.next - now
+    }
+
+    /// Returns the time until a slot may be reserved.
+    pub fn reserve_delay(&self, now: Instant) -> Duration {
+        self.delay(now).saturating_sub(RESERVE_TIME)
+    }
+
+    /// Takes a slot if there is one now. Returns whether there is.
+    pub fn take(&mut self, now: Instant) -> bool {
+        let has_slot = self.delay(now).is_zero();
+        if has_slot {
+            self.next = now + time_for(1.0, self.rate_per_s);
+        }
+        has_slot
+    }
+
+    /// Reserves the next slot, and returns the time until then.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which to ask again if the slot is too far away. Routers that ask soon
+    /// after each other are given different times.
+    pub fn reserve(&mut self, now: Instant) -> Result<Duration, Duration> {
+        let delay = self.delay(now);
+        if delay <= RESERVE_TIME {
+            self.next = now + delay + time_for(1.0, self.rate_per_s);
+            return Ok(delay);
+        }
+        let passed = self.rate_per_s * (now - self.turns_at).as_secs_f64();
+        self.turns = (self.turns - passed).max(0.0);
+        self.turns_at = now;
+        let turn = time_for(self.turns, self.rate_per_s);
+        self.turns += 1.0;
+        let wait = self.reserve_delay(now).saturating_add(turn);
+        Err(wait.min(MAX_TURN_DELAY))
+    }
+}
+
+/// Returns the time in which a rate allows some requests.
+fn time_for(requests: f64, rate_per_s: f64) -> Duration {
+    let time = Duration::try_from_secs_f64(requests / rate_per_s);
+    time.map_or(MAX_DELAY, |time| time.min(MAX_DELAY))
+}
+
 /// One router's part of a limit: an equal part of it, in whole requests.
 ///
 /// A part is often less than one request per second, so requests are allowed one by one. The routers
@@ -148,8 +306,7 @@
     /// Returns the time until a request may be sent.
     pub fn delay(&self, now: Instant) -> Duration {
         let missing = (1.0 - self.credit(now)).max(0.0);
-        let delay = Duration::try_from_secs_f64(missing / self.rate_per_s());
-        delay.map_or(MAX_DELAY, |delay| delay.min(MAX_DELAY))
+        time_for(missing, self.rate_per_s())
     }
 
     /// Counts a request that is sent.
--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -1,11 +1,14 @@
 //! One router's record of one upstream.
 
+mod limit;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrassrock_model::time::Instant;
 use indexmap::IndexMap;
 
+use crate::gate::Gate;
 use crate::limit::Allowance;
 use crate::service::{HealthChange, Report};
 use crate::service_time::ServiceTime;
@@ -71,6 +74,8 @@
     deferred_until: Instant,
     /// This router's part of the limit that it has set to the requests from all routers.
     pub(crate) allowance: Option<Allowance>,
+    /// What this router may send it while it is cold.
+    pub(crate) gate: Option<Gate>,
     /// Whether the last attempt to connect succeeded, and when it ended.
     last_connect: Option<(bool, Instant)>,
 }
@@ -95,6 +100,7 @@
             full_pause: MIN_FULL_PAUSE,
             deferred_until: now,
             allowance: None,
+            gate: None,
             last_connect: None,
         }
     }
@@ -130,23 +136,6 @@
         self.leaving_since.is_some_and(|since| now - since >= limit)
     }
 
-    /// Sends it no requests until an instant.
-    pub(crate) fn defer(&mut self, until: Instant) {
-        self.deferred_until = self.deferred_until.max(until);
-    }
-
-    /// Returns the time that is left of its deferral.
-    pub(crate) fn deferral(&self, now: Instant) -> Duration {
-        self.deferred_until - now
-    }
-
-    /// Returns the time until its deferral has ended and its limit allows a request.
-    pub(crate) fn unavailable_for(&self, now: Instant) -> Duration {
-        let allowance = self.allowance.as_ref();
-        let delay = allowance.map_or(Duration::ZERO, |allowance| allowance.delay(now));
-        self.deferral(now).max(delay)
-    }
-
     pub(crate) fn service_time_ms(&self) -> f64 {
         self.service_time.mean_ms()
     }
@@ -208,8 +197,14 @@
         self.expected_ms(now) / (1.0 - share.min(0.95))
     }
 
-    /// Whether one more request may be sent to it.
+    /// Whether one more request may be sent to it, without a permit.
     pub(crate) fn has_room(&self, now: Instant) -> bool {
+        let gate = self.gate.as_ref();
+        gate.is_none_or(|gate| gate.is_ready(now)) && self.could_take(now)
+    }
+
+    /// Whether it could take one more request, cold or not.
+    fn could_take(&self, now: Instant) -> bool {
         if self.is_paused(now) || now < self.full_until || now < self.deferred_until {
             return false;
         }
@@ -254,11 +249,13 @@
         now < self.paused_until
     }
 
-    pub(crate) fn begin(&mut self, now: Instant) {
+    /// Counts a request. Returns whether it needs the permit of an owner of its limit.
+    pub(crate) fn begin(&mut self, now: Instant) -> bool {
         self.starts.push(now);
         if let Some(allowance) = &mut self.allowance {
             allowance.take(now);
         }
+        self.gate.as_mut().is_some_and(|gate| gate.begin(now))
     }
 
     /// Records that an answer broke off or never ended. An endless answer pauses the upstream,
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -9,6 +9,7 @@
 
 mod block;
 mod choice;
+pub mod cold;
 mod deferral;
 mod limit;
 mod queue;
@@ -147,6 +148,8 @@
         upstream: Arc<Upstream>,
         /// Start of the send, to be passed to [`Service::end`].
         started: Instant,
+        /// Whether [`Service::permit`] of an owner must allow it first, as the upstream is cold.
+        needs_permit: bool,
     },
     /// Wait: the request is queued, and [`Service::poll`] returns what follows.
     Wait,
@@ -248,6 +251,11 @@
     deferrals: IndexMap<Arc<str>, Deferral>,
     /// Limits that upstreams have set to the requests from all routers.
     limits: IndexMap<Arc<str>, Entry>,
+    /// How upstreams warm up, `None` if cold ones have no limit.
+    rule: Option<cold::Rule>,
+    /// Cold upstreams.
+    cold: IndexMap<Arc<str>, cold::Entry>,
+    cold_changes: Vec<cold::Change>,
     /// Time after which a leaving upstream may get no more requests.
     drain: Duration,
     last_failed_connect: Option<Instant>,
@@ -288,6 +296,9 @@
             reported: IndexMap::new(),
             deferrals: IndexMap::new(),
             limits: IndexMap::new(),
+            rule: None,
+            cold: IndexMap::new(),
+            cold_changes: Vec::new(),
             drain: DEFAULT_DRAIN,
             last_failed_connect: None,
             probe_due: None,
@@ -313,22 +324,33 @@
             place::arrange(&self.place, upstreams, |upstream| &upstream.id, is_near);
         (self.subset, self.local_count) = (subset, local_count);
         let mut old = std::mem::take(&mut self.members);
+        let mut cold = Vec::new();
         for upstream in upstreams {
             let id = Arc::clone(&upstream.id);
             let kept = old
                 .swap_remove(&id)
                 .filter(|member| member.upstream.incarnation == upstream.incarnation);
+            let is_news = kept
+                .as_ref()
+                .is_none_or(|member| member.upstream.sequence != upstream.sequence);
+            if is_news && !upstream.warm_up.is_zero() {
+                cold.push(Arc::clone(&upstream));
+            }
             let mut member = kept.unwrap_or_else(|| {
                 let mut member = Member::new(Arc::clone(&upstream), typical, now);
                 if let Some(until) = self.deferred_until(&upstream) {
                     member.defer(until);
                 }
                 member.allowance = self.allowance(&upstream, now);
+                member.gate = self.gate(&upstream, now);
                 member
             });
             member.update(upstream, now);
             self.members.insert(id, member);
         }
+        for upstream in cold {
+            self.set_cold(&upstream, upstream.warm_up, cold::Source::Entry, now);
+        }
     }
 
     /// Replaces the ranges of keys. `None` if any upstream takes any request.
@@ -511,12 +533,12 @@
         }
 
         self.note_probe(&upstream.id, now);
-        if let Some(member) = self.members.get_mut(&upstream.id) {
-            member.begin(now);
-        }
+        let member = self.members.get_mut(&upstream.id);
+        let needs_permit = member.is_some_and(|member| member.begin(now));
         Step::Send {
             upstream,
             started: now,
+            needs_permit,
         }
     }
 
@@ -524,6 +546,7 @@
     pub fn sweep(&mut self, now: Instant) {
         self.answers.retain(|at| now - *at < RATE_WINDOW);
         self.deferrals.retain(|_, deferral| now < deferral.until);
+        self.sweep_cold(now);
         let members = &self.members;
         self.limits
             .retain(|id, entry| members.contains_key(id) || !entry.is_outdated(now));
--- a/crates/dispatch/src/service/choice.rs
+++ b/crates/dispatch/src/service/choice.rs
@@ -107,7 +107,11 @@
             let all = best.iter().flatten();
             all.min_by(|one, other| one.0.total_cmp(&other.0))
         };
-        match soon.or_else(cheapest) {
+        match soon
+            .or_else(cheapest)
+            .copied()
+            .or_else(|| self.cheapest_to_ask(request, now))
+        {
             Some((_, member)) => Choice::Take(Arc::clone(&member.upstream)),
             None if is_cut_off && !self.is_any_usable(now) => Choice::OutOfReach,
             None if usable => Choice::Full,
@@ -115,6 +119,21 @@
         }
     }
 
+    /// Returns the cheapest cold upstream that an owner may permit a request to. It takes a request
+    /// only if no other upstream does.
+    fn cheapest_to_ask(&self, request: &Request, now: Instant) -> Option<(f64, &Member)> {
+        if self.cold.is_empty() || self.is_cut_off(now) {
+            return None;
+        }
+        let members = self.members.values().filter(|member| {
+            !member.upstream.leaving
+                && !request.tried.contains(&member.upstream.id)
+                && member.may_ask(now)
+        });
+        let costs = members.map(|member| (member.cost_ms(now), member));
+        costs.min_by(|(one, _), (other, _)| one.total_cmp(other))
+    }
+
     /// Returns how far away the member at an index is.
     fn distance(&self, index: usize) -> Distance {
         if index < self.subset {
@@ -145,7 +164,9 @@
             {
                 Choice::OutOfReach
             }
-            Some(member) if member.has_room(now) => Choice::Take(Arc::clone(&member.upstream)),
+            Some(member) if member.has_room(now) || member.may_ask(now) => {
+                Choice::Take(Arc::clone(&member.upstream))
+            }
             Some(_) => Choice::Full,
             None => Choice::NoHolder,
         }
--- a/crates/dispatch/src/service/unavailable.rs
+++ b/crates/dispatch/src/service/unavailable.rs
@@ -8,7 +8,6 @@
 use eelgrassrock_model::time::Instant;
 
 use super::{Reason, Request, Service};
-use crate::limit::Allowance;
 use crate::member::Member;
 
 /// Longest wait of a request, as a share of the time that its caller has.
@@ -25,7 +24,7 @@
     /// Returns whether a request has to wait for a deferral or a limit to allow it. Returns `None`
     /// if an upstream that could take it has neither.
     pub(super) fn unavailable(&self, request: &Request, now: Instant) -> Option<Unavailable> {
-        if self.deferrals.is_empty() && self.limits.is_empty() {
+        if self.deferrals.is_empty() && self.limits.is_empty() && self.cold.is_empty() {
             return None;
         }
         if self.spans.is_some() {
@@ -40,7 +39,7 @@
         let is_tried = |member: &Member| request.tried.contains(&member.upstream.id);
         let first = usable.min_by_key(|member| {
             let left = member.unavailable_for(now);
-            (is_tried(member), left, member.allowance.is_some())
+            (is_tried(member), left, member.limit_per_s(now).is_some())
         });
         self.unavailable_at(first?, request, now)
     }
@@ -59,10 +58,10 @@
     ) -> Option<Unavailable> {
         let deferral = member.deferral(now);
         let left = member.unavailable_for(now);
-        let unavailable = match &member.allowance {
-            Some(allowance) if deferral < left || left.is_zero() => Unavailable {
+        let unavailable = match member.limit_per_s(now) {
+            Some(per_s) if deferral < left || left.is_zero() => Unavailable {
                 reason: Reason::Limited,
-                left: left.saturating_add(self.wait_for_limit(allowance, request)),
+                left: left.saturating_add(self.wait_for_limit(per_s, request, now)),
             },
             _ => Unavailable {
                 reason: Reason::Deferred,
@@ -73,12 +72,12 @@
     }
 
     /// Returns the time that the limits take for the requests that wait ahead of another one.
-    fn wait_for_limit(&self, allowance: &Allowance, request: &Request) -> Duration {
+    fn wait_for_limit(&self, per_s: f64, request: &Request, now: Instant) -> Duration {
         let rate_per_s = if self.spans.is_some() {
-            allowance.rate_per_s()
+            per_s
         } else {
-            let allowances = self.members.values().flat_map(|member| &member.allowance);
-            allowances.map(Allowance::rate_per_s).sum()
+            let members = self.members.values();
+            members.filter_map(|member| member.limit_per_s(now)).sum()
         };
         let ahead = self.ahead(request) as f64;
         Duration::try_from_secs_f64(ahead / rate_per_s).unwrap_or(Duration::MAX)
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -11,7 +11,10 @@
 /// Admits a request, answers it after `elapsed_ms`, and returns the upstream that took it.
 fn serve(service: &mut Service, ticket: u64, ms: u64, elapsed_ms: u64) -> Option<String> {
     let step = service.admit(request(ticket, None, ms), at(ms));
-    let Step::Send { upstream, started } = step else {
+    let Step::Send {
+        upstream, started, ..
+    } = step
+    else {
         return None;
     };
     let report = Report::Answered { failed: false };
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -142,7 +142,9 @@
 
     fn perform(&mut self, router: usize, ticket: u64, step: Step, arrived: u64, ms: u64) {
         match step {
-            Step::Send { upstream, started } => {
+            Step::Send {
+                upstream, started, ..
+            } => {
                 let is_target = |other: &Arc<Upstream>| other.id == upstream.id;
                 let server = self.upstreams.iter().position(is_target).unwrap();
                 self.under_way[ticket as usize] = Some((started, arrived));
--- a/crates/dispatch/tests/reach.rs
+++ b/crates/dispatch/tests/reach.rs
@@ -17,7 +17,10 @@
 
 /// Lets a request try an upstream, which can't be reached.
 fn fail(service: &mut Service, ticket: u64, now: Instant) -> bool {
-    let Step::Send { upstream, started } = service.admit(request(ticket, None, 0), now) else {
+    let Step::Send {
+        upstream, started, ..
+    } = service.admit(request(ticket, None, 0), now)
+    else {
         return false;
     };
     service.record_connect(&upstream.id, false, now);
--- a/crates/edge/src/request/race.rs
+++ b/crates/edge/src/request/race.rs
@@ -73,7 +73,10 @@
     let mut hedged = job.work.clone();
     hedged.tried.push(Arc::clone(&primary.id));
     let step = node.with_service(&job.service, |service, now| service.hedge(&hedged, now));
-    let Some(Some(Step::Send { upstream, started })) = step else {
+    let Some(Some(Step::Send {
+        upstream, started, ..
+    })) = step
+    else {
         return single(first_exchange.await, first);
     };
     job.work.is_repeat = true;
--- a/crates/edge/src/request/sending.rs
+++ b/crates/edge/src/request/sending.rs
@@ -28,9 +28,9 @@
         step: Step,
     ) -> Self {
         match step {
-            Step::Send { upstream, started } => {
-                Self::Send(Sending::new(node, service, key, &upstream, started))
-            }
+            Step::Send {
+                upstream, started, ..
+            } => Self::Send(Sending::new(node, service, key, &upstream, started)),
             Step::Wait => Self::Wait,
             Step::Detour => Self::Detour,
             Step::Refuse(refusal) => Self::Refuse(refusal),
