Cold upstreams: routers ask owners for permits

Change: a service whose configuration names a rate for cold upstreams, on a router whose settings name a tolerance, counts an upstream as cold by its entry. A send that needs a permit asks the owners by a datagram (warm_up/permit.rs; two messages at the end of the enum, which earlier versions ignore) beside admit_send, so repeats and requests passed on ask as well; hedges only take openings of the router itself. The leader plans a cold upstream like one that names a limit, and shares cut surges by the limit. assume_cold counts a data centre as cold whose evacuation ends.

Tests of dispatch, ranges, limits and warm_up pass.

--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -35,15 +35,15 @@
 /// Time over which a cold upstream counts the requests that arrive.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 /// Time from the question of a router until it has an answer, and by which the request may be sent
-/// later than its slot.
+/// later than its opening.
 pub const PERMIT_TIME: Duration = Duration::from_millis(100);
-/// Time from a slot until its request has been sent, with the delays of a busy router.
+/// Time from an opening until its request has been sent, with the delays of a busy router.
 const SEND_TIME: Duration = Duration::from_millis(120);
 /// Owners of the limit of a cold upstream, unless it tolerates too few requests.
 const OWNERS: usize = 2;
 /// Different lists of routers by which owners are chosen at the same time.
 const VIEWS: usize = 2;
-/// Time by which a slot may be reserved in advance.
+/// Time by which an opening may be reserved in advance.
 const RESERVE_TIME: Duration = Duration::from_millis(300);
 /// Longest time for which an owner asks others to stay away.
 const MAX_TURN_DELAY: Duration = Duration::from_secs(1);
@@ -143,10 +143,10 @@
     }
 }
 
-/// Requests that an owner allows to a cold upstream, its own and those of other routers: slots in
-/// time, at even distances at least. A slot may be reserved shortly before its time.
+/// Requests that an owner allows to a cold upstream, its own and those of other routers: openings in
+/// time, at even distances at least. An opening may be reserved shortly before its time.
 ///
-/// The first slot is one distance away: an earlier owner may just have used its part.
+/// The first opening is one distance away: an earlier owner may just have used its part.
 ///
 /// ```
 /// use std::time::Duration;
@@ -163,7 +163,7 @@
 #[derive(Clone, Debug)]
 pub struct Bucket {
     rate_per_s: f64,
-    /// Next slot that isn't taken.
+    /// Next opening that isn't taken.
     next: Instant,
     /// Requests that have been told to come back, at `turns_at`.
     turns: f64,
@@ -171,7 +171,7 @@
 }
 
 impl Bucket {
-    /// Creates a bucket without a slot now.
+    /// Creates a bucket without an opening now.
     pub fn new(rate_per_s: f64, now: Instant) -> Self {
         Self {
             rate_per_s,
@@ -186,25 +186,25 @@
         self.next - now
     }
 
-    /// Returns the time until a slot may be reserved.
+    /// Returns the time until an opening may be reserved.
     pub fn reserve_delay(&self, now: Instant) -> Duration {
         self.delay(now).saturating_sub(RESERVE_TIME)
     }
 
-    /// Takes a slot if there is one now. Returns whether there is.
+    /// Takes an opening if there is one now. Returns whether there is.
     pub fn take(&mut self, now: Instant) -> bool {
-        let has_slot = self.delay(now).is_zero();
-        if has_slot {
+        let is_open = self.delay(now).is_zero();
+        if is_open {
             self.next = now + time_for(1.0, self.rate_per_s);
         }
-        has_slot
+        is_open
     }
 
-    /// Reserves the next slot, and returns the time until then.
+    /// Reserves the next opening, and returns the time until then.
     ///
     /// # Errors
     ///
-    /// Returns the time after which to ask again if the slot is too far away. Routers that ask soon
+    /// Returns the time after which to ask again if the opening is too far away. Routers that ask soon
     /// after each other are given different times.
     pub fn reserve(&mut self, now: Instant) -> Result<Duration, Duration> {
         let delay = self.delay(now);
--- a/crates/dispatch/tests/cold.rs
+++ b/crates/dispatch/tests/cold.rs
@@ -610,7 +610,7 @@
     let admit =
         |service: &mut Service, n: u64| service.admit(request(n, Some(7), 2_500), at(2_500));
     let Step::Send { needs_permit, .. } = admit(&mut service, 1) else {
-        panic!("a slot can be reserved");
+        panic!("an opening can be reserved");
     };
     assert!(needs_permit);
     let left = Duration::from_secs(2);
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -4,6 +4,7 @@
 //! of requests in flight there soon after each change: the older a count, the more routers choose
 //! the same free slot. A lost datagram makes a choice worse, but not wrong.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use crate::clock;
 use crate::node::Node;
 use crate::platform::Platform;
+use crate::warm_up::{Answer, Question};
 
 /// Time for which changes are collected into one message. It is a small part of the time for one
 /// request.
@@ -46,6 +48,9 @@
     Keys(Arc<str>, Vec<u16>),
     /// Versions of configuration and registry at the sender.
     Versions([Revision; 2]),
+    /// Question for a permit to send a request to a cold upstream.
+    Question(Question),
+    Answer(Answer),
 }
 
 /// Service, upstream, and number of requests in flight there.
@@ -128,6 +133,23 @@
     }
 }
 
+/// Sends a question for a permit. If it is lost, it counts as unanswered.
+pub(crate) fn send_question<P: Platform>(node: &Node<P>, question: Question, to: SocketAddr) {
+    send_to(node, &Message::Question(question), to);
+}
+
+/// Sends the answer to a question for a permit.
+pub(crate) fn send_answer<P: Platform>(node: &Node<P>, answer: Answer, to: SocketAddr) {
+    send_to(node, &Message::Answer(answer), to);
+}
+
+fn send_to<P: Platform>(node: &Node<P>, message: &Message, to: SocketAddr) {
+    let socket = node.socket.borrow();
+    if let (Some(socket), Ok(bytes)) = (&*socket, postcard::to_allocvec(message)) {
+        let _ = socket.try_send_to(&bytes, to);
+    }
+}
+
 fn counts<P: Platform>(node: &Node<P>) -> Vec<Count> {
     let state = node.state.borrow();
     let mut counts = Vec::new();
@@ -158,6 +180,8 @@
             Message::Counts(counts) => apply_counts(&node, &counts),
             Message::Keys(service, keys) => node.leaderships.record_remote_keys(&service, &keys),
             Message::Versions(versions) => node.learn_versions(versions, sender),
+            Message::Question(question) => node.answer(&question, sender),
+            Message::Answer(answer) => node.permits.resolve(&answer),
         }
     }
 }
--- a/crates/edge/src/leadership/lead.rs
+++ b/crates/edge/src/leadership/lead.rs
@@ -100,8 +100,13 @@
 
     pub(super) fn upstreams(&self, service: &Arc<str>) -> Vec<leader::Upstream> {
         let now = clock::now();
+        let limit_per_s = |upstream: &Upstream| {
+            let observed = self.observations.borrow().limit_per_s(upstream, now);
+            let limits = observed.into_iter().chain(self.cold_limit_per_s(upstream));
+            limits.reduce(f64::min)
+        };
         let upstream = |upstream: Arc<Upstream>| leader::Upstream {
-            limit_per_s: self.observations.borrow().limit_per_s(&upstream, now),
+            limit_per_s: limit_per_s(&upstream),
             instance: Instance {
                 upstream: Arc::clone(&upstream.id),
                 incarnation: upstream.incarnation,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -30,6 +30,7 @@
 mod restore;
 pub mod settings;
 mod uplink;
+mod warm_up;
 mod watch;
 
 pub use process::{StartError, run, serve};
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -51,6 +51,12 @@
     service: Arc<str>,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Permit {
+    service: Arc<str>,
+    result: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Cleared {
     service: Arc<str>,
@@ -143,6 +149,9 @@
     limited: Family<Service, Gauge>,
     unreachable: Family<Service, Gauge>,
     limited_sends: Family<Service, Counter>,
+    cold: Family<Service, Gauge>,
+    permits: Family<Permit, Counter>,
+    permits_given: Family<Permit, Counter>,
     cleared_sources: Family<Cleared, Counter>,
     received_bytes: Family<Received, Counter>,
     peer_calls: PeerCalls,
@@ -181,6 +190,9 @@
             limited: Family::default(),
             unreachable: Family::default(),
             limited_sends: Family::default(),
+            cold: Family::default(),
+            permits: Family::default(),
+            permits_given: Family::default(),
             cleared_sources: Family::default(),
             received_bytes: Family::default(),
             peer_calls: PeerCalls::default(),
@@ -246,6 +258,12 @@
         all.register("unreachable_upstreams", help, self.unreachable.clone());
         let help = "Sends to upstreams with a limit";
         all.register("limited_sends", help, self.limited_sends.clone());
+        let help = "Upstreams that count as cold";
+        all.register("cold_upstreams", help, self.cold.clone());
+        let help = "Questions to other routers for a permit to send to a cold upstream, by result";
+        all.register("permits_asked", help, self.permits.clone());
+        let help = "Answers to other routers that asked for such a permit, by result";
+        all.register("permits_answered", help, self.permits_given.clone());
         let help = "Earlier holders found not to hold their keys any more, by the proof";
         all.register("cleared_sources", help, self.cleared_sources.clone());
         let help = "Bytes of table rows that were received, by where they came from";
@@ -359,6 +377,22 @@
         self.limited_sends.get_or_create(&labels).inc();
     }
 
+    /// Counts a question to another router for a permit to send to a cold upstream, or a permit that
+    /// lapsed.
+    pub(crate) fn permit(&self, service: &Arc<str>, result: &'static str) {
+        let service = Arc::clone(service);
+        let labels = Permit { service, result };
+        self.permits.get_or_create(&labels).inc();
+    }
+
+    /// Counts an answer to a router that asked for a permit.
+    pub(crate) fn permit_given(&self, service: &Arc<str>, is_granted: bool) {
+        let result = if is_granted { "granted" } else { "denied" };
+        let service = Arc::clone(service);
+        let labels = Permit { service, result };
+        self.permits_given.get_or_create(&labels).inc();
+    }
+
     /// Counts an earlier holder that can't hold its keys any more.
     pub(crate) fn source_cleared(&self, service: &Arc<str>, reason: Reason) {
         self.cleared(service, reason).inc();
@@ -445,6 +479,9 @@
             self.limited
                 .get_or_create(&labels)
                 .set(service.limited() as i64);
+            self.cold
+                .get_or_create(&labels)
+                .set(service.cold(now) as i64);
             // Shows the counters from the start, so that their rates are known from the first event on.
             drop(self.limited_sends.get_or_create(&labels));
             for reason in [Reason::Released, Reason::Expired] {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -12,6 +12,7 @@
 use eelgrassrock_dispatch::directory::{Directory, Route};
 use eelgrassrock_dispatch::observation::Observations;
 use eelgrassrock_dispatch::place::{self, Place};
+use eelgrassrock_dispatch::roster::Roster;
 use eelgrassrock_dispatch::service::{Service, Span, Step};
 use eelgrassrock_dispatch::suspect::Suspects;
 use eelgrassrock_dispatch::uplink::{Size, Uplink};
@@ -40,6 +41,7 @@
 use crate::relay::Relay;
 use crate::request::Decision;
 use crate::settings::Settings;
+use crate::warm_up::Permits;
 
 /// Share of an upstream's connection limit that all routers together may keep idle. The rest is for
 /// requests under way.
@@ -106,6 +108,7 @@
     pub(crate) relay: Relay,
     pub(crate) peers: Peers,
     pub(crate) pauses: Pauses,
+    pub(crate) permits: Permits,
     /// What this and other routers have seen of the limits of upstreams.
     pub(crate) observations: RefCell<Observations>,
     pub(crate) memory: Memory,
@@ -150,6 +153,8 @@
     pub(crate) services: IndexMap<Arc<str>, Service>,
     pub(crate) maps: IndexMap<Arc<str>, VersionedMap>,
     pub(crate) routers: IndexMap<Arc<str>, Router>,
+    /// Routers by which the owners of the limits of cold upstreams are chosen.
+    roster: Arc<Roster>,
     /// Addresses of routers whose subsets of upstreams overlap with that of this router.
     pub(crate) neighbours: Vec<SocketAddr>,
     /// Incarnations of routers that have removed their rows, by name.
@@ -180,6 +185,14 @@
         (self.routers.len() + usize::from(!is_listed), rank)
     }
 
+    /// Returns the present roster.
+    fn update_roster(&mut self, now: Instant) -> Arc<Roster> {
+        let listed = self.routers.iter();
+        let listed = listed.map(|(name, router)| (name, &router.data_centre));
+        Arc::make_mut(&mut self.roster).update(listed, now);
+        Arc::clone(&self.roster)
+    }
+
     /// Returns the router with this IP address.
     pub(crate) fn router_from(&self, address: IpAddr) -> Option<&Router> {
         let mut routers = self.routers.values();
@@ -203,7 +216,9 @@
         let peers = Peers::new(settings.peer.ip(), metrics.peer_calls());
         let memory = Memory::of(settings.memory);
         let router = Arc::clone(&settings.router);
+        let roster = Arc::new(Roster::new(Arc::clone(&router)));
         let observations = Observations::new(router, settings.incarnation);
+        let permits = Permits::new(settings.incarnation);
         let uplink = RefCell::new(Uplink::new(settings.link_mbit_per_s));
         Self {
             platform,
@@ -221,6 +236,7 @@
                 services: IndexMap::new(),
                 maps: IndexMap::new(),
                 routers: IndexMap::new(),
+                roster,
                 neighbours: Vec::new(),
                 stopped_routers: HashMap::new(),
                 departed_routers: HashMap::new(),
@@ -232,6 +248,7 @@
             relay: Relay::default(),
             peers,
             pauses: Pauses::default(),
+            permits,
             observations: RefCell::new(observations),
             memory,
             uplink,
@@ -322,6 +339,7 @@
             };
             self.log.info(event, &line);
         }
+        self.log_cold_changes(service, entry.take_cold_changes());
         let steps = entry.poll(now);
         let waits = entry.waiting() > 0 && !state.polled_queues.contains_key(service);
         if waits {
@@ -417,6 +435,7 @@
                 .services
                 .retain(|name, _| directory.services.contains_key(name));
             let (routers, rank) = state.count_routers(&self.settings.router);
+            let roster = state.update_roster(now);
             for (name, declared) in &directory.services {
                 let data_centre = &self.settings.data_centre;
                 let service = state.services.entry(Arc::clone(name)).or_insert_with(|| {
@@ -424,6 +443,8 @@
                 });
                 service.set_place(place);
                 service.set_drain(self.settings.drain);
+                let warm_up = declared.warm_up.zip(self.settings.cold_tolerance);
+                service.set_warm_up(warm_up, &roster, now);
                 service.set_upstreams(state.registry.of_service(name), now);
                 service.set_routers(routers, rank, now);
                 let map = state.maps.get(name).map(VersionedMap::map);
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -226,10 +226,10 @@
         node.log_link(now);
         let mut guard = node.state.borrow_mut();
         let state = &mut *guard;
-        state
-            .services
-            .values_mut()
-            .for_each(|service| service.sweep(now));
+        for (name, service) in &mut state.services {
+            service.sweep(now);
+            node.log_cold_changes(name, service.take_cold_changes());
+        }
         let routers = &state.routers;
         node.links
             .sweep(|id| state.registry.get(id).is_some() || routers.contains_key(id));
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -367,6 +367,11 @@
                 {
                     return failed.unwrap_or_else(|| refused(job, outcome, retry_after));
                 }
+                if !sending.is_permitted().await {
+                    drop(sending);
+                    decision = decide(node, job, Service::resume);
+                    continue;
+                }
                 match send(node, job, sending).await {
                     Next::Done(done) => return done,
                     Next::Again(fallback) => failed = fallback.or(failed),
--- a/crates/edge/src/request/sending.rs
+++ b/crates/edge/src/request/sending.rs
@@ -29,8 +29,14 @@
     ) -> Self {
         match step {
             Step::Send {
-                upstream, started, ..
-            } => Self::Send(Sending::new(node, service, key, &upstream, started)),
+                upstream,
+                started,
+                needs_permit,
+            } => {
+                let mut sending = Sending::new(node, service, key, &upstream, started);
+                sending.needs_permit = needs_permit;
+                Self::Send(sending)
+            }
             Step::Wait => Self::Wait,
             Step::Detour => Self::Detour,
             Step::Refuse(refusal) => Self::Refuse(refusal),
@@ -47,6 +53,8 @@
     key: Option<u16>,
     pub(super) started: Instant,
     pub(super) report: Report,
+    /// Whether an owner of the limit of the upstream, which is cold, must permit it.
+    needs_permit: bool,
 }
 
 impl<P: Platform> Sending<P> {
@@ -65,9 +73,26 @@
             key,
             started,
             report: Report::NotSent,
+            needs_permit: false,
         }
     }
 
+    /// Waits until the request may be sent. Returns `false` if it must be decided on again, as the
+    /// upstream is cold or no longer holds the key.
+    pub(super) async fn is_permitted(&self) -> bool {
+        if !self.needs_permit {
+            return true;
+        }
+        if !self.node.permit(&self.upstream).await {
+            return false;
+        }
+        let state = self.node.state.borrow();
+        let service = state.services.get(&self.service);
+        let has_moved =
+            |key| service.is_some_and(|service| service.has_moved(key, &self.upstream.id));
+        !self.key.is_some_and(has_moved)
+    }
+
     /// Records that the request is being sent from now on.
     pub(super) fn begin(&mut self) {
         self.report = Report::Cancelled;
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrassrock_dispatch::directory::{Directory, Keyed, Limits, Part, Repeat, Route, Service};
+use eelgrassrock_dispatch::directory::{
+    Directory, Keyed, Limits, Part, Repeat, Route, Service, WarmUp,
+};
 use eelgrassrock_dispatch::limit::Limit;
 use eelgrassrock_dispatch::load::Load;
 use eelgrassrock_dispatch::upstream::Upstream;
@@ -56,6 +58,8 @@
     feed_stalls: BTreeMap<String, usize>,
     /// Number of transactions of all routers that write the leader of a service.
     leadership_calls: usize,
+    /// How the upstreams of all services warm up.
+    warm_up: Option<WarmUp>,
     /// Time that a read of a map takes.
     map_delay: Duration,
     /// Time that rows need to arrive at a router on a slow link.
@@ -93,9 +97,15 @@
         version
     }
 
+    /// Sets how the upstreams of all services warm up, for the next configuration.
+    pub(crate) fn warm_up(&self, time: Duration, limit: Limit) {
+        self.0.lock().unwrap().warm_up = Some(WarmUp { time, limit });
+    }
+
     /// Writes a configuration with these routes and their services. The services named in `keyed`
     /// are sharded.
     pub(crate) fn configure(&self, version: u64, routes: Vec<Route>, keyed: &[&str]) {
+        let warm_up = self.0.lock().unwrap().warm_up;
         let services = routes.iter().flat_map(|route| &route.parts).map(|part| {
             let service = Service {
                 // The test of idle connections uses this service.
@@ -103,7 +113,7 @@
                 keyed: keyed.contains(&&*part.service).then_some(Keyed {
                     warm_up: Duration::ZERO,
                 }),
-                warm_up: None,
+                warm_up,
                 health_path: None,
             };
             (Arc::clone(&part.service), service)
--- a/crates/ranges/src/leader/planning.rs
+++ b/crates/ranges/src/leader/planning.rs
@@ -56,11 +56,12 @@
         if (listed - usable.len()) as f64 > ISOLATED_SHARE * listed as f64 {
             return None;
         }
+        self.apply_limits(&mut usable, 1.0);
         let load = self.counts.load(now, usable.len());
         let demand = demand(&self.map, &load);
         self.shares = shares(&demand, &load, &usable);
         self.busy = busy(&demand, &usable);
-        self.apply_limits(&mut usable);
+        self.apply_limits(&mut usable, PLANNED_LIMIT_SHARE);
         let map = &self.map;
         let fences: HashSet<u64> = map.ranges.iter().map(|range| range.fence).collect();
         self.granted_at.retain(|fence, _| fences.contains(fence));
@@ -93,13 +94,12 @@
         plan::rebalance(&self.map, &load, &usable, is_fixed, moves)
     }
 
-    /// Lowers the capacity of upstreams that have set a limit.
-    fn apply_limits(&self, candidates: &mut [Candidate]) {
+    /// Lowers the capacity of upstreams with a limit to a share of the limit.
+    fn apply_limits(&self, candidates: &mut [Candidate], share: f64) {
         for candidate in candidates {
             let upstream = self.upstreams.get(&candidate.instance.upstream);
             if let Some(limit_per_s) = upstream.and_then(|upstream| upstream.limit_per_s) {
-                let planned_per_s = PLANNED_LIMIT_SHARE * limit_per_s;
-                candidate.capacity_per_s = candidate.capacity_per_s.min(planned_per_s);
+                candidate.capacity_per_s = candidate.capacity_per_s.min(share * limit_per_s);
             }
         }
     }
