Test: routers are told at once which share an upstream with a limit takes

Cause: shares of overloaded holders were worked out before limits lowered the capacity, so a surge for keys of an upstream with a limit was cut only by each router's own part.

Change: a test of the leader that looks at the shares after the first plan with a limit.

--- a/crates/ranges/tests/hot.rs
+++ b/crates/ranges/tests/hot.rs
@@ -203,6 +203,33 @@
     assert!(after >= 0.9, "{shares:.2?}");
 }
 
+/// Their keys take a while to move.
+#[test]
+fn routers_are_told_at_once_which_share_an_upstream_with_a_limit_takes() {
+    let traffic = Traffic {
+        per_s: 25.0,
+        hot_share: 0.0,
+        hot_keys: 1,
+    };
+    let mut world = World::new(14, 7);
+    let mut shares = Vec::new();
+    play(&mut world, &traffic, 7, |world, _| {
+        if world.now == 6_000 {
+            world.limit(2, 0.1);
+            // The next plan.
+            world.leader.poll(at(6_300));
+            shares = world.leader.admitted_shares().to_vec();
+        }
+    });
+    for limited in [name(0), name(1)] {
+        let mut told = shares.iter().filter(|(upstream, _)| *upstream == limited);
+        assert!(
+            told.any(|(_, share)| *share <= 0.5),
+            "{limited}: {shares:?}"
+        );
+    }
+}
+
 /// Some upstreams set a limit of a quarter of what they get.
 #[rstest]
 #[case::fourteen(14, 2, 25.0)]
