Limits that upstreams name are owned in large fleets

Cause: in a large fleet each router kept to an equal part of a limit that an upstream names; a part of a 58th is seldom where the request is.

Change: where equal parts don't suffice (Allowance::suffices), the limit has owners as that of a cold upstream, over its own window of 4 s. One gate holds the stricter limit of an upstream. Small fleets keep equal parts as they were. lift_limit takes the present time.

Tests of dispatch, edge's limits and warm_up pass. Not played yet on a site whose large fleet meets such limits.

--- a/crates/dispatch/src/gate.rs
+++ b/crates/dispatch/src/gate.rs
@@ -1,4 +1,5 @@
-//! What a router may send to a cold upstream.
+//! What a router may send to an upstream whose limit is owned: a cold one, or one that names a limit
+//! to a large fleet.
 
 use std::time::Duration;
 
@@ -6,12 +7,15 @@
 
 use crate::limit::{Bucket, Ownership, PERMIT_TIME};
 
-/// Gate of one cold upstream.
+/// Time after which a request may be allowed if no owner is known.
+const NO_OWNER_DELAY: Duration = Duration::from_secs(1);
+
+/// Gate of one such upstream.
 #[derive(Debug)]
 pub(crate) struct Gate {
     ownership: Ownership,
-    /// When the upstream is warm.
-    until: Instant,
+    /// When the limit ends, `None` if an answer will tell.
+    until: Option<Instant>,
     /// Part of the limit that this router owns.
     own: Option<Bucket>,
     /// Whether another router owns a part.
@@ -21,7 +25,7 @@
 }
 
 impl Gate {
-    pub(crate) fn new(ownership: Ownership, until: Instant, now: Instant) -> Self {
+    pub(crate) fn new(ownership: Ownership, until: Option<Instant>, now: Instant) -> Self {
         Self {
             ownership,
             until,
@@ -31,17 +35,17 @@
         }
     }
 
-    pub(crate) fn extend(&mut self, until: Instant) {
-        self.until = self.until.max(until);
+    /// Takes over the part of an earlier gate with the same limit.
+    pub(crate) fn inherit(&mut self, earlier: Self) {
+        if earlier.ownership == self.ownership {
+            self.own = earlier.own;
+            self.ask_at = earlier.ask_at;
+        }
     }
 
-    /// Whether the upstream is cold.
+    /// Whether the limit is in force.
     pub(crate) fn is_shut(&self, now: Instant) -> bool {
-        now < self.until
-    }
-
-    pub(crate) fn left(&self, now: Instant) -> Duration {
-        self.until - now
+        self.until.is_none_or(|until| now < until)
     }
 
     /// Sets whether this router owns a part of the limit, and whether another one does.
@@ -70,7 +74,13 @@
         let own = own.map(|bucket| bucket.reserve_delay(now));
         let ask = self.has_other.then(|| self.ask_at - now);
         let both = own.into_iter().chain(ask);
-        both.fold(self.left(now), Duration::min)
+        let both = both.chain(self.until.map(|until| until - now));
+        both.min().unwrap_or(NO_OWNER_DELAY)
+    }
+
+    /// Returns the number of owners.
+    pub(crate) fn owners(&self) -> usize {
+        self.ownership.owners()
     }
 
     /// Returns the requests per second that an owner allows.
--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -4,8 +4,9 @@
 //! stop at any time. Each keeps to its own part of the limit, which depends only on the number of
 //! routers. Upstreams that hold keys get fewer keys, so that the parts suffice for what is left.
 //!
-//! Cold upstreams have a limit, too, which is known before they see any request. Two routers own
-//! it ([`crate::roster`]), each with a [`Bucket`], and permit single requests of the others.
+//! Where equal parts are too small, two routers own the limit ([`crate::roster`]), each with a
+//! [`Bucket`], and permit single requests of the others: in large fleets, and for cold upstreams,
+//! whose limit is known before they see any request.
 
 use std::fmt;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -45,7 +46,7 @@
 const VIEWS: usize = 2;
 /// Time by which an opening may be reserved in advance.
 const RESERVE_TIME: Duration = Duration::from_millis(300);
-/// Longest time for which an owner asks others to stay away.
+/// Longest time by which an owner spreads the questions of others.
 const MAX_TURN_DELAY: Duration = Duration::from_secs(1);
 /// Longest delay until a request is allowed.
 const MAX_DELAY: Duration = Duration::from_secs(24 * 60 * 60);
@@ -107,9 +108,24 @@
 }
 
 impl Ownership {
-    /// Divides a limit so that no window contains more requests than tolerated. Without owners if a
-    /// cold upstream tolerates none that two lists could both name.
+    /// Divides the limit of a cold upstream, which tolerates this in one second. Without owners if it
+    /// tolerates none that two lists could both name.
     pub fn new(limit: Limit, tolerance: Tolerance) -> Self {
+        Self::within(COLD_WINDOW, limit, tolerance)
+    }
+
+    /// Divides a limit that an upstream names itself.
+    pub(crate) fn named(limit: Limit) -> Self {
+        let window = Duration::from_secs_f64(WINDOW_S);
+        let tolerance = Tolerance {
+            factor: TOLERATED_FACTOR * WINDOW_S,
+            extra: TOLERATED_EXTRA,
+        };
+        Self::within(window, Limit(limit.0.max(MIN_LIMIT_PER_S)), tolerance)
+    }
+
+    /// Divides a limit so that no window contains more requests than tolerated.
+    fn within(window: Duration, limit: Limit, tolerance: Tolerance) -> Self {
         let tolerated = (limit.0 * tolerance.factor + tolerance.extra).max(0.0);
         let owners = OWNERS.min((tolerated / VIEWS as f64) as usize);
         if owners == 0 {
@@ -120,7 +136,7 @@
         }
         // An owner sends less than one request more than its rate times the time.
         let most = (tolerated / (VIEWS * owners) as f64).floor();
-        let most_per_s = most / (COLD_WINDOW + SEND_TIME).as_secs_f64();
+        let most_per_s = most / (window + SEND_TIME).as_secs_f64();
         Self {
             owners,
             rate_per_s: most_per_s.min(limit.0 / owners as f64),
@@ -217,8 +233,7 @@
         self.turns_at = now;
         let turn = time_for(self.turns, self.rate_per_s);
         self.turns += 1.0;
-        let wait = self.reserve_delay(now).saturating_add(turn);
-        Err(wait.min(MAX_TURN_DELAY))
+        Err(self.reserve_delay(now) + turn.min(MAX_TURN_DELAY))
     }
 }
 
@@ -282,6 +297,13 @@
         self.limit
     }
 
+    /// Whether equal parts of a limit suffice: the upstream tolerates it if each router sends one
+    /// request at the same time.
+    pub(crate) fn suffices(limit: Limit, routers: usize) -> bool {
+        let tolerated = (TOLERATED_FACTOR - USED_SHARE) * limit.0 * WINDOW_S + TOLERATED_EXTRA;
+        routers as f64 <= HELD_SHARE * tolerated
+    }
+
     /// Returns the requests per second that this router may send.
     pub fn rate_per_s(&self) -> f64 {
         let used_share = if self.is_small() {
@@ -292,10 +314,8 @@
         used_share * self.limit.0.max(MIN_LIMIT_PER_S) / self.routers as f64
     }
 
-    /// Whether the upstream tolerates it if each router sends one request at the same time.
     fn is_small(&self) -> bool {
-        let tolerated = (TOLERATED_FACTOR - USED_SHARE) * self.limit.0 * WINDOW_S + TOLERATED_EXTRA;
-        self.routers as f64 <= HELD_SHARE * tolerated
+        Self::suffices(self.limit, self.routers)
     }
 
     /// Whether a request may be sent.
--- a/crates/dispatch/src/member/limit.rs
+++ b/crates/dispatch/src/member/limit.rs
@@ -36,11 +36,6 @@
         rates.reduce(f64::min)
     }
 
-    /// Whether it is cold.
-    pub(crate) fn is_cold(&self, now: Instant) -> bool {
-        self.gate.as_ref().is_some_and(|gate| gate.is_shut(now))
-    }
-
     /// Whether one more request may be sent to it if an owner of its limit permits it.
     pub(crate) fn may_ask(&self, now: Instant) -> bool {
         let gate = self.gate.as_ref();
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -30,6 +30,7 @@
 use crate::directory::Repeat;
 use crate::member::Member;
 use crate::place::{self, Place};
+use crate::roster::Roster;
 use crate::upstream::Upstream;
 
 /// Target of a route that declares none, as a share of the time a caller has.
@@ -251,6 +252,8 @@
     deferrals: IndexMap<Arc<str>, Deferral>,
     /// Limits that upstreams have set to the requests from all routers.
     limits: IndexMap<Arc<str>, Entry>,
+    /// Routers among which the owners of limits are chosen.
+    roster: Option<Arc<Roster>>,
     /// How upstreams warm up, `None` if cold ones have no limit.
     rule: Option<cold::Rule>,
     /// Cold upstreams.
@@ -296,6 +299,7 @@
             reported: IndexMap::new(),
             deferrals: IndexMap::new(),
             limits: IndexMap::new(),
+            roster: None,
             rule: None,
             cold: IndexMap::new(),
             cold_changes: Vec::new(),
@@ -381,6 +385,7 @@
                 allowance.update(allowance.limit(), self.routers, now);
             }
         }
+        self.divide_limits(now);
     }
 
     /// Records the requests that another router has under way. Upstreams that `counts` doesn't name
--- a/crates/dispatch/src/service/choice.rs
+++ b/crates/dispatch/src/service/choice.rs
@@ -122,7 +122,7 @@
     /// Returns the cheapest cold upstream that an owner may permit a request to. It takes a request
     /// only if no other upstream does.
     fn cheapest_to_ask(&self, request: &Request, now: Instant) -> Option<(f64, &Member)> {
-        if self.cold.is_empty() || self.is_cut_off(now) {
+        if (self.cold.is_empty() && self.limits.is_empty()) || self.is_cut_off(now) {
             return None;
         }
         let members = self.members.values().filter(|member| {
--- a/crates/dispatch/src/service/cold.rs
+++ b/crates/dispatch/src/service/cold.rs
@@ -9,18 +9,18 @@
 use crate::directory::WarmUp;
 use crate::gate::Gate;
 use crate::limit::{Ownership, Tolerance};
+use crate::member::Member;
 use crate::roster::Roster;
 use crate::upstream::Upstream;
 
 /// Time after which a router may ask again if it asked one that owns no part of the limit.
 const NOT_OWNER_WAIT: Duration = Duration::from_millis(300);
 
-/// How the upstreams of a service warm up, and who owns the limit of cold ones.
-#[derive(Clone, Debug)]
+/// How the upstreams of a service warm up.
+#[derive(Clone, Copy, Debug)]
 pub(super) struct Rule {
     time: Duration,
     ownership: Ownership,
-    roster: Arc<Roster>,
 }
 
 /// Time until which one process of an upstream is cold.
@@ -74,25 +74,23 @@
 }
 
 impl Service {
+    /// Sets the routers among which owners of limits are chosen. Without them, each router keeps to
+    /// an equal part.
+    pub fn set_roster(&mut self, roster: Arc<Roster>, now: Instant) {
+        self.roster = Some(roster);
+        self.settle_owners(now);
+    }
+
     /// Sets how the upstreams warm up. Without it, cold upstreams get as many requests as others.
-    pub fn set_warm_up(
-        &mut self,
-        warm_up: Option<(WarmUp, Tolerance)>,
-        roster: &Arc<Roster>,
-        now: Instant,
-    ) {
+    pub fn set_warm_up(&mut self, warm_up: Option<(WarmUp, Tolerance)>, now: Instant) {
         self.rule = warm_up.map(|(warm_up, tolerance)| Rule {
             time: warm_up.time,
             ownership: Ownership::new(warm_up.limit, tolerance),
-            roster: Arc::clone(roster),
         });
         if self.rule.is_none() {
             self.cold.clear();
-            for member in self.members.values_mut() {
-                member.gate = None;
-            }
         }
-        self.settle_owners(now);
+        self.rebuild_gates(now);
     }
 
     /// Records that an upstream is cold for some time. Returns whether it wasn't known to be.
@@ -126,12 +124,7 @@
             until,
         };
         self.cold.insert(Arc::clone(&upstream.id), entry);
-        if let Some(member) = self.members.get_mut(&upstream.id) {
-            match member.gate.as_mut().filter(|gate| gate.is_shut(now)) {
-                Some(gate) => gate.extend(until),
-                None => member.gate = Some(rule.gate(upstream, until, now)),
-            }
-        }
+        self.rebuild_gate(&upstream.id, now);
         if is_new {
             self.cold_changes.push(Change {
                 upstream: Arc::clone(&upstream.id),
@@ -141,22 +134,53 @@
         is_new
     }
 
-    /// Returns the gate of an upstream that has just been listed, if it is cold.
+    /// Works out again what may be sent to an upstream, after a change of its limits.
+    pub(super) fn rebuild_gate(&mut self, upstream: &str, now: Instant) {
+        let listed = self.members.get(upstream);
+        let Some(listed) = listed.map(|member| Arc::clone(&member.upstream)) else {
+            return;
+        };
+        let gate = self.gate(&listed, now);
+        if let Some(member) = self.members.get_mut(upstream) {
+            let earlier = std::mem::replace(&mut member.gate, gate);
+            if let (Some(gate), Some(earlier)) = (&mut member.gate, earlier) {
+                gate.inherit(earlier);
+            }
+        }
+        self.settle_owners(now);
+    }
+
+    pub(super) fn rebuild_gates(&mut self, now: Instant) {
+        let ids: Vec<Arc<str>> = self.members.keys().cloned().collect();
+        ids.iter().for_each(|id| self.rebuild_gate(id, now));
+    }
+
+    /// Returns the gate of an upstream, with the stricter one of its limits.
     pub(super) fn gate(&self, upstream: &Upstream, now: Instant) -> Option<Gate> {
-        let entry = self.cold.get(&upstream.id)?;
-        let is_cold = entry.incarnation == upstream.incarnation && now < entry.until;
-        let rule = self.rule.as_ref().filter(|_| is_cold)?;
-        Some(rule.gate(upstream, entry.until, now))
+        let entry = self.cold.get(&upstream.id);
+        let entry =
+            entry.filter(|entry| entry.incarnation == upstream.incarnation && now < entry.until);
+        let cold = entry.zip(self.rule);
+        let cold = cold.map(|(entry, rule)| (rule.ownership, Some(entry.until)));
+        let named = self.limit_of(upstream).filter(|limit| self.owns(*limit));
+        let named = named.map(|limit| (Ownership::named(limit), None));
+        let both = cold.into_iter().chain(named);
+        let stricter =
+            both.min_by(|(one, _), (other, _)| one.total_per_s().total_cmp(&other.total_per_s()));
+        stricter.map(|(ownership, until)| Gate::new(ownership, until, now))
     }
 
-    /// Works out again who owns the limits of the cold upstreams.
+    /// Works out again who owns limits.
     pub(super) fn settle_owners(&mut self, now: Instant) {
-        let Some(rule) = &self.rule else {
+        let Some(roster) = &self.roster else {
             return;
         };
         for member in self.members.values_mut() {
             if let Some(gate) = &mut member.gate {
-                rule.settle(gate, &member.upstream, now);
+                let count = gate.owners();
+                let is_own = roster.is_owner(&member.upstream, count, now);
+                let others = roster.others(&member.upstream, count, now);
+                gate.set_owners(is_own, !others.is_empty(), now);
             }
         }
     }
@@ -174,9 +198,10 @@
             }
             is_cold
         });
-        for member in self.members.values_mut() {
-            member.gate.take_if(|gate| !gate.is_shut(now));
-        }
+        let is_over = |member: &Member| member.gate.as_ref().is_some_and(|gate| !gate.is_shut(now));
+        let over = self.members.values().filter(|member| is_over(member));
+        let over: Vec<Arc<str>> = over.map(|member| Arc::clone(&member.upstream.id)).collect();
+        over.iter().for_each(|id| self.rebuild_gate(id, now));
         self.settle_owners(now);
     }
 
@@ -188,32 +213,33 @@
     /// Returns the number of cold upstreams.
     pub fn cold(&self, now: Instant) -> usize {
         let members = self.members.values();
-        members.filter(|member| member.is_cold(now)).count()
+        members
+            .filter(|member| !self.cold_left(&member.upstream, now).is_zero())
+            .count()
     }
 
     /// Returns the time for which an upstream is cold, zero if it is warm.
-    pub fn cold_left(&self, upstream: &str, now: Instant) -> Duration {
-        let member = self.members.get(upstream);
-        let gate = member.and_then(|member| member.gate.as_ref());
-        gate.map_or(Duration::ZERO, |gate| gate.left(now))
+    pub fn cold_left(&self, upstream: &Upstream, now: Instant) -> Duration {
+        let entry = self.cold.get(&upstream.id);
+        let entry = entry.filter(|entry| entry.incarnation == upstream.incarnation);
+        entry.map_or(Duration::ZERO, |entry| entry.until - now)
     }
 
     /// Returns the requests per second that all routers together may send an upstream because it is
     /// cold.
     pub fn cold_limit_per_s(&self, upstream: &Upstream, now: Instant) -> Option<f64> {
         let rule = self.rule.as_ref()?;
-        let member = self.members.get(&upstream.id)?;
-        let is_same = member.upstream.incarnation == upstream.incarnation;
-        (is_same && member.is_cold(now)).then(|| rule.ownership.total_per_s())
+        let is_cold = !self.cold_left(upstream, now).is_zero();
+        is_cold.then(|| rule.ownership.total_per_s())
     }
 
-    /// Returns the other routers to ask for a permit, in order. This router asks itself first.
-    pub fn owners(&self, upstream: &Upstream, now: Instant) -> Vec<Arc<str>> {
-        let rule = self.rule.as_ref();
-        rule.map_or_else(Vec::new, |rule| {
-            let count = rule.ownership.owners();
-            rule.roster.others(upstream, count, now)
-        })
+    /// Returns the other routers to ask for a permit, in order, or `None` if none is needed any
+    /// more. This router asks itself first.
+    pub fn owners(&self, upstream: &Upstream, now: Instant) -> Option<Vec<Arc<str>>> {
+        let member = self.members.get(&upstream.id)?;
+        let gate = member.gate.as_ref().filter(|gate| gate.is_shut(now))?;
+        let roster = self.roster.as_ref()?;
+        Some(roster.others(upstream, gate.owners(), now))
     }
 
     /// Decides on a request of a router to an upstream that is cold for `left`, as that router
@@ -251,18 +277,3 @@
         }
     }
 }
-
-impl Rule {
-    fn gate(&self, upstream: &Upstream, until: Instant, now: Instant) -> Gate {
-        let mut gate = Gate::new(self.ownership, until, now);
-        self.settle(&mut gate, upstream, now);
-        gate
-    }
-
-    fn settle(&self, gate: &mut Gate, upstream: &Upstream, now: Instant) {
-        let count = self.ownership.owners();
-        let is_own = self.roster.is_owner(upstream, count, now);
-        let has_other = !self.roster.others(upstream, count, now).is_empty();
-        gate.set_owners(is_own, has_other, now);
-    }
-}
--- a/crates/dispatch/src/service/limit.rs
+++ b/crates/dispatch/src/service/limit.rs
@@ -45,12 +45,8 @@
         let has_changed = before.is_none_or(|before| {
             before.incarnation != upstream.incarnation || before.limit != limit
         });
-        let new = self.allowance(upstream, now);
-        if let Some(member) = self.members.get_mut(&upstream.id) {
-            match &mut member.allowance {
-                Some(allowance) => allowance.update(limit, self.routers, now),
-                allowance @ None => *allowance = new,
-            }
+        if has_changed {
+            self.divide_limit(upstream, now);
         }
         has_changed
     }
@@ -58,20 +54,50 @@
     /// Records a success of an upstream that names no limit, for a request that was sent at
     /// `sent_at`. The limit has ended unless another answer has named it since. Returns whether
     /// there was one.
-    pub fn lift_limit(&mut self, upstream: &Upstream, sent_at: Instant) -> bool {
+    pub fn lift_limit(&mut self, upstream: &Upstream, sent_at: Instant, now: Instant) -> bool {
         let is_lifted = self
             .limits
             .get(&upstream.id)
             .is_some_and(|entry| entry.incarnation != upstream.incarnation || entry.at < sent_at);
         if is_lifted {
             self.limits.swap_remove(&upstream.id);
-            if let Some(member) = self.members.get_mut(&upstream.id) {
-                member.allowance = None;
-            }
+            self.divide_limit(upstream, now);
         }
         is_lifted
     }
 
+    /// Divides the limit of an upstream among the routers: in equal parts if they suffice, and among
+    /// owners otherwise.
+    fn divide_limit(&mut self, upstream: &Upstream, now: Instant) {
+        let new = self.allowance(upstream, now);
+        if let Some(member) = self.members.get_mut(&upstream.id) {
+            member.allowance = match (member.allowance.take(), new) {
+                (Some(mut kept), Some(new)) => {
+                    kept.update(new.limit(), self.routers, now);
+                    Some(kept)
+                }
+                (_, new) => new,
+            };
+        }
+        self.rebuild_gate(&upstream.id, now);
+    }
+
+    /// Divides all limits again, after a change of the routers.
+    pub(super) fn divide_limits(&mut self, now: Instant) {
+        let limited = self.members.values();
+        let limited = limited.filter(|member| self.limits.contains_key(&member.upstream.id));
+        let limited: Vec<Arc<Upstream>> =
+            limited.map(|member| Arc::clone(&member.upstream)).collect();
+        for upstream in &limited {
+            self.divide_limit(upstream, now);
+        }
+    }
+
+    /// Whether a limit is divided among owners.
+    pub(super) fn owns(&self, limit: Limit) -> bool {
+        self.roster.is_some() && !Allowance::suffices(limit, self.routers)
+    }
+
     /// Returns the limit of an upstream.
     pub fn limit_of(&self, upstream: &Upstream) -> Option<Limit> {
         let entry = self.limits.get(&upstream.id)?;
@@ -88,7 +114,7 @@
 
     /// Returns this router's part of the limit of an upstream, if none of it was used yet.
     pub(super) fn allowance(&self, upstream: &Upstream, now: Instant) -> Option<Allowance> {
-        let limit = self.limit_of(upstream)?;
+        let limit = self.limit_of(upstream).filter(|limit| !self.owns(*limit))?;
         let phase = limit::phase(self.rank, self.routers, &upstream.id);
         Some(Allowance::new(limit, self.routers, phase, now))
     }
--- a/crates/dispatch/tests/cold.rs
+++ b/crates/dispatch/tests/cold.rs
@@ -80,6 +80,8 @@
 
 struct Fleet {
     is_keyed: bool,
+    /// Limit that the upstream names, if it isn't cold.
+    named: Option<Limit>,
     upstreams: Vec<Arc<Upstream>>,
     routers: Vec<Option<Router>>,
     /// Routers in the store's list.
@@ -94,9 +96,10 @@
 }
 
 impl Fleet {
-    fn new(count: usize, is_keyed: bool, seed: u64) -> Self {
+    fn new(count: usize, is_keyed: bool, named: Option<Limit>, seed: u64) -> Self {
         let mut fleet = Self {
             is_keyed,
+            named,
             upstreams: vec![upstream("one", NEAR, 6)],
             routers: Vec::new(),
             listed: (0..count).collect(),
@@ -119,14 +122,23 @@
         let mut service = Service::new(place(index), limits());
         let roster = Arc::new(Roster::new(router_name(index)));
         let warm_up = warm_up(LIMIT_PER_S, Duration::from_secs(3_600));
-        service.set_warm_up(Some((warm_up, TOLERANCE)), &roster, at(ms));
+        service.set_roster(Arc::clone(&roster), at(ms));
+        service.set_warm_up(Some((warm_up, TOLERANCE)), at(ms));
         service.set_upstreams(self.upstreams.clone(), at(ms));
         if self.is_keyed {
             service.set_spans(Some(vec![span(0, u16::MAX, Some("one"))]));
         }
         for upstream in &self.upstreams {
             let left = Duration::from_secs(3_600);
-            service.set_cold(upstream, left, Source::Entry, at(ms));
+            match self.named {
+                Some(limit) => {
+                    service.set_routers(self.listed.len(), index, at(ms));
+                    service.set_limit(upstream, limit, at(ms));
+                }
+                None => {
+                    service.set_cold(upstream, left, Source::Entry, at(ms));
+                }
+            }
         }
         self.is_cut[index] = false;
         self.routers[index] = Some(Router {
@@ -157,7 +169,8 @@
         let warm_up = warm_up(LIMIT_PER_S, Duration::from_secs(3_600));
         let roster = Arc::clone(&router.roster);
         let service = &mut router.service;
-        service.set_warm_up(Some((warm_up, TOLERANCE)), &roster, at(ms));
+        service.set_roster(Arc::clone(&roster), at(ms));
+        service.set_warm_up(Some((warm_up, TOLERANCE)), at(ms));
     }
 
     /// Asks the owners for a permit, one after the other.
@@ -165,7 +178,7 @@
         let left = Duration::from_secs(60);
         let owners = {
             let service = &self.routers[index].as_ref().unwrap().service;
-            service.owners(upstream, at(ms))
+            service.owners(upstream, at(ms)).unwrap_or_default()
         };
         let mut least = Duration::from_millis(500);
         let own = router_name(index);
@@ -306,7 +319,7 @@
     #[values(1.5, 3.0, 10.0)] times: f64,
 ) {
     const LENGTH_MS: u64 = 20_000;
-    let mut fleet = Fleet::new(routers, is_keyed, 7);
+    let mut fleet = Fleet::new(routers, is_keyed, None, 7);
     (0..routers).for_each(|index| fleet.learn(index, 0));
     let per_s = uneven(times, routers);
     for ms in (0..SETTLED_MS + LENGTH_MS).step_by(STEP_MS as usize) {
@@ -320,6 +333,34 @@
     assert!(mean <= LIMIT_PER_S, "{mean}/s");
 }
 
+/// The same load for an upstream that names a limit itself. It counts over four seconds.
+#[rstest]
+fn a_large_fleet_with_uneven_callers_uses_most_of_a_limit_that_an_upstream_names(
+    #[values(false, true)] is_keyed: bool,
+    #[values(1.5, 3.0)] times: f64,
+) {
+    const LENGTH_MS: u64 = 40_000;
+    const NAMED_PER_S: f64 = 6.4;
+    let named = Limit::per_s(NAMED_PER_S);
+    let mut fleet = Fleet::new(58, is_keyed, named, 7);
+    (0..58).for_each(|index| fleet.learn(index, 0));
+    let per_s = uneven(times * NAMED_PER_S / LIMIT_PER_S, 58);
+    for ms in (0..SETTLED_MS + LENGTH_MS).step_by(STEP_MS as usize) {
+        fleet.step(ms, &per_s);
+    }
+    let in_window = |end: &u64| {
+        let sent = fleet.sent.iter();
+        sent.filter(|ms| (**ms..=**ms + 4_000).contains(end))
+            .count()
+    };
+    let most = fleet.sent.iter().map(in_window).max().unwrap_or(0);
+    assert!(most as f64 <= 1.5 * 4.0 * NAMED_PER_S + 5.0, "{most}");
+    let counted = fleet.sent.iter().filter(|ms| **ms >= SETTLED_MS).count();
+    let mean = counted as f64 / (LENGTH_MS as f64 / 1e3);
+    assert!(mean >= 0.7 * NAMED_PER_S, "{mean}/s");
+    assert!(mean <= NAMED_PER_S, "{mean}/s");
+}
+
 /// A change among the routers of a fleet.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
@@ -390,7 +431,7 @@
         times in 2.0..12.0_f64,
         seed: u64,
     ) {
-        let mut fleet = Fleet::new(routers, is_keyed, seed);
+        let mut fleet = Fleet::new(routers, is_keyed, None, seed);
         let per_s = uneven(times, routers);
         for ms in (0..14_000).step_by(STEP_MS as usize) {
             for (_, fault) in faults.iter().filter(|(at, _)| (ms..ms + STEP_MS).contains(at)) {
@@ -511,7 +552,8 @@
     listed(&mut roster, &["own"], 0);
     let mut service = support::service(upstreams);
     let rule = warm_up(LIMIT_PER_S, Duration::from_secs(3));
-    service.set_warm_up(Some((rule, TOLERANCE)), &Arc::new(roster), at(2_500));
+    service.set_roster(Arc::new(roster), at(2_500));
+    service.set_warm_up(Some((rule, TOLERANCE)), at(2_500));
     service
 }
 
@@ -528,24 +570,30 @@
     let mut service = owning(&[]);
     service.set_upstreams(vec![cold("one", 2, 1_000)], at(3_000));
     assert_eq!(
-        service.cold_left("one", at(3_400)),
+        service.cold_left(&cold("one", 1, 0), at(3_400)),
         Duration::from_millis(600)
     );
     service.set_upstreams(vec![cold("one", 3, 200)], at(3_500));
     assert_eq!(
-        service.cold_left("one", at(3_500)),
+        service.cold_left(&cold("one", 1, 0), at(3_500)),
         Duration::from_millis(500)
     );
     service.set_upstreams(vec![cold("one", 3, 200)], at(3_900));
     assert_eq!(
-        service.cold_left("one", at(3_900)),
+        service.cold_left(&cold("one", 1, 0), at(3_900)),
         Duration::from_millis(100)
     );
     service.set_upstreams(vec![cold("one", 4, 3_000)], at(4_100));
-    assert_eq!(service.cold_left("one", at(4_100)), Duration::from_secs(3));
+    assert_eq!(
+        service.cold_left(&cold("one", 1, 0), at(4_100)),
+        Duration::from_secs(3)
+    );
     // A figure beyond the configured time is absurd.
     service.set_upstreams(vec![cold("one", 5, 600_000)], at(5_000));
-    assert_eq!(service.cold_left("one", at(5_000)), Duration::from_secs(3));
+    assert_eq!(
+        service.cold_left(&cold("one", 1, 0), at(5_000)),
+        Duration::from_secs(3)
+    );
 }
 
 #[test]
@@ -556,13 +604,13 @@
     service.set_upstreams(Vec::new(), at(3_100));
     service.set_upstreams(vec![cold("one", 4, 0)], at(3_200));
     assert_eq!(
-        service.cold_left("one", at(3_200)),
+        service.cold_left(&cold("one", 1, 0), at(3_200)),
         Duration::from_millis(2_800)
     );
     let mut next = (*cold("one", 1, 0)).clone();
     next.incarnation += 1;
-    service.set_upstreams(vec![next.into()], at(3_300));
-    assert_eq!(service.cold_left("one", at(3_300)), Duration::ZERO);
+    service.set_upstreams(vec![next.clone().into()], at(3_300));
+    assert_eq!(service.cold_left(&next, at(3_300)), Duration::ZERO);
 }
 
 #[test]
@@ -641,7 +689,8 @@
     let mut service = support::service(&[upstream("one", NEAR, 2), two.clone()]);
     let rule = warm_up(LIMIT_PER_S, Duration::from_secs(3));
     // The lists have not settled, so this router owns nothing.
-    service.set_warm_up(Some((rule, TOLERANCE)), &Arc::new(roster), at(100));
+    service.set_roster(Arc::new(roster), at(100));
+    service.set_warm_up(Some((rule, TOLERANCE)), at(100));
     service.set_cold(&two, Duration::from_secs(3), Source::Entry, at(100));
     let mut hedged = request(1, None, 100);
     assert_eq!(
@@ -659,7 +708,7 @@
     let left = Duration::from_secs(2);
     let permit = service.permit("one", 1, left, at(2_500));
     assert!(matches!(permit, Permit::Granted(wait) if wait > Duration::from_millis(200)));
-    assert_eq!(service.cold_left("one", at(2_500)), left);
+    assert_eq!(service.cold_left(&cold("one", 1, 0), at(2_500)), left);
     let mut waits = Vec::new();
     for _ in 0..3 {
         match service.permit("one", 1, left, at(2_500)) {
--- a/crates/dispatch/tests/limit.rs
+++ b/crates/dispatch/tests/limit.rs
@@ -212,7 +212,7 @@
     service.set_routers(4, 0, at(0));
     assert!(service.set_limit(&one, limit(5.0), at(0)));
     assert!(sent_to_one(&mut service, 0, 10_000) <= 12);
-    assert!(service.lift_limit(&one, at(10_000)));
+    assert!(service.lift_limit(&one, at(10_000), at(10_000 + 100)));
     assert!(sent_to_one(&mut service, 10_000, 11_000) >= 90);
 }
 
@@ -271,9 +271,9 @@
     let mut service = service(std::slice::from_ref(&one));
     assert!(service.set_limit(&one, limit(1.0), at(100)));
     assert!(!service.set_limit(&one, limit(1.0), at(200)));
-    assert!(!service.lift_limit(&one, at(150)));
+    assert!(!service.lift_limit(&one, at(150), at(150 + 100)));
     assert_eq!(service.limit_of(&one), Some(limit(1.0)));
-    assert!(service.lift_limit(&one, at(201)));
+    assert!(service.lift_limit(&one, at(201), at(201 + 100)));
     assert_eq!(service.limit_of(&one), None);
 }
 
--- a/crates/dispatch/tests/observation.rs
+++ b/crates/dispatch/tests/observation.rs
@@ -146,7 +146,7 @@
                 member.service.set_limit(&up, limit(), at(ms));
                 member.observations.observe(&up, limit(), at(ms));
                 member.named_ms = Some(ms);
-            } else if member.service.lift_limit(&up, at(ms)) {
+            } else if member.service.lift_limit(&up, at(ms), at(ms)) {
                 member.observations.observe_end(&up, at(ms));
                 member.named_ms = None;
             }
@@ -173,7 +173,7 @@
                         lifted += 1;
                         let was_free = member.named_ms.is_none_or(|named| named <= last_free_ms);
                         assert!(was_free, "seed {seed}: router {to} at {ms} ms");
-                        member.service.lift_limit(&up, at(ms));
+                        member.service.lift_limit(&up, at(ms), at(ms));
                         member.named_ms = None;
                     }
                 }
--- a/crates/edge/src/limit.rs
+++ b/crates/edge/src/limit.rs
@@ -45,8 +45,8 @@
         if !self.is_limited(upstream) {
             return;
         }
-        let is_lifted = self.with_service(&upstream.service, |service, _| {
-            service.lift_limit(upstream, sent_at)
+        let is_lifted = self.with_service(&upstream.service, |service, now| {
+            service.lift_limit(upstream, sent_at, now)
         });
         if is_lifted == Some(true) {
             let mut observations = self.observations.borrow_mut();
@@ -87,7 +87,7 @@
         };
         let has_changed = self.with_service(&upstream.service, |service, _| match limit {
             Some(limit) => service.set_limit(&upstream, limit, now),
-            None => service.lift_limit(&upstream, now),
+            None => service.lift_limit(&upstream, now, now),
         });
         if has_changed == Some(true) {
             self.log_limit(&upstream, limit, observation.router());
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -444,7 +444,8 @@
                 service.set_place(place);
                 service.set_drain(self.settings.drain);
                 let warm_up = declared.warm_up.zip(self.settings.cold_tolerance);
-                service.set_warm_up(warm_up, &roster, now);
+                service.set_roster(Arc::clone(&roster), now);
+                service.set_warm_up(warm_up, now);
                 service.set_upstreams(state.registry.of_service(name), now);
                 service.set_routers(routers, rank, now);
                 let map = state.maps.get(name).map(VersionedMap::map);
--- a/crates/edge/src/warm_up/permit.rs
+++ b/crates/edge/src/warm_up/permit.rs
@@ -140,13 +140,13 @@
     async fn ask_owners(self: &Rc<Self>, upstream: &Upstream) -> (Permit, Instant) {
         let now = clock::now();
         let known = self.with_service(&upstream.service, |service, now| {
-            let left = service.cold_left(&upstream.id, now);
-            let (id, incarnation) = (&upstream.id, upstream.incarnation);
-            let own = (!left.is_zero()).then(|| service.permit(id, incarnation, left, now));
-            (own, left, service.owners(upstream, now))
+            let owners = service.owners(upstream, now)?;
+            let left = service.cold_left(upstream, now);
+            let own = service.permit(&upstream.id, upstream.incarnation, left, now);
+            Some((own, left, owners))
         });
-        let Some((Some(own), left, mut owners)) = known else {
-            // It is warm by now.
+        let Some((own, left, mut owners)) = known.flatten() else {
+            // Its limit has ended.
             return (Permit::Granted(Duration::ZERO), now);
         };
         let mut least = match own {
