Cold upstreams: cheap refreshes, and questions that don't lengthen the time

Cause: a refresh worked out the owners of all cold upstreams several times, each with a sort, too much for a tenth of a core when a data centre returns cold; and each question that one router passed to another added its delay to the cold time, which could go on without end.

Change: one pass over the list for the owners, only for upstreams whose limit changed or when the list did; a question counts as news only for an owner that takes the upstream for warm, and from 250 ms on.

Result: tests of dispatch pass; the new assertion is red if questions always count.

--- a/crates/dispatch/src/member/limit.rs
+++ b/crates/dispatch/src/member/limit.rs
@@ -7,6 +7,7 @@
 use super::Member;
 use crate::gate::Gate;
 use crate::limit::Allowance;
+use crate::roster::Roster;
 
 impl Member {
     /// Sends it no requests until an instant.
@@ -36,6 +37,16 @@
         rates.reduce(f64::min)
     }
 
+    /// Works out again who owns its limit.
+    pub(crate) fn settle_owners(&mut self, roster: &Roster, now: Instant) {
+        if let Some(gate) = &mut self.gate {
+            let count = gate.owners();
+            let is_own = roster.is_owner(&self.upstream, count, now);
+            let others = roster.others(&self.upstream, count, now);
+            gate.set_owners(is_own, !others.is_empty(), now);
+        }
+    }
+
     /// Whether one more request may be sent to it if an owner of its limit permits it.
     pub(crate) fn may_ask(&self, now: Instant) -> bool {
         let gate = self.gate.as_ref();
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -83,18 +83,23 @@
         }
     }
 
-    /// Returns the owners of the limit of an upstream, those of its data centre first.
+    /// Returns the owners of the limit of an upstream, those of its data centre first. It takes one
+    /// pass, as there may be thousands of routers.
     fn owners(&self, upstream: &Upstream, count: usize, now: Instant) -> Vec<(&Arc<str>, &Entry)> {
-        let counted = self.entries.iter().filter(|(_, entry)| entry.counts(now));
-        let mut ranked: Vec<_> = counted
-            .map(|(name, entry)| {
-                let is_elsewhere = entry.data_centre != upstream.data_centre;
-                let rank = (is_elsewhere, Reverse(weight(&upstream.id, name)), name);
-                (rank, entry)
-            })
-            .collect();
-        ranked.sort_unstable_by_key(|(rank, _)| *rank);
-        let owners = ranked.into_iter().take(count);
+        let mut owners = Vec::with_capacity(count + 1);
+        for (name, entry) in &self.entries {
+            if !entry.counts(now) {
+                continue;
+            }
+            let is_elsewhere = entry.data_centre != upstream.data_centre;
+            let rank = (is_elsewhere, Reverse(weight(&upstream.id, name)), name);
+            let place = owners.partition_point(|(other, _)| *other < rank);
+            if place < count {
+                owners.insert(place, (rank, entry));
+                owners.truncate(count);
+            }
+        }
+        let owners = owners.into_iter();
         owners.map(|((_, _, name), entry)| (name, entry)).collect()
     }
 
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -378,6 +378,7 @@
     /// Sets how many routers share the budget and the limits of upstreams, and the position of this
     /// one among them.
     pub fn set_routers(&mut self, routers: usize, rank: usize, now: Instant) {
+        let has_changed = self.routers != routers.max(1);
         self.routers = routers.max(1);
         self.rank = rank;
         for member in self.members.values_mut() {
@@ -385,7 +386,9 @@
                 allowance.update(allowance.limit(), self.routers, now);
             }
         }
-        self.divide_limits(now);
+        if has_changed {
+            self.divide_limits(now);
+        }
     }
 
     /// Records the requests that another router has under way. Upstreams that `counts` doesn't name
--- a/crates/dispatch/src/service/cold.rs
+++ b/crates/dispatch/src/service/cold.rs
@@ -16,8 +16,11 @@
 /// Time after which a router may ask again if it asked one that owns no part of the limit.
 const NOT_OWNER_WAIT: Duration = Duration::from_millis(300);
 
+/// Shortest time for which an upstream counts as cold because another router asks.
+const MIN_NEWS: Duration = Duration::from_millis(250);
+
 /// How the upstreams of a service warm up.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Rule {
     time: Duration,
     ownership: Ownership,
@@ -83,10 +86,14 @@
 
     /// Sets how the upstreams warm up. Without it, cold upstreams get as many requests as others.
     pub fn set_warm_up(&mut self, warm_up: Option<(WarmUp, Tolerance)>, now: Instant) {
-        self.rule = warm_up.map(|(warm_up, tolerance)| Rule {
+        let rule = warm_up.map(|(warm_up, tolerance)| Rule {
             time: warm_up.time,
             ownership: Ownership::new(warm_up.limit, tolerance),
         });
+        if rule == self.rule {
+            return;
+        }
+        self.rule = rule;
         if self.rule.is_none() {
             self.cold.clear();
         }
@@ -146,8 +153,10 @@
             if let (Some(gate), Some(earlier)) = (&mut member.gate, earlier) {
                 gate.inherit(earlier);
             }
+            if let Some(roster) = &self.roster {
+                member.settle_owners(roster, now);
+            }
         }
-        self.settle_owners(now);
     }
 
     pub(super) fn rebuild_gates(&mut self, now: Instant) {
@@ -176,12 +185,7 @@
             return;
         };
         for member in self.members.values_mut() {
-            if let Some(gate) = &mut member.gate {
-                let count = gate.owners();
-                let is_own = roster.is_owner(&member.upstream, count, now);
-                let others = roster.others(&member.upstream, count, now);
-                gate.set_owners(is_own, !others.is_empty(), now);
-            }
+            member.settle_owners(roster, now);
         }
     }
 
@@ -256,7 +260,10 @@
         let Some(listed) = listed.filter(|listed| listed.incarnation == incarnation) else {
             return Permit::Denied(NOT_OWNER_WAIT);
         };
-        self.set_cold(&listed, left, Source::Router, now);
+        // Each message adds its delay to the time, so news count only if nothing is known.
+        if left >= MIN_NEWS && self.cold_left(&listed, now).is_zero() {
+            self.set_cold(&listed, left, Source::Router, now);
+        }
         let member = self.members.get_mut(upstream);
         let gate = member.and_then(|member| member.gate.as_mut());
         match gate.and_then(|gate| gate.permit(now)) {
--- a/crates/dispatch/tests/cold.rs
+++ b/crates/dispatch/tests/cold.rs
@@ -709,15 +709,21 @@
     let permit = service.permit("one", 1, left, at(2_500));
     assert!(matches!(permit, Permit::Granted(wait) if wait > Duration::from_millis(200)));
     assert_eq!(service.cold_left(&cold("one", 1, 0), at(2_500)), left);
+    // Later questions took some time to arrive, and would lengthen the time without end.
+    service.permit("one", 1, left, at(2_600));
+    assert_eq!(
+        service.cold_left(&cold("one", 1, 0), at(2_600)),
+        Duration::from_millis(1_900)
+    );
     let mut waits = Vec::new();
     for _ in 0..3 {
-        match service.permit("one", 1, left, at(2_500)) {
+        match service.permit("one", 1, left, at(2_600)) {
             Permit::Denied(wait) => waits.push(wait),
             granted @ Permit::Granted(_) => panic!("{granted:?}"),
         }
     }
     assert!(waits.is_sorted_by(|one, other| one < other), "{waits:?}");
-    let granted = service.permit("one", 1, left, at(2_800));
+    let granted = service.permit("one", 1, left, at(3_000));
     assert!(matches!(granted, Permit::Granted(_)), "{granted:?}");
     let other = service.permit("one", 2, left, at(3_500));
     assert!(
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -121,6 +121,9 @@
 /// Causes of broken connections, the second if the process of the upstream has ended.
 const BREAK_CAUSES: [&str; 2] = ["unproven", "ended"];
 
+/// Results of questions for a permit to send to a cold upstream.
+const PERMIT_RESULTS: [&str; 4] = ["granted", "denied", "unanswered", "lapsed"];
+
 /// Result of a call to another router that was answered.
 pub(crate) const ANSWERED: &str = "answered";
 
@@ -482,6 +485,10 @@
             self.cold
                 .get_or_create(&labels)
                 .set(service.cold(now) as i64);
+            for result in PERMIT_RESULTS {
+                let service = Arc::clone(name);
+                drop(self.permits.get_or_create(&Permit { service, result }));
+            }
             // Shows the counters from the start, so that their rates are known from the first event on.
             drop(self.limited_sends.get_or_create(&labels));
             for reason in [Reason::Released, Reason::Expired] {
