--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -9,6 +9,7 @@
 
 mod block;
 mod choice;
+pub mod cold;
 mod deferral;
 mod departure;
 mod evacuation;
@@ -34,6 +35,7 @@
 use crate::evacuation::Evacuation;
 use crate::member::Member;
 use crate::place::{self, Place};
+use crate::roster::Roster;
 use crate::upstream::Upstream;
 
 /// Target of a route that declares none, as a share of the time a caller has.
@@ -152,6 +154,8 @@
         upstream: Arc<Upstream>,
         /// Start of the send, to be passed to [`Service::end`].
         started: Instant,
+        /// Whether [`Service::permit`] of an owner must allow it first, as the upstream is cold.
+        needs_permit: bool,
     },
     /// Wait: the request is queued, and [`Service::poll`] returns what follows.
     Wait,
@@ -260,6 +264,13 @@
     limits: IndexMap<Arc<str>, Entry>,
     /// Data centres whose upstreams get no more requests.
     evacuations: Vec<Evacuation>,
+    /// Routers among which the owners of limits are chosen.
+    roster: Option<Arc<Roster>>,
+    /// How upstreams warm up, `None` if cold ones have no limit.
+    rule: Option<cold::Rule>,
+    /// Cold upstreams.
+    cold: IndexMap<Arc<str>, cold::Entry>,
+    cold_changes: Vec<cold::Change>,
     /// Time after which a leaving upstream may get no more requests.
     drain: Duration,
     last_failed_connect: Option<Instant>,
@@ -302,6 +313,10 @@
             departures: IndexMap::new(),
             limits: IndexMap::new(),
             evacuations: Vec::new(),
+            roster: None,
+            rule: None,
+            cold: IndexMap::new(),
+            cold_changes: Vec::new(),
             drain: DEFAULT_DRAIN,
             last_failed_connect: None,
             probe_due: None,
@@ -327,17 +342,25 @@
             place::arrange(&self.place, upstreams, |upstream| &upstream.id, is_near);
         (self.subset, self.local_count) = (subset, local_count);
         let mut old = std::mem::take(&mut self.members);
+        let mut cold = Vec::new();
         for upstream in upstreams {
             let id = Arc::clone(&upstream.id);
             let kept = old
                 .swap_remove(&id)
                 .filter(|member| member.upstream.incarnation == upstream.incarnation);
+            let is_news = kept
+                .as_ref()
+                .is_none_or(|member| member.upstream.sequence != upstream.sequence);
+            if is_news && !upstream.warm_up.is_zero() {
+                cold.push(Arc::clone(&upstream));
+            }
             let mut member = kept.unwrap_or_else(|| {
                 let mut member = Member::new(Arc::clone(&upstream), typical, now);
                 if let Some(until) = self.deferred_until(&upstream) {
                     member.defer(until);
                 }
                 member.allowance = self.allowance(&upstream, now);
+                member.gate = self.gate(&upstream, now);
                 member
             });
             member.evacuated = self.evacuated_until(&upstream);
@@ -345,6 +368,9 @@
             member.update(upstream, leaving_since);
             self.members.insert(id, member);
         }
+        for upstream in cold {
+            self.set_cold(&upstream, upstream.warm_up, cold::Source::Entry, now);
+        }
     }
 
     /// Replaces the ranges of keys. `None` if any upstream takes any request.
@@ -368,6 +394,7 @@
     /// Sets how many routers share the budget and the limits of upstreams, and the position of this
     /// one among them.
     pub fn set_routers(&mut self, routers: usize, rank: usize, now: Instant) {
+        let has_changed = self.routers != routers.max(1);
         self.routers = routers.max(1);
         self.rank = rank;
         for member in self.members.values_mut() {
@@ -375,6 +402,9 @@
                 allowance.update(allowance.limit(), self.routers, now);
             }
         }
+        if has_changed {
+            self.divide_limits(now);
+        }
     }
 
     /// Records the requests that another router has under way. Upstreams that `counts` doesn't name
@@ -527,12 +557,12 @@
         }
 
         self.note_probe(&upstream.id, now);
-        if let Some(member) = self.members.get_mut(&upstream.id) {
-            member.begin(now);
-        }
+        let member = self.members.get_mut(&upstream.id);
+        let needs_permit = member.is_some_and(|member| member.begin(now));
         Step::Send {
             upstream,
             started: now,
+            needs_permit,
         }
     }
 
@@ -540,6 +570,7 @@
     pub fn sweep(&mut self, now: Instant) {
         self.answers.retain(|at| now - *at < RATE_WINDOW);
         self.deferrals.retain(|_, deferral| now < deferral.until);
+        self.sweep_cold(now);
         let members = &self.members;
         self.departures
             .retain(|id, departure| members.contains_key(id) || !departure.is_outdated(now));
--- a/crates/dispatch/tests/reported_load.rs
+++ b/crates/dispatch/tests/reported_load.rs
@@ -85,7 +85,10 @@
         .iter()
         .filter(|step| sent_to(step) == Some("a"))
         .collect();
-    let Step::Send { upstream, started } = on_first[0] else {
+    let Step::Send {
+        upstream, started, ..
+    } = on_first[0]
+    else {
         panic!("not sent");
     };
     service.record_load(upstream, load, at(100));
--- a/crates/edge/src/evacuation.rs
+++ b/crates/edge/src/evacuation.rs
@@ -207,6 +207,12 @@
         if changes.is_empty() {
             return;
         }
+        for change in &changes {
+            if let Change::Ended(evacuation) = change {
+                // Before any request can be sent there.
+                self.assume_cold(&evacuation.data_centre);
+            }
+        }
         self.refresh();
         let services: Vec<Arc<str>> = self.state.borrow().services.keys().cloned().collect();
         // A leader moves keys at once.
@@ -219,7 +225,6 @@
                 }
                 Change::Ended(evacuation) => {
                     self.log_evacuation("evacuation ended", &evacuation);
-                    self.assume_cold(&evacuation.data_centre);
                 }
             }
         }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -51,6 +51,12 @@
     service: Arc<str>,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Permit {
+    service: Arc<str>,
+    result: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Cleared {
     service: Arc<str>,
@@ -123,6 +129,8 @@
 
 /// Results of reading a report of an upstream's load, the second if it could be read.
 const LOAD_REPORT_RESULTS: [&str; 2] = ["unreadable", "read"];
+/// Results of questions for a permit to send to a cold upstream.
+const PERMIT_RESULTS: [&str; 4] = ["granted", "denied", "unanswered", "lapsed"];
 
 /// Result of a call to another router that was answered.
 pub(crate) const ANSWERED: &str = "answered";
@@ -153,6 +161,9 @@
     unreachable: Family<Service, Gauge>,
     limited_sends: Family<Service, Counter>,
     load_reports: Family<LoadReport, Counter>,
+    cold: Family<Service, Gauge>,
+    permits: Family<Permit, Counter>,
+    permits_given: Family<Permit, Counter>,
     cleared_sources: Family<Cleared, Counter>,
     received_bytes: Family<Received, Counter>,
     peer_calls: PeerCalls,
@@ -194,6 +205,9 @@
             unreachable: Family::default(),
             limited_sends: Family::default(),
             load_reports: Family::default(),
+            cold: Family::default(),
+            permits: Family::default(),
+            permits_given: Family::default(),
             cleared_sources: Family::default(),
             received_bytes: Family::default(),
             peer_calls: PeerCalls::default(),
@@ -263,6 +277,12 @@
         all.register("limited_sends", help, self.limited_sends.clone());
         let help = "Reports of their load that upstreams sent with answers";
         all.register("load_reports", help, self.load_reports.clone());
+        let help = "Upstreams that count as cold";
+        all.register("cold_upstreams", help, self.cold.clone());
+        let help = "Questions to other routers for a permit to send to a cold upstream, by result";
+        all.register("permits_asked", help, self.permits.clone());
+        let help = "Answers to other routers that asked for such a permit, by result";
+        all.register("permits_answered", help, self.permits_given.clone());
         let help = "Earlier holders found not to hold their keys any more, by the proof";
         all.register("cleared_sources", help, self.cleared_sources.clone());
         let help = "Bytes of table rows that were received, by where they came from";
@@ -390,6 +410,22 @@
         self.load_reports.get_or_create(&labels).inc();
     }
 
+    /// Counts a question to another router for a permit to send to a cold upstream, or a permit that
+    /// lapsed.
+    pub(crate) fn permit(&self, service: &Arc<str>, result: &'static str) {
+        let service = Arc::clone(service);
+        let labels = Permit { service, result };
+        self.permits.get_or_create(&labels).inc();
+    }
+
+    /// Counts an answer to a router that asked for a permit.
+    pub(crate) fn permit_given(&self, service: &Arc<str>, is_granted: bool) {
+        let result = if is_granted { "granted" } else { "denied" };
+        let service = Arc::clone(service);
+        let labels = Permit { service, result };
+        self.permits_given.get_or_create(&labels).inc();
+    }
+
     /// Counts an earlier holder that can't hold its keys any more.
     pub(crate) fn source_cleared(&self, service: &Arc<str>, reason: Reason) {
         self.cleared(service, reason).inc();
@@ -481,6 +517,13 @@
             self.limited
                 .get_or_create(&labels)
                 .set(service.limited() as i64);
+            self.cold
+                .get_or_create(&labels)
+                .set(service.cold(now) as i64);
+            for result in PERMIT_RESULTS {
+                let service = Arc::clone(name);
+                drop(self.permits.get_or_create(&Permit { service, result }));
+            }
             // Shows the counters from the start, so that their rates are known from the first event on.
             drop(self.limited_sends.get_or_create(&labels));
             for result in LOAD_REPORT_RESULTS {
