Pressure: less urgent requests wait for free slots and are refused by rank

Cause: a router's queue is ordered by priority, but an upstream's slots went to whichever router asked first.

Change: where routes of two priorities or more lead to a service, all but the most urgent kind wait for free slots, leave the last tenth of the subset's slots free, and are refused on arrival by how long requests wait; a third of each kind is the floor. The leader's share for an overloaded holder is taken from the less urgent first. Services with one priority are served as before.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -16,6 +16,8 @@
     pub version: u64,
     /// Routes of each host, by prefix.
     routes: IndexMap<Arc<str>, IndexMap<Arc<str>, Arc<Route>>>,
+    /// Priorities of the routes to each service.
+    priorities: IndexMap<Arc<str>, Vec<u8>>,
     /// Services by name.
     pub services: IndexMap<Arc<str>, Service>,
     /// Limits on requests and connections of callers.
@@ -123,12 +125,39 @@
             host.entry(Arc::clone(&route.prefix))
                 .or_insert_with(|| Arc::new(route));
         }
-        Self {
+        let mut directory = Self {
             version,
             routes: hosts,
+            priorities: IndexMap::new(),
             services,
             limits,
+        };
+        directory.priorities = directory.collect_priorities();
+        directory
+    }
+
+    fn collect_priorities(&self) -> IndexMap<Arc<str>, Vec<u8>> {
+        let mut all: IndexMap<Arc<str>, Vec<u8>> = IndexMap::new();
+        for route in self.routes() {
+            for part in route.parts.iter().filter(|part| part.weight > 0) {
+                let priorities = all.entry(Arc::clone(&part.service)).or_default();
+                if !priorities.contains(&route.priority) {
+                    priorities.push(route.priority);
+                }
+            }
         }
+        all
+    }
+
+    /// Returns the different priorities of the routes that send requests to a service.
+    ///
+    /// ```
+    /// use eelgrassrock_dispatch::directory::Directory;
+    ///
+    /// assert!(Directory::default().priorities("sheets").is_empty());
+    /// ```
+    pub fn priorities(&self, service: &str) -> &[u8] {
+        self.priorities.get(service).map_or(&[], Vec::as_slice)
     }
 
     /// Returns the route of a request: the one with the longest matching prefix among those of its
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod member;
 pub mod observation;
 pub mod place;
+pub mod pressure;
 pub mod resend;
 pub mod service;
 mod service_time;
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -11,6 +11,7 @@
 mod choice;
 mod deferral;
 mod limit;
+mod pressure;
 mod queue;
 mod reach;
 mod unavailable;
@@ -29,6 +30,7 @@
 use crate::directory::Repeat;
 use crate::member::Member;
 use crate::place::{self, Place};
+use crate::pressure::Pressure;
 use crate::upstream::Upstream;
 
 /// Target of a route that declares none, as a share of the time a caller has.
@@ -172,6 +174,8 @@
     Busy,
     /// The holder of the key gets more requests than it can serve.
     Overload,
+    /// The service is tight, and requests of higher priority go first.
+    Pressure,
     /// The service has no upstream that could take it.
     NoUpstream,
     /// No upstream holds the key at the moment.
@@ -194,6 +198,7 @@
         match self {
             Self::Busy => "busy",
             Self::Overload => "overload",
+            Self::Pressure => "pressure",
             Self::NoUpstream => "no-upstream",
             Self::NoHolder => "no-holder",
             Self::Attempts => "attempts",
@@ -241,6 +246,7 @@
     /// Admission credit for the next request to any overloaded holder. All of them share one credit
     /// because a router may see only a few requests for each.
     credit: f32,
+    pressure: Pressure,
     /// Upstreams that each other router reported last. Only these are reset by its next report,
     /// because there may be thousands of others.
     reported: IndexMap<Arc<str>, Vec<Arc<str>>>,
@@ -285,6 +291,7 @@
             health_changes: Vec::new(),
             shares: IndexMap::new(),
             credit: INITIAL_CREDIT,
+            pressure: Pressure::default(),
             reported: IndexMap::new(),
             deferrals: IndexMap::new(),
             limits: IndexMap::new(),
@@ -407,27 +414,40 @@
         self.shares = shares.into_iter().collect();
     }
 
-    /// Whether this request is within the share that its holder can serve.
-    fn is_admitted(&mut self, key: Option<u16>) -> bool {
-        let share = self.holder(key).and_then(|holder| self.shares.get(holder));
-        let Some(share) = share else {
-            return true;
-        };
+    /// Whether this request is within the share that its overloaded holder can serve. `None` if the
+    /// holder isn't overloaded.
+    fn is_within_share(&mut self, request: &Request) -> Option<bool> {
+        let holder = self.holder(request.key)?;
+        let share = *self.shares.get(holder)?;
+        let by_priority = self
+            .pressure
+            .admits_at_holder(request.priority, f64::from(share));
+        if by_priority.is_some() {
+            return by_priority;
+        }
         self.credit += share;
         let admitted = self.credit >= 1.0;
         if admitted {
             self.credit -= 1.0;
         }
-        admitted
+        Some(admitted)
     }
 
     /// Decides on a request that has just arrived.
     pub fn admit(&mut self, request: Request, now: Instant) -> Step {
         self.budget.record_first(now);
-        if !self.is_admitted(request.key) {
-            return self.refuse(Reason::Overload, &request, now);
+        // The share of a holder has taken account of priorities: both checks together would leave
+        // the least urgent kind less than its floor.
+        let refusal = match self.is_within_share(&request) {
+            Some(true) => None,
+            Some(false) => Some(Reason::Overload),
+            None if self.is_admitted_under_pressure(&request, now) => None,
+            None => Some(Reason::Pressure),
+        };
+        match refusal {
+            Some(reason) => self.refuse(reason, &request, now),
+            None => self.dispatch(request, now),
         }
-        self.dispatch(request, now)
     }
 
     /// Decides on a request that no other router can handle.
@@ -524,6 +544,7 @@
     pub fn sweep(&mut self, now: Instant) {
         self.answers.retain(|at| now - *at < RATE_WINDOW);
         self.deferrals.retain(|_, deferral| now < deferral.until);
+        self.pressure.sweep(now);
         let members = &self.members;
         self.limits
             .retain(|id, entry| members.contains_key(id) || !entry.is_outdated(now));
--- a/crates/dispatch/src/service/choice.rs
+++ b/crates/dispatch/src/service/choice.rs
@@ -5,6 +5,7 @@
 
 use eelgrassrock_model::time::Instant;
 
+use super::pressure::Concession;
 use super::reach::is_usable;
 use super::{Request, Service, Span, Step};
 use crate::member::Member;
@@ -81,6 +82,10 @@
         if self.spans.is_some() {
             return self.choose_holder(request, now);
         }
+        let concession = self.concession(request, now);
+        if concession == Concession::Everywhere {
+            return Choice::Full;
+        }
         let mut usable = false;
         let is_cut_off = self.is_cut_off(now);
         let may_probe = !is_cut_off || self.may_probe(now);
@@ -91,11 +96,15 @@
                 continue;
             }
             usable = true;
-            if !member.has_room(now) || !(may_probe || is_usable(member, now)) {
+            let distance = self.distance(index);
+            if concession == Concession::Near && distance != Distance::Elsewhere {
+                continue;
+            }
+            if !self.has_room(member, request, now) || !(may_probe || is_usable(member, now)) {
                 continue;
             }
             let cost = member.cost_ms(now);
-            let best = &mut best[self.distance(index) as usize];
+            let best = &mut best[distance as usize];
             if best.is_none_or(|(least, _)| cost < least) {
                 *best = Some((cost, member));
             }
@@ -141,11 +150,13 @@
             Some(member)
                 if self.is_cut_off(now)
                     && !is_usable(member, now)
-                    && !(self.may_probe(now) && member.has_room(now)) =>
+                    && !(self.may_probe(now) && self.has_room(member, request, now)) =>
             {
                 Choice::OutOfReach
             }
-            Some(member) if member.has_room(now) => Choice::Take(Arc::clone(&member.upstream)),
+            Some(member) if self.has_room(member, request, now) => {
+                Choice::Take(Arc::clone(&member.upstream))
+            }
             Some(_) => Choice::Full,
             None => Choice::NoHolder,
         }
--- a/crates/dispatch/src/service/queue.rs
+++ b/crates/dispatch/src/service/queue.rs
@@ -36,11 +36,16 @@
     /// Returns the requests that no longer wait, and what to do with them.
     pub fn poll(&mut self, now: Instant) -> Vec<(u64, Step)> {
         let mut done = Vec::new();
+        self.note_pressure(now);
         if self.queue.is_empty() {
             return done;
         }
         let mut queue = std::mem::take(&mut self.queue);
-        queue.sort_by_key(|request| (request.priority, now > request.target, request.arrived));
+        queue.sort_by_key(|request| {
+            let precedence = self.precedence(request);
+            (precedence, now > request.target, request.arrived)
+        });
+        // Later requests find no more room than earlier ones.
         let mut full: HashSet<Option<Arc<str>>> = HashSet::new();
         for request in queue {
             let holder = self.holder(request.key).cloned();
@@ -200,8 +205,9 @@
     /// Returns the number of requests that wait ahead of another one.
     pub(super) fn ahead(&self, request: &Request) -> usize {
         let holder = self.holder(request.key);
+        let precedence = self.precedence(request);
         let same_queue = |other: &&Request| {
-            other.priority <= request.priority && self.holder(other.key) == holder
+            self.precedence(other) <= precedence && self.holder(other.key) == holder
         };
         self.queue.iter().filter(same_queue).count()
     }
@@ -245,9 +251,14 @@
                 self.unavailable_for(request, now).min(OVERLOAD_RETRY_AFTER)
             }
             Reason::Limited => self.unavailable_for(request, now),
+            Reason::Pressure => self.return_delay(request, now),
         };
         // Spreads the retries of callers that are refused together.
-        let spread = wait.mul_f64(f64::from((request.ticket % 8) as u32) / 16.0);
+        let spread = match reason {
+            // The delays are spread already.
+            Reason::Pressure => Duration::ZERO,
+            _ => wait.mul_f64(f64::from((request.ticket % 8) as u32) / 16.0),
+        };
         let most = match reason {
             // The upstream has said how long it takes.
             Reason::Deferred => MAX_RETRY_AFTER.max(wait + spread),
