Pressure is told to neighbours, logged and counted

Cause: each router decides by how long requests wait, and sees too few of them alone; operators couldn't see why a request gave way.

Lines `service tight` and `service relaxed`, metrics `pressure` and `pressure_refusals`, `explain` knows the outcome.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -258,6 +258,7 @@
         "upstream-failed" => "The upstream answered that it failed.",
         "busy" => "Not served: the queue was too long for the caller's deadline.",
         "overload" => "Not served: the holder of its key is overloaded.",
+        "pressure" => "Not served: the service was tight, and more urgent requests went first.",
         "no-holder" => "Not served: no upstream held the key, or its holder had lost it.",
         "no-upstream" => "Not served: the service had no usable upstream.",
         "attempts" => "Not served: it was sent to as many upstreams as its route allows.",
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,7 @@
 mod payload;
 mod peer;
 pub mod platform;
+mod pressure;
 mod process;
 mod quarantine;
 mod registry;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -51,6 +51,12 @@
     service: Arc<str>,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Kind {
+    service: Arc<str>,
+    priority: u32,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Cleared {
     service: Arc<str>,
@@ -143,6 +149,8 @@
     limited: Family<Service, Gauge>,
     unreachable: Family<Service, Gauge>,
     limited_sends: Family<Service, Counter>,
+    pressure: Family<Service, Fraction>,
+    pressure_refusals: Family<Kind, Counter>,
     cleared_sources: Family<Cleared, Counter>,
     received_bytes: Family<Received, Counter>,
     peer_calls: PeerCalls,
@@ -181,6 +189,8 @@
             limited: Family::default(),
             unreachable: Family::default(),
             limited_sends: Family::default(),
+            pressure: Family::default(),
+            pressure_refusals: Family::default(),
             cleared_sources: Family::default(),
             received_bytes: Family::default(),
             peer_calls: PeerCalls::default(),
@@ -246,6 +256,11 @@
         all.register("unreachable_upstreams", help, self.unreachable.clone());
         let help = "Sends to upstreams with a limit";
         all.register("limited_sends", help, self.limited_sends.clone());
+        let help =
+            "Longest wait of requests as a share of the time to their targets, mean of neighbours";
+        all.register("pressure", help, self.pressure.clone());
+        let help = "Requests refused because more urgent ones need the slots";
+        all.register("pressure_refusals", help, self.pressure_refusals.clone());
         let help = "Earlier holders found not to hold their keys any more, by the proof";
         all.register("cleared_sources", help, self.cleared_sources.clone());
         let help = "Bytes of table rows that were received, by where they came from";
@@ -359,6 +374,15 @@
         self.limited_sends.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that was refused because more urgent ones need the slots.
+    pub(crate) fn refused_under_pressure(&self, service: &Arc<str>, priority: u8) {
+        let labels = Kind {
+            service: Arc::clone(service),
+            priority: u32::from(priority),
+        };
+        self.pressure_refusals.get_or_create(&labels).inc();
+    }
+
     /// Counts an earlier holder that can't hold its keys any more.
     pub(crate) fn source_cleared(&self, service: &Arc<str>, reason: Reason) {
         self.cleared(service, reason).inc();
@@ -445,6 +469,10 @@
             self.limited
                 .get_or_create(&labels)
                 .set(service.limited() as i64);
+            match service.pressure(now) {
+                Some(level) => drop(self.pressure.get_or_create(&labels).set(level)),
+                None => drop(self.pressure.remove(&labels)),
+            }
             // Shows the counters from the start, so that their rates are known from the first event on.
             drop(self.limited_sends.get_or_create(&labels));
             for reason in [Reason::Released, Reason::Expired] {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -36,6 +36,7 @@
 use crate::payload::Memory;
 use crate::peer::Peers;
 use crate::platform::{Platform, Table};
+use crate::pressure;
 use crate::registry::Registry;
 use crate::relay::Relay;
 use crate::request::Decision;
@@ -322,6 +323,9 @@
             };
             self.log.info(event, &line);
         }
+        if let Some(change) = entry.take_pressure_change() {
+            pressure::log_change(&self.log, service, change);
+        }
         let steps = entry.poll(now);
         let waits = entry.waiting() > 0 && !state.polled_queues.contains_key(service);
         if waits {
@@ -426,6 +430,7 @@
                 service.set_drain(self.settings.drain);
                 service.set_upstreams(state.registry.of_service(name), now);
                 service.set_routers(routers, rank, now);
+                service.set_priorities(directory.priorities(name));
                 let map = state.maps.get(name).map(VersionedMap::map);
                 service.set_spans(declared.keyed.map(|_| map.map(spans).unwrap_or_default()));
             }
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -299,6 +299,10 @@
     let elapsed = clock::now() - job.work.arrived;
     node.metrics
         .request(&job.route.name, &job.service, done.outcome, elapsed);
+    if done.outcome == Reason::Pressure.as_str() {
+        node.metrics
+            .refused_under_pressure(&job.service, job.work.priority);
+    }
     let is_plain = done.outcome == "answered" && job.sends.len() <= 1;
     if !is_plain || node.log.should_sample() {
         node.log.request(
