Pressure isn't told; only waits for a slot count as pressure

Requests for keys on their way, and repeats, raised it too.

Change: the datagram is gone; each router judges by its own waits, which follow from the counts that neighbours tell already. Waits for a holder and of repeats don't count. A router's line `service relaxed` comes after 2 s, so that each router writes one pair of lines in a burst.

--- a/crates/dispatch/src/pressure.rs
+++ b/crates/dispatch/src/pressure.rs
@@ -3,24 +3,22 @@
 //! The load answered: a burst of a less urgent kind at a service that is nearly full. Less urgent
 //! requests take only free slots, so that more urgent ones don't queue behind them at an upstream.
 //! They wait at the routers, and if the wait grows too long for their callers, a share of the new
-//! ones is refused on arrival. Routers tell each other how long requests wait, and act on the mean.
+//! ones is refused on arrival.
 
 mod rank;
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrassrock_model::time::Instant;
-use indexmap::IndexMap;
 
 use self::rank::Rank;
 pub(crate) use self::rank::{is_promoted, phase};
 
-/// Age at which the figure of another router is dropped. It is repeated several times within it.
-const MAX_AGE: Duration = Duration::from_millis(600);
-/// Pressure from which a service is tight, and below which it is relaxed again.
+/// Pressure from which a service is tight, and below which it is relaxed again after `RELAX_TIME`.
+/// During a burst, a router with few callers may have an empty queue for a second.
 const TIGHT: f64 = 0.25;
 const RELAXED: f64 = 0.1;
+const RELAX_TIME: Duration = Duration::from_secs(2);
 
 /// Change between tight and relaxed.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -36,8 +34,9 @@
 pub(crate) struct Pressure {
     /// The most urgent first.
     ranks: Vec<Rank>,
-    peers: IndexMap<Arc<str>, (f64, Instant)>,
     is_tight: bool,
+    /// Last time at which a tight service wasn't relaxed.
+    pressed_at: Option<Instant>,
     change: Option<Change>,
 }
 
@@ -66,30 +65,6 @@
         (is_ranked && priority != first).then_some(first)
     }
 
-    pub(crate) fn record_peer(&mut self, router: &Arc<str>, pressure: f64, now: Instant) {
-        if self.is_contended() && (0.0..=1e3).contains(&pressure) {
-            self.peers.insert(Arc::clone(router), (pressure, now));
-        }
-    }
-
-    /// Returns the mean pressure of this router and its neighbours.
-    pub(crate) fn mean(&self, own: f64, now: Instant) -> f64 {
-        let fresh = self.fresh(now);
-        let (sum, count) = fresh.fold((own, 1.0), |(sum, count), peer| (sum + peer, count + 1.0));
-        sum / count
-    }
-
-    fn fresh(&self, now: Instant) -> impl Iterator<Item = f64> {
-        let peers = self.peers.values();
-        let fresh = peers.filter(move |(_, at)| now - *at < MAX_AGE);
-        fresh.map(|(pressure, _)| *pressure)
-    }
-
-    /// Whether other routers should know the pressure of this one: it isn't zero, or theirs isn't.
-    pub(crate) fn is_told(&self, own: f64, now: Instant) -> bool {
-        self.is_contended() && (own > 0.0 || self.fresh(now).any(|peer| peer > 0.0))
-    }
-
     /// Whether a request of this priority is admitted under a pressure.
     pub(crate) fn admits(&mut self, priority: u8, pressure: f64) -> bool {
         let index = self.index(priority).filter(|index| *index > 0);
@@ -113,9 +88,12 @@
     }
 
     /// Notes whether the service is tight.
-    pub(crate) fn note(&mut self, pressure: f64) {
+    pub(crate) fn note(&mut self, pressure: f64, now: Instant) {
         let threshold = if self.is_tight { RELAXED } else { TIGHT };
-        let is_tight = pressure >= threshold;
+        if pressure >= threshold {
+            self.pressed_at = Some(now);
+        }
+        let is_tight = self.pressed_at.is_some_and(|at| now - at < RELAX_TIME);
         if is_tight != self.is_tight {
             self.is_tight = is_tight;
             self.change = Some(Change { is_tight, pressure });
@@ -126,11 +104,6 @@
         self.change.take()
     }
 
-    /// Removes figures of routers that no longer tell any.
-    pub(crate) fn sweep(&mut self, now: Instant) {
-        self.peers.retain(|_, (_, at)| now - *at < MAX_AGE);
-    }
-
     fn index(&self, priority: u8) -> Option<usize> {
         let mut ranks = self.ranks.iter();
         ranks.position(|rank| rank.priority() == priority)
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -544,7 +544,6 @@
     pub fn sweep(&mut self, now: Instant) {
         self.answers.retain(|at| now - *at < RATE_WINDOW);
         self.deferrals.retain(|_, deferral| now < deferral.until);
-        self.pressure.sweep(now);
         let members = &self.members;
         self.limits
             .retain(|id, entry| members.contains_key(id) || !entry.is_outdated(now));
--- a/crates/dispatch/src/service/pressure.rs
+++ b/crates/dispatch/src/service/pressure.rs
@@ -1,6 +1,5 @@
 //! Refusal of less urgent requests while a service is tight.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrassrock_model::time::Instant;
@@ -15,8 +14,7 @@
 /// The same for the time that the caller has. Callers may not wait longer.
 const RETURN_TIME_SHARE: f64 = 1.0 / 3.0;
 
-/// Share of the slots in use from which the rest is kept for more urgent requests. A router knows the
-/// use of slots with a delay in which about a tenth of them is taken.
+/// Share of the slots in use from which the rest is kept for more urgent requests.
 const MAX_BUSY: f64 = 0.9;
 /// Share of the time until the target for which a request waits for a slot in the router's own data
 /// centre, until it may take one elsewhere.
@@ -39,23 +37,11 @@
         self.pressure.set_priorities(priorities, phase(self.rank));
     }
 
-    /// Records the pressure that another router sees.
-    pub fn record_peer_pressure(&mut self, router: &Arc<str>, pressure: f64, now: Instant) {
-        self.pressure.record_peer(router, pressure, now);
-    }
-
-    /// Returns the pressure that this router sees, if other routers should know it.
-    pub fn told_pressure(&self, now: Instant) -> Option<f64> {
-        let own = self.own_pressure(u8::MAX, None, now);
-        self.pressure.is_told(own, now).then_some(own)
-    }
-
-    /// Returns the mean pressure that this router and its neighbours see. `None` if no kinds of
+    /// Returns the longest wait for a slot, as a share of the time to the target. `None` if no kinds of
     /// different priority compete.
     pub fn pressure(&self, now: Instant) -> Option<f64> {
-        let own = self.own_pressure(u8::MAX, None, now);
         let is_contended = self.pressure.is_contended();
-        is_contended.then(|| self.pressure.mean(own, now))
+        is_contended.then(|| self.longest_wait(|_| true, now))
     }
 
     /// Takes the last change between tight and relaxed.
@@ -66,21 +52,20 @@
     /// Notes whether the service is tight.
     pub(super) fn note_pressure(&mut self, now: Instant) {
         if let Some(pressure) = self.pressure(now) {
-            self.pressure.note(pressure);
+            self.pressure.note(pressure, now);
         }
     }
 
-    /// Returns how long requests at least as urgent as `priority` have waited, as a share of the time to
-    /// their target.
-    fn own_pressure(&self, priority: u8, holder: Option<&Arc<str>>, now: Instant) -> f64 {
-        if !self.pressure.is_contended() {
-            return 0.0;
-        }
-        let queue = self.queue.iter();
-        let counts = queue.filter(|request| {
-            request.priority <= priority && (holder.is_none() || self.holder(request.key) == holder)
-        });
-        let waited = counts.map(|request| {
+    /// Returns the longest wait of the requests that `counts` selects, as a share of the time to their
+    /// target. Requests for keys on their way from one holder to another don't wait for a slot, and
+    /// those that were sent before have waited for an answer.
+    fn longest_wait(&self, counts: impl Fn(&Request) -> bool, now: Instant) -> f64 {
+        let waits_for_slot = |request: &&Request| {
+            let has_holder = self.spans.is_none() || self.holder(request.key).is_some();
+            has_holder && !request.is_repeat && !self.is_blocked(request.key, now)
+        };
+        let queue = self.queue.iter().filter(|request| counts(request));
+        let waited = queue.filter(waits_for_slot).map(|request| {
             let waited = (now - request.arrived).as_secs_f64();
             waited / (request.target - request.arrived).as_secs_f64().max(0.001)
         });
@@ -139,12 +124,12 @@
         if !self.gives_way(request) || request.detour == Detour::Forbidden {
             return true;
         }
-        let own = self.own_pressure(request.priority, self.holder(request.key), now);
-        let pressure = match self.spans {
-            // Each holder has its own queue.
-            Some(_) => own,
-            None => self.pressure.mean(own, now).max(own),
+        // Each holder of keys has its own queue.
+        let holder = self.holder(request.key);
+        let is_ahead = |other: &Request| {
+            other.priority <= request.priority && self.holder(other.key) == holder
         };
+        let pressure = self.longest_wait(is_ahead, now);
         self.pressure.admits(request.priority, pressure)
     }
 
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -16,7 +16,6 @@
 use crate::clock;
 use crate::node::Node;
 use crate::platform::Platform;
-use crate::pressure::Pressures;
 
 /// Time for which changes are collected into one message. It is a small part of the time for one
 /// request.
@@ -32,8 +31,6 @@
 /// leader receives them from all routers, and must detect a surge of hot keys within a second.
 const KEYS_INTERVAL: Duration = Duration::from_millis(100);
 const ROUTERS_PER_INTERVAL: u32 = 96;
-/// Interval between messages about the pressure on services.
-const PRESSURES_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum number of keys in one message, so that it fits into a packet.
 const MAX_KEYS: usize = 400;
 /// Maximum size of a received message, in bytes.
@@ -49,7 +46,6 @@
     Keys(Arc<str>, Vec<u16>),
     /// Versions of configuration and registry at the sender.
     Versions([Revision; 2]),
-    Pressures(Pressures),
 }
 
 /// Service, upstream, and number of requests in flight there.
@@ -68,7 +64,6 @@
     let mut repeat_due = clock::now();
     let mut sent_at = clock::now();
     let mut keys_due = clock::now();
-    let mut pressures_due = clock::now();
     loop {
         // A change and a timeout are handled in the same way.
         let _ = timeout(KEYS_INTERVAL, node.counts_changed.notified()).await;
@@ -81,10 +76,6 @@
             let extra_intervals = node.state.borrow().routers.len() as u32 / ROUTERS_PER_INTERVAL;
             keys_due = now + KEYS_INTERVAL * (extra_intervals + 1);
         }
-        if now >= pressures_due {
-            send_pressures(&node, &socket);
-            pressures_due = now + PRESSURES_INTERVAL;
-        }
         let counts = counts(&node);
         let is_due = now >= repeat_due && !counts.is_empty();
         if counts == sent && !is_due {
@@ -106,19 +97,6 @@
     }
 }
 
-/// Sends the pressure on services to the neighbours.
-fn send_pressures<P: Platform>(node: &Node<P>, socket: &UdpSocket) {
-    let Some(pressures) = node.pressures() else {
-        return;
-    };
-    if let Ok(bytes) = postcard::to_allocvec(&Message::Pressures(pressures)) {
-        for address in &node.state.borrow().neighbours {
-            // The next message makes up for one that can't be sent.
-            let _ = socket.try_send_to(&bytes, *address);
-        }
-    }
-}
-
 /// Sends requested keys to the leaders.
 fn send_keys<P: Platform>(node: &Node<P>, socket: &UdpSocket) {
     for (service, address, keys) in node.leaderships.take_keys() {
@@ -180,7 +158,6 @@
             Message::Counts(counts) => apply_counts(&node, &counts),
             Message::Keys(service, keys) => node.leaderships.record_remote_keys(&service, &keys),
             Message::Versions(versions) => node.learn_versions(versions, sender),
-            Message::Pressures(pressures) => node.record_pressures(&pressures),
         }
     }
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -256,8 +256,7 @@
         all.register("unreachable_upstreams", help, self.unreachable.clone());
         let help = "Sends to upstreams with a limit";
         all.register("limited_sends", help, self.limited_sends.clone());
-        let help =
-            "Longest wait of requests as a share of the time to their targets, mean of neighbours";
+        let help = "Longest wait for a slot of a service, as a share of the time to the target";
         all.register("pressure", help, self.pressure.clone());
         let help = "Requests refused because more urgent ones need the slots";
         all.register("pressure_refusals", help, self.pressure_refusals.clone());
--- a/crates/edge/src/pressure.rs
+++ b/crates/edge/src/pressure.rs
@@ -1,28 +1,14 @@
-//! Pressure on services for which several kinds of requests compete: what routers tell each other
-//! about it, and log lines.
-
-use std::sync::Arc;
+//! Log lines about the pressure on services for which several kinds of requests compete.
 
 use eelgrassrock_dispatch::pressure::Change;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
-use crate::clock;
 use crate::log::Log;
-use crate::node::Node;
-use crate::platform::Platform;
-
-/// Pressure that one router sees, as it tells its neighbours.
-#[derive(Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Pressures {
-    router: Arc<str>,
-    /// Pressure on each service.
-    pressures: Vec<(Arc<str>, f32)>,
-}
 
 #[derive(Serialize)]
 struct PressureLine<'a> {
     service: &'a str,
-    /// Longest wait of a request, as a share of the time to its target.
+    /// Longest wait for a slot, as a share of the time to the target.
     pressure: f64,
 }
 
@@ -39,31 +25,3 @@
     };
     log.info(event, &line);
 }
-
-impl<P: Platform> Node<P> {
-    /// Returns the pressure on services that other routers should know, if there is any.
-    pub(crate) fn pressures(&self) -> Option<Pressures> {
-        let now = clock::now();
-        let mut pressures = Vec::new();
-        for (name, service) in &self.state.borrow().services {
-            if let Some(pressure) = service.told_pressure(now) {
-                pressures.push((Arc::clone(name), pressure as f32));
-            }
-        }
-        (!pressures.is_empty()).then(|| Pressures {
-            router: Arc::clone(&self.settings.router),
-            pressures,
-        })
-    }
-
-    /// Records the pressure that another router sees.
-    pub(crate) fn record_pressures(&self, message: &Pressures) {
-        let now = clock::now();
-        let mut state = self.state.borrow_mut();
-        for (name, pressure) in &message.pressures {
-            if let Some(service) = state.services.get_mut(name) {
-                service.record_peer_pressure(&message.router, f64::from(*pressure), now);
-            }
-        }
-    }
-}
