Tests of the floor at an overloaded holder, and of a service's priorities

Cause: two rules of the pressure had no test: the share of a holder and the pressure aren't applied together, and a part of a route without a weight makes no kinds compete.

Change: one test each.

--- a/crates/dispatch/tests/directory.rs
+++ b/crates/dispatch/tests/directory.rs
@@ -51,3 +51,24 @@
     let found = directory.route(host, path).map(|route| &*route.name);
     assert_eq!(found, expected);
 }
+
+/// A part without a weight gets no requests.
+#[test]
+fn the_priorities_of_a_service_are_those_of_the_routes_that_send_to_it() {
+    let part = |service: &str, weight| Part {
+        service: service.into(),
+        weight,
+    };
+    let urgent = Route {
+        priority: 0,
+        parts: vec![part("sheets", 3), part("labels", 0)],
+        ..route("a.example", "/x/")
+    };
+    let same = Route {
+        priority: 0,
+        ..route("a.example", "/z/")
+    };
+    let directory = directory([urgent, same, route("a.example", "/y/")]);
+    assert_eq!(directory.priorities("sheets"), [0, 1]);
+    assert!(directory.priorities("labels").is_empty());
+}
--- a/crates/dispatch/tests/pressure.rs
+++ b/crates/dispatch/tests/pressure.rs
@@ -443,6 +443,35 @@
     assert!((100..=170).contains(&admitted[1]), "{admitted:?}");
 }
 
+/// The share of an overloaded holder and the pressure on it together would leave the least urgent less
+/// than a third of the share.
+#[test]
+fn the_floor_holds_at_a_holder_that_is_overloaded_and_tight() {
+    let mut service = service(&[upstream("one", NEAR, 1)]);
+    service.set_spans(Some(vec![span(0, u16::MAX, Some("one"))]));
+    service.set_priorities(&[0, 2]);
+    for ticket in 900..904 {
+        let request = Request {
+            priority: 0,
+            ..request(ticket, Some(7), 0)
+        };
+        service.admit(request, at(0));
+    }
+    service.set_shares(vec![("one".into(), 0.5)]);
+    let mut admitted = 0;
+    for ticket in 0..600 {
+        let priority = if ticket % 2 == 0 { 0 } else { 2 };
+        let request = Request {
+            priority,
+            ..request(ticket, Some(7), 300)
+        };
+        let is_admitted = service.admit(request, at(300)) == Step::Wait;
+        admitted += u32::from(is_admitted && priority == 2);
+        service.cancel(ticket);
+    }
+    assert!(admitted >= 45, "{admitted} of 300");
+}
+
 /// Returns a service whose only slot is taken and for which requests have waited for half of the time to
 /// their target at `at(300)`.
 fn tight(rank: usize) -> Service {
