--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -375,11 +375,15 @@
 
     /// Counts a request that was refused because more urgent ones need the slots.
     pub(crate) fn refused_under_pressure(&self, service: &Arc<str>, priority: u8) {
+        self.refusals(service, priority).inc();
+    }
+
+    fn refusals(&self, service: &Arc<str>, priority: u8) -> impl Deref<Target = Counter> {
         let labels = Kind {
             service: Arc::clone(service),
             priority: u32::from(priority),
         };
-        self.pressure_refusals.get_or_create(&labels).inc();
+        self.pressure_refusals.get_or_create(&labels)
     }
 
     /// Counts an earlier holder that can't hold its keys any more.
@@ -468,15 +472,18 @@
             self.limited
                 .get_or_create(&labels)
                 .set(service.limited() as i64);
-            match service.pressure(now) {
-                Some(level) => drop(self.pressure.get_or_create(&labels).set(level)),
-                None => drop(self.pressure.remove(&labels)),
-            }
+            self.pressure
+                .get_or_create(&labels)
+                .set(service.pressure(now).unwrap_or_default());
             // Shows the counters from the start, so that their rates are known from the first event on.
             drop(self.limited_sends.get_or_create(&labels));
             for reason in [Reason::Released, Reason::Expired] {
                 drop(self.cleared(name, reason));
             }
+            let declared = state.directory.iter();
+            for priority in declared.flat_map(|directory| directory.priorities(name)) {
+                drop(self.refusals(name, *priority));
+            }
             drop(self.quarantines.get_or_create(&labels));
             drop(self.quarantine_ends.get_or_create(&labels));
             for cause in BREAK_CAUSES {
