Pressure: upstreams that accept nothing keep no slots free

Cause: less urgent requests also waited where no upstream is near, since no slot of none is free; and paused, deferred and limited upstreams counted as free slots.

Change: only upstreams that accept requests count, and without one there is nothing to leave to others.

--- a/crates/dispatch/src/pressure.rs
+++ b/crates/dispatch/src/pressure.rs
@@ -25,7 +25,7 @@
 pub struct Change {
     /// Whether the service is tight now.
     pub is_tight: bool,
-    /// Longest wait of a request, as a share of the time to its target.
+    /// Longest wait for a slot, as a share of the time to the target.
     pub pressure: f64,
 }
 
--- a/crates/dispatch/src/pressure/rank.rs
+++ b/crates/dispatch/src/pressure/rank.rs
@@ -2,10 +2,10 @@
 
 use std::f64::consts::SQRT_2;
 
-/// Smallest share of a kind that is admitted, relative to that of all.
+/// Smallest share of a kind that is treated like the most urgent one.
 const FLOOR: f64 = 1.0 / 3.0;
 /// Pressures at which less urgent requests begin to be refused, and at which only the floor is
-/// admitted: a request then waits for half of the time to its target.
+/// admitted: requests then wait for three tenths of the time to their targets.
 const REFUSED_FROM: f64 = 0.1;
 const FLOOR_FROM: f64 = 0.3;
 /// Weight of one request in the mix of the kinds at overloaded holders.
--- a/crates/dispatch/src/service/pressure.rs
+++ b/crates/dispatch/src/service/pressure.rs
@@ -86,12 +86,15 @@
             return Concession::None;
         }
         let members = self.members.values().take(self.subset);
-        let usable = members.filter(|member| !member.upstream.leaving);
+        let usable = members.filter(|member| {
+            let is_open = !member.upstream.leaving && !member.is_paused(now);
+            is_open && member.unavailable_for(now).is_zero()
+        });
         let (busy, slots) = usable.fold((0, 0), |(busy, slots), member| {
             let most = member.upstream.slots;
             (busy + member.load(now).min(most), slots + most)
         });
-        if f64::from(busy) < MAX_BUSY * f64::from(slots) {
+        if slots == 0 || f64::from(busy) < MAX_BUSY * f64::from(slots) {
             return Concession::None;
         }
         let allowed = request.target - request.arrived;
@@ -109,9 +112,7 @@
 
     /// Whether an upstream has room for a request. Less urgent requests don't queue there.
     pub(super) fn has_room(&self, member: &Member, request: &Request, now: Instant) -> bool {
-        let yields =
-            self.pressure.yields_to(request.priority).is_some() && !is_promoted(request.ticket);
-        if yields {
+        if self.gives_way(request) {
             member.has_free_slot(now)
         } else {
             member.has_room(now)
--- a/crates/dispatch/tests/pressure.rs
+++ b/crates/dispatch/tests/pressure.rs
@@ -13,7 +13,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
-use support::{NEAR, at, keyed, limits, request, sent_to, service, span, upstream};
+use support::{FAR, NEAR, at, keyed, limits, request, sent_to, service, span, upstream};
 
 const ROUTERS: usize = 58;
 const SERVERS: usize = 21;
@@ -590,3 +590,40 @@
     );
     assert_eq!(service.take_pressure_change().is_some(), is_tight);
 }
+
+/// A less urgent request doesn't wait where there is nothing to leave to others: no upstream near, or
+/// none that accepts requests.
+#[rstest]
+#[case::none_near(&[("far", FAR)], None, Some("far"))]
+#[case::near_one_deferred(&[("far", FAR), ("near", NEAR)], Some("near"), Some("far"))]
+#[case::near_one_full(&[("far", FAR), ("near", NEAR)], None, None)]
+fn slots_elsewhere_are_used_if_there_are_none_near(
+    #[case] upstreams: &[(&str, &str)],
+    #[case] deferred: Option<&str>,
+    #[case] expected: Option<&str>,
+) {
+    let upstreams: Vec<_> = upstreams
+        .iter()
+        .map(|(id, data_centre)| upstream(id, data_centre, 4))
+        .collect();
+    let mut service = service(&upstreams);
+    service.set_priorities(&[0, 2]);
+    let counts = [("near", 4)].into_iter();
+    service.record_peer_counts(&"router-2".into(), counts, at(0));
+    for upstream in upstreams
+        .iter()
+        .filter(|other| Some(&*other.id) == deferred)
+    {
+        service.defer(upstream, Duration::from_secs(9), at(0));
+    }
+    let request = Request {
+        priority: 2,
+        ..request(1, None, 0)
+    };
+    assert_eq!(sent_to(&service.admit(request, at(0))), expected);
+    if expected.is_none() {
+        // It has waited for a twentieth of the time to the target.
+        let done = service.poll(at(31));
+        assert_eq!(done.iter().find_map(|(_, step)| sent_to(step)), Some("far"));
+    }
+}
