Pressure: holders of keys keep a quarter of their slots for urgent requests

Cause: all routers send to a holder of keys and only neighbours tell their counts, so less urgent requests saw free slots that were taken, and filled the holder's queue.

Change: for requests that give way, the counts of neighbours are scaled by the number of routers, and a quarter of the holder's slots stays free.

--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -166,6 +166,13 @@
         self.in_flight() + peers.map(|(count, _)| count).sum::<u32>()
     }
 
+    /// Returns the number of requests under way from all routers, if the others have `scale` times as
+    /// many as were reported.
+    pub(crate) fn estimated_load(&self, scale: f64, now: Instant) -> f64 {
+        let own = f64::from(self.in_flight());
+        own + (f64::from(self.load(now)) - own) * scale
+    }
+
     /// Removes counts of routers that ended without resetting them.
     pub(crate) fn sweep(&mut self, now: Instant) {
         self.peers.retain(|_, (_, at)| now - *at < PEER_COUNT_AGE);
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -75,7 +75,17 @@
     pub fn is_neighbour(&self, other: usize) -> bool {
         let apart = self.index.abs_diff(other);
         let apart = apart.min(self.routers.saturating_sub(apart));
-        apart as f64 <= self.share * self.routers as f64 + 1.0
+        apart <= self.reach()
+    }
+
+    /// Returns the number of routers whose subsets overlap this router's subset.
+    pub(crate) fn neighbours(&self) -> usize {
+        (2 * self.reach()).min(self.routers.saturating_sub(1))
+    }
+
+    /// Returns how far apart on the ring neighbours may be.
+    fn reach(&self) -> usize {
+        (self.share * self.routers as f64 + 1.0) as usize
     }
 }
 
--- a/crates/dispatch/src/service/pressure.rs
+++ b/crates/dispatch/src/service/pressure.rs
@@ -16,6 +16,9 @@
 
 /// Share of the slots in use from which the rest is kept for more urgent requests.
 const MAX_BUSY: f64 = 0.9;
+/// One of this many slots of a holder of keys is kept for more urgent requests, which can't go to
+/// another upstream.
+const HOLDER_RESERVE_PARTS: u32 = 4;
 /// Share of the time until the target for which a request waits for a slot in the router's own data
 /// centre, until it may take one elsewhere.
 const NEAR_SHARE: f64 = 0.05;
@@ -110,13 +113,27 @@
         self.pressure.yields_to(request.priority).is_some() && !is_promoted(request.ticket)
     }
 
-    /// Whether an upstream has room for a request. Less urgent requests don't queue there.
+    /// Whether an upstream has room for a request. Less urgent requests don't queue there, and leave a
+    /// part of the slots of a holder of keys free.
     pub(super) fn has_room(&self, member: &Member, request: &Request, now: Instant) -> bool {
-        if self.gives_way(request) {
-            member.has_free_slot(now)
-        } else {
-            member.has_room(now)
+        if !self.gives_way(request) {
+            return member.has_room(now);
+        }
+        if self.spans.is_none() {
+            return member.has_free_slot(now);
         }
+        let slots = member.upstream.slots;
+        let most = slots - slots / HOLDER_RESERVE_PARTS;
+        member.has_room(now)
+            && member.estimated_load(self.unreported_scale(), now) < f64::from(most)
+    }
+
+    /// Returns how many times as many requests the other routers have under way at holders of keys as
+    /// the neighbours have reported: all routers send to holders, and only neighbours report.
+    fn unreported_scale(&self) -> f64 {
+        let others = self.routers.saturating_sub(1).max(1);
+        let neighbours = self.place.neighbours().max(1);
+        (others as f64 / neighbours as f64).max(1.0)
     }
 
     /// Whether the pressure on the service admits a request.
