Pressure: holders keep room by how many of the requests are urgent

Change: the reserve and the scale apply in full where a quarter of the requests seen is more urgent, and proportionally below; without any, requests are sent to holders as before.

--- a/crates/dispatch/src/pressure.rs
+++ b/crates/dispatch/src/pressure.rs
@@ -65,6 +65,19 @@
         (is_ranked && priority != first).then_some(first)
     }
 
+    /// Counts a request that has arrived.
+    pub(crate) fn count(&mut self, priority: u8) {
+        if let Some(index) = self.index(priority) {
+            rank::count(&mut self.ranks, index);
+        }
+    }
+
+    /// Returns the share of the requests that are more urgent than those of this priority.
+    pub(crate) fn share_above(&self, priority: u8) -> f64 {
+        let index = self.index(priority);
+        index.map_or(0.0, |index| rank::share_above(&self.ranks, index))
+    }
+
     /// Whether a request of this priority is admitted under a pressure.
     pub(crate) fn admits(&mut self, priority: u8, pressure: f64) -> bool {
         let index = self.index(priority).filter(|index| *index > 0);
@@ -75,7 +88,7 @@
     /// all. `None` if no kinds compete.
     pub(crate) fn admits_at_holder(&mut self, priority: u8, share: f64) -> Option<bool> {
         let index = self.index(priority).filter(|_| self.is_contended())?;
-        rank::count(&mut self.ranks, index);
+        rank::count_at_holder(&mut self.ranks, index);
         let share = rank::split(&self.ranks, index, share);
         Some(self.ranks[index].admits_at_holder(share))
     }
--- a/crates/dispatch/src/pressure/rank.rs
+++ b/crates/dispatch/src/pressure/rank.rs
@@ -8,7 +8,7 @@
 /// admitted: requests then wait for three tenths of the time to their targets.
 const REFUSED_FROM: f64 = 0.1;
 const FLOOR_FROM: f64 = 0.3;
-/// Weight of one request in the mix of the kinds at overloaded holders.
+/// Weight of one request in the mix of the kinds.
 const MIX_SMOOTHING: f64 = 0.02;
 /// Initial credit, which is its mean.
 const INITIAL_CREDIT: f64 = 0.5;
@@ -24,6 +24,8 @@
     holder_credit: f64,
     /// Share of this kind among the requests for overloaded holders.
     mix: f64,
+    /// Share of this kind among all requests.
+    seen: f64,
     /// Position in the sequence that spreads returns.
     position: f64,
 }
@@ -35,6 +37,7 @@
             credit: INITIAL_CREDIT,
             holder_credit: INITIAL_CREDIT,
             mix: 0.0,
+            seen: 0.0,
             position: phase,
         }
     }
@@ -74,11 +77,33 @@
     1.0 - ((pressure - REFUSED_FROM) / (FLOOR_FROM - REFUSED_FROM)).clamp(0.0, 1.0)
 }
 
-/// Counts a request for an overloaded holder.
+/// Counts a request.
 pub(super) fn count(ranks: &mut [Rank], index: usize) {
     for (other, rank) in ranks.iter_mut().enumerate() {
-        let sample = if other == index { 1.0 } else { 0.0 };
-        rank.mix += (sample - rank.mix) * MIX_SMOOTHING;
+        record(&mut rank.seen, other == index);
+    }
+}
+
+/// Counts a request for an overloaded holder.
+pub(super) fn count_at_holder(ranks: &mut [Rank], index: usize) {
+    for (other, rank) in ranks.iter_mut().enumerate() {
+        record(&mut rank.mix, other == index);
+    }
+}
+
+fn record(share: &mut f64, is_counted: bool) {
+    let sample = if is_counted { 1.0 } else { 0.0 };
+    *share += (sample - *share) * MIX_SMOOTHING;
+}
+
+/// Returns the share of the requests that are more urgent than the kind at `index`.
+pub(super) fn share_above(ranks: &[Rank], index: usize) -> f64 {
+    let seen = |ranks: &[Rank]| ranks.iter().map(|rank| rank.seen).sum::<f64>();
+    let all = seen(ranks);
+    if all > 0.0 {
+        seen(&ranks[..index]) / all
+    } else {
+        0.0
     }
 }
 
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -436,6 +436,7 @@
     /// Decides on a request that has just arrived.
     pub fn admit(&mut self, request: Request, now: Instant) -> Step {
         self.budget.record_first(now);
+        self.pressure.count(request.priority);
         // The share of a holder has taken account of priorities: both checks together would leave
         // the least urgent kind less than its floor.
         let refusal = match self.is_within_share(&request) {
--- a/crates/dispatch/src/service/pressure.rs
+++ b/crates/dispatch/src/service/pressure.rs
@@ -16,9 +16,13 @@
 
 /// Share of the slots in use from which the rest is kept for more urgent requests.
 const MAX_BUSY: f64 = 0.9;
-/// One of this many slots of a holder of keys is kept for more urgent requests, which can't go to
-/// another upstream.
-const HOLDER_RESERVE_PARTS: u32 = 4;
+/// Share of more urgent requests from which less urgent ones leave the whole reserve of a holder of keys
+/// to them, and less of it for a smaller share.
+const FULL_RESERVE_SHARE: f64 = 0.25;
+/// Requests per slot at a holder of keys up to which less urgent ones are sent there, without and with
+/// the whole reserve. Urgent requests can't go to another upstream.
+const UNRESERVED: f64 = 1.5;
+const RESERVED: f64 = 0.75;
 /// Share of the time until the target for which a request waits for a slot in the router's own data
 /// centre, until it may take one elsewhere.
 const NEAR_SHARE: f64 = 0.05;
@@ -113,8 +117,9 @@
         self.pressure.yields_to(request.priority).is_some() && !is_promoted(request.ticket)
     }
 
-    /// Whether an upstream has room for a request. Less urgent requests don't queue there, and leave a
-    /// part of the slots of a holder of keys free.
+    /// Whether an upstream has room for a request. Less urgent requests don't queue there. At a holder
+    /// of keys they leave the more room the more of the requests are urgent: a holder that gets more
+    /// than it can serve would idle for the few.
     pub(super) fn has_room(&self, member: &Member, request: &Request, now: Instant) -> bool {
         if !self.gives_way(request) {
             return member.has_room(now);
@@ -122,10 +127,12 @@
         if self.spans.is_none() {
             return member.has_free_slot(now);
         }
-        let slots = member.upstream.slots;
-        let most = slots - slots / HOLDER_RESERVE_PARTS;
-        member.has_room(now)
-            && member.estimated_load(self.unreported_scale(), now) < f64::from(most)
+        let reserve = self.pressure.share_above(request.priority) / FULL_RESERVE_SHARE;
+        let reserve = reserve.min(1.0);
+        let per_slot = UNRESERVED + (RESERVED - UNRESERVED) * reserve;
+        let scale = 1.0 + (self.unreported_scale() - 1.0) * reserve;
+        let most = per_slot * f64::from(member.upstream.slots);
+        member.has_room(now) && member.estimated_load(scale, now) < most
     }
 
     /// Returns how many times as many requests the other routers have under way at holders of keys as
--- a/crates/dispatch/tests/priorities.rs
+++ b/crates/dispatch/tests/priorities.rs
@@ -140,11 +140,23 @@
     }
 }
 
+/// Lets an urgent request come and go.
+fn see_urgent(service: &mut Service) {
+    let request = Request {
+        priority: 0,
+        ..request(50, Some(7), 0)
+    };
+    let step = service.admit(request, at(0));
+    let upstream = sent_to(&step).expect("a free slot");
+    service.end(upstream, Some(7), at(0), Report::NotSent, at(0));
+}
+
 /// Less urgent requests for a key don't queue at its holder, where urgent ones would wait for them.
 #[test]
 fn less_urgent_requests_wait_until_a_slot_of_the_holder_is_free() {
     let mut service = keyed();
     service.set_priorities(&[0, 2]);
+    see_urgent(&mut service);
     let mut admit = |ticket, priority| {
         let request = Request {
             priority,
@@ -265,14 +277,17 @@
     }
 }
 
-/// A holder of four slots keeps one for urgent requests. Routers that aren't neighbours use as many of
-/// its slots as those that are.
+/// A holder of four slots keeps one for urgent requests if there are any. Routers that aren't neighbours
+/// use as many of its slots as those that are.
 #[rstest]
-#[case::two_taken(1, 2, true)]
-#[case::three_taken(1, 3, false)]
-#[case::one_taken_by_a_third_of_the_routers(58, 1, false)]
-#[case::none_taken(58, 0, true)]
+#[case::two_taken(true, 1, 2, true)]
+#[case::three_taken(true, 1, 3, false)]
+#[case::one_taken_by_a_third_of_the_routers(true, 58, 1, false)]
+#[case::none_taken(true, 58, 0, true)]
+#[case::nothing_urgent(false, 1, 3, true)]
+#[case::nothing_urgent_of_many_routers(false, 58, 1, true)]
 fn less_urgent_requests_leave_a_slot_of_the_holder_free(
+    #[case] is_urgent_seen: bool,
     #[case] routers: usize,
     #[case] told: u32,
     #[case] is_sent: bool,
@@ -283,6 +298,9 @@
     service.set_routers(routers, 0, at(0));
     service.set_spans(Some(vec![span(0, u16::MAX, Some("one"))]));
     service.set_priorities(&[0, 2]);
+    if is_urgent_seen {
+        see_urgent(&mut service);
+    }
     let counts = [("one", told)].into_iter();
     service.record_peer_counts(&"router-2".into(), counts, at(0));
     let mut admit = |ticket, priority| {
