Pressure counts less where few requests are more urgent

Cause: a kind was refused by its own waits, from a tenth of the time to its target on, also where hardly any more urgent requests come; reads with keys at hot holders were served later before, and in time.

Change: the pressure on a kind counts in proportion to the share of more urgent requests, in full from a quarter on, as the reserve of holders does.

--- a/crates/dispatch/src/service/pressure.rs
+++ b/crates/dispatch/src/service/pressure.rs
@@ -16,9 +16,8 @@
 
 /// Share of the slots in use from which the rest is kept for more urgent requests.
 const MAX_BUSY: f64 = 0.9;
-/// Share of more urgent requests from which less urgent ones leave the whole reserve of a holder of keys
-/// to them, and less of it for a smaller share.
-const FULL_RESERVE_SHARE: f64 = 0.25;
+/// Share of more urgent requests from which less urgent ones give way to them in full.
+const FULL_CLAIM_SHARE: f64 = 0.25;
 /// Requests per slot at a holder of keys up to which less urgent ones are sent there, without and with
 /// the whole reserve. Urgent requests can't go to another upstream.
 const UNRESERVED: f64 = 1.5;
@@ -127,14 +126,19 @@
         if self.spans.is_none() {
             return member.has_free_slot(now);
         }
-        let reserve = self.pressure.share_above(request.priority) / FULL_RESERVE_SHARE;
-        let reserve = reserve.min(1.0);
-        let per_slot = UNRESERVED + (RESERVED - UNRESERVED) * reserve;
-        let scale = 1.0 + (self.unreported_scale() - 1.0) * reserve;
+        let claim = self.claim(request.priority);
+        let per_slot = UNRESERVED + (RESERVED - UNRESERVED) * claim;
+        let scale = 1.0 + (self.unreported_scale() - 1.0) * claim;
         let most = per_slot * f64::from(member.upstream.slots);
         member.has_room(now) && member.estimated_load(scale, now) < most
     }
 
+    /// Returns how far requests of a priority give way, from 0 to 1: the more of the requests are more
+    /// urgent, the further.
+    fn claim(&self, priority: u8) -> f64 {
+        (self.pressure.share_above(priority) / FULL_CLAIM_SHARE).min(1.0)
+    }
+
     /// Returns how many times as many requests the other routers have under way at holders of keys as
     /// the neighbours have reported: all routers send to holders, and only neighbours report.
     fn unreported_scale(&self) -> f64 {
@@ -154,7 +158,7 @@
         let is_ahead = |other: &Request| {
             other.priority <= request.priority && self.holder(other.key) == holder
         };
-        let pressure = self.longest_wait(is_ahead, now);
+        let pressure = self.longest_wait(is_ahead, now) * self.claim(request.priority);
         self.pressure.admits(request.priority, pressure)
     }
 
--- a/crates/dispatch/tests/priorities.rs
+++ b/crates/dispatch/tests/priorities.rs
@@ -115,16 +115,41 @@
     let mut service = service(&[upstream("one", NEAR, 1)]);
     service.set_routers(4, rank, at(0));
     service.set_priorities(&[0, 2]);
-    for ticket in 100..104 {
+    for ticket in 100..160 {
         let request = Request {
             priority: 0,
             ..request(ticket, None, 0)
         };
         service.admit(request, at(0));
+        if ticket >= 104 {
+            service.cancel(ticket);
+        }
     }
     service
 }
 
+/// Less urgent requests aren't refused early for the sake of urgent ones that don't come.
+#[test]
+fn requests_wait_as_long_as_they_can_if_hardly_any_are_more_urgent() {
+    let mut service = service(&[upstream("one", NEAR, 1)]);
+    service.set_priorities(&[0, 2]);
+    for ticket in 0..6 {
+        let request = Request {
+            priority: 2,
+            ..request(ticket, None, 0)
+        };
+        service.admit(request, at(0));
+    }
+    for ticket in 10..40 {
+        let request = Request {
+            priority: 2,
+            ..request(ticket, None, 300)
+        };
+        assert_eq!(service.admit(request, at(300)), Step::Wait);
+        service.cancel(ticket);
+    }
+}
+
 /// The router that took a request has decided whether it is admitted.
 #[test]
 fn a_request_that_was_passed_on_is_not_refused_under_pressure() {
