--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 mod member;
 pub mod observation;
 pub mod place;
+pub mod pressure;
 pub mod resend;
 pub mod roster;
 pub mod service;
--- a/crates/dispatch/src/service/choice.rs
+++ b/crates/dispatch/src/service/choice.rs
@@ -5,6 +5,7 @@
 
 use eelgrassrock_model::time::Instant;
 
+use super::pressure::Concession;
 use super::reach::is_usable;
 use super::{Request, Service, Span, Step};
 use crate::member::Member;
@@ -82,6 +83,10 @@
         if self.spans.is_some() {
             return self.choose_holder(request, now);
         }
+        let concession = self.concession(request, now);
+        if concession == Concession::Everywhere {
+            return Choice::Full;
+        }
         let mut usable = false;
         let is_cut_off = self.is_cut_off(now);
         let may_probe = !is_cut_off || self.may_probe(now);
@@ -92,11 +97,15 @@
                 continue;
             }
             usable = true;
-            if !member.has_room(now) || !(may_probe || is_usable(member, now)) {
+            let distance = self.distance(index);
+            if concession == Concession::Near && distance != Distance::Elsewhere {
+                continue;
+            }
+            if !self.has_room(member, request, now) || !(may_probe || is_usable(member, now)) {
                 continue;
             }
             let cost = member.cost_ms(now);
-            let best = &mut best[self.distance(index) as usize];
+            let best = &mut best[distance as usize];
             if best.is_none_or(|(least, _)| cost < least) {
                 *best = Some((cost, member));
             }
@@ -128,7 +137,7 @@
             return None;
         }
         let members = self.members.values().filter(|member| {
-            !member.upstream.leaving
+            !member.is_retiring()
                 && !request.tried.contains(&member.upstream.id)
                 && member.may_ask(now)
         });
@@ -168,11 +177,11 @@
             Some(member)
                 if self.is_cut_off(now)
                     && !is_usable(member, now)
-                    && !(self.may_probe(now) && member.has_room(now)) =>
+                    && !(self.may_probe(now) && self.has_room(member, request, now)) =>
             {
                 Choice::OutOfReach
             }
-            Some(member) if member.has_room(now) || member.may_ask(now) => {
+            Some(member) if self.has_room(member, request, now) || member.may_ask(now) => {
                 Choice::Take(Arc::clone(&member.upstream))
             }
             Some(_) => Choice::Full,
--- a/crates/dispatch/tests/cold.rs
+++ b/crates/dispatch/tests/cold.rs
@@ -10,11 +10,13 @@
 use std::time::Duration;
 
 use eelgrassrock_dispatch::directory::WarmUp;
+use eelgrassrock_dispatch::evacuation::{Evacuations, Mark};
 use eelgrassrock_dispatch::limit::{Bucket, Limit, Ownership, Tolerance};
 use eelgrassrock_dispatch::roster::Roster;
 use eelgrassrock_dispatch::service::cold::{Permit, Source};
 use eelgrassrock_dispatch::service::{Reason, Refusal, Report, Request, Service, Step};
 use eelgrassrock_dispatch::upstream::Upstream;
+use eelgrassrock_model::Revision;
 use proptest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -731,3 +733,25 @@
         "another process: {other:?}"
     );
 }
+
+/// Guards against permits for upstreams that get nothing: the search for one that an owner may permit
+/// a request to passed over the evacuation.
+#[test]
+fn no_permit_is_asked_for_a_cold_upstream_of_an_evacuated_data_centre() {
+    let one = cold("one", 1, 0);
+    let mut service = owning(std::slice::from_ref(&one));
+    let mut evacuations = Evacuations::new(Duration::from_secs(5));
+    let mark = Mark {
+        data_centre: Arc::clone(&one.data_centre),
+        version: Revision::new(0, 5),
+        is_present: true,
+    };
+    evacuations.record(&mark, at(2_500));
+    service.set_evacuations(evacuations.all());
+    service.set_cold(&one, Duration::from_secs(3), Source::Evacuation, at(2_500));
+    let step = service.admit(request(1, None, 3_200), at(3_200));
+    let Step::Refuse(refusal) = step else {
+        panic!("{step:?}");
+    };
+    assert_eq!(refusal.reason, Reason::Evacuated);
+}
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -57,6 +57,12 @@
     result: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Kind {
+    service: Arc<str>,
+    priority: u32,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Cleared {
     service: Arc<str>,
@@ -164,6 +170,8 @@
     cold: Family<Service, Gauge>,
     permits: Family<Permit, Counter>,
     permits_given: Family<Permit, Counter>,
+    pressure: Family<Service, Fraction>,
+    pressure_refusals: Family<Kind, Counter>,
     cleared_sources: Family<Cleared, Counter>,
     received_bytes: Family<Received, Counter>,
     peer_calls: PeerCalls,
@@ -208,6 +216,8 @@
             cold: Family::default(),
             permits: Family::default(),
             permits_given: Family::default(),
+            pressure: Family::default(),
+            pressure_refusals: Family::default(),
             cleared_sources: Family::default(),
             received_bytes: Family::default(),
             peer_calls: PeerCalls::default(),
@@ -283,6 +293,10 @@
         all.register("permits_asked", help, self.permits.clone());
         let help = "Answers to other routers that asked for such a permit, by result";
         all.register("permits_answered", help, self.permits_given.clone());
+        let help = "Longest wait for a slot of a service, as a share of the time to the target";
+        all.register("pressure", help, self.pressure.clone());
+        let help = "Requests refused because more urgent ones need the slots";
+        all.register("pressure_refusals", help, self.pressure_refusals.clone());
         let help = "Earlier holders found not to hold their keys any more, by the proof";
         all.register("cleared_sources", help, self.cleared_sources.clone());
         let help = "Bytes of table rows that were received, by where they came from";
@@ -426,6 +440,19 @@
         self.permits_given.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that was refused because more urgent ones need the slots.
+    pub(crate) fn refused_under_pressure(&self, service: &Arc<str>, priority: u8) {
+        self.refusals(service, priority).inc();
+    }
+
+    fn refusals(&self, service: &Arc<str>, priority: u8) -> impl Deref<Target = Counter> {
+        let labels = Kind {
+            service: Arc::clone(service),
+            priority: u32::from(priority),
+        };
+        self.pressure_refusals.get_or_create(&labels)
+    }
+
     /// Counts an earlier holder that can't hold its keys any more.
     pub(crate) fn source_cleared(&self, service: &Arc<str>, reason: Reason) {
         self.cleared(service, reason).inc();
@@ -524,6 +551,9 @@
                 let service = Arc::clone(name);
                 drop(self.permits.get_or_create(&Permit { service, result }));
             }
+            self.pressure
+                .get_or_create(&labels)
+                .set(service.pressure(now).unwrap_or_default());
             // Shows the counters from the start, so that their rates are known from the first event on.
             drop(self.limited_sends.get_or_create(&labels));
             for result in LOAD_REPORT_RESULTS {
@@ -536,6 +566,10 @@
             for reason in [Reason::Released, Reason::Expired] {
                 drop(self.cleared(name, reason));
             }
+            let declared = state.directory.iter();
+            for priority in declared.flat_map(|directory| directory.priorities(name)) {
+                drop(self.refusals(name, *priority));
+            }
             drop(self.quarantines.get_or_create(&labels));
             drop(self.quarantine_ends.get_or_create(&labels));
             for cause in BREAK_CAUSES {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -38,6 +38,7 @@
 use crate::payload::Memory;
 use crate::peer::Peers;
 use crate::platform::{Platform, Table};
+use crate::pressure;
 use crate::registry::Registry;
 use crate::relay::Relay;
 use crate::request::Decision;
@@ -345,6 +346,9 @@
             self.log.info(event, &line);
         }
         self.log_cold_changes(service, entry.take_cold_changes());
+        if let Some(change) = entry.take_pressure_change() {
+            pressure::log_change(&self.log, service, change);
+        }
         let steps = entry.poll(now);
         let waits = entry.waiting() > 0 && !state.polled_queues.contains_key(service);
         if waits {
@@ -454,6 +458,7 @@
                 service.set_warm_up(warm_up, now);
                 service.set_upstreams(state.registry.of_service(name), now);
                 service.set_routers(routers, rank, now);
+                service.set_priorities(directory.priorities(name));
                 let map = state.maps.get(name).map(VersionedMap::map);
                 service.set_spans(declared.keyed.map(|_| map.map(spans).unwrap_or_default()));
             }
