--- a/crates/edge/src/warm_up/permit.rs
+++ b/crates/edge/src/warm_up/permit.rs
@@ -28,6 +28,8 @@
 const SILENT_TIME: Duration = Duration::from_secs(1);
 /// Time after which to ask again if no owner has answered.
 const UNANSWERED_WAIT: Duration = Duration::from_millis(300);
+/// Time after which to ask a router again that is stopping, or doesn't know the service.
+const REFUSED_WAIT: Duration = Duration::from_millis(300);
 
 /// Question of a router that wants to send a request to a cold upstream.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -202,16 +204,16 @@
 
     /// Answers the question of another router.
     pub(crate) fn answer(self: &Rc<Self>, question: &Question, sender: SocketAddr) {
-        if self.is_stopping() {
-            return;
-        }
         let left = Duration::from_millis(question.left_ms);
-        let permit = self.with_service(&question.service, |service, now| {
-            service.permit(&question.upstream, question.incarnation, left, now)
-        });
-        let Some(permit) = permit else {
-            return;
-        };
+        let permit = (!self.is_stopping())
+            .then(|| {
+                self.with_service(&question.service, |service, now| {
+                    service.permit(&question.upstream, question.incarnation, left, now)
+                })
+            })
+            .flatten();
+        // The sender asks the other owner at once.
+        let permit = permit.unwrap_or(Permit::Denied(REFUSED_WAIT));
         let (is_granted, wait) = match permit {
             Permit::Granted(wait) => (true, wait),
             Permit::Denied(wait) => (false, wait),
