Routers of an evacuated data centre share the ring of another one

Change: while its data centre is evacuated a router prefers the upstreams of another one (place::home), takes a place on its ring, and exchanges counts with its neighbours there.

--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -103,6 +103,26 @@
     hasher.finish()
 }
 
+/// Returns the data centre whose upstreams a router prefers: its own, or one of the `others` while its
+/// own is evacuated. `others` are the sorted names of the data centres that can take its requests.
+///
+/// The load answered: the routers of an evacuated data centre, up to half of all. Without a ring to
+/// share they would choose among all other upstreams, without the counts of anybody else's requests
+/// there, and overfill some of them. All routers work out the same, and only the routers of a data
+/// centre that comes or goes change theirs.
+///
+/// ```
+/// use eelgrassrock_dispatch::place::home;
+///
+/// let (own, others) = ("dc-a".into(), ["dc-b".into(), "dc-c".into()]);
+/// assert!(others.contains(home("router-1", &own, &others)));
+/// assert_eq!(home("router-1", &own, &[]), &own);
+/// ```
+pub fn home<'a>(router: &str, own: &'a Arc<str>, others: &'a [Arc<str>]) -> &'a Arc<str> {
+    let index = order(router).checked_rem(others.len() as u64);
+    index.map_or(own, |index| &others[index as usize])
+}
+
 /// Sorts upstreams: the subset first, then the rest of the data centre in ring order, then the
 /// upstreams elsewhere, where each router begins at a different one. Returns them with the length
 /// of the subset and the number of upstreams in the data centre, including the subset.
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -335,6 +335,12 @@
         self.drain = drain;
     }
 
+    /// Sets the data centre whose upstreams the router prefers. It takes effect with the next list of
+    /// upstreams.
+    pub fn set_data_centre(&mut self, data_centre: Arc<str>) {
+        self.data_centre = data_centre;
+    }
+
     /// Sets the router's place in its data centre. It takes effect with the next list of upstreams.
     pub fn set_place(&mut self, place: Place) {
         self.place = place;
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -2,7 +2,9 @@
 
 mod support;
 
-use eelgrassrock_dispatch::place::Place;
+use std::sync::Arc;
+
+use eelgrassrock_dispatch::place::{Place, home};
 use eelgrassrock_dispatch::service::{Service, Step};
 use rstest::rstest;
 use support::fleet::{Fleet, SLOTS};
@@ -21,6 +23,30 @@
     assert!(tally.rejected * 200 < tally.all, "{tally:?}");
 }
 
+/// A third of the routers are those of an evacuated data centre, and the other upstreams are used at
+/// 0.9 of their capacity. Guards against upstreams that these routers overfill, since they know of
+/// nobody else's requests there.
+#[test]
+fn routers_of_an_evacuated_data_centre_find_free_slots_elsewhere() {
+    let guests = Fleet::new(60, 26, 0.5..1.5, 7).with_guests(20).run(0.9);
+    let at_home = Fleet::new(60, 26, 0.5..1.5, 7).run(0.9);
+    let in_time = at_home.share_in_time();
+    assert!(in_time >= 0.93, "{in_time:.3} in time: {at_home:?}");
+    assert!(guests.share_in_time() < in_time - 0.1, "{guests:?}");
+}
+
+/// Routers of an evacuated data centre divide themselves among the others, and stay where they are if
+/// a router starts or stops.
+#[test]
+fn the_routers_of_an_evacuated_data_centre_are_spread_over_the_others() {
+    let others: [Arc<str>; 2] = ["dc-b".into(), "dc-c".into()];
+    let own = "dc-a".into();
+    let names = (0..60).map(|n| format!("router-{n}"));
+    let first = names.filter(|name| home(name, &own, &others) == &others[0]);
+    let count = first.count();
+    assert!((20..=40).contains(&count), "{count}");
+}
+
 /// Each upstream is in nearly as many subsets as any other, and one more router changes little.
 #[test]
 fn subsets_cover_all_upstreams_evenly() {
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -14,7 +14,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::{NEAR, at, limits, request, upstream};
+use super::{FAR, NEAR, at, limits, request, upstream};
 
 pub(crate) const SLOTS: u32 = 2;
 const QUEUE: usize = 8;
@@ -128,6 +128,21 @@
         }
     }
 
+    /// Makes the last `guests` routers those of another data centre, which prefer none of the upstreams
+    /// and share counts among themselves only.
+    pub(crate) fn with_guests(mut self, guests: usize) -> Self {
+        let first = self.routers.len() - guests;
+        for (index, router) in self.routers[first..].iter_mut().enumerate() {
+            router.set_data_centre(FAR.into());
+            router.set_place(Place::new(index, guests, self.upstreams.len()));
+            router.set_upstreams(self.upstreams.clone(), at(0));
+        }
+        for (own, neighbours) in self.neighbours.iter_mut().enumerate() {
+            neighbours.retain(|other| (*other < first) == (own < first));
+        }
+        self
+    }
+
     /// Draws the paces of the machines anew from time to time. Upstreams report what `telling`
     /// returns.
     pub(crate) fn with_paces(mut self, telling: Telling) -> Self {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -438,7 +438,10 @@
                 return;
             };
             let now = clock::now();
-            let (place, neighbours) = place(state, &directory, &self.settings);
+            let evacuations = self.evacuations.borrow();
+            let homes = Homes::new(&state.registry, &evacuations);
+            let data_centre = homes.of(&self.settings.router, &self.settings.data_centre);
+            let (place, neighbours) = place(state, &directory, &self.settings, &homes);
             state.neighbours = neighbours;
             state
                 .services
@@ -446,13 +449,13 @@
             let (routers, rank) = state.count_routers(&self.settings.router);
             let roster = state.update_roster(now);
             for (name, declared) in &directory.services {
-                let data_centre = &self.settings.data_centre;
                 let service = state.services.entry(Arc::clone(name)).or_insert_with(|| {
-                    Service::new(Arc::clone(data_centre), self.settings.repeats)
+                    Service::new(Arc::clone(&data_centre), self.settings.repeats)
                 });
+                service.set_data_centre(Arc::clone(&data_centre));
                 service.set_place(place);
                 service.set_drain(self.settings.drain);
-                service.set_evacuations(self.evacuations.borrow().all());
+                service.set_evacuations(evacuations.all());
                 let warm_up = declared.warm_up.zip(self.settings.cold_tolerance);
                 service.set_roster(Arc::clone(&roster), now);
                 service.set_warm_up(warm_up, now);
@@ -577,12 +580,51 @@
     }
 }
 
+/// Data centres whose upstreams routers prefer.
+struct Homes<'a> {
+    evacuations: &'a Evacuations,
+    /// Data centres that can take the requests of others, sorted.
+    others: Vec<Arc<str>>,
+}
+
+impl<'a> Homes<'a> {
+    fn new(registry: &Registry, evacuations: &'a Evacuations) -> Self {
+        let is_any = evacuations.all().next().is_some();
+        let mut others = if is_any {
+            registry.data_centres()
+        } else {
+            Vec::new()
+        };
+        others.retain(|data_centre| !evacuations.is_evacuated(data_centre));
+        others.sort_unstable();
+        Self {
+            evacuations,
+            others,
+        }
+    }
+
+    /// Returns the home of a router in a data centre.
+    fn of(&self, router: &str, data_centre: &Arc<str>) -> Arc<str> {
+        if self.evacuations.is_evacuated(data_centre) {
+            Arc::clone(place::home(router, data_centre, &self.others))
+        } else {
+            Arc::clone(data_centre)
+        }
+    }
+}
+
 /// Returns the position of this router among those of its data centre, and the addresses of those
 /// whose subsets of upstreams overlap with its own.
-fn place(state: &State, directory: &Directory, own: &Settings) -> (Place, Vec<SocketAddr>) {
+fn place(
+    state: &State,
+    directory: &Directory,
+    own: &Settings,
+    homes: &Homes<'_>,
+) -> (Place, Vec<SocketAddr>) {
+    let data_centre = homes.of(&own.router, &own.data_centre);
     let routers = state.routers.iter();
     let mut ring: Vec<(&Arc<str>, SocketAddr)> = routers
-        .filter(|(_, router)| router.data_centre == own.data_centre)
+        .filter(|(name, router)| homes.of(name, &router.data_centre) == data_centre)
         .map(|(name, router)| (name, router.address))
         .collect();
     if !state.routers.contains_key(&own.router) {
@@ -595,7 +637,7 @@
         .services
         .iter()
         .filter(|(_, declared)| declared.keyed.is_none());
-    let counts = undivided.map(|(name, _)| state.registry.count_in(name, &own.data_centre));
+    let counts = undivided.map(|(name, _)| state.registry.count_in(name, &data_centre));
     let least = counts.filter(|count| *count > 0).min();
     let place = Place::new(index.unwrap_or(0), ring.len(), least.unwrap_or(0));
     let others = ring.iter().enumerate();
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -6,7 +6,7 @@
 
 use eelgrassrock_dispatch::upstream::Upstream;
 use eelgrassrock_model::time::Instant;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 /// If more than this share of a service's upstreams is removed at the same time, the store is
@@ -304,6 +304,14 @@
         upstreams.filter(is_match).count()
     }
 
+    /// Returns the data centres with upstreams.
+    pub(crate) fn data_centres(&self) -> Vec<Arc<str>> {
+        let upstreams = self.entries.values().map(|entry| &entry.upstream);
+        let all = upstreams.map(|upstream| Arc::clone(&upstream.data_centre));
+        let all: IndexSet<Arc<str>> = all.collect();
+        all.into_iter().collect()
+    }
+
     /// Returns the number of upstreams in a data centre.
     pub(crate) fn in_data_centre(&self, data_centre: &str) -> usize {
         let upstreams = self.entries.values().map(|entry| &entry.upstream);
