--- a/crates/dispatch/src/service/cold.rs
+++ b/crates/dispatch/src/service/cold.rs
@@ -38,8 +38,6 @@
 pub enum Source {
     /// The registry entry of the upstream.
     Entry,
-    /// An answer to a health check.
-    HealthCheck,
     /// The end of the evacuation of its data centre.
     Evacuation,
     /// A router that asked for a permit.
@@ -51,7 +49,6 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Entry => "registry",
-            Self::HealthCheck => "health-check",
             Self::Evacuation => "evacuation",
             Self::Router => "router",
         }
