A request that must run once is not sent after its caller has left

By the code, a request that must not be repeated goes on without its caller, also while it still waits to be sent.

Change: it ends there (outcome abandoned) unless it may have run already.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -262,6 +262,7 @@
         "no-holder" => "Not served: no upstream held the key, or its holder had lost it.",
         "no-upstream" => "Not served: the service had no usable upstream.",
         "evacuated" => "Not served: all upstreams of the service are in evacuated data centres.",
+        "abandoned" => "Not served: its caller left before it was sent.",
         "attempts" => "Not served: it was sent to as many upstreams as its route allows.",
         "link-full" => "Not served: its answer is large, and the router's own link was full.",
         "deferred" => "Not served: all usable upstreams asked for no further requests.",
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -5,6 +5,7 @@
 mod reply;
 mod sending;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -59,6 +60,16 @@
     message: Message,
     work: Work,
     sends: Vec<SendLine>,
+    has_caller_left: Rc<Cell<bool>>,
+}
+
+/// Caller of a request that goes on without it. Marks it as gone when dropped.
+struct Caller(Rc<Cell<bool>>);
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        self.0.set(true);
+    }
 }
 
 /// Final answer, with its outcome for logs and metrics.
@@ -231,6 +242,7 @@
     }
     // A request that must not be repeated continues if its caller disconnects, so that it isn't
     // interrupted halfway.
+    let _caller = Caller(Rc::clone(&job.has_caller_left));
     let task = {
         let node = Rc::clone(node);
         tokio::task::spawn_local(async move { run(&node, job, version).await })
@@ -287,6 +299,7 @@
         message,
         work,
         sends: Vec::new(),
+        has_caller_left: Rc::default(),
     }
 }
 
@@ -350,6 +363,9 @@
     let mut decision = decide(node, job, Service::admit);
     let mut failed: Option<FinalAnswer> = None;
     loop {
+        if job.is_abandoned() {
+            return refused(job, "abandoned", Duration::ZERO);
+        }
         decision = match decision {
             Decision::Wait => wait_in_queue(node, job).await,
             Decision::Refuse(refusal) => {
@@ -376,6 +392,9 @@
                     decision = decide(node, job, Service::resume);
                     continue;
                 }
+                if job.is_abandoned() {
+                    return refused(job, "abandoned", Duration::ZERO);
+                }
                 match send(node, job, sending).await {
                     Next::Done(done) => return done,
                     Next::Again(fallback) => failed = fallback.or(failed),
@@ -477,6 +496,11 @@
         node.suspect(&self.message, self.head.key)
     }
 
+    /// Whether the caller has left before the request ran anywhere.
+    fn is_abandoned(&self) -> bool {
+        self.has_caller_left.get() && self.work.runs == 0
+    }
+
     /// Decides what follows from a send that gave no answer to pass on.
     fn after(&self, report: Report) -> resend::Next {
         let attempt = Attempt {
