--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -138,6 +138,9 @@
 /// Results of questions for a permit to send to a cold upstream.
 const PERMIT_RESULTS: [&str; 4] = ["granted", "denied", "unanswered", "lapsed"];
 
+/// Answers to such questions, the second if the permit is granted.
+const PERMIT_ANSWERS: [&str; 2] = ["denied", "granted"];
+
 /// Result of a call to another router that was answered.
 pub(crate) const ANSWERED: &str = "answered";
 
@@ -434,7 +437,7 @@
 
     /// Counts an answer to a router that asked for a permit.
     pub(crate) fn permit_given(&self, service: &Arc<str>, is_granted: bool) {
-        let result = if is_granted { "granted" } else { "denied" };
+        let result = PERMIT_ANSWERS[usize::from(is_granted)];
         let service = Arc::clone(service);
         let labels = Permit { service, result };
         self.permits_given.get_or_create(&labels).inc();
@@ -551,6 +554,13 @@
                 let service = Arc::clone(name);
                 drop(self.permits.get_or_create(&Permit { service, result }));
             }
+            for result in PERMIT_ANSWERS {
+                let service = Arc::clone(name);
+                drop(
+                    self.permits_given
+                        .get_or_create(&Permit { service, result }),
+                );
+            }
             self.pressure
                 .get_or_create(&labels)
                 .set(service.pressure(now).unwrap_or_default());
