--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -95,11 +96,40 @@
     Reply::Answer { status, headers, body }
 }
 
+/// Running server.
+pub struct Server {
+    address: SocketAddr,
+    has_ended: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Server {
+    /// Closes the listener and all connections, as the end of a process does.
+    pub fn end(&self) {
+        self.has_ended.store(true, Ordering::Relaxed);
+        // Wakes the listener.
+        let _ = TcpStream::connect(self.address);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
 /// Serves requests, one thread for each connection.
-pub fn serve(listener: TcpListener, handle: impl Fn(&Message) -> Reply + Send + Sync + 'static) {
+pub fn serve(listener: TcpListener, handle: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Server {
     let handle = Arc::new(handle);
+    let server = Server {
+        address: listener.local_addr().unwrap(),
+        has_ended: Arc::default(),
+        streams: Arc::default(),
+    };
+    let (has_ended, streams) = (Arc::clone(&server.has_ended), Arc::clone(&server.streams));
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if has_ended.load(Ordering::Relaxed) {
+                return;
+            }
+            streams.lock().unwrap().extend(stream.try_clone());
             let handle = Arc::clone(&handle);
             thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
@@ -129,6 +159,7 @@
             });
         }
     });
+    server
 }
 
 /// Sends one request on a connection of its own, and reads its answer.
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::http::{self, Json, Message, Reply, answer, base64};
+use crate::http::{self, Json, Message, Reply, Server, answer, base64};
 use crate::record::Record;
 
 /// Write that gets no answer and is done later, if its condition still holds then.
@@ -45,7 +45,7 @@
             record: Arc::clone(record),
         });
         let server = Arc::clone(&store);
-        http::serve(listener, move |request| server.handle(request));
+        let _ = http::serve(listener, move |request| server.handle(request));
         store
     }
 
@@ -246,6 +246,7 @@
     sharded: bool,
     work: Duration,
     holds: Mutex<Vec<Hold>>,
+    server: OnceLock<Server>,
     record: Arc<Record>,
 }
 
@@ -267,13 +268,20 @@
             sharded,
             work,
             holds: Mutex::default(),
+            server: OnceLock::new(),
             record: Arc::clone(record),
         });
-        let server = Arc::clone(&instance);
-        http::serve(listener, move |request| server.handle(request));
+        let handler = Arc::clone(&instance);
+        let _ = instance.server.set(http::serve(listener, move |request| handler.handle(request)));
         instance
     }
 
+    /// Ends the process of the instance.
+    pub fn exit(&self) {
+        self.server.get().unwrap().end();
+        self.record.line(&format!("{}: exits", self.id));
+    }
+
     /// Entry in the registry.
     pub fn entry(&self, state: &str, sequence: u64) -> String {
         format!(
