--- a/review/standin-2/router.rs
+++ b/review/standin-2/router.rs
@@ -2,7 +2,9 @@
 //! address of its own.
 
 use std::fs::{self, File};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::io::ErrorKind;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio, exit};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -16,6 +18,7 @@
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn signal(signal: i32, handler: extern "C" fn(i32)) -> usize;
+    fn listen(socket: i32, backlog: i32) -> i32;
 }
 
 pub const SIGTERM: i32 = 15;
@@ -62,6 +65,34 @@
 const CONTROL: u16 = 8544;
 const INTERNAL: u16 = 7540;
 
+/// Address at which connections hang, like that of a machine without power.
+pub struct Dark {
+    _listener: TcpListener,
+    /// Connections that fill the queue of the listener, which accepts none.
+    _waiting: Vec<TcpStream>,
+}
+
+impl Dark {
+    /// Takes over an address. Returns `None` if connections to it don't hang.
+    pub fn at(address: SocketAddr) -> Option<Self> {
+        let listener = TcpListener::bind(address).ok()?;
+        // SAFETY: the descriptor is that of the listener.
+        unsafe { listen(listener.as_raw_fd(), 0) };
+        let limit = Duration::from_millis(300);
+        let mut waiting = Vec::new();
+        for _ in 0..8 {
+            match TcpStream::connect_timeout(&address, limit) {
+                Ok(stream) => waiting.push(stream),
+                Err(error) if error.kind() == ErrorKind::TimedOut => {
+                    return Some(Self { _listener: listener, _waiting: waiting });
+                }
+                Err(_) => return None,
+            }
+        }
+        None
+    }
+}
+
 /// Folder for settings and logs, removed at the end. The processes are killed with it.
 pub struct Fleet {
     folder: PathBuf,
