edge: a router without a relay reads the store within a time limit

Cause: the rows of routers that end without SIGTERM stay in the table. A router tried them as relays one after another, 0.8 s to 1.5 s each, and read nothing meanwhile. A skipped relay was due again after 3 s, so with five lost ones the list never ended, and with four there was news for a part of each 4.2 s.

Change: `dispatch::source` decides where changes come from. A relay supplies a router while its last proof of contact is younger than 0.65 of the time in which a configuration must be in force; otherwise the router reads the store, whatever becomes of the relays that it tries meanwhile. Skipped relays are checked beside the current source, with growing pauses. The first one of a data centre is a relay also while its own row isn't known, so that two routers never follow each other.

--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -162,6 +162,8 @@
     sends: Family<Send, Counter>,
     broken: Family<Break, Counter>,
     suspects: Gauge,
+    reads_store: Gauge,
+    skipped_relays: Gauge,
     quarantines: Family<Service, Counter>,
     quarantine_ends: Family<Service, Counter>,
     suppressed_lines: Counter,
@@ -208,6 +210,8 @@
             sends: Family::default(),
             broken: Family::default(),
             suspects: Gauge::default(),
+            reads_store: Gauge::default(),
+            skipped_relays: Gauge::default(),
             quarantines: Family::default(),
             quarantine_ends: Family::default(),
             suppressed_lines: Counter::default(),
@@ -270,6 +274,11 @@
         all.register("broken_connections", help, self.broken.clone());
         let help = "Requests under which processes of upstreams have ended";
         all.register("suspects", help, self.suspects.clone());
+        let help = "1 if this router reads the tables from the store, not from a relay";
+        all.register("reads_store", help, self.reads_store.clone());
+        let help =
+            "Routers that go before this one as the relay and didn't prove contact to the store";
+        all.register("skipped_relays", help, self.skipped_relays.clone());
         let help = "Requests that were quarantined";
         all.register("quarantines", help, self.quarantines.clone());
         let help = "Quarantines that have ended";
@@ -503,6 +512,9 @@
     /// Sets the gauges from the current state.
     fn measure<P: Platform>(&self, node: &Node<P>) {
         let now = clock::now();
+        self.reads_store
+            .set(i64::from(node.relay_to_follow().is_none()));
+        self.skipped_relays.set(node.skipped_relays() as i64);
         let mut guard = node.state.borrow_mut();
         let state = &mut *guard;
         self.open.set(node.open_requests.get() as i64);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -225,6 +225,7 @@
         let evacuations = Evacuations::new(settings.evacuation.unwrap_or_default());
         let permits = Permits::new(settings.incarnation);
         let uplink = RefCell::new(Uplink::new(settings.link_mbit_per_s));
+        let relay = Relay::new(settings.apply);
         Self {
             platform,
             settings,
@@ -250,7 +251,7 @@
                 contact: HashMap::new(),
             }),
             leaderships,
-            relay: Relay::default(),
+            relay,
             peers,
             pauses: Pauses::default(),
             permits,
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -171,6 +171,7 @@
     while node.relay.synced_version(Table::Routers).is_none() {
         node.relay.source_changed.notified().await;
     }
+    node.relay.start_sources();
     // A store that was never restored from a backup has no outdated rows.
     if node.era.get() > 0 && node.relay_to_follow().is_none() {
         node.consult().await;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -5,12 +5,14 @@
 //! that responds. The others keep one long poll open to it. The relay answers on changes, or after
 //! a short while to show that it still has contact to the store. A follower that hears of a version
 //! that its relay doesn't supply asks the router that has it. A follower that gets no such
-//! responses reads the store itself.
+//! responses for part of the time in which a configuration must be in force reads the store itself,
+//! until one of the relays that it tries meanwhile supplies it.
 //!
 //! A router that starts reads only the table of the routers from the store, to find its relay. The
 //! relay supplies the other tables in full, so the start of a fleet costs the store two calls per
 //! router.
 
+mod follow;
 mod journal;
 mod transfer;
 
@@ -24,6 +26,7 @@
 use std::time::Duration;
 
 use eelgrassrock_dispatch::observation::Observation;
+use eelgrassrock_dispatch::source::Sources;
 use eelgrassrock_dispatch::transfer::{CatchUp, Pending, Reading, Transfers};
 use eelgrassrock_model::Revision;
 use eelgrassrock_model::time::Instant;
@@ -38,7 +41,7 @@
 pub(crate) use self::transfer::{RowRequest, RowResponse};
 use crate::clock;
 use crate::leadership::ServiceTime;
-use crate::node::{Node, Router, Shares};
+use crate::node::{Node, Shares};
 use crate::notice::Notices;
 use crate::peer;
 use crate::platform::{Platform, Table};
@@ -47,8 +50,6 @@
 /// Maximum time for which a relay delays a response without changes. A follower detects the loss of
 /// its relay after this time and that of a call.
 const LONG_POLL_TIME: Duration = Duration::from_millis(400);
-/// Time for which a relay that didn't respond is skipped.
-const RELAY_AVOID_TIME: Duration = Duration::from_secs(3);
 /// Time that a relay has to supply a version that another router already has, since a relay batches
 /// changes.
 const RELAY_LAG_ALLOWANCE: Duration = Duration::from_millis(350);
@@ -66,9 +67,6 @@
 const REGISTRATION_RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Maximum number of routers that are consulted before a starting router trusts the store.
 const MAX_CONSULTED_ROUTERS: usize = 3;
-/// Maximum time until a router without a relay checks again whether there is one.
-const SOURCE_POLL: Duration = Duration::from_millis(500);
-
 /// Tables that are relayed, in the order in which messages index them.
 pub(crate) const TABLES: [Table; 3] = [Table::Configuration, Table::Registry, Table::Routers];
 
@@ -80,7 +78,8 @@
     transfers: RefCell<[Transfers<Incoming>; 3]>,
     /// Large rows as they were sent last, newest first.
     compressed: RefCell<VecDeque<Compressed>>,
-    avoided: RefCell<HashMap<Arc<str>, Instant>>,
+    /// Relays that may supply this router.
+    sources: RefCell<Sources>,
     bypass_until: Cell<Option<Instant>>,
     /// Last contact to the store, directly or through a relay.
     last_contact: Cell<Option<Instant>>,
@@ -162,13 +161,6 @@
     history: Vec<(Arc<str>, u64)>,
 }
 
-#[derive(Serialize)]
-struct SkippedLine<'a> {
-    relay: &'a str,
-    contact: &'static str,
-    elapsed_ms: u64,
-}
-
 /// Versions of the configuration and the registry that this router lacks and another one has.
 #[derive(Serialize)]
 struct BehindLine {
@@ -189,30 +181,13 @@
 type Rank = (Reverse<u32>, u64);
 
 /// Ranks the largest VM first, and equal ones by a hash of their names.
-fn rank(name: &Arc<str>, router: &Router) -> Rank {
+fn rank(name: &Arc<str>, size: u32) -> Rank {
     let mut hasher = DefaultHasher::new();
     name.hash(&mut hasher);
-    (Reverse(router.size), hasher.finish())
+    (Reverse(size), hasher.finish())
 }
 
 impl<P: Platform> Node<P> {
-    /// Returns the relay that this router follows, or `None` if it reads the store itself.
-    pub(crate) fn relay_to_follow(&self) -> Option<Router> {
-        let now = clock::now();
-        if self.is_bypassing_relay() || self.relay.synced_version(Table::Routers).is_none() {
-            return None;
-        }
-        let own = &self.settings;
-        let state = self.state.borrow();
-        let avoided = self.relay.avoided.borrow();
-        let is_avoided = |name: &Arc<str>| avoided.get(name).is_some_and(|until| now < *until);
-        let candidates = state.routers.iter().filter(|(name, router)| {
-            router.data_centre == own.data_centre && (**name == own.router || !is_avoided(name))
-        });
-        let (name, router) = candidates.min_by_key(|(name, router)| rank(name, router))?;
-        (*name != own.router).then(|| router.clone())
-    }
-
     /// Whether this router reads the store itself although there may be a relay.
     pub(crate) fn is_bypassing_relay(&self) -> bool {
         let until = self.relay.bypass_until.get();
@@ -242,7 +217,7 @@
                 addresses.push(router.address);
             } else {
                 let others = elsewhere.entry(&router.data_centre).or_default();
-                others.push((rank(name, router), router.address));
+                others.push((rank(name, router.size), router.address));
             }
         }
         for mut others in elsewhere.into_values() {
@@ -253,15 +228,6 @@
         addresses
     }
 
-    /// Returns the name of the router at the same address.
-    fn router_at(&self, router: &Router) -> Option<Arc<str>> {
-        let state = self.state.borrow();
-        let mut routers = state.routers.iter();
-        routers
-            .find(|(_, other)| other.address == router.address)
-            .map(|(name, _)| Arc::clone(name))
-    }
-
     /// Whether this router has contact to the store, directly or through its relay. Contact through
     /// a relay counts because followers take over one by one when a relay is lost.
     pub(crate) fn has_store_contact(&self) -> bool {
@@ -453,56 +419,6 @@
         changes.collect()
     }
 
-    /// Follows the relay whenever there is one.
-    pub(crate) async fn follow_relay(self: Rc<Self>) {
-        let mut unknown_since = None;
-        loop {
-            let Some(relay) = self.relay_to_follow() else {
-                let _ = timeout(SOURCE_POLL, self.relay.source_changed.notified()).await;
-                continue;
-            };
-            let request = self.request(self.leaderships.take_service_times());
-            let asked_at = clock::now();
-            let response = self
-                .peers
-                .follow(relay.address, LONG_POLL_TIME, &request, self.link_wait())
-                .await;
-            match response {
-                Ok(response) if response.is_live => {
-                    unknown_since = None;
-                    self.relay.record_store_contact();
-                    self.apply_response(response, relay.address);
-                }
-                Err(Contact::Unrecognized)
-                    if clock::now() - *unknown_since.get_or_insert_with(clock::now)
-                        < REGISTRATION_LAG =>
-                {
-                    sleep(REGISTRATION_RETRY_PAUSE).await;
-                }
-                Ok(_) | Err(_) => {
-                    unknown_since = None;
-                    if self.relay.synced_version(Table::Configuration).is_none() {
-                        // This router can't serve without a configuration, and the next relay may
-                        // be down as well.
-                        self.bypass_relay("no configuration");
-                    }
-                    if let Some(name) = self.router_at(&relay) {
-                        let contact = response.as_ref().err().copied();
-                        let line = SkippedLine {
-                            relay: &name,
-                            contact: contact.map_or("no store", Contact::as_str),
-                            elapsed_ms: (clock::now() - asked_at).as_millis() as u64,
-                        };
-                        self.log.info("relay skipped", &line);
-                        let until = clock::now() + RELAY_AVOID_TIME;
-                        self.relay.avoided.borrow_mut().insert(name, until);
-                    }
-                    self.relay.source_changed.notify_waiters();
-                }
-            }
-        }
-    }
-
     /// Asks some running routers what they know before this router trusts the store, which may have
     /// been restored from a backup and show outdated rows.
     pub(crate) async fn consult(self: &Rc<Self>) {
@@ -591,7 +507,7 @@
                 .iter()
                 .filter(|(name, _)| **name != self.settings.router);
             for (name, router) in others {
-                let candidate = (rank(name, router), router.address);
+                let candidate = (rank(name, router.size), router.address);
                 let first = relays
                     .entry(Arc::clone(&router.data_centre))
                     .or_insert(candidate);
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -226,6 +226,11 @@
         self.write_router(name, address, 1, 1);
     }
 
+    /// Registers a router of this size that doesn't run.
+    pub(crate) fn add_larger_router(&self, name: &str, address: SocketAddr, size: u32) {
+        self.write_router(name, address, 1, size);
+    }
+
     /// Makes the others reach a router at another address.
     pub(crate) fn move_router(&self, settings: &Settings, address: SocketAddr) {
         let (incarnation, size) = (settings.incarnation, settings.size);
