edge: a late write can't remove the row of a running router

Cause: a stopping process removed its row without a condition. Performed 5.9 s late, the write removed the row of the next process, which writes it only at its start. Relays then refused that router, and the others sent it no versions.

Change: the row is written and removed under the condition that it is as this process knows it, and a removal without an answer is tried again. A router whose row is removed or replaced nevertheless, as by an earlier version of the router, writes it again, with another incarnation, since the others take the removed one for ended.

A start beside a relay still makes two calls.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -26,6 +26,7 @@
 mod pressure;
 mod process;
 mod quarantine;
+mod registration;
 mod registry;
 mod relay;
 mod request;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -182,6 +182,7 @@
     peer_calls: PeerCalls,
     outdated: Counter,
     restored: Counter,
+    registrations_lost: Counter,
     store_era: Gauge,
     open: Gauge,
     body_bytes: Gauge,
@@ -230,6 +231,7 @@
             peer_calls: PeerCalls::default(),
             outdated: Counter::default(),
             restored: Counter::default(),
+            registrations_lost: Counter::default(),
             store_era: Gauge::default(),
             open: Gauge::default(),
             body_bytes: Gauge::default(),
@@ -287,6 +289,8 @@
         all.register("log_lines_left_out", help, self.suppressed_lines.clone());
         let help = "Restores of the store from an older backup";
         all.register("store_restores", help, self.restored.clone());
+        let help = "Losses of this router's row in the table of the routers";
+        all.register("registrations_lost", help, self.registrations_lost.clone());
         let help = "Era of the store, 0 if it has none";
         all.register("store_era", help, self.store_era.clone());
         let help = "Pauses requested by upstreams";
@@ -414,6 +418,11 @@
         self.restored.inc();
     }
 
+    /// Counts a loss of this router's row.
+    pub(crate) fn registration_lost(&self) {
+        self.registrations_lost.inc();
+    }
+
     /// Counts a pause requested by an upstream.
     pub(crate) fn deferred(&self) {
         self.deferred.inc();
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -39,6 +39,7 @@
 use crate::peer::Peers;
 use crate::platform::{Platform, Table};
 use crate::pressure;
+use crate::registration::Registration;
 use crate::registry::Registry;
 use crate::relay::Relay;
 use crate::request::Decision;
@@ -108,6 +109,7 @@
     pub(crate) state: RefCell<State>,
     pub(crate) leaderships: Leaderships,
     pub(crate) relay: Relay,
+    pub(crate) registration: Registration,
     pub(crate) peers: Peers,
     pub(crate) pauses: Pauses,
     pub(crate) permits: Permits,
@@ -226,6 +228,7 @@
         let permits = Permits::new(settings.incarnation);
         let uplink = RefCell::new(Uplink::new(settings.link_mbit_per_s));
         let relay = Relay::new(settings.apply);
+        let registration = Registration::new(settings.incarnation);
         Self {
             platform,
             settings,
@@ -252,6 +255,7 @@
             }),
             leaderships,
             relay,
+            registration,
             peers,
             pauses: Pauses::default(),
             permits,
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::{Display, Error};
@@ -15,20 +14,17 @@
 use tokio::time::{sleep, timeout};
 
 use crate::clock;
-use crate::node::{Node, Router};
-use crate::platform::{Commit, Name, Platform, Table, Transaction};
+use crate::node::Node;
+use crate::platform::{Platform, Table};
 use crate::relay::TABLES;
 use crate::settings::Settings;
-use crate::watch::{self, ROUTER_PREFIX};
-use crate::{front, gossip, metrics, peer};
+use crate::{front, gossip, metrics, peer, registration, watch};
 
 /// Interval between clean-ups of outdated state.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum time that the start waits for the write of this router's row. It allows for several
 /// calls to the store.
 const REGISTER_WAIT: Duration = Duration::from_millis(300);
-/// Pause after a failure to write this router's row.
-const REGISTER_PAUSE: Duration = Duration::from_millis(200);
 /// Share of the grace period after which a process without open connections ends. By then the
 /// platform sends it no callers, and idle connections are closed. Open connections are checked as
 /// well as open requests, because an answer that was handed to its connection may not have been
@@ -164,7 +160,7 @@
 /// Registers this router, then starts to read the tables. Registration comes first because relays
 /// answer only routers that they recognize.
 async fn learn<P: Platform>(node: Rc<Node<P>>) {
-    let registered = spawn_local(register(Rc::clone(&node)));
+    let registered = spawn_local(registration::register(Rc::clone(&node)));
     // Without its row the router can still read the store itself.
     let _ = timeout(REGISTER_WAIT, registered).await;
     spawn_local(watch::follow(Rc::clone(&node), Table::Routers));
@@ -182,48 +178,12 @@
     spawn_local(node.follow_relay());
 }
 
-/// Writes this router's row.
-pub(crate) async fn register<P: Platform>(node: Rc<Node<P>>) {
-    let router = Router {
-        address: node.settings.peer,
-        data_centre: Arc::clone(&node.settings.data_centre),
-        incarnation: node.settings.incarnation,
-        size: node.settings.size,
-    };
-    let Ok(value) = postcard::to_allocvec(&router) else {
-        return;
-    };
-    let transaction = Transaction {
-        put: vec![(row_of(&node.settings), value.into())],
-        ..Transaction::default()
-    };
-    while !matches!(node.write_rows(&transaction).await, Commit::Done(_)) {
-        sleep(REGISTER_PAUSE).await;
-    }
-}
-
-/// Removes this router's row.
-pub(crate) async fn unregister<P: Platform>(node: &Rc<Node<P>>) {
-    let transaction = Transaction {
-        remove: vec![row_of(&node.settings)],
-        ..Transaction::default()
-    };
-    // If this fails, the other routers only count one router too many.
-    let _ = node.write_rows(&transaction).await;
-}
-
-fn row_of(settings: &Settings) -> Name {
-    Name::new(
-        Table::Routers,
-        format!("{ROUTER_PREFIX}{}", settings.router),
-    )
-}
-
 /// Removes outdated state at regular intervals.
 async fn sweep<P: Platform>(node: Rc<Node<P>>) {
     loop {
         sleep(SWEEP_INTERVAL).await;
         let now = clock::now();
+        registration::check(&node);
         node.log_link(now);
         let mut guard = node.state.borrow_mut();
         let state = &mut *guard;
@@ -252,7 +212,7 @@
     let leaving = Rc::clone(node);
     spawn_local(async move {
         leaving.resign_all().await;
-        unregister(&leaving).await;
+        registration::unregister(&leaving).await;
     });
     let grace = node.settings.grace;
     loop {
--- a/crates/edge/src/restore.rs
+++ b/crates/edge/src/restore.rs
@@ -17,7 +17,7 @@
 use crate::clock;
 use crate::node::Node;
 use crate::platform::{Commit, Name, Platform, Row, Rows, Table, Transaction};
-use crate::process;
+use crate::registration;
 use crate::relay::TABLES;
 use crate::watch::{self, ROUTER_PREFIX};
 
@@ -100,9 +100,9 @@
         let total = REJOIN_INTERVAL * routers;
         sleep(total.mul_f64(turn_share)).await;
         if self.is_stopping() {
-            process::unregister(&self).await;
+            registration::unregister(&self).await;
         } else {
-            process::register(Rc::clone(&self)).await;
+            registration::register(Rc::clone(&self)).await;
         }
         sleep(total.mul_f64(1.0 - turn_share) + REJOIN_TIME).await;
         self.forget_absent_routers();
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -64,6 +64,8 @@
     warm_up: Option<WarmUp>,
     /// Time that a read of a map takes.
     map_delay: Duration,
+    /// Routers whose next removal of a row gets no answer, and the time after which it is performed.
+    late_removals: BTreeMap<String, Duration>,
     /// Time that rows need to arrive at a router on a slow link.
     row_delays: BTreeMap<String, Duration>,
 }
@@ -306,6 +308,45 @@
         state.row_delays.insert(router.to_owned(), delay);
     }
 
+    /// Leaves the next removal of a row by a router without an answer. It is performed after `delay`,
+    /// if its condition still holds.
+    pub(crate) fn delay_removal(&self, router: &str, delay: Duration) {
+        let mut state = self.0.lock().unwrap();
+        state.late_removals.insert(router.to_owned(), delay);
+    }
+
+    /// Performs a transaction. Returns the versions of the store before and after it, or `None` if
+    /// a row had another version than expected.
+    fn perform(&self, transaction: &Transaction) -> Option<[Revision; 2]> {
+        let before = {
+            let state = self.0.lock().unwrap();
+            let current = |name: &Name| {
+                let row = state
+                    .rows
+                    .get(&(table_number(name.table), Arc::clone(&name.key)));
+                row.filter(|row| row.value.is_some())
+                    .map_or(0, |row| row.version.number)
+            };
+            let mut expected = transaction.expected.iter();
+            if expected.any(|(name, version)| current(name) != version.number) {
+                return None;
+            }
+            Revision::new(state.era, state.version)
+        };
+        let puts = transaction
+            .put
+            .iter()
+            .map(|(name, value)| (name, Some(value)));
+        let removes = transaction.remove.iter().map(|name| (name, None));
+        let writes: Vec<_> = puts.chain(removes).collect();
+        let after = if writes.is_empty() {
+            before
+        } else {
+            self.write_all(&writes)
+        };
+        Some([before, after])
+    }
+
     /// Delays reads of maps.
     pub(crate) fn delay_maps(&self, delay: Duration) {
         self.0.lock().unwrap().map_delay = delay;
@@ -533,36 +574,28 @@
         if let Err(fault) = self.check_connection() {
             return Commit::NotDone(fault);
         }
-        let version = {
-            let state = self.store.0.lock().unwrap();
-            let current = |name: &Name| {
-                let row = state
-                    .rows
-                    .get(&(table_number(name.table), Arc::clone(&name.key)));
-                row.filter(|row| row.value.is_some())
-                    .map_or(0, |row| row.version.number)
-            };
-            if transaction
-                .expected
-                .iter()
-                .any(|(name, version)| current(name) != version.number)
-            {
-                return Commit::Conflict;
-            }
-            Revision::new(state.era, state.version)
+        let delay = {
+            let mut state = self.store.0.lock().unwrap();
+            let is_removal = !transaction.remove.is_empty();
+            is_removal
+                .then(|| state.late_removals.remove(&self.router))
+                .flatten()
         };
-        let is_other_era = version.era != transaction.era && !transaction.expected.is_empty();
-        let puts = transaction
-            .put
-            .iter()
-            .map(|(name, value)| (name, Some(value)));
-        let removes = transaction.remove.iter().map(|name| (name, None));
-        let writes: Vec<_> = puts.chain(removes).collect();
-        let last = if writes.is_empty() {
-            version
-        } else {
-            self.store.write_all(&writes)
+        if let Some(delay) = delay {
+            let (store, transaction) = (self.store.clone(), transaction.clone());
+            std::thread::spawn(move || {
+                std::thread::sleep(delay);
+                store.perform(&transaction);
+            });
+            return Commit::Unknown(Fault {
+                call: "test".into(),
+                kind: Kind::Timeout(delay),
+            });
+        }
+        let Some([version, last]) = self.store.perform(transaction) else {
+            return Commit::Conflict;
         };
+        let is_other_era = version.era != transaction.era && !transaction.expected.is_empty();
         if is_other_era {
             return Commit::Unknown(Fault {
                 call: "test".into(),
