edge: entries of a mass lapse are dropped before `drain` is over

Upstreams of which most leave together without a report got requests for a little over `drain`, the end of which they need not outlive (DRAIN).

Cause: if most upstreams of a service are removed, their entries are kept for 2 s, since the store may have lost them by mistake. They were checked each 250 ms, and eight checks take a little longer than `drain`, which is 2 s as well.

Change: an entry is dropped at its time. That of a mass lapse without an outage ends 250 ms before `drain`, for the requests on their way.

--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -218,7 +218,7 @@
         let metrics = Metrics::new();
         let log = Log::new(logger, settings.log, metrics.suppressed_lines());
         let leaderships = Leaderships::default();
-        let registry = Registry::new(settings.return_time);
+        let registry = Registry::new(settings.return_time, settings.drain);
         let peers = Peers::new(settings.peer.ip(), metrics.peer_calls());
         let memory = Memory::of(settings.memory);
         let router = Arc::clone(&settings.router);
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -1,6 +1,7 @@
 //! Registry of upstreams, including removed ones that may reappear, and of ended incarnations.
 
 use std::cmp::Ordering;
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +13,9 @@
 /// If more than this share of a service's upstreams is removed at the same time, the store is
 /// assumed to have lost contact to them, rather than all of them having ended.
 const OUTAGE_LAPSE_SHARE: f64 = 0.5;
+/// Time by which an entry whose removal may be a mistake is dropped before an upstream that has left
+/// must receive no more requests. It covers the requests that are on their way by then.
+const DRAIN_MARGIN: Duration = Duration::from_millis(250);
 /// Time for which the end of an incarnation is remembered. Until then, older registrations of it
 /// may still arrive from a router or a store that lags behind, or from a backup of the store.
 const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
@@ -25,7 +29,10 @@
     entries: IndexMap<Arc<str>, Entry>,
     /// When contact to the store was last regained.
     store_regained_at: Option<Instant>,
+    /// Time for which a removed entry may reappear after an outage of the store.
     return_time: Duration,
+    /// Time for which an entry may reappear that was removed together with most others.
+    mass_return_time: Duration,
     /// Incarnations that ended or are about to, by upstream identifier, and when each was recorded.
     departures: IndexMap<Arc<str>, (Departure, Instant)>,
 }
@@ -59,9 +66,12 @@
 }
 
 impl Registry {
-    pub(crate) fn new(return_time: Duration) -> Self {
+    /// Creates an empty registry. An upstream that has left must receive no more requests `drain`
+    /// after its removal.
+    pub(crate) fn new(return_time: Duration, drain: Duration) -> Self {
         Self {
             return_time,
+            mass_return_time: return_time.min(drain.saturating_sub(DRAIN_MARGIN)),
             ..Self::default()
         }
     }
@@ -233,33 +243,44 @@
         absent.iter().map(|id| self.remove(id, now)).collect()
     }
 
-    /// Drops removed entries that are not expected to reappear, and returns whether there were any.
-    pub(crate) fn drop_expired(&mut self, now: Instant) -> bool {
-        let before = self.entries.len();
-        let mut members: IndexMap<Arc<str>, (usize, usize)> = IndexMap::new();
+    /// Returns the time at which each removed entry is dropped, by upstream identifier.
+    fn expiries(&self) -> IndexMap<Arc<str>, Instant> {
+        let mut members: HashMap<&str, (usize, usize)> = HashMap::new();
         for entry in self.entries.values() {
-            let (all, lapsed) = members
-                .entry(Arc::clone(&entry.upstream.service))
-                .or_default();
+            let (all, lapsed) = members.entry(&entry.upstream.service).or_default();
             *all += 1;
             *lapsed += usize::from(entry.removed_at.is_some() && !entry.upstream.leaving);
         }
-        let (store_regained_at, return_time) = (self.store_regained_at, self.return_time);
-        let mut dropped = Vec::new();
-        self.entries.retain(|_, entry| {
-            let Some(removed_at) = entry.removed_at else {
-                return true;
-            };
-            let (all, lapsed) = members[&entry.upstream.service];
+        let removed = self.entries.iter().filter_map(|(id, entry)| {
+            let removed_at = entry.removed_at?;
+            let (all, lapsed) = members[&*entry.upstream.service];
             let is_mass_lapse = lapsed > 1 && lapsed as f64 > OUTAGE_LAPSE_SHARE * all as f64;
-            let after_outage = store_regained_at.is_some_and(|at| removed_at - at < return_time);
-            let since = if after_outage {
-                store_regained_at.unwrap_or(removed_at)
-            } else {
-                removed_at
+            let outage_end = self
+                .store_regained_at
+                .filter(|at| removed_at - *at < self.return_time);
+            let expiry = match outage_end {
+                _ if entry.upstream.leaving => removed_at,
+                Some(outage_end) => outage_end + self.return_time,
+                None if is_mass_lapse => removed_at + self.mass_return_time,
+                None => removed_at,
             };
-            let may_return = (is_mass_lapse || after_outage) && now - since < return_time;
-            let stays = may_return && !entry.upstream.leaving;
+            Some((Arc::clone(id), expiry))
+        });
+        removed.collect()
+    }
+
+    /// Returns the time at which the next removed entry is dropped.
+    pub(crate) fn next_expiry(&self) -> Option<Instant> {
+        self.expiries().into_values().min()
+    }
+
+    /// Drops removed entries that are not expected to reappear, and returns whether there were any.
+    pub(crate) fn drop_expired(&mut self, now: Instant) -> bool {
+        let before = self.entries.len();
+        let expiries = self.expiries();
+        let mut dropped = Vec::new();
+        self.entries.retain(|id, entry| {
+            let stays = expiries.get(id).is_none_or(|expiry| now < *expiry);
             if !stays {
                 dropped.push(Arc::clone(&entry.upstream));
             }
@@ -279,13 +300,6 @@
         self.entries.len() < before
     }
 
-    /// Whether any removed entry may still reappear or be dropped.
-    pub(crate) fn has_removed_entries(&self) -> bool {
-        self.entries
-            .values()
-            .any(|entry| entry.removed_at.is_some())
-    }
-
     /// Returns the upstreams of a service, including removed ones that may reappear.
     pub(crate) fn of_service(&self, service: &str) -> Vec<Arc<Upstream>> {
         let upstreams = self.entries.values().map(|entry| &entry.upstream);
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -310,25 +310,22 @@
     node.refresh();
 }
 
-/// Drops removed upstreams that are not expected to reappear, and checks again later while any
-/// remain.
+/// Drops removed upstreams that are not expected to reappear, and those that remain when they expire.
 pub(crate) fn expire_entries<P: Platform>(node: &Rc<Node<P>>) {
-    let has_removed = {
+    let next_expiry = {
         let mut state = node.state.borrow_mut();
         state.registry.drop_expired(clock::now());
-        state.registry.has_removed_entries()
+        state.registry.next_expiry()
     };
-    if has_removed {
+    if let Some(next_expiry) = next_expiry {
         let node = Rc::clone(node);
         tokio::task::spawn_local(async move {
-            sleep(node.settings.return_time / 8).await;
+            sleep(next_expiry - clock::now()).await;
             let changed = node.state.borrow_mut().registry.drop_expired(clock::now());
             if changed {
                 node.refresh();
             }
-            if node.state.borrow().registry.has_removed_entries() {
-                expire_entries(&node);
-            }
+            expire_entries(&node);
         });
     }
 }
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -295,6 +295,12 @@
         self.0.lock().unwrap().disconnected.push(router.to_owned());
     }
 
+    /// Lets all calls of a router succeed again.
+    pub(crate) fn reconnect(&self, router: &str) {
+        let mut state = self.0.lock().unwrap();
+        state.disconnected.retain(|other| other != router);
+    }
+
     /// Stalls the open feed calls of a router: they return nothing until they time out. Calls that
     /// begin later are answered.
     pub(crate) fn stall_feeds(&self, router: &str) {
