edge: the end of an outage is recorded when it happens

Cause: the outage counted as over when the feed of the registry answered, which it does only when an entry changes. That change was the removal itself, which then counted as one by the outage. If calls only hung, the feeds were sent again and no outage was recorded.

Change: after a failure, or a failure of the configuration's feed, the next call for a table waits for no change. A relay with contact ends the outage for a router that had turned to the store.

--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -27,7 +27,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Registry {
     entries: IndexMap<Arc<str>, Entry>,
-    /// When contact to the store was last regained.
+    /// When the store answered again for this table after the last outage. It is asked soon after
+    /// each failure: the answer of a feed may come long after the end of the outage.
     store_regained_at: Option<Instant>,
     /// Time for which a removed entry may reappear after an outage of the store.
     return_time: Duration,
--- a/crates/edge/src/relay/follow.rs
+++ b/crates/edge/src/relay/follow.rs
@@ -154,6 +154,7 @@
         let was_supplied = self.relay.sources.borrow().is_supplied(now);
         self.relay.sources.borrow_mut().record_contact(name, now);
         self.relay.record_store_contact();
+        self.record_outage_end_at_relay();
         self.apply_response(response, relay.address);
         if !was_supplied {
             self.log_source("router", name);
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -18,6 +18,7 @@
 use crate::platform::{Changes, Platform, Row, Rows, Table};
 use crate::quarantine;
 use crate::registry::Change;
+use crate::relay::TABLES;
 
 /// Bounds of the backoff after a failed call. The first pause is short, because deadlines for
 /// drains and configurations keep running. It grows while the store is unavailable.
@@ -119,6 +120,7 @@
                 record_contact(&node, table, Some(&fault));
                 if table == Table::Configuration {
                     // The other feeds may have failed too, without an error.
+                    node.suspect_feeds();
                     node.relay.restart_feeds();
                 }
                 sleep(pause).await;
@@ -156,10 +158,11 @@
         }
         return Ok(());
     };
-    let wait = if table == Table::Configuration {
-        PROBE_WAIT
-    } else {
-        LONG_POLL_WAIT
+    let wait = match table {
+        // Changes may be a long time off, and the end of an outage must be known when it happens.
+        _ if node.is_store_lost(table) => Duration::ZERO,
+        Table::Configuration => PROBE_WAIT,
+        _ => LONG_POLL_WAIT,
     };
     let changes = node.platform.changes(table, after, wait).await;
     node.observe_era(node.platform.era());
@@ -219,39 +222,68 @@
 }
 
 fn record_contact<P: Platform>(node: &Rc<Node<P>>, table: Table, fault: Option<&Fault>) {
-    let mut state = node.state.borrow_mut();
     let is_reachable = fault.is_none();
     if is_reachable && table == Table::Configuration {
         node.relay.record_store_contact();
     }
-    let was_reachable = state.contact.insert(table, is_reachable);
+    let was_reachable = node.state.borrow_mut().contact.insert(table, is_reachable);
     if was_reachable == Some(is_reachable) {
         return;
     }
-    let name = table.to_string();
     match fault {
         None => {
-            if table == Table::Registry && was_reachable == Some(false) {
-                state.registry.record_store_regained(clock::now());
+            if was_reachable == Some(false) {
+                node.record_outage_end(table);
+            }
+            node.log_contact(table, None);
+        }
+        Some(fault) => node.log_contact(table, Some(&fault.to_string())),
+    }
+}
+
+impl<P: Platform> Node<P> {
+    /// Whether the last call to the store for a table failed, or may have.
+    fn is_store_lost(&self, table: Table) -> bool {
+        self.state.borrow().contact.get(&table) == Some(&false)
+    }
+
+    /// Records that the calls under way for tables other than the configuration may have failed.
+    fn suspect_feeds(&self) {
+        for table in [Table::Registry, Table::Routers] {
+            if !self.is_store_lost(table) {
+                self.state.borrow_mut().contact.insert(table, false);
+                self.log_contact(table, Some("the feed of the configuration failed"));
+            }
+        }
+    }
+
+    /// Records that a relay has contact to the store. What this router has seen of an outage is over.
+    pub(crate) fn record_outage_end_at_relay(&self) {
+        for table in TABLES {
+            if self.is_store_lost(table) {
+                self.state.borrow_mut().contact.remove(&table);
+                self.record_outage_end(table);
             }
-            node.log.info(
-                "store reached",
-                &StoreLine {
-                    table: name,
-                    reason: None,
-                },
-            );
         }
-        Some(fault) => {
-            let reason = fault.to_string();
-            let reason = Some(&*reason);
-            node.log.warn(
-                "store lost",
-                &StoreLine {
-                    table: name,
-                    reason,
-                },
-            );
+    }
+
+    fn record_outage_end(&self, table: Table) {
+        if table == Table::Registry {
+            let now = clock::now();
+            self.state.borrow_mut().registry.record_store_regained(now);
+        }
+    }
+
+    /// Logs that the store answers about a table again, or why it doesn't.
+    fn log_contact(&self, table: Table, reason: Option<&str>) {
+        let line = StoreLine {
+            table: table.to_string(),
+            reason,
+        };
+        if reason.is_none() {
+            self.log.info("store reached", &line);
+        } else {
+            self.log.warn("store lost", &line);
         }
     }
 }
--- a/crates/edge/tests/removed_entries.rs
+++ b/crates/edge/tests/removed_entries.rs
@@ -10,6 +10,9 @@
 use support::{Router, get, serving};
 use tokio::time::sleep;
 
+const OUTAGE: Duration = Duration::from_millis(1_500);
+/// Time after which the store counts as stable again.
+const CALM: Duration = Duration::from_secs(4);
 /// Interval at which the router is asked.
 const INTERVAL: Duration = Duration::from_millis(5);
 
@@ -41,6 +44,24 @@
     last
 }
 
+/// Guards against a removal long after an outage of the store that is taken for one by the outage,
+/// because the feed of the registry has answered nothing since.
+#[tokio::test]
+async fn an_upstream_that_leaves_long_after_an_outage_gets_no_requests() {
+    let (store, server) = serving("/v1/").await;
+    let _others = add_upstreams(&store, 3).await;
+    let router = Router::start("router-1", &store);
+    router.ready().await;
+    sleep(Duration::from_secs(1)).await;
+    store.disconnect("router-1");
+    sleep(OUTAGE).await;
+    store.reconnect("router-1");
+    sleep(CALM).await;
+    store.unregister(&server.id);
+    let last = last_run(&router, &[&server], Duration::from_secs(3)).await;
+    assert!(last < Duration::from_millis(500), "the last after {last:?}");
+}
+
 /// Guards against entries that are kept for `drain` and a check's interval, since most upstreams of a
 /// service were removed together.
 #[rstest]
@@ -59,3 +80,19 @@
     let last = last_run(&router, left, Duration::from_secs(3)).await;
     assert!(last < router.settings.drain, "the last after {last:?}");
 }
+
+/// Guards against entries that are dropped at once, though they were removed by an outage and reappear.
+#[tokio::test]
+async fn upstreams_that_lapsed_in_an_outage_get_requests_until_they_may_return() {
+    let (store, server) = serving("/v1/").await;
+    let router = Router::start("router-1", &store);
+    router.ready().await;
+    sleep(Duration::from_secs(1)).await;
+    store.disconnect("router-1");
+    store.unregister(&server.id);
+    sleep(OUTAGE).await;
+    store.reconnect("router-1");
+    let last = last_run(&router, &[&server], Duration::from_secs(4)).await;
+    let expected = router.settings.return_time - Duration::from_millis(200);
+    assert!(last >= expected, "the last after {last:?}");
+}
