edge: the rows of lost routers are removed

Rows of routers that ended without SIGTERM stayed in the store for good.

Change: the relay of a data centre asks a router that hasn't called it for 10 s whether it runs, and removes its row under the condition of its version after five questions without an answer, 2 s apart. If the guess was wrong, the router writes its row again. A row says whether its process does that; rows of earlier versions are left as they are, and those versions ignore the mark.

Evidence: lost_routers.rs, a row is gone within 40 s, those of running routers and of an earlier version stay; silence.rs plays frozen, cut off and idle routers.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod roster;
 pub mod service;
 mod service_time;
+pub mod silence;
 pub mod source;
 mod split;
 pub mod suspect;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,6 +17,7 @@
 mod limit;
 mod link;
 mod log;
+mod lost;
 mod metrics;
 mod node;
 mod notice;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -183,6 +183,7 @@
     outdated: Counter,
     restored: Counter,
     registrations_lost: Counter,
+    routers_removed: Counter,
     store_era: Gauge,
     open: Gauge,
     body_bytes: Gauge,
@@ -232,6 +233,7 @@
             outdated: Counter::default(),
             restored: Counter::default(),
             registrations_lost: Counter::default(),
+            routers_removed: Counter::default(),
             store_era: Gauge::default(),
             open: Gauge::default(),
             body_bytes: Gauge::default(),
@@ -289,6 +291,8 @@
         all.register("log_lines_left_out", help, self.suppressed_lines.clone());
         let help = "Restores of the store from an older backup";
         all.register("store_restores", help, self.restored.clone());
+        let help = "Rows of lost routers that this router removed";
+        all.register("routers_removed", help, self.routers_removed.clone());
         let help = "Losses of this router's row in the table of the routers";
         all.register("registrations_lost", help, self.registrations_lost.clone());
         let help = "Era of the store, 0 if it has none";
@@ -423,6 +427,11 @@
         self.registrations_lost.inc();
     }
 
+    /// Counts a removed row of a lost router.
+    pub(crate) fn router_removed(&self) {
+        self.routers_removed.inc();
+    }
+
     /// Counts a pause requested by an upstream.
     pub(crate) fn deferred(&self) {
         self.deferred.inc();
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use eelgrassrock_dispatch::Split;
 use eelgrassrock_dispatch::detour::Detours;
 use eelgrassrock_dispatch::directory::{Directory, Route};
@@ -33,6 +34,7 @@
 use crate::leadership::Leaderships;
 use crate::link::Links;
 use crate::log::Log;
+use crate::lost::Watch;
 use crate::metrics::Metrics;
 use crate::notice::Pauses;
 use crate::payload::Memory;
@@ -65,6 +67,28 @@
     pub(crate) incarnation: u64,
     /// Size of the VM relative to others, in thousandths of a core.
     pub(crate) size: u32,
+    /// Whether the process writes its row again if another router removes it.
+    #[serde(skip)]
+    pub(crate) renews: bool,
+}
+
+/// Follows the fields in a row whose process writes it again. Earlier versions ignore it.
+const RENEWS: u8 = 1;
+
+impl Router {
+    /// Encodes the value of the row.
+    pub(crate) fn encode(&self) -> Option<Bytes> {
+        let mut value = postcard::to_allocvec(self).ok()?;
+        value.extend(self.renews.then_some(RENEWS));
+        Some(value.into())
+    }
+
+    /// Decodes the value of a row.
+    pub(crate) fn decode(value: &[u8]) -> Result<Self, postcard::Error> {
+        let (router, rest) = postcard::take_from_bytes::<Self>(value)?;
+        let renews = rest.first() == Some(&RENEWS);
+        Ok(Self { renews, ..router })
+    }
 }
 
 #[derive(Serialize)]
@@ -110,6 +134,7 @@
     pub(crate) leaderships: Leaderships,
     pub(crate) relay: Relay,
     pub(crate) registration: Registration,
+    pub(crate) watch: Watch,
     pub(crate) peers: Peers,
     pub(crate) pauses: Pauses,
     pub(crate) permits: Permits,
@@ -256,6 +281,7 @@
             leaderships,
             relay,
             registration,
+            watch: Watch::default(),
             peers,
             pauses: Pauses::default(),
             permits,
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -53,6 +53,8 @@
 const CONSULT_PATH: &str = "/consult";
 /// Path for requests for single rows.
 const ROW_PATH: &str = "/row";
+/// Path for questions whether a router runs.
+const ALIVE_PATH: &str = "/alive";
 /// Path for long polls of followers.
 pub(crate) const FOLLOW_PATH: &str = "/follow";
 
@@ -284,6 +286,15 @@
         self.call(address, CONSULT_PATH, &(), CALL_TIMEOUT).await
     }
 
+    /// Whether a router answers at all, whatever it says. Earlier versions don't know the call.
+    pub(crate) async fn is_running(&self, address: SocketAddr) -> bool {
+        let end = self.call::<()>(address, ALIVE_PATH, &(), CALL_TIMEOUT);
+        match end.await {
+            Ok(()) | Err(Contact::Idle | Contact::Unrecognized) => true,
+            Err(_) => false,
+        }
+    }
+
     /// Sends changes of a map to a relay.
     pub(crate) async fn send_map(
         &self,
@@ -342,6 +353,7 @@
             .request("stranger refused", &UnknownPeerLine { address: from });
         return respond(StatusCode::FORBIDDEN, Bytes::new());
     }
+    node.watch.hear(from);
     if detour::is_passed_on(&request) {
         return request::serve_passed_on(Rc::clone(node), request).await;
     }
@@ -364,6 +376,7 @@
                 .and_then(|request| node.serve_row(&request)),
         ),
         CONSULT_PATH => encode(Some(node.serve_consultation())),
+        ALIVE_PATH => encode(Some(())),
         "/map" => encode(postcard::from_bytes(&body).ok().map(|update: MapUpdate| {
             if node.learn_changes(&update.service, update.changes) {
                 // The leader's response to a report supplies what is missing.
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -18,7 +18,7 @@
 use crate::platform::{Platform, Table};
 use crate::relay::TABLES;
 use crate::settings::Settings;
-use crate::{front, gossip, metrics, peer, registration, watch};
+use crate::{front, gossip, lost, metrics, peer, registration, watch};
 
 /// Interval between clean-ups of outdated state.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -184,6 +184,7 @@
         sleep(SWEEP_INTERVAL).await;
         let now = clock::now();
         registration::check(&node);
+        lost::check(&node);
         node.log_link(now);
         let mut guard = node.state.borrow_mut();
         let state = &mut *guard;
--- a/crates/edge/src/registration.rs
+++ b/crates/edge/src/registration.rs
@@ -132,8 +132,9 @@
             data_centre: Arc::clone(&self.settings.data_centre),
             incarnation: self.registration.incarnation.get(),
             size: self.settings.size,
+            renews: true,
         };
-        postcard::to_allocvec(&router).ok().map(Bytes::from)
+        router.encode()
     }
 
     /// Whether a row is the one that this process writes.
--- a/crates/edge/src/relay/follow.rs
+++ b/crates/edge/src/relay/follow.rs
@@ -64,6 +64,13 @@
         is_supplied.then_some(router)
     }
 
+    /// Whether this router is the first of its data centre that has contact to the store.
+    pub(crate) fn is_relay(&self) -> bool {
+        !self.is_bypassing_relay()
+            && self.relay.synced_version(Table::Routers).is_some()
+            && self.relay_candidate().is_none()
+    }
+
     /// Returns the first router of this data centre that may be its relay, unless that is this one.
     fn relay_candidate(&self) -> Option<(Arc<str>, Router)> {
         if self.is_bypassing_relay() || self.relay.synced_version(Table::Routers).is_none() {
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -472,11 +472,7 @@
 
 fn apply_router<P: Platform>(node: &Rc<Node<P>>, name: &str, row: &Row) {
     let mut state = node.state.borrow_mut();
-    match row
-        .value
-        .as_ref()
-        .map(|value| postcard::from_bytes::<Router>(value))
-    {
+    match row.value.as_ref().map(|value| Router::decode(value)) {
         Some(Ok(router)) => {
             if state.stopped_routers.get(name) == Some(&router.incarnation) {
                 drop(state);
--- a/crates/edge/tests/lost_routers.rs
+++ b/crates/edge/tests/lost_routers.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassrock_dispatch::directory::{Repeat, Route};
+use eelgrassrock_edge::platform::Table;
 use rstest::rstest;
 use support::link::BlackHole;
 use support::platform::{Store, route};
@@ -150,3 +151,31 @@
     let limit = 3 * usize::from(lost) * followers.len();
     assert!(made <= limit, "{made} calls by {} routers", followers.len());
 }
+
+/// Guards against rows of lost routers that stay for good, and against the removal of rows whose
+/// routers would not write them again.
+#[tokio::test]
+async fn the_row_of_a_lost_router_is_removed_unless_it_is_of_an_earlier_version() {
+    let (store, _server) = serving("/v1/").await;
+    let mut routers: Vec<Router> = (2..6)
+        .map(|last| Router::start_at(last, 100, &store))
+        .collect();
+    for router in &routers {
+        router.ready().await;
+    }
+    let _holes = lose_routers(&store, 1);
+    sleep(Duration::from_secs(1)).await;
+    routers[1].kill();
+    let key = format!("router/{}", routers[1].settings.router);
+    let has = |key: &str| store.keys(Table::Routers).iter().any(|other| other == key);
+    let lost_at = Instant::now();
+    while has(&key) && lost_at.elapsed() < Duration::from_secs(40) {
+        sleep(Duration::from_millis(200)).await;
+    }
+    assert!(!has(&key), "the row is still there");
+    assert!(lost_at.elapsed() > Duration::from_secs(15), "too early");
+    for last in [2, 4, 5] {
+        assert!(has(&format!("router/router-{last}")), "router-{last} runs");
+    }
+    assert!(has("router/lost-0"), "an earlier version's");
+}
