edge: a lost call for the registry is sent again within the time for drains

Cause: that call waits for a change for up to 20 s, so a lost one was sent again that late, unless the configuration's feed failed as well.

Change: it waits for 4 s. As its failure shows seconds after the end of an outage, the end counts from the time at which it was sent, so that a removal that was acknowledged before isn't taken for one by the outage.

--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -27,8 +27,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Registry {
     entries: IndexMap<Arc<str>, Entry>,
-    /// When the store answered again for this table after the last outage. It is asked soon after
-    /// each failure: the answer of a feed may come long after the end of the outage.
+    /// End of the last outage of the store, as far as it concerns this table.
     store_regained_at: Option<Instant>,
     /// Time for which a removed entry may reappear after an outage of the store.
     return_time: Duration,
@@ -77,9 +76,9 @@
         }
     }
 
-    /// Records that the store answers again after an outage.
-    pub(crate) fn record_store_regained(&mut self, now: Instant) {
-        self.store_regained_at = Some(now);
+    /// Records that the store answers again after an outage, which ended at this time.
+    pub(crate) fn record_store_regained(&mut self, ended_at: Instant) {
+        self.store_regained_at = Some(ended_at);
     }
 
     /// Whether a later registration of the upstream, or its end, is known.
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -91,6 +91,8 @@
     feeds_lost: [Notify; 3],
     /// When the calls to the store under way were sent, by table.
     readings: [Cell<Option<Instant>>; 3],
+    /// When the last calls to the store were sent that failed, or may have, by table.
+    failures: [Cell<Option<Instant>>; 3],
     /// Versions of the configuration that other routers have and this one lacks.
     heard: RefCell<Pending>,
 }
@@ -111,6 +113,17 @@
         self.readings[index(table)].set(Some(clock::now()));
     }
 
+    /// Records that the call for a table that is under way has failed, or may have.
+    pub(crate) fn record_failure(&self, table: Table) {
+        let started = self.readings[index(table)].get();
+        self.failures[index(table)].set(started.or_else(|| Some(clock::now())));
+    }
+
+    /// Returns when the last call for a table was sent that failed, or may have.
+    pub(crate) fn last_failure(&self, table: Table) -> Option<Instant> {
+        self.failures[index(table)].get()
+    }
+
     /// Records that the call for a table has ended.
     pub(crate) fn end_reading(&self, table: Table) {
         self.readings[index(table)].set(None);
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -28,7 +28,14 @@
 /// the configuration polls often enough to detect a dead store within half of the deadlines for
 /// drains and configurations. When it fails, all feeds are restarted.
 const PROBE_WAIT: Duration = Duration::from_millis(900);
+/// Maximum time without a response about the registry. A call may be lost although the store answers
+/// all others. The next one must show an upstream that leaves within the time for drains, even if
+/// the upstream does so as soon as the store counts as stable again, 3 s after the loss.
+const REGISTRY_WAIT: Duration = Duration::from_secs(4);
 const LONG_POLL_WAIT: Duration = Duration::from_secs(20);
+/// Maximum delay with which the end of an outage is noticed by calls that wait for no change. The
+/// store counts as stable 3 s after the end, and entries may return for 2 s.
+const MAX_NOTICE_DELAY: Duration = Duration::from_secs(1);
 /// Pause between two polls, so that rows written shortly after each other arrive in one response.
 /// It is a small part of the deadlines for drains and configurations.
 const BATCH_PAUSE: Duration = Duration::from_millis(100);
@@ -100,6 +107,9 @@
             () = follows_relay(&node) => None,
             () = node.relay.feed_lost(table).notified() => None,
         };
+        if matches!(end, Some(Err(_))) {
+            node.relay.record_failure(table);
+        }
         node.relay.end_reading(table);
         match end {
             None => {}
@@ -162,6 +172,7 @@
         // Changes may be a long time off, and the end of an outage must be known when it happens.
         _ if node.is_store_lost(table) => Duration::ZERO,
         Table::Configuration => PROBE_WAIT,
+        Table::Registry => REGISTRY_WAIT,
         _ => LONG_POLL_WAIT,
     };
     let changes = node.platform.changes(table, after, wait).await;
@@ -250,6 +261,7 @@
     /// Records that the calls under way for tables other than the configuration may have failed.
     fn suspect_feeds(&self) {
         for table in [Table::Registry, Table::Routers] {
+            self.relay.record_failure(table);
             if !self.is_store_lost(table) {
                 self.state.borrow_mut().contact.insert(table, false);
                 self.log_contact(table, Some("the feed of the configuration failed"));
@@ -267,10 +279,16 @@
         }
     }
 
+    /// Records the end of an outage. A long poll that was lost shows its failure seconds later, when
+    /// the store may have answered all other calls for long. The end counts from that call then.
     fn record_outage_end(&self, table: Table) {
         if table == Table::Registry {
             let now = clock::now();
-            self.state.borrow_mut().registry.record_store_regained(now);
+            let lost_call = self.relay.last_failure(table);
+            let lost_call = lost_call.filter(|sent_at| now - *sent_at >= MAX_NOTICE_DELAY);
+            let ended_at = lost_call.unwrap_or(now);
+            let mut state = self.state.borrow_mut();
+            state.registry.record_store_regained(ended_at);
         }
     }
 
--- a/crates/edge/tests/removed_entries.rs
+++ b/crates/edge/tests/removed_entries.rs
@@ -4,6 +4,7 @@
 
 use std::time::{Duration, Instant};
 
+use eelgrassrock_edge::platform::Table;
 use rstest::rstest;
 use support::platform::Store;
 use support::upstream::Server;
@@ -11,8 +12,10 @@
 use tokio::time::sleep;
 
 const OUTAGE: Duration = Duration::from_millis(1_500);
-/// Time after which the store counts as stable again.
+/// Time after an outage, longer than that until the store counts as stable.
 const CALM: Duration = Duration::from_secs(4);
+/// Time after an impairment from which on the store counts as stable.
+const STABLE: Duration = Duration::from_secs(3);
 /// Interval at which the router is asked.
 const INTERVAL: Duration = Duration::from_millis(5);
 
@@ -62,6 +65,22 @@
     assert!(last < Duration::from_millis(500), "the last after {last:?}");
 }
 
+/// Guards against a feed of the registry that waits for a lost call for many seconds, while the store
+/// answers the calls for other tables.
+#[tokio::test]
+async fn an_upstream_that_leaves_gets_no_requests_though_a_call_for_the_registry_was_lost() {
+    let (store, server) = serving("/v1/").await;
+    let _others = add_upstreams(&store, 3).await;
+    let router = Router::start("router-1", &store);
+    router.ready().await;
+    sleep(Duration::from_secs(1)).await;
+    store.stall_feed("router-1", Table::Registry);
+    sleep(STABLE).await;
+    store.unregister(&server.id);
+    let last = last_run(&router, &[&server], Duration::from_secs(4)).await;
+    assert!(last < router.settings.drain, "the last after {last:?}");
+}
+
 /// Guards against entries that are kept for `drain` and a check's interval, since most upstreams of a
 /// service were removed together.
 #[rstest]
--- a/crates/edge/tests/support/platform.rs
+++ b/crates/edge/tests/support/platform.rs
@@ -56,8 +56,8 @@
     calls: BTreeMap<String, usize>,
     /// Number of feed calls by router.
     feed_calls: BTreeMap<String, usize>,
-    /// How often the open feeds of a router stalled without an error.
-    feed_stalls: BTreeMap<String, usize>,
+    /// How often the open feed of a router for a table stalled without an error.
+    feed_stalls: BTreeMap<(String, u8), usize>,
     /// Number of transactions of all routers that write the leader of a service.
     leadership_calls: usize,
     /// How the upstreams of all services warm up.
@@ -304,8 +304,16 @@
     /// Stalls the open feed calls of a router: they return nothing until they time out. Calls that
     /// begin later are answered.
     pub(crate) fn stall_feeds(&self, router: &str) {
+        for table in [Table::Configuration, Table::Registry, Table::Routers] {
+            self.stall_feed(router, table);
+        }
+    }
+
+    /// Like [`Self::stall_feeds`], for one table.
+    pub(crate) fn stall_feed(&self, router: &str, table: Table) {
         let mut state = self.0.lock().unwrap();
-        *state.feed_stalls.entry(router.to_owned()).or_default() += 1;
+        let feed = (router.to_owned(), table_number(table));
+        *state.feed_stalls.entry(feed).or_default() += 1;
     }
 
     /// Lets rows of the configuration need some time to arrive at a router.
@@ -465,9 +473,10 @@
         Ok(())
     }
 
-    fn feed_stalls(&self) -> usize {
+    fn feed_stalls(&self, table: Table) -> usize {
         let state = self.store.0.lock().unwrap();
-        state.feed_stalls.get(&self.router).copied().unwrap_or(0)
+        let feed = (self.router.clone(), table_number(table));
+        state.feed_stalls.get(&feed).copied().unwrap_or(0)
     }
 
     fn rows_after(&self, table: Table, after: Revision) -> Rows {
@@ -542,9 +551,9 @@
             .feed_calls
             .entry(self.router.clone())
             .or_default() += 1;
-        let stalls = self.feed_stalls();
+        let stalls = self.feed_stalls(table);
         loop {
-            if self.feed_stalls() != stalls {
+            if self.feed_stalls(table) != stalls {
                 tokio::time::sleep_until(give_up + FEED_MARGIN).await;
                 return Err(Fault {
                     call: "test".into(),
