edge: a relay that has just started keeps its contact to the store

Cause: after the first read of a table a router paused for 0.7 s, then polled the configuration for up to 0.9 s. A router can't be relied on as a relay 1.6 s after its last contact, which is the sum. So each relay lost its contact for some ms about 1.6 s after its start.

Change: only the tables that starting routers and upstreams write have that pause.

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -67,6 +67,7 @@
 const REGISTRATION_RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Maximum number of routers that are consulted before a starting router trusts the store.
 const MAX_CONSULTED_ROUTERS: usize = 3;
+
 /// Tables that are relayed, in the order in which messages index them.
 pub(crate) const TABLES: [Table; 3] = [Table::Configuration, Table::Registry, Table::Routers];
 
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -39,6 +39,8 @@
 /// Pause between two polls, so that rows written shortly after each other arrive in one response.
 /// It is a small part of the deadlines for drains and configurations.
 const BATCH_PAUSE: Duration = Duration::from_millis(100);
+/// Pause after the first read of a table that routers and upstreams write when they start. Those that
+/// start together register within about this time.
 const FIRST_BATCH_PAUSE: Duration = Duration::from_millis(700);
 /// Maximum time until a table's source is checked again while a relay supplies the table.
 const SOURCE_POLL: Duration = Duration::from_secs(5);
@@ -116,8 +118,7 @@
             Some(Ok(())) => {
                 record_contact(&node, table, None);
                 pause = MIN_PAUSE;
-                // Routers and upstreams that start together register within about this time.
-                sleep(if is_first {
+                sleep(if is_first && table != Table::Configuration {
                     FIRST_BATCH_PAUSE
                 } else {
                     BATCH_PAUSE
