edge: a lost long poll is no proof of an outage

Cause: a failure of the configuration's feed, or of the registry's, then counted as an outage of the store from the time at which the lost call was sent.

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -92,7 +92,7 @@
     feeds_lost: [Notify; 3],
     /// When the calls to the store under way were sent, by table.
     readings: [Cell<Option<Instant>>; 3],
-    /// When the last calls to the store were sent that failed, or may have, by table.
+    /// When the store last failed calls, by table, until it answers one.
     failures: [Cell<Option<Instant>>; 3],
     /// Versions of the configuration that other routers have and this one lacks.
     heard: RefCell<Pending>,
@@ -114,15 +114,19 @@
         self.readings[index(table)].set(Some(clock::now()));
     }
 
-    /// Records that the call for a table that is under way has failed, or may have.
+    /// Returns when the call for a table was sent that is under way.
+    pub(crate) fn reading_since(&self, table: Table) -> Option<Instant> {
+        self.readings[index(table)].get()
+    }
+
+    /// Records that the store fails calls for a table.
     pub(crate) fn record_failure(&self, table: Table) {
-        let started = self.readings[index(table)].get();
-        self.failures[index(table)].set(started.or_else(|| Some(clock::now())));
+        self.failures[index(table)].set(Some(clock::now()));
     }
 
-    /// Returns when the last call for a table was sent that failed, or may have.
-    pub(crate) fn last_failure(&self, table: Table) -> Option<Instant> {
-        self.failures[index(table)].get()
+    /// Returns when the store last failed a call for a table, and forgets it.
+    pub(crate) fn take_failure(&self, table: Table) -> Option<Instant> {
+        self.failures[index(table)].take()
     }
 
     /// Records that the call for a table has ended.
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use eelgrassrock_dispatch::directory::Directory;
 use eelgrassrock_ranges::election::Leadership;
-use eelgrassrock_store::Fault;
+use eelgrassrock_store::{Fault, Kind};
 use serde::Serialize;
 use tokio::time::{sleep, timeout};
 
@@ -109,7 +109,9 @@
             () = follows_relay(&node) => None,
             () = node.relay.feed_lost(table).notified() => None,
         };
-        if matches!(end, Some(Err(_))) {
+        if let Some(Err(fault)) = &end
+            && node.shows_outage(table, fault)
+        {
             node.relay.record_failure(table);
         }
         node.relay.end_reading(table);
@@ -259,10 +261,17 @@
         self.state.borrow().contact.get(&table) == Some(&false)
     }
 
+    /// Whether the failure of the call under way shows that the store fails calls at present. A long
+    /// poll that got no answer may have been lost alone, some time ago.
+    fn shows_outage(&self, table: Table, fault: &Fault) -> bool {
+        let sent_at = self.relay.reading_since(table);
+        let is_recent = sent_at.is_none_or(|at| clock::now() - at < MAX_NOTICE_DELAY);
+        is_recent || !matches!(fault.kind, Kind::Timeout(_))
+    }
+
     /// Records that the calls under way for tables other than the configuration may have failed.
     fn suspect_feeds(&self) {
         for table in [Table::Registry, Table::Routers] {
-            self.relay.record_failure(table);
             if !self.is_store_lost(table) {
                 self.state.borrow_mut().contact.insert(table, false);
                 self.log_contact(table, Some("the feed of the configuration failed"));
@@ -280,14 +289,16 @@
         }
     }
 
-    /// Records the end of an outage. A long poll that was lost shows its failure seconds later, when
-    /// the store may have answered all other calls for long. The end counts from that call then.
+    /// Records the end of an outage, if the store has failed calls for the table. It counts from the
+    /// last failure if this router hasn't asked the store for some time.
     fn record_outage_end(&self, table: Table) {
+        let Some(failed_at) = self.relay.take_failure(table) else {
+            return;
+        };
         if table == Table::Registry {
             let now = clock::now();
-            let lost_call = self.relay.last_failure(table);
-            let lost_call = lost_call.filter(|sent_at| now - *sent_at >= MAX_NOTICE_DELAY);
-            let ended_at = lost_call.unwrap_or(now);
+            let is_recent = now - failed_at < MAX_NOTICE_DELAY;
+            let ended_at = if is_recent { now } else { failed_at };
             let mut state = self.state.borrow_mut();
             state.registry.record_store_regained(ended_at);
         }
