edge: a router whose source changes while it is behind reads the store

Cause: it read the store, heard of a configuration of the store's past, and asked the store again. Before the answer, a relay that had been skipped was found and the call was given up. The relay lacks that version as well, so nothing said any more that the version isn't needed. Since skipped relays are checked beside the store, this happens more often.

Change: if it still lacks the version and follows a relay by then, it reads the store for 2 s, like a router whose relay lags behind.

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -281,14 +281,14 @@
                     sleep(RELAY_LAG_ALLOWANCE).await;
                 }
                 sleep(RELAY_LAG_ALLOWANCE).await;
-                if lacks(&node) != [false; 2] {
-                    // The store may turn this router away.
-                    node.catch_up(sender).await;
-                }
+            }
+            if lacks(&node) == [false; 2] {
                 return;
             }
+            // The relay lags behind, or the store turns this router away.
             node.catch_up(sender).await;
-            if lacks(&node) != [false; 2] {
+            // A relay may have become the source meanwhile, before the store could answer.
+            if lacks(&node) != [false; 2] && node.relay_to_follow().is_some() {
                 node.bypass_relay("behind");
             }
         });
