--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -3,10 +3,12 @@
 //! Exits with 0 if the rule held, 1 if it was broken, and 2 if the case couldn't run.
 
 mod endless;
+mod holder;
 mod http;
 mod json;
 mod link;
 mod record;
+mod restore;
 mod router;
 mod store;
 mod upstream;
@@ -26,6 +28,7 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let result = Record::create(record).and_then(|record| match &**case {
         "endless" => endless::run(&record, folder, has_trouble),
+        "restore" => restore::run(&record, folder, has_trouble),
         "writer" => writer::run(&record, folder, has_trouble),
         _ => Err(io::Error::other("no such case")),
     });
--- a/review/standin-3/router.rs
+++ b/review/standin-3/router.rs
@@ -76,6 +76,17 @@
         Ok(())
     }
 
+    /// Kills the process. Settings that it starts with again are not those of a first start.
+    pub fn kill(&mut self) -> io::Result<()> {
+        if let Some(mut child) = self.process.take() {
+            child.kill()?;
+            child.wait()?;
+        }
+        let text = fs::read_to_string(&self.settings)?;
+        let text = text.replace(r#""bootstrap":true"#, r#""bootstrap":false"#);
+        fs::write(&self.settings, text)
+    }
+
     /// Asks whether the router is ready, as the platform does.
     pub fn is_ready(&self) -> bool {
         let address = (self.ip, READY_PORT).into();
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -22,17 +23,28 @@
     version: u64,
 }
 
+type Rows = BTreeMap<(String, String, String), Row>;
+
 #[derive(Default)]
 struct State {
     /// By table, part and key.
-    rows: BTreeMap<(String, String, String), Row>,
+    rows: Rows,
     version: u64,
+    /// `Store-Era`, left out while it is 0.
+    era: u64,
+    /// Contents at earlier times, if a copy may be restored.
+    copies: Vec<(Instant, Rows, u64)>,
 }
 
+/// Status and body of an answer, and the era in which it was made.
+type Answer = (u16, String, u64);
+
 pub struct Store {
     state: Mutex<State>,
     changed: Condvar,
     started: Instant,
+    /// How many times as long as usual a call takes.
+    slowness: AtomicU32,
 }
 
 impl Store {
@@ -42,6 +54,7 @@
             state: Mutex::default(),
             changed: Condvar::new(),
             started: Instant::now(),
+            slowness: AtomicU32::new(1),
         });
         let shared = Arc::clone(&store);
         thread::spawn(move || {
@@ -53,6 +66,39 @@
         Ok(store)
     }
 
+    /// Lets all calls from now on take so many times as long as usual.
+    pub fn slow(&self, times: u32) {
+        self.slowness.store(times, Ordering::Relaxed);
+    }
+
+    /// Names an era from now on, and keeps copies of the rows every 100 ms.
+    pub fn keep_copies(self: &Arc<Self>) {
+        self.state.lock().unwrap().era = 1;
+        let store = Arc::clone(self);
+        thread::spawn(move || {
+            loop {
+                {
+                    let mut state = store.state.lock().unwrap();
+                    let copy = (Instant::now(), state.rows.clone(), state.version);
+                    state.copies.push(copy);
+                }
+                thread::sleep(Duration::from_millis(100));
+            }
+        });
+    }
+
+    /// Comes back from a copy that is at least this old.
+    pub fn restore(&self, age: Duration) {
+        let mut state = self.state.lock().unwrap();
+        let old = |(at, _, _): &&(Instant, Rows, u64)| at.elapsed() >= age;
+        if let Some((_, rows, version)) = state.copies.iter().rev().find(old).cloned() {
+            state.rows = rows;
+            state.version = version;
+            state.era += 1;
+        }
+        self.changed.notify_all();
+    }
+
     /// Writes a row as the operator or an instance does. Returns the version of the store.
     pub fn put(&self, table: &str, key: &str, value: &str) -> u64 {
         self.write(table, key, Some(json::base64(value.as_bytes())))
@@ -75,16 +121,21 @@
         };
         let mut reader = BufReader::new(reading);
         while let Ok(message) = http::read(&mut reader) {
-            thread::sleep(CALL_TIME);
-            let (status, body) = match message.path() {
-                "/api/rows-get" => (200, self.get(&message)),
-                "/api/rows-feed" => (200, self.feed(&message)),
+            thread::sleep(CALL_TIME * self.slowness.load(Ordering::Relaxed));
+            let (status, body, era) = match message.path() {
+                "/api/rows-get" => self.get(&message),
+                "/api/rows-feed" => self.feed(&message),
                 "/api/rows-tx" => self.transact(&message),
-                _ => (404, "{}".to_owned()),
+                _ => (404, "{}".to_owned(), 0),
             };
             let start = format!("HTTP/1.1 {status} Answer");
-            let headers = [("Content-Type", "application/json")];
-            if http::write(&stream, &start, &headers, body.as_bytes()).is_err() {
+            let era_text = era.to_string();
+            let headers = [
+                ("Content-Type", "application/json"),
+                ("Store-Era", &*era_text),
+            ];
+            let headers = if era == 0 { &headers[..1] } else { &headers };
+            if http::write(&stream, &start, headers, body.as_bytes()).is_err() {
                 return;
             }
         }
@@ -96,7 +147,7 @@
         format!(r#"{{"rows":[{rows}],"has_more":{has_more},"ver":{version},"now":"{now}ms"}}"#)
     }
 
-    fn get(&self, message: &Message) -> String {
+    fn get(&self, message: &Message) -> Answer {
         let text = |name| message.query(name).unwrap_or_default();
         let (table, part, from) = (text("table"), text("part"), text("from"));
         let to = message.query("to");
@@ -112,10 +163,11 @@
         let rows: Vec<String> = found.map(encode).collect();
         let limit = limit.min(PAGE_ROWS);
         let page = &rows[..rows.len().min(limit)];
-        self.answer(page, rows.len() > limit, state.version)
+        let body = self.answer(page, rows.len() > limit, state.version);
+        (200, body, state.era)
     }
 
-    fn feed(&self, message: &Message) -> String {
+    fn feed(&self, message: &Message) -> Answer {
         let text = |name| message.query(name).unwrap_or_default();
         let table = text("table");
         let after: u64 = text("after").parse().unwrap_or(0);
@@ -123,6 +175,9 @@
         let until = Instant::now() + Duration::from_millis(wait.min(30_000));
         let mut state = self.state.lock().unwrap();
         loop {
+            if after > state.version {
+                return (410, "{}".to_owned(), state.era);
+            }
             let found = state
                 .rows
                 .iter()
@@ -132,22 +187,22 @@
             let rows: Vec<String> = rows.into_iter().map(encode).collect();
             let left = until.saturating_duration_since(Instant::now());
             if !rows.is_empty() || left.is_zero() {
-                return self.answer(&rows, false, state.version);
+                return (200, self.answer(&rows, false, state.version), state.era);
             }
             state = self.changed.wait_timeout(state, left).unwrap().0;
         }
     }
 
-    fn transact(&self, message: &Message) -> (u16, String) {
+    fn transact(&self, message: &Message) -> Answer {
+        let mut state = self.state.lock().unwrap();
         let Some(call) = json::parse(&message.body) else {
-            return (400, "{}".to_owned());
+            return (400, "{}".to_owned(), state.era);
         };
         let name = |entry: &Value| (entry.text("table"), entry.text("part"), entry.text("key"));
         let writes = || call.list("put").iter().chain(call.list("remove"));
         if writes().any(|entry| matches!(&*entry.text("table"), "op" | "servers")) {
-            return (403, "{}".to_owned());
+            return (403, "{}".to_owned(), state.era);
         }
-        let mut state = self.state.lock().unwrap();
         let expected = call.list("expected_revision");
         let holds = expected.iter().all(|entry| {
             let row = state.rows.get(&name(entry));
@@ -161,7 +216,7 @@
                 Some(encode((&name, row)))
             });
             let rows: Vec<String> = rows.collect();
-            return (412, self.answer(&rows, false, state.version));
+            return (412, self.answer(&rows, false, state.version), state.era);
         }
         state.version += 1;
         let version = state.version;
@@ -175,7 +230,8 @@
         }
         self.changed.notify_all();
         let now = self.started.elapsed().as_millis();
-        (200, format!(r#"{{"ver":{version},"now":"{now}ms"}}"#))
+        let body = format!(r#"{{"ver":{version},"now":"{now}ms"}}"#);
+        (200, body, state.era)
     }
 }
 
